--- /dev/null
+++ b/src/branch/branches.cpp
@@ -0,0 +1,322 @@
+#include "branch/branches.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "branch/load_report.h"
+
+namespace lichenlug {
+namespace {
+
+using rookgw::Outcome;
+
+constexpr Time kProbePatience = 500 * kMillisecond;  // a later answer would tell of another load
+constexpr Time kGiveUpPatience = kSecond;
+
+std::string NameOf(const std::string& call_id, const std::string& runner) { return call_id + '\n' + runner; }
+
+std::string Seconds(Time span) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.3f", static_cast<double>(span) / kSecond);
+  return text;
+}
+
+}  // namespace
+
+Branches::Branches(asio::io_context& io, const Config& config, const RouteSet* routes, Deadlines* deadlines,
+                   TransactionTable* core)
+    : io_(io),
+      config_(config),
+      routes_(routes),
+      deadlines_(deadlines),
+      core_(core),
+      branches_(config.most_open),
+      links_(config.most_runner_links()) {}
+
+// ---- What the core asks for ----
+
+Handle Branches::Open(BranchRef ref, std::shared_ptr<const Job> job, const std::string& runner,
+                      Time deadline) {
+  // One runner gets one attempt of a request at a time.
+  std::string name = NameOf(job->call_id, runner);
+  Branch fresh;
+  fresh.ref = ref, fresh.runner = runner, fresh.deadline = deadline;
+  fresh.job = std::move(job);
+  const Handle handle = by_name_.contains(name) ? Handle{} : branches_.Insert(std::move(fresh));
+  if (!handle) {
+    core_->BranchEnded(ref, Outcome::kMoot);
+    return {};
+  }
+  Branch& branch = *branches_.Find(handle);
+  by_name_.emplace(std::move(name), handle);
+  branch.alarm = deadlines_->Add(deadline, [this, handle] { GiveUp(handle, Outcome::kTimeout); });
+  Exchange exchange;
+  exchange.kind = Exchange::Kind::kJob, exchange.branch = handle, exchange.deadline = deadline;
+  Begin(runner, std::move(exchange));
+  return branches_.Find(handle) != nullptr ? handle : Handle{};
+}
+
+void Branches::GiveUp(Handle branch) { GiveUp(branch, Outcome::kCancelled); }
+
+void Branches::GiveUp(Handle handle, Outcome outcome) {
+  Branch* branch = branches_.Find(handle);
+  if (branch == nullptr || branch->stage == Stage::kGivingUp) return;
+  deadlines_->Remove(&branch->alarm);
+  if (branch->stage == Stage::kTaken) {
+    // After the 202 only a DELETE gives it up, and it counts as out until that has gone through.
+    branch->stage = Stage::kGivingUp;
+    Exchange exchange;
+    exchange.kind = Exchange::Kind::kGiveUp, exchange.branch = handle, exchange.outcome = outcome;
+    exchange.deadline = deadlines_->Now() + kGiveUpPatience, exchange.call_id = branch->job->call_id;
+    return Begin(std::string(branch->runner), std::move(exchange));
+  }
+  // Before the 202 closing gives it up. A connection still coming up has sent nothing and may be of use yet.
+  if (branch->stage == Stage::kSent) DropLink(branch->link);
+  EndBranch(handle, outcome);
+}
+
+void Branches::Probe(const std::string& runner) {
+  Exchange exchange;
+  exchange.kind = Exchange::Kind::kProbe;
+  exchange.deadline = deadlines_->Now() + kProbePatience;
+  Begin(runner, std::move(exchange));
+}
+
+// ---- Connections ----
+
+void Branches::Begin(const std::string& runner, Exchange exchange) {
+  exchange.began = deadlines_->Now();
+  const Route* route = routes_->Find(runner);
+  if (route == nullptr || route->host.empty()) return Failed(exchange, runner, Outcome::kConnectFailed);
+  Handle handle = IdleLink(*route);
+  if (handle) {
+    links_.Find(handle)->exchange = std::move(exchange);
+    return Transmit(handle);
+  }
+  if (links_.full() && !EvictIdleLink()) return Failed(exchange, runner, Outcome::kConnectFailed);
+  Link fresh;
+  fresh.connection =
+      std::make_shared<HttpConnection>(asio::ip::tcp::socket(io_), HttpConnection::Side::kClient);
+  fresh.runner = runner, fresh.host = route->host, fresh.address = route->address;
+  fresh.exchange = std::move(exchange);
+  handle = links_.Insert(std::move(fresh));
+  Link& link = *links_.Find(handle);
+  link.alarm =
+      deadlines_->Add(deadlines_->Now() + config_.connect_timeout, [this, handle] { Broke(handle); });
+  link.connection->Connect(link.address, [this, handle](std::error_code error) {
+    Link* connected = links_.Find(handle);
+    if (connected == nullptr) return;
+    if (error) return Broke(handle);
+    connected->up = true;
+    HttpConnection::Events events;
+    events.on_message = [this, handle](HttpMessage answer) { Answered(handle, answer); };
+    events.on_end = [this, handle](HttpConnection::End) { Broke(handle); };
+    connected->connection->SetEvents(std::move(events));
+    connected->connection->Start();
+    Transmit(handle);
+  });
+}
+
+Handle Branches::IdleLink(const Route& route) {
+  std::vector<Handle>& idle = idle_[route.runner.id];
+  while (!idle.empty()) {
+    const Handle handle = idle.back();
+    idle.pop_back();
+    Link* link = links_.Find(handle);
+    if (link == nullptr) continue;
+    if (link->address == route.address && !link->connection->HasUnread()) return handle;
+    DropLink(handle);
+  }
+  return {};
+}
+
+// The first byte goes out here. Connecting takes time, so what was decided is looked at once more.
+void Branches::Transmit(Handle handle) {
+  Link& link = *links_.Find(handle);
+  Exchange& exchange = link.exchange;
+  const Time now = deadlines_->Now();
+  std::string bytes;
+  if (exchange.kind == Exchange::Kind::kJob) {
+    Branch* branch = branches_.Find(exchange.branch);
+    if (branch == nullptr || now >= branch->deadline || !routes_->Serving(link.runner)) {
+      // The branch is over, its time is up, or its runner drains by now: nothing new goes there.
+      const Handle unsent = exchange.branch;
+      Rest(handle);
+      return EndBranch(unsent, Outcome::kMoot);
+    }
+    branch->stage = Stage::kSent, branch->link = handle;
+    const Job& job = *branch->job;
+    std::vector<std::pair<std::string, std::string>> headers = {
+        {"X-Call-Id", job.call_id}, {"X-Budget", Seconds(branch->deadline - now)}};
+    if (!job.idempotency_key.empty()) headers.emplace_back("Idempotency-Key", job.idempotency_key);
+    if (!job.content_type.empty()) headers.emplace_back("Content-Type", job.content_type);
+    bytes = FormatRequest("POST", job.target, link.host, headers, job.body);
+  } else if (exchange.kind == Exchange::Kind::kGiveUp) {
+    bytes = FormatRequest("DELETE", "/jobs/" + exchange.call_id, link.host, {}, "");
+  } else if (exchange.kind == Exchange::Kind::kProbe) {
+    bytes = FormatRequest("GET", "/-/load", link.host, {}, "");
+  } else {
+    return Rest(handle);
+  }
+  link.written = false;
+  deadlines_->Move(&link.alarm, exchange.deadline, [this, handle] {
+    const Link* late = links_.Find(handle);
+    // A job's own alarm words the outcome; this one frees the connection of a job that is over already.
+    if (late->exchange.kind == Exchange::Kind::kJob) GiveUp(late->exchange.branch, Outcome::kTimeout);
+    if (links_.Find(handle) != nullptr) Broke(handle);
+  });
+  link.connection->Next();
+  link.connection->Write(std::move(bytes), [this, handle](std::error_code error) {
+    Link* sent = links_.Find(handle);
+    if (sent == nullptr) return;
+    if (error) return Broke(handle);
+    sent->written = true;
+  });
+}
+
+void Branches::Answered(Handle handle, const HttpMessage& answer) {
+  Link* link = links_.Find(handle);
+  const Exchange exchange = std::exchange(link->exchange, {});
+  const std::string runner = link->runner;
+  const bool reusable = answer.keep_alive && link->written && exchange.kind != Exchange::Kind::kNone;
+  if (reusable)
+    Rest(handle);
+  else
+    DropLink(handle);
+  switch (exchange.kind) {
+    case Exchange::Kind::kJob:
+      return JobAnswered(exchange.branch, answer);
+    case Exchange::Kind::kGiveUp:
+      return EndBranch(exchange.branch, exchange.outcome);
+    case Exchange::Kind::kProbe:
+      return core_->ProbeEnded(
+          runner, answer.status == 200, deadlines_->Now() - exchange.began,
+          ParseLoadReport(nlohmann::json::parse(answer.body, nullptr, false), config_.site));
+    case Exchange::Kind::kNone:
+      return;
+  }
+}
+
+// The connection is of no more use. What it means for a job turns on whether its last byte was written: until
+// then it never ran; from then on it may have, and must not be taken for one that could not connect.
+void Branches::Broke(Handle handle) {
+  Link* link = links_.Find(handle);
+  if (link == nullptr) return;
+  const Exchange exchange = std::exchange(link->exchange, {});
+  const Outcome outcome = link->up && link->written ? Outcome::kReset : Outcome::kConnectFailed;
+  const std::string runner = link->runner;
+  DropLink(handle);
+  Failed(exchange, runner, outcome);
+}
+
+void Branches::Failed(const Exchange& exchange, const std::string& runner, Outcome outcome) {
+  switch (exchange.kind) {
+    case Exchange::Kind::kJob:
+      return EndBranch(exchange.branch, outcome);
+    case Exchange::Kind::kGiveUp:
+      return EndBranch(exchange.branch, exchange.outcome);
+    case Exchange::Kind::kProbe:
+      return core_->ProbeEnded(runner, false, deadlines_->Now() - exchange.began, {});
+    case Exchange::Kind::kNone:
+      return;
+  }
+}
+
+// Idle now. The runner's machine closes it when it has stood idle for IdleClose, and a request that crosses
+// that end is lost as a reset; so it is closed here well before.
+void Branches::Rest(Handle handle) {
+  Link* link = links_.Find(handle);
+  link->exchange = {};
+  idle_[link->runner].push_back(handle);
+  deadlines_->Move(&link->alarm, deadlines_->Now() + config_.idle_close * 4 / 5,
+                   [this, handle] { DropLink(handle); });
+}
+
+void Branches::DropLink(Handle handle) {
+  Link* link = links_.Find(handle);
+  if (link == nullptr) return;
+  deadlines_->Remove(&link->alarm);
+  link->connection->Close();
+  const auto idle = idle_.find(link->runner);
+  if (idle != idle_.end() && std::erase(idle->second, handle) > 0 && idle->second.empty()) idle_.erase(idle);
+  links_.Erase(handle);
+}
+
+bool Branches::EvictIdleLink() {
+  for (const auto& [runner, idle] : idle_)
+    if (!idle.empty()) return DropLink(Handle(idle.front())), true;
+  return false;
+}
+
+// ---- How a branch ends ----
+
+void Branches::JobAnswered(Handle handle, const HttpMessage& answer) {
+  Branch* branch = branches_.Find(handle);
+  if (branch == nullptr) return;  // its call-back was faster
+  if (answer.status == 202) {
+    branch->stage = Stage::kTaken;
+    branch->link = {};
+    return;
+  }
+  rookgw::LoadReport report;
+  if (const std::string* load = answer.Header("x-load-report"))
+    report = ParseLoadReport(nlohmann::json::parse(*load, nullptr, false), config_.site);
+  const std::string* rejected = answer.Header("x-rejected");
+  const bool unseen =
+      (answer.status == 503 || answer.status == 504) && rejected != nullptr && *rejected == "1";
+  EndBranch(handle, unseen ? Outcome::kFull : Outcome::kError, report);
+}
+
+bool Branches::CallBack(const std::string& body) {
+  const auto json = nlohmann::json::parse(body, nullptr, false);
+  const auto text = [&json](const char* key) -> const std::string* {
+    const auto it = json.find(key);
+    return it != json.end() && it->is_string() ? it->get_ptr<const std::string*>() : nullptr;
+  };
+  if (!json.is_object()) return false;
+  const std::string *id = text("id"), *from = text("from"), *state = text("state"), *result = text("result");
+  if (id == nullptr || from == nullptr || state == nullptr) return false;
+  Outcome outcome = Outcome::kServed;
+  const bool note = *state == "started" || *state == "running";
+  if (*state == "failed" || (*state == "done" && result == nullptr))
+    outcome = Outcome::kError;  // done with no result: there is nothing that the client could be served
+  else if (*state == "returned")
+    outcome = Outcome::kFull;
+  else if (*state == "lost")
+    outcome = Outcome::kReset;
+  else if (*state != "done" && !note)
+    return false;
+
+  // Both the id and the runner have to match: a late word of an older branch must not end the present one.
+  const auto held = by_name_.find(NameOf(*id, *from));
+  if (held == by_name_.end()) return true;
+  const Handle handle = held->second;
+  const Branch& branch = *branches_.Find(handle);
+  if (note) {
+    const auto share = json.find("share");
+    core_->BranchNote(
+        branch.ref,
+        *state == "started" ? rookgw::AttemptNote::Kind::kStarted : rookgw::AttemptNote::Kind::kProgress,
+        share != json.end() && share->is_number() ? share->get<double>() : 0);
+    return true;
+  }
+  const auto load = json.find("load");
+  EndBranch(handle, outcome, load != json.end() ? ParseLoadReport(*load, config_.site) : rookgw::LoadReport{},
+            outcome == Outcome::kServed ? *result : std::string());
+  return true;
+}
+
+void Branches::EndBranch(Handle handle, Outcome outcome, const rookgw::LoadReport& report,
+                         std::string result) {
+  Branch* branch = branches_.Find(handle);
+  if (branch == nullptr) return;
+  const BranchRef ref = branch->ref;
+  deadlines_->Remove(&branch->alarm);
+  by_name_.erase(NameOf(branch->job->call_id, branch->runner));
+  branches_.Erase(handle);
+  core_->BranchEnded(ref, outcome, report, std::move(result));
+}
+
+}  // namespace lichenlug
--- /dev/null
+++ b/src/branch/branches.h
@@ -0,0 +1,98 @@
+// Branches: the attempts at runners, the connections they use, the call-backs that end them, the calls that
+// give them up, and probes.
+//
+// A branch outlives its exchange: the exchange ends with the runner's 202, the branch with a call-back. A
+// call-back can also come first, so each knows the other by handle only.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "config/config.h"
+#include "core/ports.h"
+#include "core/transactions.h"
+#include "discovery/route_set.h"
+#include "net/deadlines.h"
+#include "net/http_connection.h"
+#include "net/slots.h"
+
+namespace lichenlug {
+
+class Branches : public BranchPort {
+ public:
+  Branches(asio::io_context& io, const Config& config, const RouteSet* routes, Deadlines* deadlines,
+           TransactionTable* core);
+
+  Handle Open(BranchRef ref, std::shared_ptr<const Job> job, const std::string& runner,
+              Time deadline) override;
+  void GiveUp(Handle branch) override;
+  void Probe(const std::string& runner) override;
+
+  // A runner's call-back. False: it is malformed. One for a branch that is not held (it is over, given up, or
+  // of an earlier life) is well-formed and changes nothing.
+  bool CallBack(const std::string& body);
+
+  std::size_t out() const { return branches_.size(); }
+
+ private:
+  enum class Stage { kUnsent, kSent, kTaken, kGivingUp };
+  struct Branch {
+    BranchRef ref;
+    std::shared_ptr<const Job> job;
+    std::string runner;
+    Time deadline = 0;
+    Stage stage = Stage::kUnsent;
+    Handle link;
+    Deadlines::Key alarm;
+  };
+
+  // One request to a runner and its answer.
+  struct Exchange {
+    enum class Kind { kNone, kJob, kGiveUp, kProbe };
+    Kind kind = Kind::kNone;
+    Handle branch;  // of a job or of what is given up
+    Time began = 0, deadline = 0;
+    rookgw::Outcome outcome = rookgw::Outcome::kCancelled;  // of a branch given up
+    std::string call_id;
+  };
+
+  // One connection to a runner. It is idle when it has no exchange.
+  struct Link {
+    std::shared_ptr<HttpConnection> connection;
+    std::string runner, host;
+    asio::ip::tcp::endpoint address;
+    Exchange exchange;
+    bool up = false, written = false;
+    Deadlines::Key alarm;
+  };
+
+  void Begin(const std::string& runner, Exchange exchange);
+  Handle IdleLink(const Route& route);
+  void Transmit(Handle handle);
+  void Answered(Handle handle, const HttpMessage& answer);
+  void Broke(Handle handle);
+  void Rest(Handle handle);
+  void DropLink(Handle handle);
+  bool EvictIdleLink();
+
+  // The exchange came to nothing.
+  void Failed(const Exchange& exchange, const std::string& runner, rookgw::Outcome outcome);
+  void JobAnswered(Handle branch, const HttpMessage& answer);
+  void GiveUp(Handle branch, rookgw::Outcome outcome);
+  void EndBranch(Handle handle, rookgw::Outcome outcome, const rookgw::LoadReport& report = {},
+                 std::string result = {});
+
+  asio::io_context& io_;
+  const Config& config_;
+  const RouteSet* routes_;
+  Deadlines* deadlines_;
+  TransactionTable* core_;
+  SlotTable<Branch> branches_;
+  SlotTable<Link> links_;
+  std::unordered_map<std::string, Handle> by_name_;            // call id and runner
+  std::unordered_map<std::string, std::vector<Handle>> idle_;  // by runner, the latest used last
+};
+
+}  // namespace lichenlug
--- /dev/null
+++ b/src/caller/callers.cpp
@@ -0,0 +1,223 @@
+#include "caller/callers.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+#include "caller/request_parser.h"
+
+namespace lichenlug {
+namespace {
+
+constexpr Time kIdlePatience = 90 * kSecond;   // between requests
+constexpr Time kReadPatience = 10 * kSecond;   // for the rest of a request that has begun
+constexpr Time kWritePatience = 10 * kSecond;  // for a client to take its answer
+constexpr Time kFinishPatience = kSecond;      // for a client to end its side
+constexpr Time kAcceptPause = 20 * kMillisecond;
+constexpr Time kNewConnections = 450 * kMillisecond;  // they go on coming for 0.2 to 0.4 s after SIGTERM
+constexpr Time kLookEvery = 20 * kMillisecond;
+
+}  // namespace
+
+Callers::Callers(asio::io_context& io, const Config& config, const RouteSet* routes, Deadlines* deadlines,
+                 TransactionTable* core, Branches* branches)
+    : io_(io),
+      config_(config),
+      routes_(routes),
+      deadlines_(deadlines),
+      core_(core),
+      branches_(branches),
+      acceptor_(io, config.listen, /*reuse_addr=*/true),
+      legs_(config.most_caller_legs()) {}
+
+void Callers::Start() { Accept(); }
+
+// ---- Connections ----
+
+void Callers::Accept() {
+  acceptor_.async_accept([this](std::error_code error, asio::ip::tcp::socket socket) {
+    if (error == asio::error::operation_aborted) return;
+    if (error) {  // no descriptor left, as a rule: a pause, not a spin and not an end
+      EvictIdleLeg();
+      deadlines_->Add(deadlines_->Now() + kAcceptPause, [this] { Accept(); });
+      return;
+    }
+    Accepted(std::move(socket));
+    Accept();
+  });
+}
+
+void Callers::Accepted(asio::ip::tcp::socket socket) {
+  if (legs_.full() && !EvictIdleLeg()) return;  // closes it unread: the client may ask again elsewhere
+  Leg fresh;
+  fresh.connection = std::make_shared<HttpConnection>(std::move(socket), HttpConnection::Side::kServer);
+  const Handle handle = legs_.Insert(std::move(fresh));
+  HttpConnection::Events events;
+  events.on_begin = [this, handle] { Began(handle); };
+  events.on_message = [this, handle](HttpMessage message) { Arrived(handle, std::move(message)); };
+  events.on_end = [this, handle](HttpConnection::End end) { Ended(handle, end); };
+  Leg& leg = *legs_.Find(handle);
+  leg.connection->SetEvents(std::move(events));
+  Idle(handle);
+  leg.connection->Start();
+}
+
+bool Callers::EvictIdleLeg() {
+  Handle oldest;
+  Time since = 0;
+  legs_.ForEach([&](Handle handle, Leg& leg) {
+    if (leg.stage != Stage::kIdle || leg.connection->HasUnread()) return;
+    if (!oldest || leg.since < since) oldest = handle, since = leg.since;
+  });
+  if (oldest) DropLeg(oldest);
+  return static_cast<bool>(oldest);
+}
+
+void Callers::Idle(Handle handle) {
+  Leg& leg = *legs_.Find(handle);
+  leg.stage = Stage::kIdle;
+  leg.since = deadlines_->Now();
+  leg.transaction = {};
+  deadlines_->Move(&leg.alarm, leg.since + kIdlePatience, [this, handle] { DropLeg(handle); });
+}
+
+void Callers::DropLeg(Handle handle) {
+  Leg* leg = legs_.Find(handle);
+  if (leg == nullptr) return;
+  deadlines_->Remove(&leg->alarm);
+  leg->connection->Close();
+  open_ids_.erase(leg->call_id);
+  legs_.Erase(handle);
+}
+
+// ---- Requests ----
+
+void Callers::Began(Handle handle) {
+  Leg* leg = legs_.Find(handle);
+  if (leg == nullptr) return;
+  leg->stage = Stage::kReading;
+  deadlines_->Move(&leg->alarm, deadlines_->Now() + kReadPatience, [this, handle] {
+    Reply(handle, 408, "the rest of the request did not come\n", {}, /*close=*/true);
+  });
+}
+
+void Callers::Arrived(Handle handle, HttpMessage message) {
+  Leg& leg = *legs_.Find(handle);
+  leg.stage = Stage::kWaiting;
+  leg.close_after = !message.keep_alive;
+  deadlines_->Remove(&leg.alarm);
+  const std::string_view path = PathOf(message.target);
+  if (path == "/-/ready") {
+    const bool ready = !draining_ && !routes_->empty();
+    return Reply(handle, ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
+  }
+  if (path == "/callback") {
+    if (message.method != "POST") return Reply(handle, 405, "POST expected\n", {{"Allow", "POST"}});
+    const bool good = branches_->CallBack(message.body);
+    return good ? Reply(handle, 200) : Reply(handle, 400, "not a call-back\n");
+  }
+  const auto cls = config_.site.classes.find(std::string(FirstPart(message.target)));
+  if (cls == config_.site.classes.end()) return Reply(handle, 404, "no such class\n");
+  if (message.method != "POST") return Reply(handle, 405, "POST expected\n", {{"Allow", "POST"}});
+  Submit(handle, std::move(message), cls->second);
+}
+
+void Callers::Submit(Handle handle, HttpMessage message, int cls) {
+  last_request_ = deadlines_->Now();
+  rookgw::RequestArrived arrived;
+  auto job = std::make_shared<Job>();
+  if (const char* fault = ParseJobRequest(message, config_.site, cls, last_request_, &arrived, job.get()))
+    return Reply(handle, 400, std::string(fault) + "\n");
+  job->body = std::move(message.body);
+  // Nothing of it has run, so a busy answer is harmless; the last descriptors are kept for call-backs.
+  if (legs_.size() > config_.most_serving_legs())
+    return Reply(handle, 503, "too many connections\n", {}, /*close=*/true);
+  if (!open_ids_.insert(job->call_id).second) return Reply(handle, 409, "this id is being served\n");
+  legs_.Find(handle)->call_id = job->call_id;
+  const Handle transaction = core_->Begin(std::move(arrived), std::move(job), this, handle);
+  Leg* leg = legs_.Find(handle);
+  if (!transaction) return Reply(handle, 503, "too many requests\n");
+  if (leg != nullptr && leg->stage == Stage::kWaiting) leg->transaction = transaction;
+}
+
+void Callers::Ended(Handle handle, HttpConnection::End end) {
+  Leg* leg = legs_.Find(handle);
+  if (leg == nullptr) return;
+  if (end == HttpConnection::End::kMalformed) return Reply(handle, 400, "malformed request\n", {}, true);
+  if (end == HttpConnection::End::kTooLarge) return Reply(handle, 413, "64 KiB at most\n", {}, true);
+  const Handle transaction = leg->transaction;
+  DropLeg(handle);
+  core_->CallerGone(transaction);
+}
+
+// ---- Answers ----
+
+void Callers::Answer(Handle handle, const FinalAnswer& answer) {
+  Leg* leg = legs_.Find(handle);
+  if (leg == nullptr) return;
+  leg->transaction = {};
+  switch (answer.kind) {
+    case FinalAnswer::Kind::kServed:
+      return Reply(handle, 200, answer.result);
+    case FinalAnswer::Kind::kBusy: {
+      if (answer.come_back == 0) return Reply(handle, 503, "busy\n");
+      char seconds[32];
+      const Time span = std::max<Time>(0, answer.come_back - deadlines_->Now());
+      std::snprintf(seconds, sizeof seconds, "%.3f", static_cast<double>(span) / kSecond);
+      return Reply(handle, 503, "busy\n", {{"Retry-After", seconds}});
+    }
+    case FinalAnswer::Kind::kFailed:
+      return Reply(handle, 502, "failed\n");
+    case FinalAnswer::Kind::kTooLate:
+      return Reply(handle, 504, "too late\n");
+  }
+}
+
+void Callers::Reply(Handle handle, int status, std::string_view body,
+                    std::vector<std::pair<std::string, std::string>> headers, bool close) {
+  Leg& leg = *legs_.Find(handle);
+  close = close || leg.close_after || draining_;
+  leg.stage = Stage::kAnswering;
+  open_ids_.erase(leg.call_id);
+  leg.call_id.clear();
+  // A client that does not take its answer must not hold its connection for good.
+  deadlines_->Move(&leg.alarm, deadlines_->Now() + kWritePatience, [this, handle] { DropLeg(handle); });
+  leg.connection->Write(FormatAnswer(status, headers, body, !close),
+                        [this, handle, close](std::error_code e) {
+                          if (legs_.Find(handle) != nullptr) Replied(handle, close, e);
+                        });
+}
+
+void Callers::Replied(Handle handle, bool close, std::error_code error) {
+  Leg& leg = *legs_.Find(handle);
+  if (error) return DropLeg(handle);
+  if (!close) {
+    Idle(handle);
+    return leg.connection->Next();
+  }
+  leg.stage = Stage::kFinishing;
+  deadlines_->Move(&leg.alarm, deadlines_->Now() + kFinishPatience, [this, handle] { DropLeg(handle); });
+  leg.connection->Finish([this, handle] { DropLeg(handle); });
+}
+
+// ---- The end ----
+
+void Callers::Drain(std::function<void()> done) {
+  if (std::exchange(draining_, true)) return;
+  drained_ = std::move(done);
+  drain_began_ = deadlines_->Now();
+  LookForEnd();
+}
+
+// Clients go on with the connections they have for as long as these stay open, so idle ones are closed once
+// new ones have stopped coming, but never one with a request on it that is not read yet.
+void Callers::LookForEnd() {
+  if (deadlines_->Now() - drain_began_ >= kNewConnections) {
+    while (EvictIdleLeg()) {
+    }
+    if (core_->owed() == 0 && legs_.size() == 0) return drained_();
+  }
+  deadlines_->Add(deadlines_->Now() + kLookEvery, [this] { LookForEnd(); });
+}
+
+}  // namespace lichenlug
--- /dev/null
+++ b/src/core/transactions.cpp
@@ -0,0 +1,168 @@
+#include "core/transactions.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+namespace lichenlug {
+
+using rookgw::Outcome;
+
+TransactionTable::TransactionTable(const rookgw::Settings& settings, std::uint64_t seed, std::size_t most,
+                                   Deadlines* deadlines)
+    : settings_(settings), deadlines_(deadlines), brain_(settings, seed), table_(most) {}
+
+void TransactionTable::Start(BranchPort* branches, DiscoveryPort* discovery) {
+  branches_ = branches, discovery_ = discovery;
+  std::vector<rookgw::Action> actions;
+  brain_.Start(deadlines_->Now(), &actions);
+  for (const rookgw::Action& action : actions) std::visit([this](const auto& a) { Do(a); }, action);
+}
+
+// ---- What happens ----
+
+Handle TransactionTable::Begin(rookgw::RequestArrived arrived, std::shared_ptr<const Job> job,
+                               CallerPort* caller, Handle leg) {
+  Transaction fresh;
+  fresh.job = std::move(job), fresh.caller = caller, fresh.leg = leg;
+  fresh.deadline = arrived.valid_until;
+  const Handle handle = table_.Insert(std::move(fresh));
+  if (!handle) return {};
+  ++owed_;
+  // The decisions end a transaction a little before its deadline; this holds should they ever not.
+  table_.Find(handle)->last_moment = deadlines_->Add(arrived.valid_until, [this, handle] {
+    Answer(handle, {FinalAnswer::Kind::kTooLate, {}, 0});
+    Feed(rookgw::RequestGone{handle.Packed()});
+    DropIfDone(handle);
+  });
+  arrived.id = handle.Packed();
+  Feed(std::move(arrived));
+  return handle;
+}
+
+void TransactionTable::CallerGone(Handle handle) {
+  Transaction* transaction = table_.Find(handle);
+  if (transaction == nullptr || transaction->answered) return;
+  transaction->caller = nullptr;
+  Answer(handle, {});
+  Feed(rookgw::RequestGone{handle.Packed()});
+  DropIfDone(handle);
+}
+
+void TransactionTable::BranchNote(BranchRef ref, rookgw::AttemptNote::Kind kind, double share) {
+  Transaction* transaction = table_.Find(ref.transaction);
+  if (transaction == nullptr || transaction->branches[ref.number].over) return;
+  Feed(rookgw::AttemptNote{ref.transaction.Packed(), ref.number, kind, share});
+}
+
+void TransactionTable::BranchEnded(BranchRef ref, Outcome outcome, const rookgw::LoadReport& report,
+                                   std::string result) {
+  Transaction* transaction = table_.Find(ref.transaction);
+  if (transaction == nullptr) return;
+  Branch& branch = transaction->branches[ref.number];
+  if (std::exchange(branch.over, true)) return;  // one outcome only: the first
+  // The caller comes first, the bookkeeping after.
+  if (outcome == Outcome::kServed)
+    Answer(ref.transaction, {FinalAnswer::Kind::kServed, std::move(result), 0});
+  rookgw::AttemptEnded ended;
+  ended.id = ref.transaction.Packed(), ended.attempt = ref.number, ended.worker = branch.runner;
+  ended.outcome = outcome, ended.complete = transaction->answered;
+  ended.took = deadlines_->Now() - branch.sent, ended.report = report;
+  Feed(std::move(ended));
+  DropIfDone(ref.transaction);
+}
+
+void TransactionTable::ProbeEnded(const std::string& runner, bool ok, Time took,
+                                  const rookgw::LoadReport& report) {
+  Feed(rookgw::ProbeEnded{runner, ok, took, report});
+}
+
+void TransactionTable::RoutesChanged(rookgw::ListChanged::Form form, std::int64_t version,
+                                     const std::vector<rookgw::ListedWorker>& runners) {
+  // The event holds a view, which is good only while it is fed: news never comes out of an action.
+  Feed(rookgw::ListChanged{form, version, runners});
+}
+
+void TransactionTable::Feed(rookgw::Event event) {
+  events_.push_back(std::move(event));
+  if (std::exchange(feeding_, true)) return;
+  std::vector<rookgw::Action> actions;
+  while (!events_.empty()) {
+    const rookgw::Event next = std::move(events_.front());
+    events_.pop_front();
+    actions.clear();
+    brain_.Handle(deadlines_->Now(), next, &actions);
+    for (const rookgw::Action& action : actions) std::visit([this](const auto& a) { Do(a); }, action);
+  }
+  feeding_ = false;
+}
+
+// ---- What is to be done ----
+
+void TransactionTable::Do(const rookgw::Dispatch& action) {
+  const Handle handle = Handle::Unpack(action.id);
+  Transaction* transaction = table_.Find(handle);
+  if (transaction == nullptr) return;
+  const BranchRef ref{handle, static_cast<int>(transaction->branches.size())};
+  const Time now = deadlines_->Now();
+  transaction->branches.push_back({action.worker, now, {}, false});
+  if (transaction->answered || ref.number >= settings_.max_attempts || now >= transaction->deadline)
+    return BranchEnded(ref, Outcome::kMoot);
+  Time deadline = transaction->deadline;
+  if (action.give_up_after != 0) deadline = std::min(deadline, now + action.give_up_after);
+  const Handle branch = branches_->Open(ref, transaction->job, action.worker, deadline);
+  if (transaction = table_.Find(handle); transaction != nullptr)
+    transaction->branches[ref.number].handle = branch;
+}
+
+void TransactionTable::Do(const rookgw::Decline& action) {
+  const Handle handle = Handle::Unpack(action.id);
+  const bool advise = settings_.retry_after && action.retry_after > 0;
+  const Time span = std::min(action.retry_after, settings_.max_retry_after);
+  Answer(handle, {FinalAnswer::Kind::kBusy, {}, advise ? deadlines_->Now() + span : 0});
+  DropIfDone(handle);
+}
+
+void TransactionTable::Do(const rookgw::Fail& action) {
+  Answer(Handle::Unpack(action.id), {FinalAnswer::Kind::kFailed, {}, 0});
+  DropIfDone(Handle::Unpack(action.id));
+}
+
+void TransactionTable::Do(const rookgw::CancelAttempt& action) {
+  Transaction* transaction = table_.Find(Handle::Unpack(action.id));
+  if (transaction == nullptr || action.attempt >= static_cast<int>(transaction->branches.size())) return;
+  const Branch& branch = transaction->branches[action.attempt];
+  if (!branch.over) branches_->GiveUp(branch.handle);
+}
+
+void TransactionTable::Do(const rookgw::Probe& action) { branches_->Probe(action.worker); }
+
+void TransactionTable::Do(const rookgw::SetTimer& action) {
+  deadlines_->Add(deadlines_->Now() + action.span,
+                  [this, token = action.token] { Feed(rookgw::TimerFired{token}); });
+}
+
+void TransactionTable::Do(const rookgw::Subscribe&) { discovery_->Ask(); }
+
+void TransactionTable::Do(const rookgw::Log& action) { std::fprintf(stderr, "%s\n", action.text.c_str()); }
+
+// ---- How it ends ----
+
+void TransactionTable::Answer(Handle handle, const FinalAnswer& answer) {
+  Transaction* transaction = table_.Find(handle);
+  if (transaction == nullptr || std::exchange(transaction->answered, true)) return;
+  --owed_;
+  deadlines_->Remove(&transaction->last_moment);
+  if (transaction->caller != nullptr) transaction->caller->Answer(transaction->leg, answer);
+}
+
+// A transaction is kept until its last branch is over: till then the decisions count the branch's slots.
+void TransactionTable::DropIfDone(Handle handle) {
+  Transaction* transaction = table_.Find(handle);
+  if (transaction == nullptr || !transaction->answered) return;
+  for (const Branch& branch : transaction->branches)
+    if (!branch.over) return;
+  table_.Erase(handle);
+}
+
+}  // namespace lichenlug
--- /dev/null
+++ b/src/core/transactions.h
@@ -0,0 +1,80 @@
+// The transaction table: feeds the decisions (rookgw::Brain) with what happens, carries out what they decide
+// and settles how it ends. Here it is kept that each branch has exactly one outcome and each transaction
+// exactly one final answer, whatever comes twice, late or out of order.
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/ports.h"
+#include "net/deadlines.h"
+#include "net/slots.h"
+#include "rookgw/brain.h"
+
+namespace lichenlug {
+
+class TransactionTable {
+ public:
+  TransactionTable(const rookgw::Settings& settings, std::uint64_t seed, std::size_t most,
+                   Deadlines* deadlines);
+
+  void Start(BranchPort* branches, DiscoveryPort* discovery);
+
+  // `arrived.id` is filled in here. A handle that names nothing: the table is full, and nothing is owed. The
+  // answer may come before this returns.
+  Handle Begin(rookgw::RequestArrived arrived, std::shared_ptr<const Job> job, CallerPort* caller,
+               Handle leg);
+  void CallerGone(Handle transaction);
+
+  void BranchNote(BranchRef ref, rookgw::AttemptNote::Kind kind, double share);
+  void BranchEnded(BranchRef ref, rookgw::Outcome outcome, const rookgw::LoadReport& report = {},
+                   std::string result = {});
+  void ProbeEnded(const std::string& runner, bool ok, Time took, const rookgw::LoadReport& report);
+  void RoutesChanged(rookgw::ListChanged::Form form, std::int64_t version,
+                     const std::vector<rookgw::ListedWorker>& runners);
+
+  std::size_t owed() const { return owed_; }  // transactions with no final answer yet
+
+ private:
+  struct Branch {
+    std::string runner;
+    Time sent = 0;
+    Handle handle;
+    bool over = false;
+  };
+  struct Transaction {
+    std::shared_ptr<const Job> job;
+    CallerPort* caller = nullptr;
+    Handle leg;
+    Time deadline = 0;
+    Deadlines::Key last_moment;
+    std::vector<Branch> branches;
+    bool answered = false;
+  };
+
+  void Feed(rookgw::Event event);
+  void Do(const rookgw::Dispatch& action);
+  void Do(const rookgw::Decline& action);
+  void Do(const rookgw::Fail& action);
+  void Do(const rookgw::CancelAttempt& action);
+  void Do(const rookgw::Probe& action);
+  void Do(const rookgw::SetTimer& action);
+  void Do(const rookgw::Subscribe& action);
+  void Do(const rookgw::Log& action);
+  void Answer(Handle handle, const FinalAnswer& answer);
+  void DropIfDone(Handle handle);
+
+  const rookgw::Settings settings_;
+  Deadlines* deadlines_;
+  rookgw::Brain brain_;
+  BranchPort* branches_ = nullptr;
+  DiscoveryPort* discovery_ = nullptr;
+  SlotTable<Transaction> table_;
+  std::deque<rookgw::Event> events_;  // what actions bring about is told after the event that led to them
+  bool feeding_ = false;
+  std::size_t owed_ = 0;
+};
+
+}  // namespace lichenlug
--- /dev/null
+++ b/src/discovery/route_set.cpp
@@ -0,0 +1,105 @@
+#include "discovery/route_set.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+namespace lichenlug {
+namespace {
+
+constexpr std::size_t kMostRoutes = 4096;  // gone runners are kept up to here: their last jobs may need them
+
+using State = rookgw::ListedWorker::State;
+
+template <typename T>
+T Get(const nlohmann::json& object, const char* key, T absent) {
+  const auto it = object.find(key);
+  if (it == object.end() || it->is_null()) return absent;
+  try {
+    return it->get<T>();
+  } catch (const nlohmann::json::exception&) {
+    throw std::runtime_error(std::string("members[].") + key + ": value of a wrong type");
+  }
+}
+
+int Index(const std::unordered_map<std::string, int>& names, const std::string& name) {
+  const auto it = names.find(name);
+  return it == names.end() ? rookgw::kNone : it->second;
+}
+
+Route ParseMember(const nlohmann::json& member, const rookgw::wire::Site& site) {
+  if (!member.is_object()) throw std::runtime_error("members[]: objects expected");
+  Route route;
+  route.runner.id = Get<std::string>(member, "id", "");
+  if (route.runner.id.empty()) throw std::runtime_error("members[].id: missing");
+  const auto phase = Get<std::string>(member, "phase", "active");
+  if (phase == "leaving")
+    route.runner.state = State::kDraining;
+  else if (phase == "left")
+    route.runner.state = State::kGone;
+  else if (phase != "active")
+    throw std::runtime_error("members[].phase: active, leaving or left expected");
+  route.runner.since = Get<Time>(member, "up_since_ms", 0) * kMillisecond;  // 0 stays 0: long ago
+  route.runner.cell = Get<int>(member, "cell", rookgw::kNone);
+  route.runner.kind = Index(site.kinds, Get<std::string>(member, "flavor", ""));
+  route.runner.zone = Index(site.zones, Get<std::string>(member, "locality", ""));
+  route.runner.weight = Get<double>(member, "size", 1);
+  route.host = Get<std::string>(member, "host_port", "");
+  if (route.runner.state != State::kGone || !route.host.empty())
+    route.address = ParseEndpoint(route.host, "members[].host_port");
+  return route;
+}
+
+}  // namespace
+
+asio::ip::tcp::endpoint ParseEndpoint(const std::string& text, const std::string& key) {
+  const std::size_t colon = text.rfind(':');
+  std::error_code error;
+  unsigned port = 0;
+  if (colon != std::string::npos) {
+    const auto address = asio::ip::make_address(text.substr(0, colon), error);
+    const char *first = text.data() + colon + 1, *last = text.data() + text.size();
+    const auto [end, bad] = std::from_chars(first, last, port);
+    if (!error && bad == std::errc() && end == last && first != last && port <= 65535)
+      return {address, static_cast<std::uint16_t>(port)};
+  }
+  throw std::runtime_error(key + ": '" + text + "' is no address:port");
+}
+
+RouteNews ParseRouteNews(const nlohmann::json& object, const rookgw::wire::Site& site) {
+  if (!object.is_object()) throw std::runtime_error("list: a JSON object expected");
+  RouteNews news;
+  news.revision = Get<std::int64_t>(object, "revision", 0);
+  news.complete = Get<bool>(object, "complete", false);
+  const auto members = object.find("members");
+  if (members == object.end() || !members->is_array()) throw std::runtime_error("members: an array expected");
+  for (const auto& member : *members) news.members.push_back(ParseMember(member, site));
+  return news;
+}
+
+void RouteSet::Apply(const RouteNews& news) {
+  if (news.complete)  // what a whole list leaves out is gone; a patch says nothing of what it leaves out
+    for (auto& [id, route] : routes_) route.runner.state = State::kGone;
+  for (const Route& route : news.members) {
+    Route& held = routes_[route.runner.id];
+    const auto address = held.address;
+    const std::string host = held.host;
+    held = route;
+    if (route.host.empty()) held.address = address, held.host = host;
+  }
+  revision_ = news.revision;
+  if (routes_.size() > kMostRoutes)
+    std::erase_if(routes_, [](const auto& entry) { return entry.second.runner.state == State::kGone; });
+}
+
+const Route* RouteSet::Find(const std::string& id) const {
+  const auto it = routes_.find(id);
+  return it == routes_.end() ? nullptr : &it->second;
+}
+
+bool RouteSet::Serving(const std::string& id) const {
+  const Route* route = Find(id);
+  return route != nullptr && route->runner.state == State::kServing;
+}
+
+}  // namespace lichenlug
--- /dev/null
+++ b/src/discovery/route_set.h
@@ -0,0 +1,47 @@
+// The route set: every runner that discovery has named, with its address and phase, by id.
+#pragma once
+
+#include <asio.hpp>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "net/clock.h"
+#include "wire.h"
+
+namespace lichenlug {
+
+struct Route {
+  rookgw::ListedWorker runner;
+  asio::ip::tcp::endpoint address;
+  std::string host;
+};
+
+// What discovery says at one time: the whole list, or the entries that changed.
+struct RouteNews {
+  std::int64_t revision = 0;
+  bool complete = false;
+  std::vector<Route> members;
+};
+
+// Throws std::runtime_error naming the key. Zones and kinds that the settings do not name count as none.
+RouteNews ParseRouteNews(const nlohmann::json& object, const rookgw::wire::Site& site);
+
+// Reads "address:port"; throws std::runtime_error naming `key`.
+asio::ip::tcp::endpoint ParseEndpoint(const std::string& text, const std::string& key);
+
+class RouteSet {
+ public:
+  void Apply(const RouteNews& news);
+  const Route* Find(const std::string& id) const;
+  bool Serving(const std::string& id) const;
+  bool empty() const { return routes_.empty(); }
+  std::int64_t revision() const { return revision_; }
+
+ private:
+  std::unordered_map<std::string, Route> routes_;
+  std::int64_t revision_ = 0;
+};
+
+}  // namespace lichenlug
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,83 @@
+// The dispatcher: reads the command line, puts the stages together and runs them.
+#include <CLI/CLI.hpp>
+#include <asio.hpp>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <iostream>
+#include <string>
+
+#include "branch/branches.h"
+#include "caller/callers.h"
+#include "config/config.h"
+#include "core/transactions.h"
+#include "discovery/route_set.h"
+#include "discovery/watch.h"
+#include "net/deadlines.h"
+
+namespace lichenlug {
+namespace {
+
+std::vector<rookgw::ListedWorker> RunnersOf(const RouteNews& news) {
+  std::vector<rookgw::ListedWorker> runners;
+  for (const Route& route : news.members) runners.push_back(route.runner);
+  return runners;
+}
+
+void Serve(const Config& config) {
+  using Form = rookgw::ListChanged::Form;
+  std::signal(SIGPIPE, SIG_IGN);  // a peer that is gone shows as an error of the write
+  asio::io_context io(1);
+  const Clock clock;
+  Deadlines deadlines(io, clock);
+  RouteSet routes;
+  TransactionTable core(config.site.settings, config.seed, config.most_open, &deadlines);
+  Watch watch(io, config, &routes, &deadlines, [&core](const RouteNews* news) {
+    if (news == nullptr) return core.RoutesChanged(Form::kFailed, 0, {});
+    core.RoutesChanged(news->complete ? Form::kWhole : Form::kPatch, news->revision, RunnersOf(*news));
+  });
+  Branches branches(io, config, &routes, &deadlines, &core);
+  Callers callers(io, config, &routes, &deadlines, &core, &branches);
+
+  routes.Apply(config.known);
+  core.Start(&branches, &watch);
+  core.RoutesChanged(Form::kSaved, config.known.revision, RunnersOf(config.known));
+  watch.Ask();  // also where the settings say that news comes unasked: on sockets it never does
+  callers.Start();
+  std::cerr << config.name << " serves at " << callers.address() << std::endl;
+
+  asio::signal_set signals(io, SIGTERM, SIGINT);
+  signals.async_wait([&](std::error_code error, int) {
+    if (!error) callers.Drain([&io] { io.stop(); });
+  });
+  io.run();
+}
+
+Config ReadEnvironment() {
+  return ReadConfig([](const char* name) { return std::getenv(name); });
+}
+
+}  // namespace
+}  // namespace lichenlug
+
+int main(int argc, char** argv) {
+  CLI::App app("lichenlug: a dispatcher that spreads jobs across runners");
+  app.require_subcommand(1);
+  CLI::App* serve = app.add_subcommand("serve", "Serve, as the file that BALANCER_CONFIG names says");
+  CLI::App* version = app.add_subcommand("version", "Print the version");
+  CLI::App* check = app.add_subcommand("check-config", "Read and check the configuration, and do no more");
+  try {
+    app.parse(argc, argv);
+    if (*version) std::cout << "lichenlug " LICHENLUG_VERSION "\n";
+    if (*check) std::cout << "the configuration of " << lichenlug::ReadEnvironment().name << " is good\n";
+    if (*serve) lichenlug::Serve(lichenlug::ReadEnvironment());
+    return 0;
+  } catch (const CLI::ParseError& e) {
+    if (e.get_exit_code() == 0) return app.exit(e);  // --help
+    std::cerr << "lichenlug: " << e.what() << "\n";
+    return 2;
+  } catch (const std::exception& e) {
+    std::cerr << "lichenlug: " << e.what() << "\n";
+    return 1;
+  }
+}
--- /dev/null
+++ b/src/net/deadlines.cpp
@@ -0,0 +1,48 @@
+#include "net/deadlines.h"
+
+namespace lichenlug {
+
+Deadlines::Key Deadlines::Add(Time at, std::function<void()> due) {
+  const Key key{at, ++number_};
+  due_.emplace(key, std::move(due));
+  Arm();
+  return key;
+}
+
+void Deadlines::Remove(Key* key) {
+  due_.erase(*key);  // the timer is left as it is: waking up once for nothing costs less than arming again
+  *key = {};
+}
+
+void Deadlines::Move(Key* key, Time at, std::function<void()> due) {
+  Remove(key);
+  *key = Add(at, std::move(due));
+}
+
+void Deadlines::Arm() {
+  if (serving_ || due_.empty()) return;
+  const Key first = due_.begin()->first;
+  if (armed_ != Key{} && armed_ <= first) return;
+  armed_ = first;
+  timer_.expires_at(clock_.ToSteady(first.first));
+  timer_.async_wait([this](std::error_code error) {
+    if (error) return;  // armed again for an earlier one
+    armed_ = {};
+    Serve();
+  });
+}
+
+void Deadlines::Serve() {
+  serving_ = true;
+  // Only what is due at the start: a deadline that hangs itself up again for now must not starve the sockets.
+  const Time now = Now();
+  const std::uint64_t newest = number_;
+  while (!due_.empty() && due_.begin()->first.first <= now && due_.begin()->first.second <= newest) {
+    auto node = due_.extract(due_.begin());
+    node.mapped()();
+  }
+  serving_ = false;
+  Arm();
+}
+
+}  // namespace lichenlug
