Test the real program by scenarios: one small language, played on loopback

Found by the scenarios, at fault in src/caller/callers.cpp (Accepted): at the cap of legs a new connection was accepted and closed unread, and a call-back could be among them. Now it waits in the backlog, and legs that only wait for the client's end make room first. A line is logged when SIGTERM is seen, so that the test waits for it. Ruled out: sleeps; every step waits for an event. Checked: the scenarios pass six times in a row, four at a time.

--- a/src/caller/callers.cpp
+++ b/src/caller/callers.cpp
@@ -35,10 +35,15 @@
 // ---- Connections ----
 
 void Callers::Accept() {
+  // At the cap a new connection waits in the backlog: one that is accepted and closed would lose its request.
+  if (legs_.full() && !EvictLeg()) {
+    deadlines_->Add(deadlines_->Now() + kAcceptPause, [this] { Accept(); });
+    return;
+  }
   acceptor_.async_accept([this](std::error_code error, asio::ip::tcp::socket socket) {
     if (error == asio::error::operation_aborted) return;
     if (error) {  // no descriptor left, as a rule: a pause, not a spin and not an end
-      EvictIdleLeg();
+      EvictLeg();
       deadlines_->Add(deadlines_->Now() + kAcceptPause, [this] { Accept(); });
       return;
     }
@@ -48,7 +53,6 @@
 }
 
 void Callers::Accepted(asio::ip::tcp::socket socket) {
-  if (legs_.full() && !EvictIdleLeg()) return;  // closes it unread: the client may ask again elsewhere
   Leg fresh;
   fresh.connection = std::make_shared<HttpConnection>(std::move(socket), HttpConnection::Side::kServer);
   const Handle handle = legs_.Insert(std::move(fresh));
@@ -62,12 +66,16 @@
   leg.connection->Start();
 }
 
-bool Callers::EvictIdleLeg() {
+// Makes room: a leg that is answered and only waits for the client's end, or else the one idle for longest. A
+// leg with a request on it that is not read yet stays.
+bool Callers::EvictLeg() {
   Handle oldest;
   Time since = 0;
   legs_.ForEach([&](Handle handle, Leg& leg) {
-    if (leg.stage != Stage::kIdle || leg.connection->HasUnread()) return;
-    if (!oldest || leg.since < since) oldest = handle, since = leg.since;
+    const bool over = leg.stage == Stage::kFinishing;
+    if (!over && (leg.stage != Stage::kIdle || leg.connection->HasUnread())) return;
+    const Time idle_since = over ? 0 : leg.since;
+    if (!oldest || idle_since < since) oldest = handle, since = idle_since;
   });
   if (oldest) DropLeg(oldest);
   return static_cast<bool>(oldest);
@@ -213,8 +221,9 @@
 // new ones have stopped coming, but never one with a request on it that is not read yet.
 void Callers::LookForEnd() {
   if (deadlines_->Now() - drain_began_ >= kNewConnections) {
-    while (EvictIdleLeg()) {
-    }
+    legs_.ForEach([this](Handle handle, Leg& leg) {
+      if (leg.stage == Stage::kIdle && !leg.connection->HasUnread()) DropLeg(handle);
+    });
     if (core_->owed() == 0 && legs_.size() == 0) return drained_();
   }
   deadlines_->Add(deadlines_->Now() + kLookEvery, [this] { LookForEnd(); });
--- a/src/caller/callers.h
+++ b/src/caller/callers.h
@@ -46,7 +46,7 @@
 
   void Accept();
   void Accepted(asio::ip::tcp::socket socket);
-  bool EvictIdleLeg();
+  bool EvictLeg();
   void Began(Handle handle);
   void Arrived(Handle handle, HttpMessage message);
   void Submit(Handle handle, HttpMessage message, int cls);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -48,7 +48,9 @@
 
   asio::signal_set signals(io, SIGTERM, SIGINT);
   signals.async_wait([&](std::error_code error, int) {
-    if (!error) callers.Drain([&io] { io.stop(); });
+    if (error) return;
+    callers.Drain([&io] { io.stop(); });
+    std::cerr << config.name << " drains" << std::endl;
   });
   io.run();
 }
--- /dev/null
+++ b/tests/scenario_player.cpp
@@ -0,0 +1,441 @@
+// Plays one scenario against the real program on loopback: scenario_player PROGRAM SCENARIO. The player is
+// the clients, the runners and discovery. The language is told in tests/scenarios/README.md.
+#ifdef NDEBUG
+#error "the asserts of the tests have to stay on"
+#endif
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cassert>
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace {
+
+using Json = nlohmann::json;
+using Words = std::vector<std::string>;
+
+std::string g_line;  // the step that is played, for what is said when it fails
+
+void Require(bool good, const std::string& what) {
+  if (!good) std::cerr << "at '" << g_line << "': " << what << std::endl;
+  assert(good);
+}
+
+struct Message {
+  int fd = -1;  // the connection it came on
+  std::string first, head, body;
+};
+
+// Takes one whole message off the front of `bytes`; bodies have a Content-Length here.
+bool Take(std::string* bytes, Message* message) {
+  const std::size_t end = bytes->find("\r\n\r\n");
+  if (end == std::string::npos) return false;
+  message->head = bytes->substr(0, end + 2);
+  message->first = message->head.substr(0, message->head.find("\r\n"));
+  const std::size_t at = message->head.find("Content-Length: ");
+  const std::size_t size = at == std::string::npos ? 0 : std::stoul(message->head.substr(at + 16));
+  if (bytes->size() < end + 4 + size) return false;
+  message->body = bytes->substr(end + 4, size);
+  bytes->erase(0, end + 4 + size);
+  return true;
+}
+
+struct Actor {  // a client, a runner or discovery
+  int listener = -1;
+  int port = 0;
+  std::string phase = "active";
+  std::map<int, std::string> in;  // bytes that came, by connection
+  std::vector<Message> inbox;     // what has come and is not expected yet
+  std::vector<int> unanswered;    // a runner's jobs, the oldest first
+  int fd = -1;                    // a client's connection, or discovery's watch
+  int ended = 0;                  // connections that the other side ended
+  int probes = 0;
+};
+
+class Player {
+ public:
+  Player(std::string program, const std::string& path) : program_(std::move(program)) {
+    std::ifstream file(path);
+    Require(file.good(), "cannot read " + path);
+    for (std::string line; std::getline(file, line);) {
+      if (line.empty() || line[0] == '#') continue;
+      g_line = line;
+      std::istringstream in(line);
+      Words words;
+      for (std::string word; in >> word;) {
+        const bool goes_on = !words.empty() && words.back().back() == '\\';  // "\ " is a space in a word
+        if (goes_on) words.back().back() = ' ';
+        goes_on ? void(words.back() += word) : words.push_back(word);
+      }
+      Step(words, line);
+    }
+    if (pid_ > 0) Stop();  // each scenario ends with an orderly end of the program
+  }
+
+ private:
+  void Step(Words& words, const std::string& line) {
+    for (std::string& word : words)
+      for (const auto& [role, name] : {std::pair{"it", it_}, std::pair{"other", other_}})
+        if (word == role || word.starts_with(std::string(role) + "=") || word == std::string(role) + "'s")
+          word = name + word.substr(std::strlen(role));
+    const std::string verb = words.at(0);
+    if (verb == "set") {
+      config_[Json::json_pointer(words.at(1))] = Json::parse(words.at(2));
+    } else if (verb == "runners") {
+      for (std::size_t i = 1; i < words.size(); ++i) AddRunner(words[i]);
+    } else if (verb == "start") {
+      Start();
+    } else if (verb == "send") {
+      Send(words, line);
+    } else if (verb == "expect") {
+      Expect(words);
+    } else if (verb == "close") {
+      Close(words);
+    } else if (verb == "wait") {
+      Require(words.at(1) == "exit", "wait exit CODE");
+      WaitExit(std::stoi(words.at(2)));
+    } else {
+      Require(false, "no such verb");
+    }
+  }
+
+  // ---- The program ----
+
+  void AddRunner(std::string name) {  // r1, or r1:refused for one that takes no connections
+    const std::size_t colon = name.find(':');
+    const bool refused = colon != std::string::npos && name.substr(colon) == ":refused";
+    name = name.substr(0, colon);
+    Actor& runner = actors_[name];
+    Listen(&runner);
+    if (refused) close(std::exchange(runner.listener, -1));
+    runners_.push_back(name);
+  }
+
+  void Listen(Actor* actor) {
+    actor->listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET, address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof address;
+    Require(bind(actor->listener, reinterpret_cast<sockaddr*>(&address), size) == 0, "bind");
+    Require(listen(actor->listener, 256) == 0, "listen");
+    getsockname(actor->listener, reinterpret_cast<sockaddr*>(&address), &size);
+    actor->port = ntohs(address.sin_port);
+  }
+
+  Json Members(const Words& names) {
+    Json members = Json::array();
+    for (const std::string& name : names)
+      members.push_back({{"id", name},
+                         {"host_port", "127.0.0.1:" + std::to_string(actors_[name].port)},
+                         {"locality", "a"},
+                         {"flavor", "m"},
+                         {"cell", 0},
+                         {"phase", actors_[name].phase},
+                         {"size", 1.0},
+                         {"up_since_ms", 0}});
+    return members;
+  }
+
+  void Start() {
+    Actor& discovery = actors_["d"];
+    Listen(&discovery);
+    config_["discovery"] = "127.0.0.1:" + std::to_string(discovery.port);
+    if (!config_.contains("known"))
+      config_["known"] = {{"revision", revision_}, {"complete", true}, {"members", Members(runners_)}};
+    char path[] = "/tmp/lichenlug-test-XXXXXX";
+    const int file = mkstemp(path);
+    const std::string text = config_.dump();
+    Require(write(file, text.data(), text.size()) == static_cast<ssize_t>(text.size()), "write");
+    close(file);
+    int out[2];
+    Require(pipe(out) == 0, "pipe");
+    pid_ = fork();
+    if (pid_ == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL);  // a scenario that fails leaves nothing running
+      for (const char* name : {"BALANCER_NAME", "BALANCER_LISTEN", "BALANCER_DISCOVERY"}) unsetenv(name);
+      setenv("BALANCER_CONFIG", path, 1);
+      dup2(out[1], 2), close(out[0]), close(out[1]);
+      execl(program_.c_str(), program_.c_str(), "serve", nullptr);
+      _exit(127);
+    }
+    close(out[1]);
+    log_ = out[0];
+    std::string said;
+    char c = 0;
+    while (said.find('\n') == std::string::npos && read(log_, &c, 1) == 1) said.push_back(c);
+    unlink(path);
+    const std::size_t colon = said.rfind(':');
+    if (said.find(" serves at ") == std::string::npos) {  // a scenario of a bad configuration
+      said_ = said;
+      return;
+    }
+    port_ = std::stoi(said.substr(colon + 1));
+    fcntl(log_, F_SETFL, O_NONBLOCK);
+  }
+
+  void Stop() {
+    kill(pid_, SIGTERM);
+    WaitExit(0);
+  }
+
+  void WaitExit(int code) {
+    int status = 0;
+    Until("the program's end", [&] { return waitpid(pid_, &status, WNOHANG) == pid_; });
+    pid_ = -1;
+    Require(WIFEXITED(status) && WEXITSTATUS(status) == code,
+            "status " + std::to_string(status) + " " + said_);
+  }
+
+  // ---- What comes ----
+
+  // Serves all sockets until `done`; there is no other wait here, so that a slow machine changes no verdict.
+  void Until(const std::string& what, const std::function<bool()>& done) {
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (!done()) {
+      Require(std::chrono::steady_clock::now() < end, "nothing came of: " + what);
+      std::vector<pollfd> fds{{log_, POLLIN, 0}};
+      for (auto& [name, actor] : actors_) {
+        if (actor.listener >= 0) fds.push_back({actor.listener, POLLIN, 0});
+        for (auto& [fd, bytes] : actor.in) fds.push_back({fd, POLLIN, 0});
+      }
+      poll(fds.data(), fds.size(), 10);
+      char buffer[65536];
+      if (log_ >= 0 && fds[0].revents != 0) {
+        const ssize_t size = read(log_, buffer, sizeof buffer);
+        if (size > 0)
+          std::cerr.write(buffer, size), said_.append(buffer, size);  // a sanitizer's words, for one
+        if (size == 0) close(std::exchange(log_, -1));
+      }
+      for (auto& [name, actor] : actors_) Serve(name, actor);
+    }
+  }
+
+  void Serve(const std::string& name, Actor& actor) {
+    for (int fd; actor.listener >= 0 &&
+                 (fd = accept4(actor.listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0;)
+      actor.in[fd];
+    char buffer[65536];
+    for (auto it = actor.in.begin(); it != actor.in.end();) {
+      auto& [fd, bytes] = *it;
+      const ssize_t size = recv(fd, buffer, sizeof buffer, MSG_DONTWAIT);
+      if (size > 0) bytes.append(buffer, size);
+      Message message;
+      while (Take(&bytes, &message)) {
+        message.fd = fd;
+        Got(name, actor, message);
+      }
+      if (size == 0 || (size < 0 && errno != EAGAIN)) {
+        ++actor.ended;
+        if (actor.fd == fd) actor.fd = -1;
+        close(fd);
+        it = actor.in.erase(it);
+      } else {
+        ++it;
+      }
+    }
+  }
+
+  void Got(const std::string& name, Actor& actor, const Message& message) {
+    if (message.first.starts_with("GET /-/load")) {
+      ++actor.probes;
+      return Write(message.fd, Answer("200", R"({"inflight":0,"util":0.1,"x0":5})"));
+    }
+    if (name == "d") {  // each call becomes a watch that first tells the whole list
+      actor.fd = message.fd;
+      Write(actor.fd, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+      Tell(true, runners_, false);
+    }
+    if (message.first.starts_with("POST")) actor.unanswered.push_back(message.fd);
+    actor.inbox.push_back(message);
+  }
+
+  // ---- send ----
+
+  static std::string Answer(const std::string& status, const std::string& body,
+                            const std::string& head = "") {
+    return "HTTP/1.1 " + status + " Words\r\n" + head + "Content-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+  }
+
+  static void Write(int fd, const std::string& bytes) {
+    Require(send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()), "send");
+  }
+
+  int Connect(Actor* actor) {
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET, address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(static_cast<std::uint16_t>(port_));
+    Require(connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0, "connect");
+    actor->in[fd];
+    return fd;
+  }
+
+  static std::string Job(const std::string& cls, const std::string& id, const std::string& more) {
+    return "POST /" + cls + "?q=1 HTTP/1.1\r\nHost: service\r\nX-Call-Id: " + id + "\r\nX-Caller: acme\r\n" +
+           more + "Content-Length: 4\r\n\r\nwork";
+  }
+
+  void Tell(bool complete, const Words& names, bool split) {
+    Json news = {{"revision", ++revision_}, {"complete", complete}, {"members", Members(names)}};
+    const std::string text = "\n" + news.dump() + "\n";  // an empty line first: a heartbeat
+    const std::size_t step = split ? 7 : text.size();
+    for (std::size_t at = 0; at < text.size(); at += step) {
+      const std::string piece = text.substr(at, step);
+      char size[16];
+      std::snprintf(size, sizeof size, "%zx\r\n", piece.size());
+      Write(actors_["d"].fd, size + piece + "\r\n");
+    }
+  }
+
+  void Send(const Words& words, const std::string& line) {
+    const std::string who = words.at(1), what = words.at(2);
+    Actor& actor = actors_[who];
+    if (who == "program") {
+      kill(pid_, SIGTERM);
+      Until("word that it drains", [&] { return said_.find(" drains\n") != std::string::npos; });
+    } else if (who == "d") {  // send d patch|whole [split] NAME=PHASE ...
+      Words names;
+      for (std::size_t i = 3; i < words.size(); ++i)
+        if (const std::size_t equals = words[i].find('='); equals != std::string::npos) {
+          names.push_back(words[i].substr(0, equals));
+          actors_[names.back()].phase = words[i].substr(equals + 1);
+        }
+      Tell(what == "whole", names, words.size() > 3 && words[3] == "split");
+    } else if (what == "callback") {  // send R callback ID STATE [RESULT]
+      Json body = {{"id", words.at(3)}, {"from", who}, {"state", words.at(4)}};
+      if (words.size() > 5) body["result"] = words[5];
+      Post(who, body.dump());
+    } else if (what == "text") {  // send C text "..." with \r \n written out
+      if (actor.fd < 0) actor.fd = Connect(&actor);
+      std::string text = line.substr(line.find(" text ") + 6), bytes;
+      for (std::size_t i = 0; i < text.size(); ++i) {
+        const bool escape = text[i] == '\\' && i + 1 < text.size();
+        bytes += !escape ? text[i] : text[++i] == 'r' ? '\r' : '\n';
+      }
+      Write(actor.fd, bytes);
+    } else if (what == "body") {  // send R body TEXT: a call-back with this body
+      Post(who, line.substr(line.find(" body ") + 6));
+    } else if (what == "job") {  // send C job CLASS ID [HEADER:VALUE ...]
+      if (actor.fd < 0) actor.fd = Connect(&actor);
+      Write(actor.fd, Job(words.at(3), words.at(4), Headers(words, 5)));
+    } else if (what == "jobs") {  // send C jobs CLASS COUNT: each on a connection of its own
+      for (int i = 0; i < std::stoi(words.at(4)); ++i)
+        Write(Connect(&actor), Job(words.at(3), who + std::to_string(i), ""));
+    } else {  // send R STATUS [HEADER:VALUE ...]: the answer to its oldest job
+      Until("a job to answer", [&] { return !actor.unanswered.empty(); });
+      Write(actor.unanswered.front(), Answer(what, "", Headers(words, 3)));
+      actor.unanswered.erase(actor.unanswered.begin());
+    }
+  }
+
+  static std::string Headers(const Words& words, std::size_t from) {
+    std::string text;
+    for (std::size_t i = from; i < words.size(); ++i) {
+      const std::size_t colon = words[i].find(':');
+      text += words[i].substr(0, colon) + ": " + words[i].substr(colon + 1) + "\r\n";
+    }
+    return text;
+  }
+
+  // A call-back on a connection of its own; its answer goes to the inbox of "NAME's".
+  void Post(const std::string& who, const std::string& body) {
+    Write(Connect(&actors_[who + "'s"]), "POST /callback HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+                                             std::to_string(body.size()) + "\r\n\r\n" + body);
+  }
+
+  // ---- expect, close ----
+
+  void Expect(const Words& words) {
+    const std::string who = words.at(1), what = words.at(2);
+    if (who == "any") {  // expect any WORDS: whichever runner it comes to is "it", another one "other"
+      Until("word at a runner", [&] {
+        for (const std::string& name : runners_)
+          if (!actors_[name].inbox.empty()) return it_ = name, true;
+        return false;
+      });
+      for (const std::string& name : runners_)
+        if (name != it_) other_ = name;
+      Words known = words;
+      known[1] = it_;
+      return Expect(known);
+    }
+    Actor& actor = actors_[who];
+    if (what == "nothing") {  // has come up to now: to be said after an event that it would have come before
+      Serve(who, actor);
+      return Require(actor.inbox.empty(), "came: " + (actor.inbox.empty() ? "" : actor.inbox[0].first));
+    }
+    if (what == "end") return Until("the end of a connection", [&] { return actor.ended > 0; });
+    if (what == "probe") return Until("a probe", [&] { return actor.probes > 0; });
+    if (what == "ends")  // expect C ends COUNT: of its connections
+      return Until("ends", [&] { return actor.ended >= std::stoi(words.at(3)); });
+    if (what == "said") return Require(said_.find(words.at(3)) != std::string::npos, "said: " + said_);
+    Until("a message", [&] { return !actor.inbox.empty(); });
+    const Message message = actor.inbox.front();
+    actor.inbox.erase(actor.inbox.begin());
+    const std::string all = message.first + "\n" + message.head + "\n" + message.body + "\n";
+    for (std::size_t i = 2; i < words.size(); ++i)  // each word stands in it; with a "!" before, it does not
+      Require((all.find(words[i].substr(words[i][0] == '!')) != std::string::npos) == (words[i][0] != '!'),
+              "'" + words[i] + "' and: " + all);
+  }
+
+  void Close(const Words& words) {  // close NAME [reset]: all its connections; a runner's listener stays
+    Actor& actor = actors_[words.at(1)];
+    for (auto& [fd, bytes] : actor.in) {
+      const linger hard{1, 0};
+      if (words.size() > 2) setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+      close(fd);
+    }
+    actor.in.clear(), actor.unanswered.clear();
+    actor.fd = -1;
+  }
+
+  std::string program_, it_, other_, said_;
+  std::map<std::string, Actor> actors_;
+  Words runners_;
+  int revision_ = 40, port_ = 0, log_ = -1;
+  pid_t pid_ = -1;
+  Json config_ = Json::parse(R"({
+    "name": "n0", "listen": "127.0.0.1:0", "seed": "1f", "limits": {"sockets": 256},
+    "settings": {
+      "Dcs": ["a"], "HostTypes": ["m"], "MyZone": "a", "Instances": 1, "Ordinal": 0, "Tick": 4000,
+      "Discovery": "on_request", "OverShareWorth": 0.2,
+      "Limits": {"Cancelling": true, "ConnectTimeout": 200000, "IdleClose": 5000000, "MaxOpen": 20000,
+                 "MaxRetryAfter": 2000000, "MostTries": 5, "Probes": true, "RetryAfter": true},
+      "Guarantees": {"AskEvery": 10000000, "ColdShare": 0.3, "DrainGrace": 500000, "OverloadFactor": 4.0,
+                     "OverloadFor": 1000000, "RampTime": 8900000},
+      "Report": {"Fields": ["active", "cpu", "x0"], "How": "probe"},
+      "RequestClasses": [
+        {"Name": "index-refresh", "Aim": 300000, "Deadline": 5000000, "Effect": "dedup", "KeyScope": "cell",
+         "LateValue": 0.2, "Window": 7500000, "Worth": 3.0},
+        {"Name": "publish", "Aim": 300000, "Deadline": 5000000, "Effect": "fragile", "Worth": 10.0,
+         "LateValue": 0.3}],
+      "Specifics": {"ReportX0": "free slots", "TellsStart": true},
+      "Tenants": [{"Name": "acme", "Portion": 1.0, "QuotaPerS": 50.0}]}})");
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  assert(argc == 3);
+  signal(SIGPIPE, SIG_IGN);
+  Player(argv[1], argv[2]);
+  return 0;
+}
