Tell refused clients when to come back: one mean run time

Seen: refusals went out at once but with no Retry-After, for the module's Decline carried 0 (src/brain.cpp, End), while the settings allow one. Change: End gives the mean run time, capped at MaxRetryAfter: by then the jobs that fill the slots have ended, on average. The answer itself is still given at once. Checked: all 69 tests; scenario refused expects the header.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -459,12 +459,17 @@
   void End(Request& r) {
     if (r.ended) return;
     if (MayDecline(r))
-      Act(Decline{r.id, 0});
+      Act(Decline{r.id, ComeBackAfter()});
     else
       Act(Fail{r.id});
     Close(r);
   }
 
+  // When a refused client had best come again: the jobs that fill the slots now have then ended, on average.
+  Time ComeBackAfter() const {
+    return s_.retry_after ? std::min(static_cast<Time>(MeanRun()), s_.max_retry_after) : 0;
+  }
+
   // Nothing more is owed: no waiting, and what is still out is taken back.
   void Close(Request& r) {
     StopWaiting(r);
