Read the configuration again at SIGHUP and move the watch on discovery

Reading on: BALANCER_DISCOVERY beats the file (config.cpp), so a re-read alone would have kept the old address; and Watch held one connection, so moving it would have dropped the old news before the new came, with up to 5 s of patience (kPatience) against the 4 s after which all counts as told.

Now: the file is read and checked again, its discovery wins, a fault is logged with its key and changes nothing. The watch asks at the new address at once, with 1 s to connect and 2.5 s for the first byte; the old one goes on until the new one speaks. Calls are numbered slots.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -50,9 +50,9 @@
   return seed;
 }
 
-}  // namespace
+using Environment = std::function<const char*(const char*)>;
 
-Config ReadConfig(const std::function<const char*(const char*)>& environment) {
+Config Read(const Environment& environment, bool file_names_discovery) {
   const char* path = environment("BALANCER_CONFIG");
   if (path == nullptr || *path == '\0') Bad("BALANCER_CONFIG", "the path of the configuration expected");
   std::ifstream file(path);
@@ -60,16 +60,18 @@
   const Json root = Json::parse(file, nullptr, false);
   if (!root.is_object()) Bad("BALANCER_CONFIG", std::string(path) + " holds no JSON object");
 
-  const auto text = [&](const char* variable, const char* key) {
+  const auto text = [&](const char* variable, const char* key, bool file_wins = false) {
     const char* value = environment(variable);
-    std::string found = value != nullptr && *value != '\0' ? value : Get<std::string>(root, key, "");
+    const std::string told = value != nullptr ? value : "", filed = Get<std::string>(root, key, "");
+    const std::string found = told.empty() || (file_wins && !filed.empty()) ? filed : told;
     if (found.empty()) Bad(key, std::string("missing (or set ") + variable + ")");
     return found;
   };
   Config config;
   config.name = text("BALANCER_NAME", "name");
   config.listen = ParseEndpoint(text("BALANCER_LISTEN", "listen"), "listen");
-  config.discovery = ParseEndpoint(text("BALANCER_DISCOVERY", "discovery"), "discovery");
+  config.discovery =
+      ParseEndpoint(text("BALANCER_DISCOVERY", "discovery", file_names_discovery), "discovery");
   config.seed = ParseSeed(root);
 
   config.most_sockets = Get(Object(root, "limits"), "sockets", config.most_sockets, "limits.");
@@ -98,4 +100,10 @@
   return config;
 }
 
+}  // namespace
+
+Config ReadConfig(const Environment& environment) { return Read(environment, false); }
+
+Config RereadConfig(const Environment& environment) { return Read(environment, true); }
+
 }  // namespace lichenlug
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -34,4 +34,8 @@
 // value or null.
 Config ReadConfig(const std::function<const char*(const char*)>& environment);
 
+// The same for a running program that is told to read its file again: there the file's `discovery` wins, for
+// the variable still holds the address of the start.
+Config RereadConfig(const std::function<const char*(const char*)>& environment);
+
 }  // namespace lichenlug
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -7,7 +7,11 @@
 namespace lichenlug {
 namespace {
 
-constexpr Time kPatience = 5 * kSecond;  // for the first byte, and between lines: one comes every 2 s
+// After SIGHUP all that discovery has to tell counts as told within 4 s, so a call that gets no answer must
+// leave time for another.
+constexpr Time kConnectPatience = kSecond;
+constexpr Time kFirstPatience = 2500 * kMillisecond;  // for the first byte
+constexpr Time kPatience = 5 * kSecond;               // between lines: one comes every 2 s
 constexpr Time kFirstBackoff = 200 * kMillisecond, kMostBackoff = 2 * kSecond;
 constexpr std::size_t kMostLine = 1024 * 1024;
 
@@ -17,86 +21,116 @@
              std::function<void(const RouteNews*)> news)
     : io_(io),
       config_(config),
+      address_(config.discovery),
       routes_(routes),
       deadlines_(deadlines),
       news_(std::move(news)),
       random_(static_cast<std::minstd_rand::result_type>(config.seed)) {}
 
 void Watch::Ask() {
-  if (connection_ == nullptr && alarm_ == Deadlines::Key{}) Call();
+  if (!asked_ && !standing_ && again_ == Deadlines::Key{}) Begin();
 }
 
-void Watch::Stop() {
-  if (connection_) connection_->Close();
-  connection_.reset();
-  deadlines_->Remove(&alarm_);
-}
-
-void Watch::ExpectWithin(Time at) {
-  deadlines_->Move(&alarm_, at, [this] { Lost(); });
+void Watch::MoveTo(const asio::ip::tcp::endpoint& address) {
+  if (std::exchange(address_, address) == address) return;
+  failures_ = 0;
+  Begin();
 }
 
-void Watch::Call() {
-  line_.clear(), good_ = false;
-  auto connection =
+void Watch::Begin() {
+  End(asked_);
+  deadlines_->Remove(&again_);
+  Call fresh;
+  fresh.connection =
       std::make_shared<HttpConnection>(asio::ip::tcp::socket(io_), HttpConnection::Side::kClient);
-  connection_ = connection;
-  ExpectWithin(deadlines_->Now() + kPatience);
+  const auto connection = fresh.connection;
+  const Handle handle = asked_ = calls_.Insert(std::move(fresh));
+  ExpectWithin(handle, deadlines_->Now() + kConnectPatience);
   HttpConnection::Events events;
-  events.on_head = [this](const HttpMessage& head) { good_ = head.status == 200; };
-  events.on_piece = [this](std::string_view bytes) { Piece(bytes); };
-  events.on_message = [this](const HttpMessage&) { Lost(); };
-  events.on_end = [this](HttpConnection::End) { Lost(); };
+  events.on_head = [this, handle](const HttpMessage& head) {
+    if (Call* call = calls_.Find(handle)) call->good = head.status == 200;
+  };
+  events.on_piece = [this, handle](std::string_view bytes) { Piece(handle, bytes); };
+  events.on_message = [this, handle](const HttpMessage&) { Lost(handle); };
+  events.on_end = [this, handle](HttpConnection::End) { Lost(handle); };
   connection->SetEvents(std::move(events));
-  connection->Connect(config_.discovery, [this, connection](std::error_code error) {
-    if (error) return Lost();
-    connection->Start();
-    const std::string host =
-        config_.discovery.address().to_string() + ":" + std::to_string(config_.discovery.port());
-    const std::string target = "/api/targets?watch=1&from=" + std::to_string(routes_->revision());
-    connection->Write(FormatRequest("GET", target, host, {}, ""), [this](std::error_code bad) {
-      if (bad) Lost();
-    });
+  connection->Connect(address_, [this, handle](std::error_code error) {
+    if (error) return Lost(handle);
+    Connected(handle);
+  });
+}
+
+void Watch::Connected(Handle handle) {
+  ExpectWithin(handle, deadlines_->Now() + kFirstPatience);
+  const auto connection = calls_.Find(handle)->connection;
+  connection->Start();
+  const std::string host = address_.address().to_string() + ":" + std::to_string(address_.port());
+  const std::string target = "/api/targets?watch=1&from=" + std::to_string(routes_->revision());
+  connection->Write(FormatRequest("GET", target, host, {}, ""), [this, handle](std::error_code bad) {
+    if (bad) Lost(handle);
   });
 }
 
 // Pieces end anywhere: lines are put together here.
-void Watch::Piece(std::string_view bytes) {
-  if (!good_) return;
-  ExpectWithin(deadlines_->Now() + kPatience);
-  const auto connection = connection_;
-  while (!bytes.empty() && connection == connection_) {
+void Watch::Piece(Handle handle, std::string_view bytes) {
+  Call* call = calls_.Find(handle);
+  if (call == nullptr || !call->good) return;
+  ExpectWithin(handle, deadlines_->Now() + kPatience);
+  if (handle == asked_) {  // it speaks: the one that stood before has had its time
+    End(standing_);
+    standing_ = std::exchange(asked_, {});
+  }
+  while (!bytes.empty() && (call = calls_.Find(handle)) != nullptr) {
     const std::size_t end = bytes.find('\n');
-    line_.append(bytes.substr(0, end));
-    if (line_.size() > kMostLine) return Lost();
+    call->line.append(bytes.substr(0, end));
+    if (call->line.size() > kMostLine) return Lost(handle);
     if (end == std::string_view::npos) return;
     bytes.remove_prefix(end + 1);
-    Line(std::exchange(line_, {}));
+    if (!Line(std::exchange(call->line, {}))) return Lost(handle);
   }
 }
 
-void Watch::Line(std::string_view line) {
-  if (line.find_first_not_of(" \r\t") == std::string_view::npos) return;  // a heartbeat
+// False: what it said is not known, so it is to be asked again from what is.
+bool Watch::Line(std::string_view line) {
+  if (line.find_first_not_of(" \r\t") == std::string_view::npos) return true;  // a heartbeat
   RouteNews news;
   try {
     news = ParseRouteNews(nlohmann::json::parse(line, nullptr, false), config_.site);
   } catch (const std::exception&) {
-    return Lost();  // what it said is not known: ask again from what is
+    return false;
   }
   failures_ = 0;
   routes_->Apply(news);
   news_(&news);
+  return true;
 }
 
-void Watch::Lost() {
-  Stop();
-  const Time backoff = std::min(kMostBackoff, kFirstBackoff << std::min(failures_++, 8));
-  const Time jitter = static_cast<Time>(random_() % static_cast<std::uint64_t>(backoff / 2));
-  alarm_ = deadlines_->Add(deadlines_->Now() + backoff / 2 + jitter, [this] {
-    alarm_ = {};
-    Call();
-  });
-  news_(nullptr);
+void Watch::Lost(Handle handle) {
+  if (calls_.Find(handle) == nullptr) return;
+  End(handle);
+  if (!asked_ && again_ == Deadlines::Key{}) {
+    const Time backoff = std::min(kMostBackoff, kFirstBackoff << std::min(failures_++, 8));
+    const Time jitter = static_cast<Time>(random_() % static_cast<std::uint64_t>(backoff / 2));
+    again_ = deadlines_->Add(deadlines_->Now() + backoff / 2 + jitter, [this] {
+      again_ = {};
+      Begin();
+    });
+  }
+  if (!standing_) news_(nullptr);
+}
+
+void Watch::End(Handle handle) {
+  Call* call = calls_.Find(handle);
+  if (call == nullptr) return;
+  deadlines_->Remove(&call->alarm);
+  call->connection->Close();
+  calls_.Erase(handle);
+  if (asked_ == handle) asked_ = {};
+  if (standing_ == handle) standing_ = {};
+}
+
+void Watch::ExpectWithin(Handle handle, Time at) {
+  deadlines_->Move(&calls_.Find(handle)->alarm, at, [this, handle] { Lost(handle); });
 }
 
 }  // namespace lichenlug
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -1,5 +1,8 @@
 // The watch on discovery: keeps one chunked answer open, reads the list and its changes from it line by line,
 // and asks again, a little later each time, when it ends or falls silent.
+//
+// When discovery moves, the watch at its old address goes on until the new one speaks: between the two there
+// is no time in which news could be missed.
 #pragma once
 
 #include <functional>
@@ -13,6 +16,7 @@
 #include "discovery/route_set.h"
 #include "net/deadlines.h"
 #include "net/http_connection.h"
+#include "net/slots.h"
 
 namespace lichenlug {
 
@@ -23,25 +27,36 @@
         std::function<void(const RouteNews*)> news);
 
   void Ask() override;  // does nothing while a watch stands, is asked for or is to be asked for again
-  void Stop();
+
+  // Discovery is at another address now: asks there at once.
+  void MoveTo(const asio::ip::tcp::endpoint& address);
 
  private:
-  void Call();
-  void Piece(std::string_view bytes);
-  void Line(std::string_view line);
-  void Lost();
-  void ExpectWithin(Time at);
+  struct Call {  // one answer, asked for or standing
+    std::shared_ptr<HttpConnection> connection;
+    std::string line;  // the part of it that has come
+    Deadlines::Key alarm;
+    bool good = false;
+  };
+
+  void Begin();
+  void Connected(Handle handle);
+  void Piece(Handle handle, std::string_view bytes);
+  bool Line(std::string_view line);
+  void Lost(Handle handle);
+  void End(Handle handle);
+  void ExpectWithin(Handle handle, Time at);
 
   asio::io_context& io_;
   const Config& config_;
+  asio::ip::tcp::endpoint address_;
   RouteSet* routes_;
   Deadlines* deadlines_;
   std::function<void(const RouteNews*)> news_;
-  std::shared_ptr<HttpConnection> connection_;
-  std::string line_;
-  Deadlines::Key alarm_;
+  SlotTable<Call> calls_{2};
+  Handle asked_, standing_;  // one that has not spoken yet; the one that speaks
+  Deadlines::Key again_;     // when to ask again
   std::minstd_rand random_;
-  bool good_ = false;
   int failures_ = 0;
 };
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <functional>
 #include <iostream>
 #include <string>
 
@@ -24,10 +25,27 @@
   return runners;
 }
 
+const char* Environment(const char* name) { return std::getenv(name); }
+
+// SIGHUP: where discovery is may change while the program runs; the rest is what it was built on and waits
+// for the next start. A file with a fault changes nothing.
+void Reload(const Config& config, Watch* watch) {
+  try {
+    const Config fresh = RereadConfig(Environment);
+    if (fresh.listen != config.listen || fresh.name != config.name)
+      std::cerr << config.name << " keeps its name and address until the next start" << std::endl;
+    watch->MoveTo(fresh.discovery);
+    std::cerr << config.name << " has read its configuration again" << std::endl;
+  } catch (const std::exception& e) {
+    std::cerr << config.name << " keeps its configuration: " << e.what() << std::endl;
+  }
+}
+
 void Serve(const Config& config) {
   using Form = rookgw::ListChanged::Form;
   std::signal(SIGPIPE, SIG_IGN);  // a peer that is gone shows as an error of the write
   asio::io_context io(1);
+  asio::signal_set reload(io, SIGHUP);  // from the first line on: unhandled, it would end the program
   const Clock clock;
   Deadlines deadlines(io, clock);
   RouteSet routes;
@@ -52,13 +70,17 @@
     callers.Drain([&io] { io.stop(); });
     std::cerr << config.name << " drains" << std::endl;
   });
+  const std::function<void()> await_reload = [&] {
+    reload.async_wait([&](std::error_code error, int) {
+      if (error) return;
+      Reload(config, &watch);
+      await_reload();
+    });
+  };
+  await_reload();
   io.run();
 }
 
-Config ReadEnvironment() {
-  return ReadConfig([](const char* name) { return std::getenv(name); });
-}
-
 }  // namespace
 }  // namespace lichenlug
 
@@ -71,8 +93,10 @@
   try {
     app.parse(argc, argv);
     if (*version) std::cout << "lichenlug " LICHENLUG_VERSION "\n";
-    if (*check) std::cout << "the configuration of " << lichenlug::ReadEnvironment().name << " is good\n";
-    if (*serve) lichenlug::Serve(lichenlug::ReadEnvironment());
+    if (*check)
+      std::cout << "the configuration of " << lichenlug::ReadConfig(lichenlug::Environment).name
+                << " is good\n";
+    if (*serve) lichenlug::Serve(lichenlug::ReadConfig(lichenlug::Environment));
     return 0;
   } catch (const CLI::ParseError& e) {
     if (e.get_exit_code() == 0) return app.exit(e);  // --help
--- a/tests/scenario_player.cpp
+++ b/tests/scenario_player.cpp
@@ -65,6 +65,7 @@
   std::vector<Message> inbox;     // what has come and is not expected yet
   std::vector<int> unanswered;    // a runner's jobs, the oldest first
   int fd = -1;                    // a client's connection, or discovery's watch
+  int spoken_on = -1;             // discovery's watch that has had its head
   int ended = 0;                  // connections that the other side ended
   int probes = 0;
 };
@@ -86,7 +87,8 @@
       }
       Step(words, line);
     }
-    if (pid_ > 0) Stop();  // each scenario ends with an orderly end of the program
+    if (pid_ > 0) Stop();
+    unlink(path_);  // each scenario ends with an orderly end of the program
   }
 
  private:
@@ -154,23 +156,19 @@
   }
 
   void Start() {
-    Actor& discovery = actors_["d"];
-    Listen(&discovery);
-    config_["discovery"] = "127.0.0.1:" + std::to_string(discovery.port);
+    MoveDiscovery("d");
     if (!config_.contains("known"))
       config_["known"] = {{"revision", revision_}, {"complete", true}, {"members", Members(runners_)}};
-    char path[] = "/tmp/lichenlug-test-XXXXXX";
-    const int file = mkstemp(path);
-    const std::string text = config_.dump();
-    Require(write(file, text.data(), text.size()) == static_cast<ssize_t>(text.size()), "write");
-    close(file);
+    close(mkstemp(path_));
+    std::ofstream(path_) << config_;
     int out[2];
     Require(pipe(out) == 0, "pipe");
     pid_ = fork();
     if (pid_ == 0) {
       prctl(PR_SET_PDEATHSIG, SIGKILL);  // a scenario that fails leaves nothing running
-      for (const char* name : {"BALANCER_NAME", "BALANCER_LISTEN", "BALANCER_DISCOVERY"}) unsetenv(name);
-      setenv("BALANCER_CONFIG", path, 1);
+      for (const char* name : {"BALANCER_NAME", "BALANCER_LISTEN"}) unsetenv(name);
+      setenv("BALANCER_DISCOVERY", config_["discovery"].get_ref<const std::string&>().c_str(), 1);
+      setenv("BALANCER_CONFIG", path_, 1);
       dup2(out[1], 2), close(out[0]), close(out[1]);
       execl(program_.c_str(), program_.c_str(), "serve", nullptr);
       _exit(127);
@@ -180,7 +178,6 @@
     std::string said;
     char c = 0;
     while (said.find('\n') == std::string::npos && read(log_, &c, 1) == 1) said.push_back(c);
-    unlink(path);
     const std::size_t colon = said.rfind(':');
     if (said.find(" serves at ") == std::string::npos) {  // a scenario of a bad configuration
       said_ = said;
@@ -190,6 +187,12 @@
     fcntl(log_, F_SETFL, O_NONBLOCK);
   }
 
+  // Has the configuration name this actor as discovery.
+  void MoveDiscovery(const std::string& name) {
+    if (actors_[name].listener < 0) Listen(&actors_[name]);
+    config_["discovery"] = "127.0.0.1:" + std::to_string(actors_[name].port);
+  }
+
   void Stop() {
     kill(pid_, SIGTERM);
     WaitExit(0);
@@ -257,10 +260,9 @@
       ++actor.probes;
       return Write(message.fd, Answer("200", R"({"inflight":0,"util":0.1,"x0":5})"));
     }
-    if (name == "d") {  // each call becomes a watch that first tells the whole list
-      actor.fd = message.fd;
-      Write(actor.fd, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-      Tell(true, runners_, false);
+    if (name[0] == 'd') {  // each call becomes a watch that first tells the whole list
+      actor.fd = message.fd, actor.spoken_on = -1;
+      if (name == "d") Tell(name, true, runners_, false);
     }
     if (message.first.starts_with("POST")) actor.unanswered.push_back(message.fd);
     actor.inbox.push_back(message);
@@ -293,7 +295,10 @@
            more + "Content-Length: 4\r\n\r\nwork";
   }
 
-  void Tell(bool complete, const Words& names, bool split) {
+  void Tell(const std::string& who, bool complete, const Words& names, bool split) {
+    Actor& actor = actors_[who];
+    if (std::exchange(actor.spoken_on, actor.fd) != actor.fd)
+      Write(actor.fd, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
     Json news = {{"revision", ++revision_}, {"complete", complete}, {"members", Members(names)}};
     const std::string text = "\n" + news.dump() + "\n";  // an empty line first: a heartbeat
     const std::size_t step = split ? 7 : text.size();
@@ -301,24 +306,31 @@
       const std::string piece = text.substr(at, step);
       char size[16];
       std::snprintf(size, sizeof size, "%zx\r\n", piece.size());
-      Write(actors_["d"].fd, size + piece + "\r\n");
+      Write(actor.fd, size + piece + "\r\n");
     }
   }
 
   void Send(const Words& words, const std::string& line) {
     const std::string who = words.at(1), what = words.at(2);
     Actor& actor = actors_[who];
-    if (who == "program") {
+    if (who == "program" && what == "HUP") {  // send program HUP [D]: the file names D as discovery now
+      if (words.size() > 3) MoveDiscovery(words[3]);
+      std::ofstream(path_) << config_;
+      const std::size_t before = said_.size();
+      kill(pid_, SIGHUP);
+      Until("word of the configuration",
+            [&] { return said_.find("configuration", before) != std::string::npos; });
+    } else if (who == "program") {
       kill(pid_, SIGTERM);
       Until("word that it drains", [&] { return said_.find(" drains\n") != std::string::npos; });
-    } else if (who == "d") {  // send d patch|whole [split] NAME=PHASE ...
+    } else if (who[0] == 'd') {  // send d patch|whole [split] NAME=PHASE ...
       Words names;
       for (std::size_t i = 3; i < words.size(); ++i)
         if (const std::size_t equals = words[i].find('='); equals != std::string::npos) {
           names.push_back(words[i].substr(0, equals));
           actors_[names.back()].phase = words[i].substr(equals + 1);
         }
-      Tell(what == "whole", names, words.size() > 3 && words[3] == "split");
+      Tell(who, what == "whole", names, words.size() > 3 && words[3] == "split");
     } else if (what == "callback") {  // send R callback ID STATE [RESULT]
       Json body = {{"id", words.at(3)}, {"from", who}, {"state", words.at(4)}};
       if (words.size() > 5) body["result"] = words[5];
@@ -408,6 +420,7 @@
   }
 
   std::string program_, it_, other_, said_;
+  char path_[32] = "/tmp/lichenlug-test-XXXXXX";  // of the configuration
   std::map<std::string, Actor> actors_;
   Words runners_;
   int revision_ = 40, port_ = 0, log_ = -1;
