Keep clients' connections after SIGTERM while there is time to serve what comes

Now connections are kept and used while a job that comes has 1.5 s before SIGKILL can come (2 s after SIGTERM here), and whatever came after SIGTERM has its answer 0.2 s before that (TransactionTable::EndNewBy).

--- a/src/caller/callers.cpp
+++ b/src/caller/callers.cpp
@@ -20,6 +20,10 @@
 constexpr Time kFinishPatience = kSecond;     // for a client to end its side
 constexpr Time kAcceptPause = 20 * kMillisecond;
 constexpr Time kNewConnections = 450 * kMillisecond;  // they go on coming for 0.2 to 0.4 s after SIGTERM
+// SIGKILL comes no sooner than this after SIGTERM, and the longest deadline, counted as 3 s at most, later.
+constexpr Time kKillAfter = 700 * kMillisecond, kMostCounted = 3 * kSecond;
+constexpr Time kLastAnswer = 200 * kMillisecond;  // before SIGKILL
+constexpr Time kLastJob = 1500 * kMillisecond;    // of time for the last job that is taken
 constexpr Time kLookEvery = 20 * kMillisecond;
 
 }  // namespace
@@ -214,7 +218,7 @@
 void Callers::Reply(Handle handle, int status, std::string_view body,
                     std::vector<std::pair<std::string, std::string>> headers, bool close) {
   Leg& leg = *legs_.Find(handle);
-  close = close || leg.close_after || draining_;
+  close = close || leg.close_after || (draining_ && deadlines_->Now() >= taking_until_);
   leg.stage = Stage::kAnswering;
   open_ids_.erase(leg.call_id);
   leg.call_id.clear();
@@ -244,18 +248,25 @@
   if (std::exchange(draining_, true)) return;
   drained_ = std::move(done);
   drain_began_ = deadlines_->Now();
+  Time longest = 0;
+  for (const auto& cls : config_.site.settings.classes) longest = std::max(longest, cls.deadline);
+  const Time last_answer = drain_began_ + std::min(longest, kMostCounted) + kKillAfter - kLastAnswer;
+  taking_until_ = std::max(drain_began_ + kNewConnections, last_answer - kLastJob);
+  core_->EndNewBy(last_answer);
   LookForEnd();
 }
 
-// Clients go on with the connections they have for as long as these stay open, so idle ones are closed once
-// new ones have stopped coming, but never one with a request on it that is not read yet.
+// Clients go on with the connections they have for as long as these stay open. Closing these as soon as new
+// ones have stopped coming would leave clients with nobody to ask where the other dispatchers restart at the
+// same time; so they are kept for as long as there is time to end what comes on them, and then the idle ones
+// are closed, but never one with a request on it that is not read yet.
 void Callers::LookForEnd() {
-  if (deadlines_->Now() - drain_began_ >= kNewConnections) {
+  const Time now = deadlines_->Now();
+  if (now >= taking_until_)
     legs_.ForEach([this](Handle handle, Leg& leg) {
       if (leg.stage == Stage::kIdle && !leg.connection->HasUnread()) DropLeg(handle);
     });
-    if (core_->owed() == 0 && legs_.size() == 0) return drained_();
-  }
+  if (now - drain_began_ >= kNewConnections && core_->owed() == 0 && legs_.size() == 0) return drained_();
   deadlines_->Add(deadlines_->Now() + kLookEvery, [this] { LookForEnd(); });
 }
 
--- a/src/caller/callers.h
+++ b/src/caller/callers.h
@@ -26,8 +26,8 @@
   asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
   void Start();
 
-  // From now on answers close their connections and the program is not ready; all that comes is still served.
-  // `done` is called when nothing is owed and connections have stopped coming.
+  // From now on the program is not ready; all that comes is still served, and as long as there is time for
+  // more, answers keep their connections. `done` is called when nothing is owed and no connection is left.
   void Drain(std::function<void()> done);
 
   void Answer(Handle leg, const FinalAnswer& answer) override;
@@ -71,7 +71,7 @@
   SlotTable<Leg> legs_;
   std::unordered_set<std::string> open_ids_;
   bool draining_ = false;
-  Time drain_began_ = 0, last_request_ = 0;
+  Time drain_began_ = 0, taking_until_ = 0, last_request_ = 0;
   std::function<void()> drained_;
 };
 
--- a/src/core/transactions.cpp
+++ b/src/core/transactions.cpp
@@ -29,8 +29,10 @@
   const Handle handle = table_.Insert(std::move(fresh));
   if (!handle) return {};
   ++owed_;
-  // The decisions end a transaction a little before its deadline; this holds should they ever not.
-  table_.Find(handle)->last_moment = deadlines_->Add(arrived.valid_until, [this, handle] {
+  // The decisions end a transaction a little before its deadline; this holds should they ever not, or where
+  // the process ends before.
+  const Time last = std::min(arrived.valid_until, end_new_by_);
+  table_.Find(handle)->last_moment = deadlines_->Add(last, [this, handle] {
     Answer(handle, {FinalAnswer::Kind::kTooLate, {}, 0});
     Feed(rookgw::RequestGone{handle.Packed()});
     DropIfDone(handle);
--- a/src/core/transactions.h
+++ b/src/core/transactions.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <deque>
+#include <limits>
 #include <memory>
 #include <string>
 #include <vector>
@@ -28,6 +29,9 @@
                Handle leg);
   void CallerGone(Handle transaction);
 
+  // The process will be ended: what comes from now on has its final answer by then at the latest.
+  void EndNewBy(Time at) { end_new_by_ = at; }
+
   void BranchNote(BranchRef ref, rookgw::AttemptNote::Kind kind, double share);
   void BranchEnded(BranchRef ref, rookgw::Outcome outcome, const rookgw::LoadReport& report = {},
                    std::string result = {});
@@ -75,6 +79,7 @@
   std::deque<rookgw::Event> events_;  // what actions bring about is told after the event that led to them
   bool feeding_ = false;
   std::size_t owed_ = 0;
+  Time end_new_by_ = std::numeric_limits<Time>::max();
 };
 
 }  // namespace lichenlug
