Look past a job's set for an idle worker before the job queues in it

At fault: Brain::Place sent to the least loaded member as soon as it was Usable, that is to a queue, and stopped its walk there; workers past the set were looked at only where no member was usable. Now an idle member, then an idle worker past the set, then the queue.

Two tests of the ordinary path; the first fails without the change.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -178,7 +178,7 @@
     members_.clear(), across_.clear();
     double room = 0;
     std::size_t needed = 0;
-    bool any_usable = false;
+    bool any_idle = false;
     for (std::size_t step = 0; step < longest; ++step) {
       const int w = ring_[(home + step) % ring_.size()].second;
       if (std::exchange(workers_[w].seen_in, walk_) == walk_ || !Eligible(r, w)) continue;
@@ -188,10 +188,10 @@
       }
       members_.push_back(w);
       room += std::max(0.0, Room(w, r));
-      any_usable = any_usable || (needed == 0 ? Usable(w, r) : Idle(w, r));
+      any_idle = any_idle || Idle(w, r);
       if (needed == 0 && room >= demand) needed = members_.size();
       if (needed == 0 || members_.size() < key.width) continue;
-      if (any_usable || members_.size() >= std::max(needed, key.width) + kOverflow) break;
+      if (any_idle || members_.size() >= std::max(needed, key.width) + kOverflow) break;
     }
     if (members_.empty()) members_.swap(across_);
     if (members_.empty()) return false;
@@ -199,12 +199,14 @@
     if (needed >= key.width || now_ - key.shrunk >= kShrinkEvery) key.width = needed, key.shrunk = now_;
     const std::size_t width = std::min(key.width, members_.size());
     const int best = LeastLoaded(r, width);
-    if (Usable(best, r)) return Send(r, best);
+    // A job that would queue in its set looks past it first: a new copy costs less than a wait, and where a
+    // few keys draw much of the traffic their sets would queue beside idle workers.
+    if (Idle(best, r)) return Send(r, best);
     for (std::size_t i = width; i < members_.size(); ++i)  // the nearest, so that overflow stays together too
       if (Idle(members_[i], r)) return Send(r, members_[i]);
     for (int w : across_)
       if (Idle(w, r)) return Send(r, w);
-    return false;
+    return Usable(best, r) && Send(r, best);
   }
 
   // Nodes that share a set hold the same old reports: in wide sets each ranks a few members drawn by its own
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -83,6 +83,36 @@
   EXPECT_GE(used.size(), 4u);
 }
 
+TEST(OrdinaryPath, AJobLooksPastItsSetBeforeItQueues) {  // sets queued beside idle workers: a third came late
+  Node node;
+  node.ListMany(20, 6);
+  const std::string home = node.Ask(1);
+  node.Started(1);
+  node.Report(home, 0, 6);        // queues there are
+  for (int i = 0; i < 10; ++i) {  // a short queue, in which the job would still be in time
+    node.now += 300 * kMs;
+    for (int w = 0; w < 20; ++w) {
+      const std::string worker = "w" + std::to_string(w);
+      node.Report(worker, worker == home ? 0 : 6, worker == home ? 1 : 0);
+    }
+  }
+  const std::string next = node.Ask(2);
+  EXPECT_NE(next, "");
+  EXPECT_NE(next, home);
+}
+
+TEST(OrdinaryPath, AJobQueuesInItsSetWhereNobodyIsIdle) {
+  Node node;
+  node.ListMany(20, 6);
+  const std::string home = node.Ask(1);
+  node.Started(1);
+  for (int i = 0; i < 10; ++i) {
+    node.now += 300 * kMs;
+    for (int w = 0; w < 20; ++w) node.Report("w" + std::to_string(w), 0, i == 0 ? 6 : 1);
+  }
+  EXPECT_EQ(node.Ask(2), home);
+}
+
 TEST(OrdinaryPath, WorkersOfAKindTheClassCannotUseAreSkipped) {
   Settings s = PlainSettings();
   s.classes[kUnsafeClass].kind = 1;
