Put a runner aside for a class whose jobs it leaves without a 202, and send keyed ones on

A trace of every send, 202, report and end showed why: five of nine runners said nothing to jobs of one class (index-refresh) for ten seconds, while their publish jobs went well and probes told of 0 in flight and 5 free slots. Some had 37 branches out. Each such branch was waited for until its deadline of 5 s. The module could not see it: this site tells of no starts, so FindSilent (brain.cpp) is off; a good probe clears all strikes (SignOfLife); the 202 was kept in branches.cpp (JobAnswered) and told nobody.

Ruled out: lost call-backs (the branches ended in stage kSent, before a 202), dead connections (fresh and used ones alike, and a used one served again in between), one dispatcher's own view (both saw it), queues (0 in flight).

Now the 202 is told as a note (AttemptNote::kTaken, where Settings::takes_told). A job with no word for 250 ms puts its runner in doubt for that class only: it rests for 1, 4, 4 s, then gets one job of it at a time until enough were taken. A keyed job is taken back and goes on in its cell; an unsafe one waits on. Two thirds of the runners at most rest at once.

--- a/include/rookgw/brain.h
+++ b/include/rookgw/brain.h
@@ -73,6 +73,7 @@
   bool repeats_marked = false;   // RequestArrived::repeat tells a client's repeats
   bool list_on_request = false;  // the list comes only when asked for
   bool starts_told = false;      // AttemptNote::kStarted comes
+  bool takes_told = false;       // AttemptNote::kTaken comes
   Time progress = 0;             // AttemptNote::kProgress comes this often; 0: never
   enum class Reports { kNever, kProbe, kAnswers } reports = Reports::kNever;
   bool reports_slots = false, reports_memory = false, reports_waiting = false, reports_active = false;
@@ -120,7 +121,7 @@
 };
 
 struct AttemptNote {
-  enum class Kind { kStarted, kProgress };
+  enum class Kind { kTaken, kStarted, kProgress };  // kTaken: the worker said that it has the job
   RequestId id = 0;
   int attempt = 0;
   Kind kind = Kind::kStarted;
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -14,6 +14,7 @@
 #include <random>
 #include <set>
 #include <stdexcept>
+#include <string_view>
 #include <tuple>
 #include <unordered_map>
 #include <utility>
@@ -27,6 +28,7 @@
 constexpr Time kReportMemory = 1500 * kMs;  // a report's news fades to the fleet's mean over about this long
 constexpr Time kReportLag = 500 * kMs;      // own sends this long before a report came may not be in it
 constexpr Time kKeepGone = 30 * kSecond;    // news of attempts at a worker may still come after it is gone
+constexpr Time kTakePatience = 240 * kMs;   // workers that were well said within 160 ms that they have a job
 constexpr std::size_t kMostKeys = 20000;    // keys remembered; the oldest go first
 constexpr double kPoints = 16;              // ring points of a worker of mean size: evens out the arcs
 constexpr double kMostPoints = 64;
@@ -64,16 +66,20 @@
   double slots;
 };
 
+struct Trust {  // in a worker's taking jobs of one class
+  int untaken = 0, doubt = 0;
+  Time rests_until = 0;
+};
+
 struct Worker {
   std::string id;
-  std::uint64_t hash = 0;
+  std::uint64_t hash = 0, seen_in = 0;  // and the last walk that came past it
   ListedWorker::State state = ListedWorker::State::kServing;
   bool listed = false;
   Time since = 0;
   int cell = kNone, kind = kNone, zone = kNone;
   double weight = 1;
   int points = 0;
-  std::uint64_t seen_in = 0;  // the last walk that came past it
   // Room
   Time report_at = -1, full_at = 0;
   double free = 0, usual_free = 0, most_free = 0, least_free = -1, learned = 0, held = 0;
@@ -81,6 +87,7 @@
   // Health
   int unstarted = 0, strikes = 0;
   Time silent_since = 0, ejected_until = 0, probed_at = 0;
+  std::vector<Trust> trust;  // by class
   // Cold
   double budget = 0;
   Time budget_at = 0, unlisted_at = 0;
@@ -92,6 +99,7 @@
   int worker, cell, zone;
   Time sent, started = 0;
   Fate fate = Fate::kOut;
+  bool untaken = true, missed = false;  // no word of it yet; and none when there should have been
 };
 
 struct Request {
@@ -118,11 +126,9 @@
  public:
   Impl(Settings settings, std::uint64_t seed) : s_(std::move(settings)), random_(seed) {
     Validate();
-    run_.resize(s_.classes.size());
+    run_.resize(s_.classes.size()), longest_wait_.resize(s_.classes.size());
     quota_.resize(s_.tenants.size());
-    longest_wait_.resize(s_.classes.size());
-    kind_size_.resize(s_.kinds.size());
-    kind_slowness_.resize(s_.kinds.size());
+    kind_size_.resize(s_.kinds.size()), kind_slowness_.resize(s_.kinds.size());
     zone_fill_.resize(s_.zones.size());
   }
 
@@ -202,10 +208,9 @@
     // A job that would queue in its set looks past it first: a new copy costs less than a wait, and where a
     // few keys draw much of the traffic their sets would queue beside idle workers.
     if (Idle(best, r)) return Send(r, best);
+    members_.insert(members_.end(), across_.begin(), across_.end());
     for (std::size_t i = width; i < members_.size(); ++i)  // the nearest, so that overflow stays together too
       if (Idle(members_[i], r)) return Send(r, members_[i]);
-    for (int w : across_)
-      if (Idle(w, r)) return Send(r, w);
     return Usable(best, r) && Send(r, best);
   }
 
@@ -254,7 +259,8 @@
     const Worker& w = workers_[index];
     const int kind = s_.classes[r.cls].kind;
     if (kind != kNone && w.kind != kind) return false;
-    if (Ejected(w)) return false;
+    const Trust& trust = w.trust[r.cls];
+    if (Ejected(w) || now_ < trust.rests_until || (trust.doubt > 0 && trust.untaken > 0)) return false;
     for (const Attempt& a : r.attempts)
       if (a.worker == index) return false;
     return MaySend(r, index);
@@ -268,9 +274,8 @@
     if (keys_.size() >= kMostKeys) ForgetKeys();
     Key& key = keys_[r.hash];
     if (key.seen != 0) key.count *= std::exp(-static_cast<double>(now_ - key.seen) / kRateMemory);
-    const double before = key.count;
-    key.count += 1, key.seen = now_;
-    return Demand(before, r);
+    key.seen = now_;
+    return Demand(key.count++, r);
   }
 
   double DemandOf(const Request& r) { return Demand(keys_[r.hash].count, r); }
@@ -301,8 +306,7 @@
   }
 
   double MeanRun() const {
-    return std::max<double>(kMs,
-                            run_all_.weight > 0 ? run_all_.value : static_cast<double>(s_.classes[0].aim));
+    return std::max<double>(kMs, run_all_.weight > 0 ? run_all_.value : s_.classes[0].aim);
   }
 
   void ForgetKeys() {
@@ -418,9 +422,7 @@
     if (!w.listed || w.state != ListedWorker::State::kServing) return false;  // drains kept
     if (static_cast<int>(r.attempts.size()) >= s_.max_attempts) return false;
     if (Cold(w) && !ColdMayTake(w, r)) return false;  // not pushed over
-    int open = 0;
-    for (const Attempt& a : r.attempts) open += a.fate == Fate::kOut;
-    if (open >= (s_.second_copies ? 2 : 1)) return false;
+    if (Open(r) >= (s_.second_copies ? 2 : 1)) return false;
     const Attempt* first = FirstThatMayHaveRun(r);
     if (first == nullptr) return true;
     const ClassSettings& cls = s_.classes[r.cls];
@@ -432,6 +434,10 @@
     return true;
   }
 
+  static std::ptrdiff_t Open(const Request& r) {
+    return std::ranges::count(r.attempts, Fate::kOut, &Attempt::fate);
+  }
+
   static const Attempt* FirstThatMayHaveRun(const Request& r) {
     for (const Attempt& a : r.attempts)
       if (a.fate != Fate::kNeverRan) return &a;
@@ -451,8 +457,10 @@
     r.attempts.push_back({index, w.cell, w.zone, now_});
     NoteMove(w, r.slots);
     if (w.unstarted++ == 0) w.silent_since = now_;
+    ++w.trust[r.cls].untaken;
     StopWaiting(r);
     Act(Dispatch{r.id, w.id, 0});
+    if (s_.takes_told) due_.push({now_ + kTakePatience, r.id});
     if (DropsHopeless(r)) due_.push({HopelessAt(r), r.id});
     return true;
   }
@@ -484,9 +492,7 @@
 
   // An ended request is kept until its last attempt is closed: till then it holds slots.
   void Forget(const Request& r) {
-    for (const Attempt& a : r.attempts)
-      if (a.fate == Fate::kOut) return;
-    requests_.erase(r.id);
+    if (Open(r) == 0) requests_.erase(r.id);
   }
 
   Time EndMargin() const { return 2 * s_.tick; }  // an end decided now is seen a tick later
@@ -499,6 +505,7 @@
     Attempt& a = r->attempts[e.attempt];
     if (a.fate != Fate::kOut) return;
     Worker& w = workers_[a.worker];
+    Heard(a, w.trust[r->cls], -1);
     if (e.kind == AttemptNote::Kind::kStarted && a.started == 0) {
       a.started = now_;
       --w.unstarted;
@@ -519,6 +526,7 @@
     Worker& w = workers_[a.worker];
     NoteMove(w, -r->slots);
     if (a.started == 0) --w.unstarted;
+    Heard(a, w.trust[r->cls], e.outcome == Outcome::kServed ? -1 : 0);
     const bool never_ran =
         e.outcome == Outcome::kFull || e.outcome == Outcome::kConnectFailed || e.outcome == Outcome::kMoot;
     a.fate = never_ran ? Fate::kNeverRan : Fate::kMayHaveRun;
@@ -553,8 +561,7 @@
 
   // After a failed attempt the walk goes on clockwise, past the workers already tried.
   void TryAgain(Request& r) {
-    for (const Attempt& a : r.attempts)
-      if (a.fate == Fate::kOut) return;
+    if (Open(r) > 0) return;
     const bool pointless = now_ > r.latest_start || static_cast<int>(r.attempts.size()) >= s_.max_attempts ||
                            (FirstThatMayHaveRun(r) != nullptr && s_.classes[r.cls].effect == Effect::kUnsafe);
     if (pointless) return End(r);
@@ -626,6 +633,8 @@
       if (r == nullptr || r->ended || r->streaming) continue;
       if (now_ >= r->valid_until - EndMargin() || (r->waiting && now_ >= r->latest_start) || Hopeless(*r))
         End(*r);
+      else
+        FindUntaken(*r);
     }
   }
 
@@ -657,6 +666,28 @@
     w.silent_since = w.unstarted > 0 ? now_ : 0;
   }
 
+  // Some workers leave the jobs of one class without any word, while probes and other classes' jobs go well.
+  // Each such job adds to the doubt, each that is taken lessens it. A worker in doubt rests, then gets one at
+  // a time. What is left so goes on elsewhere where it may run again.
+  void FindUntaken(Request& r) {
+    if (!s_.takes_told || r.attempts.empty()) return;
+    Attempt& a = r.attempts.back();
+    if (!a.untaken || now_ < a.sent + kTakePatience) return;
+    // The second look: what came while this node itself stood still has been read by then.
+    if (!std::exchange(a.missed, true)) return due_.push({now_ + 10 * kMs, r.id});
+    Trust& trust = workers_[a.worker].trust[r.cls];
+    Heard(a, trust, 2);
+    auto rests = [&](int i) { return now_ < workers_[i].trust[r.cls].rests_until; };
+    if (3 * std::ranges::count_if(listed_, rests) < 2 * std::ssize(listed_))  // some have to go on
+      trust.rests_until = now_ + (kSecond / 4 << trust.doubt);
+    if (now_ <= r.latest_start && s_.classes[r.cls].effect != Effect::kUnsafe)
+      Act(CancelAttempt{r.id, static_cast<int>(r.attempts.size()) - 1});
+  }
+
+  void Heard(Attempt& a, Trust& trust, int doubt) {
+    if (std::exchange(a.untaken, false)) --trust.untaken, trust.doubt = std::clamp(trust.doubt + doubt, 0, 4);
+  }
+
   // A worker that holds jobs unstarted for as long as a whole answer may take has most likely hung.
   void FindSilent() {
     if (!s_.starts_told) return;
@@ -741,13 +772,10 @@
     for (const ListedWorker& entry : e.workers) {
       auto [it, fresh] = index_.try_emplace(entry.id, static_cast<int>(workers_.size()));
       if (fresh) {
-        if (spare_.empty()) {
-          workers_.emplace_back();
-        } else {
-          it->second = spare_.back(), spare_.pop_back();
-          workers_[it->second] = Worker{};
-        }
-        workers_[it->second].id = entry.id, workers_[it->second].hash = HashText(entry.id);
+        if (spare_.empty()) spare_.push_back(static_cast<int>(workers_.size())), workers_.emplace_back();
+        it->second = spare_.back(), spare_.pop_back();
+        Worker& added = workers_[it->second] = Worker{};
+        added.id = entry.id, added.hash = HashText(entry.id), added.trust.resize(s_.classes.size());
       }
       Worker& w = workers_[it->second];
       if (entry.since != w.since) w.budget_at = 0, w.report_at = -1, w.learned = 0;
@@ -797,12 +825,9 @@
       if (w.listed) listed_.push_back(static_cast<int>(i));
       for (int p = 0; p < w.points; ++p) ring_.push_back({Mix(w.hash + p), static_cast<int>(i)});
     }
-    auto by_hash = [this](const std::pair<std::uint64_t, int>& a, const std::pair<std::uint64_t, int>& b) {
-      return a.first != b.first ? a.first < b.first : workers_[a.second].id < workers_[b.second].id;
-    };
-    std::sort(ring_.begin(), ring_.end(), by_hash);
-    std::sort(listed_.begin(), listed_.end(),
-              [this](int a, int b) { return workers_[a].id < workers_[b].id; });
+    auto id = [this](int i) { return std::string_view(workers_[i].id); };
+    std::ranges::sort(ring_, {}, [&id](const auto& p) { return std::pair{p.first, id(p.second)}; });
+    std::ranges::sort(listed_, {}, id);
   }
 
   double SizeOf(const Worker& w) const {
--- a/src/branch/branches.cpp
+++ b/src/branch/branches.cpp
@@ -258,7 +258,7 @@
   if (answer.status == 202) {
     branch->stage = Stage::kTaken;
     branch->link = {};
-    return;
+    return core_->BranchNote(branch->ref, rookgw::AttemptNote::Kind::kTaken, 0);
   }
   rookgw::LoadReport report;
   if (const std::string* load = answer.Header("x-load-report"))
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -83,6 +83,7 @@
   if (!root.contains("settings")) Bad("settings", "missing");
   const Json& settings = Object(root, "settings");
   config.site = rookgw::wire::ParseSettings(settings.dump());  // its messages begin with "settings: KEY"
+  config.site.settings.takes_told = true;                      // by a runner's 202
   const Json& limits = Object(settings, "Limits");
   config.most_open = Get(limits, "MaxOpen", config.most_open, "settings.Limits.");
   config.idle_close = Get(limits, "IdleClose", config.idle_close, "settings.Limits.");
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -420,6 +420,73 @@
   EXPECT_NE(node.Ask(20), hung);
 }
 
+Settings WithTakes() {
+  Settings s = PlainSettings();
+  s.takes_told = true, s.starts_told = false;
+  return s;
+}
+
+void Taken(Node& node, RequestId id, int attempt = 0) {
+  node.Tell(AttemptNote{id, attempt, AttemptNote::Kind::kTaken, 0});
+}
+
+// Some runners never answered jobs of one class, while others went well and probes told of free slots: 16% of
+// all requests failed.
+TEST(Health, AWorkerThatLeavesAClassWithoutAWordRestsInItAndThenTakesOneAtATime) {
+  Node node(WithTakes());
+  node.ListMany(4, 6);
+  const std::string home = node.Ask(1);
+  node.Run(200 * kMs);
+  EXPECT_EQ(node.Ask(2), home);  // not yet in doubt
+  Taken(node, 2);
+  node.Run(100 * kMs);
+  EXPECT_TRUE(node.Fresh<CancelAttempt>().empty());  // an unsafe job may still have its answer
+  node.Report(home, 6);                              // probes clear nothing
+  const std::string other = node.Ask(3);
+  EXPECT_NE(other, home);
+  Taken(node, 3);
+  EXPECT_EQ(node.Ask(8, 7, kRepeatableClass), home);  // jobs of other classes go well there
+  Taken(node, 8);
+  node.Run(1500 * kMs);
+  node.Ended(2, home, Outcome::kServed, 0, Reported(6));
+  EXPECT_EQ(node.Ask(4), home);  // a trial
+  EXPECT_NE(node.Ask(5), home);
+  Taken(node, 4);
+  EXPECT_EQ(node.Ask(6), home);
+}
+
+TEST(Health, AKeyedJobLeftWithoutAWordGoesOnInItsCell) {
+  Node node(WithTakes());
+  node.ListMany(4, 6);
+  const std::string home = node.Ask(1, 7, kKeyedClass);
+  node.Run(300 * kMs);
+  ASSERT_EQ(node.Fresh<CancelAttempt>().size(), 1u);
+  node.Ended(1, home, Outcome::kCancelled);
+  EXPECT_NE(node.SentTo(1), "");
+  EXPECT_NE(node.SentTo(1), home);
+}
+
+TEST(Health, AJobThatWasTakenIsNotInDoubt) {
+  Node node(WithTakes());
+  node.ListMany(4, 6);
+  const std::string home = node.Ask(1, 7, kKeyedClass);
+  Taken(node, 1);
+  node.Started(1);
+  node.Run(300 * kMs);
+  EXPECT_TRUE(node.Fresh<CancelAttempt>().empty());
+  EXPECT_EQ(node.Ask(2, 7, kKeyedClass), home);
+}
+
+TEST(Health, WordlessJobsEverywhereDoNotEmptyTheRing) {
+  Node node(WithTakes());
+  node.ListMany(4, 6);
+  std::set<std::string> used;
+  for (RequestId id = 1; id <= 12; ++id) used.insert(node.Ask(id, id));
+  ASSERT_EQ(used.size(), 4u);
+  node.Run(300 * kMs);
+  EXPECT_NE(node.Ask(41), "");
+}
+
 TEST(Health, OneBadViewDoesNotEmptyTheRing) {
   Node node;
   node.ListMany(6, 6);
