Keep some client connections idle while draining, so that clients need not open new ones

A trace of every connection and job after SIGTERM showed it: clients used a draining dispatcher's kept connections only until none of them was idle for a moment. They then needed a new one, which no longer comes through 0.2 to 0.4 s after SIGTERM, took the dispatcher for dead, and used none of its 40 to 50 open connections any more, though most became idle again.

Ruled out: that the connections were closed (47 stayed open to 2 s), that /-/ready is asked while draining (it is not), that an earlier exit brings the next start forward (both start 4.38 s after SIGTERM, whenever they exited).

callers.cpp: from 0.12 s after SIGTERM on (until then new connections come and the more the better) a job that would take one of the last few idle connections is refused at once (Submit, HasSpareLegs): 4 of them, or a fifth of the clients' connections where those are few. Idle ones stay until 1 s before the last answer (1.5 s before: it left 0.5 s more with nobody to ask).

--- a/src/caller/callers.cpp
+++ b/src/caller/callers.cpp
@@ -22,8 +22,10 @@
 constexpr Time kNewConnections = 450 * kMillisecond;  // they go on coming for 0.2 to 0.4 s after SIGTERM
 // SIGKILL comes no sooner than this after SIGTERM, and the longest deadline, counted as 3 s at most, later.
 constexpr Time kKillAfter = 700 * kMillisecond, kMostCounted = 3 * kSecond;
-constexpr Time kLastAnswer = 200 * kMillisecond;  // before SIGKILL
-constexpr Time kLastJob = 1500 * kMillisecond;    // of time for the last job that is taken
+constexpr Time kLastAnswer = 200 * kMillisecond;          // before SIGKILL
+constexpr Time kLastJob = kSecond;                        // of time for the last job that is taken
+constexpr Time kNewComeFor = 120 * kMillisecond;          // after SIGTERM, at the least
+constexpr std::size_t kSpareLegs = 4, kLegsPerSpare = 5;  // of clients, kept idle while draining
 constexpr Time kLookEvery = 20 * kMillisecond;
 
 }  // namespace
@@ -169,10 +171,12 @@
   if (const char* fault = ParseJobRequest(message, config_.site, cls, last_request_, &arrived, job.get()))
     return Reply(handle, 400, std::string(fault) + "\n");
   job->body = std::move(message.body);
+  legs_.Find(handle)->of_client = true;
   // Nothing of it has run, so a busy answer is harmless; the last descriptors are kept for call-backs. What
   // counts is the jobs in work: connections on which nothing is owed make room when it is needed.
   if (core_->owed() >= config_.most_serving_legs())
     return Reply(handle, 503, "too many connections\n", {}, /*close=*/true);
+  if (!HasSpareLegs()) return Reply(handle, 503, "draining\n");
   if (!open_ids_.insert(job->call_id).second) return Reply(handle, 409, "this id is being served\n");
   Leg* submitted = legs_.Find(handle);
   submitted->call_id = job->call_id, submitted->carried = true;
@@ -256,6 +260,21 @@
   LookForEnd();
 }
 
+// A client that finds all its connections busy opens a new one. While the program drains none comes through,
+// and clients then take it for dead and use none of the others any more, for as long as it still serves;
+// where the other dispatchers restart as well, all they have fails. So some connections stay idle: a job on
+// one of the last is refused at once.
+bool Callers::HasSpareLegs() {
+  if (!draining_ || deadlines_->Now() - drain_began_ < kNewComeFor)
+    return true;  // the more of them the better
+  std::size_t of_clients = 0, idle = 0;
+  legs_.ForEach([&](Handle, Leg& leg) {
+    of_clients += leg.of_client;
+    idle += leg.of_client && leg.stage == Stage::kIdle;
+  });
+  return idle >= std::min(kSpareLegs, of_clients / kLegsPerSpare);
+}
+
 // Clients go on with the connections they have for as long as these stay open. Closing these as soon as new
 // ones have stopped coming would leave clients with nobody to ask where the other dispatchers restart at the
 // same time; so they are kept for as long as there is time to end what comes on them, and then the idle ones
--- a/src/caller/callers.h
+++ b/src/caller/callers.h
@@ -43,6 +43,7 @@
     Time connected = 0, since = 0;  // idle since
     bool asked = false;             // a whole request has come on it
     bool carried = false;           // a job or a call-back has come on it
+    bool of_client = false;         // a job has
     Deadlines::Key alarm;
   };
 
@@ -59,6 +60,7 @@
   void Replied(Handle handle, bool close, std::error_code error);
   void Idle(Handle handle);
   void DropLeg(Handle handle);
+  bool HasSpareLegs();
   void LookForEnd();
 
   asio::io_context& io_;
