Put a runner aside also for a class whose jobs it fails

The trace of ends by runner and class: one of 9 runners failed 85% of what it got, of both classes, 1 to 55 ms after the send; its load report showed it idle, so it was sent a third of all jobs, 40 to 60 a second, where the others had 15.

An error now adds to the doubt in that class as a job left without a word does (2 and 3; 3 is enough for a rest, so one failure alone is none), a job served lessens it by 1. Rests are 1 to 4 s. What a runner answers with a 4xx is a client's fault and counts for nothing (JobAnswered in branches.cpp): else a few bad clients could put all runners aside.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -2,9 +2,8 @@
 //
 // Read top-down. A job's key hashes to its home on a ring of workers; its set widens clockwise from there
 // over eligible workers until their usable room covers the key's estimated demand; the least loaded member
-// runs it. That is the ordinary path (section 1). What it needs to know is in sections 2 (demand) and 3
-// (room). Every send and every ending passes the gate of section 4, which keeps the four rules. The rest are
-// the exceptions.
+// runs it. That is the ordinary path (section 1), fed by sections 2 (demand) and 3 (room). Every send and
+// every ending passes the gate of section 4, which keeps the four rules. The rest are the exceptions.
 #include "rookgw/brain.h"
 
 #include <algorithm>
@@ -222,7 +221,7 @@
     const bool rank = width <= kRankAll;
     for (std::size_t i = 0; i < (rank ? width : kSamples); ++i) {
       const int w = members_[rank ? i : random_() % width];
-      const double load = Load(w);
+      const double load = 1 - Free(workers_[w]) / Total(workers_[w]);
       if (load < least) least = load, best = w;
     }
     if (rank || Usable(best, r)) return best;
@@ -251,8 +250,8 @@
   }
 
   std::size_t HomeOf(std::uint64_t hash) const {
-    auto it = std::lower_bound(ring_.begin(), ring_.end(), std::pair{hash, -1});
-    return it == ring_.end() ? 0 : it - ring_.begin();
+    return std::lower_bound(ring_.begin(), ring_.end(), std::pair{hash, -1}) -
+           ring_.begin();  // past: the first
   }
 
   bool Eligible(const Request& r, int index) {
@@ -260,7 +259,8 @@
     const int kind = s_.classes[r.cls].kind;
     if (kind != kNone && w.kind != kind) return false;
     const Trust& trust = w.trust[r.cls];
-    if (Ejected(w) || now_ < trust.rests_until || (trust.doubt > 0 && trust.untaken > 0)) return false;
+    if (Ejected(w) || now_ < trust.rests_until || (s_.takes_told && trust.doubt > 0 && trust.untaken > 0))
+      return false;
     for (const Attempt& a : r.attempts)
       if (a.worker == index) return false;
     return MaySend(r, index);
@@ -347,8 +347,6 @@
     return std::max(1.0, w.held * others);
   }
 
-  double Load(int index) const { return 1 - Free(workers_[index]) / Total(workers_[index]); }
-
   // Room counts the short queue that a job can stand in and still start within half its aim.
   double Room(int index, const Request& r) const {
     const Worker& w = workers_[index];
@@ -453,7 +451,7 @@
   bool Send(Request& r, int index) {
     if (!MaySend(r, index)) return false;
     Worker& w = workers_[index];
-    if (Cold(w)) SpendCold(w, r);
+    if (Cold(w)) w.budget -= r.slots * RunTime(r.cls) / kSecond;
     r.attempts.push_back({index, w.cell, w.zone, now_});
     NoteMove(w, r.slots);
     if (w.unstarted++ == 0) w.silent_since = now_;
@@ -505,7 +503,7 @@
     Attempt& a = r->attempts[e.attempt];
     if (a.fate != Fate::kOut) return;
     Worker& w = workers_[a.worker];
-    Heard(a, w.trust[r->cls], -1);
+    if (std::exchange(a.untaken, false)) --w.trust[r->cls].untaken;
     if (e.kind == AttemptNote::Kind::kStarted && a.started == 0) {
       a.started = now_;
       --w.unstarted;
@@ -526,7 +524,7 @@
     Worker& w = workers_[a.worker];
     NoteMove(w, -r->slots);
     if (a.started == 0) --w.unstarted;
-    Heard(a, w.trust[r->cls], e.outcome == Outcome::kServed ? -1 : 0);
+    if (std::exchange(a.untaken, false)) --w.trust[r->cls].untaken;
     const bool never_ran =
         e.outcome == Outcome::kFull || e.outcome == Outcome::kConnectFailed || e.outcome == Outcome::kMoot;
     a.fate = never_ran ? Fate::kNeverRan : Fate::kMayHaveRun;
@@ -544,7 +542,9 @@
       const double took = now_ - (a.started != 0 ? a.started : a.sent);
       if (w.kind != kNone) kind_slowness_[w.kind].Add(took / RunTime(r.cls));
       run_[r.cls].Add(took), run_all_.Add(took);
+      Doubt(r, w.trust[r.cls], -1);
     }
+    if (outcome == Outcome::kError) Doubt(r, w.trust[r.cls], 2);
     if (outcome == Outcome::kConnectFailed || outcome == Outcome::kTimeout)
       Strike(w);
     else if (outcome != Outcome::kCancelled && outcome != Outcome::kMoot)
@@ -666,28 +666,28 @@
     w.silent_since = w.unstarted > 0 ? now_ : 0;
   }
 
-  // Some workers leave the jobs of one class without any word, while probes and other classes' jobs go well.
-  // Each such job adds to the doubt, each that is taken lessens it. A worker in doubt rests, then gets one at
-  // a time. What is left so goes on elsewhere where it may run again.
+  // Some workers leave all jobs of one class without a word; some fail most at once, look idle for it and
+  // draw ever more. One in doubt rests in that class, then gets one job at a time. Some have to go on.
+  void Doubt(const Request& r, Trust& trust, int more) {
+    trust.doubt = std::clamp(trust.doubt + more, 0, 6);
+    auto rests = [&](int i) { return now_ < workers_[i].trust[r.cls].rests_until; };
+    const bool may = 3 * std::ranges::count_if(listed_, rests) < 2 * std::ssize(listed_);
+    if (more > 0 && trust.doubt >= 3 && may)
+      trust.rests_until = now_ + (kSecond / 8 << std::min(trust.doubt, 5));
+  }
+
   void FindUntaken(Request& r) {
     if (!s_.takes_told || r.attempts.empty()) return;
     Attempt& a = r.attempts.back();
     if (!a.untaken || now_ < a.sent + kTakePatience) return;
-    // The second look: what came while this node itself stood still has been read by then.
-    if (!std::exchange(a.missed, true)) return due_.push({now_ + 10 * kMs, r.id});
+    if (!std::exchange(a.missed, true)) return due_.push({now_ + 10 * kMs, r.id});  // own stall?
     Trust& trust = workers_[a.worker].trust[r.cls];
-    Heard(a, trust, 2);
-    auto rests = [&](int i) { return now_ < workers_[i].trust[r.cls].rests_until; };
-    if (3 * std::ranges::count_if(listed_, rests) < 2 * std::ssize(listed_))  // some have to go on
-      trust.rests_until = now_ + (kSecond / 4 << trust.doubt);
+    a.untaken = false, --trust.untaken;
+    Doubt(r, trust, 3);
     if (now_ <= r.latest_start && s_.classes[r.cls].effect != Effect::kUnsafe)
       Act(CancelAttempt{r.id, static_cast<int>(r.attempts.size()) - 1});
   }
 
-  void Heard(Attempt& a, Trust& trust, int doubt) {
-    if (std::exchange(a.untaken, false)) --trust.untaken, trust.doubt = std::clamp(trust.doubt + doubt, 0, 4);
-  }
-
   // A worker that holds jobs unstarted for as long as a whole answer may take has most likely hung.
   void FindSilent() {
     if (!s_.starts_told) return;
@@ -695,9 +695,9 @@
     for (std::size_t c = 0; c < s_.classes.size(); ++c)
       patience = std::max<Time>(patience, s_.classes[c].aim + s_.classes[c].stretch * RunTime(c));
     auto silent = [&](const Worker& w) { return w.unstarted > 0 && now_ - w.silent_since >= patience; };
-    std::size_t count = 0;
-    for (int i : listed_) count += silent(workers_[i]) || Ejected(workers_[i]);
-    blind_ = 2 * count > listed_.size();  // so many at once is a fault of this node's own view
+    auto away = [&](int i) { return silent(workers_[i]) || Ejected(workers_[i]); };
+    blind_ =
+        2 * std::ranges::count_if(listed_, away) > std::ssize(listed_);  // so many: this node's own fault
     for (int i : listed_)
       if (!blind_ && silent(workers_[i]) && !Ejected(workers_[i])) Strike(workers_[i]);
   }
@@ -731,8 +731,6 @@
     return w.budget >= r.slots * RunTime(r.cls) / kSecond;
   }
 
-  void SpendCold(Worker& w, const Request& r) { w.budget -= r.slots * RunTime(r.cls) / kSecond; }
-
   // ---- 9. Probes ----
 
   void On(const ProbeEnded& e) {
--- a/src/branch/branches.cpp
+++ b/src/branch/branches.cpp
@@ -266,7 +266,9 @@
   const std::string* rejected = answer.Header("x-rejected");
   const bool unseen =
       (answer.status == 503 || answer.status == 504) && rejected != nullptr && *rejected == "1";
-  EndBranch(handle, unseen ? Outcome::kFull : Outcome::kError, report);
+  // What a client sent wrongly is not the runner's fault: as a taking back it may have run and tells nothing.
+  const bool clients = answer.status >= 400 && answer.status < 500 && answer.status != 429;
+  EndBranch(handle, unseen ? Outcome::kFull : clients ? Outcome::kCancelled : Outcome::kError, report);
 }
 
 bool Branches::CallBack(const std::string& body) {
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -477,6 +477,33 @@
   EXPECT_EQ(node.Ask(2, 7, kKeyedClass), home);
 }
 
+// A runner failed 85% of its jobs in 15 ms, so it always looked idle: a third of all jobs went there for 18
+// s.
+TEST(Health, AWorkerThatFailsAClassAtOnceRestsInIt) {
+  Node node(WithTakes());
+  node.ListMany(4, 6);
+  const std::string home = node.Ask(1);
+  node.Ended(1, home, Outcome::kError);
+  EXPECT_EQ(node.Ask(2), home);  // one failure may come of the job
+  node.Ended(2, home, Outcome::kError);
+  EXPECT_NE(node.Ask(3), home);
+  EXPECT_EQ(node.Ask(4, 7, kRepeatableClass), home);
+  node.Run(2100 * kMs);
+  EXPECT_EQ(node.Ask(5), home);
+}
+
+TEST(Health, AWorkerThatFailsNowAndThenGoesOn) {
+  Node node(WithTakes());
+  node.ListMany(4, 6);
+  const std::string home = node.Ask(1000);
+  node.Ended(1000, home, Outcome::kServed, 0, Reported(6));
+  for (RequestId id = 1; id <= 30; ++id) {
+    ASSERT_EQ(node.Ask(id), home);
+    node.Ended(id, home, id % 3 == 0 ? Outcome::kError : Outcome::kServed, 0, Reported(6));
+    node.Run(1 * kSecond);
+  }
+}
+
 TEST(Health, WordlessJobsEverywhereDoNotEmptyTheRing) {
   Node node(WithTakes());
   node.ListMany(4, 6);
