--- a/tests/scenario_player.cpp
+++ b/tests/scenario_player.cpp
@@ -408,7 +408,8 @@
     if (what == "probe") return Until("a probe", [&] { return actor.probes > 0; });
     if (what == "ends")  // expect C ends COUNT: of its connections
       return Until("ends", [&] { return actor.ended >= std::stoi(words.at(3)); });
-    if (what == "said") return Require(said_.find(words.at(3)) != std::string::npos, "said: " + said_);
+    if (what == "said")  // a line may come in pieces
+      return Until("word of it", [&] { return said_.find(words.at(3)) != std::string::npos; });
     Until("a message", [&] { return !actor.inbox.empty(); });
     const Message message = actor.inbox.front();
     actor.inbox.erase(actor.inbox.begin());
