Handle SIGTERM from the first line on, as SIGHUP already is

Seen once in a run of all tests side by side: scenario spare_legs, which sends SIGTERM right after the line 'serves at', found the program gone without a word. main.cpp listened and said so before it took SIGTERM in hand, so a signal in between ended the program by its default, with whatever had come by then lost.

Both signal sets are made first now. Checked with a pause of 0.1 s put in after that line: the scenario fails always with the old order and passes with the new one. All 86 tests pass three times in a row with 16 at once.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -45,7 +45,8 @@
   using Form = rookgw::ListChanged::Form;
   std::signal(SIGPIPE, SIG_IGN);  // a peer that is gone shows as an error of the write
   asio::io_context io(1);
-  asio::signal_set reload(io, SIGHUP);  // from the first line on: unhandled, it would end the program
+  // From the first line on: unhandled, a signal would end the program at once, whatever it owes by then.
+  asio::signal_set reload(io, SIGHUP), signals(io, SIGTERM, SIGINT);
   const Clock clock;
   Deadlines deadlines(io, clock);
   RouteSet routes;
@@ -64,7 +65,6 @@
   callers.Start();
   std::cerr << config.name << " serves at " << callers.address() << std::endl;
 
-  asio::signal_set signals(io, SIGTERM, SIGINT);
   signals.async_wait([&](std::error_code error, int) {
     if (error) return;
     callers.Drain([&io] { io.stop(); });
