--- a/src/net/clock.h
+++ b/src/base/clock.h
@@ -3,12 +3,11 @@
 #pragma once
 
 #include <chrono>
-
-#include "rookgw/brain.h"
+#include <cstdint>
 
 namespace lichenlug {
 
-using rookgw::Time;
+using Time = std::int64_t;  // microseconds, a point or a span
 inline constexpr Time kMillisecond = 1000, kSecond = 1000 * kMillisecond;
 
 class Clock {
--- a/src/net/deadlines.cpp
+++ b/src/base/deadlines.cpp
@@ -1,4 +1,4 @@
-#include "net/deadlines.h"
+#include "base/deadlines.h"
 
 namespace lichenlug {
 
--- a/src/net/deadlines.h
+++ b/src/base/deadlines.h
@@ -7,7 +7,7 @@
 #include <map>
 #include <utility>
 
-#include "net/clock.h"
+#include "base/clock.h"
 
 namespace lichenlug {
 
--- a/src/branch/branches.cpp
+++ b/src/branch/branches.cpp
@@ -25,15 +25,15 @@
 
 }  // namespace
 
-Branches::Branches(asio::io_context& io, const Config& config, const RouteSet* routes, Deadlines* deadlines,
-                   TransactionTable* core)
+Branches::Branches(asio::io_context& io, const BranchSettings& settings, const RouteSet* routes,
+                   Deadlines* deadlines, TransactionTable* core)
     : io_(io),
-      config_(config),
+      settings_(settings),
       routes_(routes),
       deadlines_(deadlines),
       core_(core),
-      branches_(config.most_open),
-      links_(config.most_runner_links()) {}
+      branches_(settings.most_open),
+      links_(settings.most_links) {}
 
 // ---- What the core asks for ----
 
@@ -104,7 +104,7 @@
   handle = links_.Insert(std::move(fresh));
   Link& link = *links_.Find(handle);
   link.alarm =
-      deadlines_->Add(deadlines_->Now() + config_.connect_timeout, [this, handle] { Broke(handle); });
+      deadlines_->Add(deadlines_->Now() + settings_.connect_timeout, [this, handle] { Broke(handle); });
   link.connection->Connect(link.address, [this, handle](std::error_code error) {
     Link* connected = links_.Find(handle);
     if (connected == nullptr) return;
@@ -193,7 +193,7 @@
     case Exchange::Kind::kProbe:
       return core_->ProbeEnded(
           runner, answer.status == 200, deadlines_->Now() - exchange.began,
-          ParseLoadReport(nlohmann::json::parse(answer.body, nullptr, false), config_.site));
+          ParseLoadReport(nlohmann::json::parse(answer.body, nullptr, false), settings_.site));
     case Exchange::Kind::kNone:
       return;
   }
@@ -230,7 +230,7 @@
   Link* link = links_.Find(handle);
   link->exchange = {};
   idle_[link->runner].push_back(handle);
-  deadlines_->Move(&link->alarm, deadlines_->Now() + config_.idle_close * 4 / 5,
+  deadlines_->Move(&link->alarm, deadlines_->Now() + settings_.idle_close * 4 / 5,
                    [this, handle] { DropLink(handle); });
 }
 
@@ -262,7 +262,7 @@
   }
   rookgw::LoadReport report;
   if (const std::string* load = answer.Header("x-load-report"))
-    report = ParseLoadReport(nlohmann::json::parse(*load, nullptr, false), config_.site);
+    report = ParseLoadReport(nlohmann::json::parse(*load, nullptr, false), settings_.site);
   const std::string* rejected = answer.Header("x-rejected");
   const bool unseen =
       (answer.status == 503 || answer.status == 504) && rejected != nullptr && *rejected == "1";
@@ -305,7 +305,8 @@
     return true;
   }
   const auto load = json.find("load");
-  EndBranch(handle, outcome, load != json.end() ? ParseLoadReport(*load, config_.site) : rookgw::LoadReport{},
+  EndBranch(handle, outcome,
+            load != json.end() ? ParseLoadReport(*load, settings_.site) : rookgw::LoadReport{},
             outcome == Outcome::kServed ? *result : std::string());
   return true;
 }
--- a/src/branch/branches.h
+++ b/src/branch/branches.h
@@ -10,19 +10,25 @@
 #include <unordered_map>
 #include <vector>
 
-#include "config/config.h"
+#include "base/deadlines.h"
+#include "base/slots.h"
 #include "core/ports.h"
 #include "core/transactions.h"
-#include "discovery/route_set.h"
-#include "net/deadlines.h"
+#include "decisions/settings.h"
 #include "net/http_connection.h"
-#include "net/slots.h"
+#include "routes/route_set.h"
 
 namespace lichenlug {
 
-class Branches : public BranchPort {
+struct BranchSettings {
+  std::size_t most_open = 0, most_links = 0;  // branches; connections to runners, idle ones among them
+  Time connect_timeout = 0, idle_close = 0;   // spans; runners close what is idle for idle_close
+  const rookgw::Site& site;                   // outlives the branches
+};
+
+class Branches : public BranchPort, public CallBackPort {
  public:
-  Branches(asio::io_context& io, const Config& config, const RouteSet* routes, Deadlines* deadlines,
+  Branches(asio::io_context& io, const BranchSettings& settings, const RouteSet* routes, Deadlines* deadlines,
            TransactionTable* core);
 
   Handle Open(BranchRef ref, std::shared_ptr<const Job> job, const std::string& runner,
@@ -32,7 +38,7 @@
 
   // A runner's call-back. False: it is malformed. One for a branch that is not held (it is over, given up, or
   // of an earlier life) is well-formed and changes nothing.
-  bool CallBack(const std::string& body);
+  bool CallBack(const std::string& body) override;
 
   std::size_t out() const { return branches_.size(); }
 
@@ -85,7 +91,7 @@
                  std::string result = {});
 
   asio::io_context& io_;
-  const Config& config_;
+  const BranchSettings settings_;
   const RouteSet* routes_;
   Deadlines* deadlines_;
   TransactionTable* core_;
--- a/src/branch/load_report.cpp
+++ b/src/branch/load_report.cpp
@@ -4,7 +4,7 @@
 
 namespace lichenlug {
 
-rookgw::LoadReport ParseLoadReport(const nlohmann::json& object, const rookgw::wire::Site& site) {
+rookgw::LoadReport ParseLoadReport(const nlohmann::json& object, const rookgw::Site& site) {
   rookgw::LoadReport report;
   if (!object.is_object()) return report;
   for (const auto& [name, value] : object.items()) {
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -5,8 +5,8 @@
 #include <memory>
 #include <string>
 
-#include "net/clock.h"
-#include "net/slots.h"
+#include "base/clock.h"
+#include "base/slots.h"
 #include "rookgw/brain.h"
 
 namespace lichenlug {
@@ -45,6 +45,14 @@
   virtual void Probe(const std::string& runner) = 0;
 };
 
+// Takes runners' call-backs, by whichever front they come in.
+class CallBackPort {
+ public:
+  virtual ~CallBackPort() = default;
+  // False: it is malformed. One for a branch that is not held is well-formed and changes nothing.
+  virtual bool CallBack(const std::string& body) = 0;
+};
+
 class DiscoveryPort {
  public:
   virtual ~DiscoveryPort() = default;
--- a/src/core/transactions.h
+++ b/src/core/transactions.h
@@ -9,9 +9,9 @@
 #include <string>
 #include <vector>
 
+#include "base/deadlines.h"
+#include "base/slots.h"
 #include "core/ports.h"
-#include "net/deadlines.h"
-#include "net/slots.h"
 #include "rookgw/brain.h"
 
 namespace lichenlug {
--- /dev/null
+++ b/src/decisions/brain.cpp
@@ -0,0 +1,189 @@
+// The decisions of one dispatcher node. Interface: include/rookgw/brain.h. Design: docs/design/decisions.md.
+//
+// A job's key hashes to its home on a ring of workers; its set widens clockwise from there over eligible
+// workers until their usable room covers the key's estimated demand; the least loaded member runs it. That is
+// the ordinary path (placing.h), fed by demand.h and room.h. Every send and every ending passes gate.h, which
+// keeps the four rules. Here: which floor hears of which event.
+#include "decisions/check.h"
+#include "decisions/placing.h"
+
+namespace rookgw {
+
+using namespace internal;
+
+class Brain::Impl : public Placing {
+ public:
+  Impl(Settings settings, std::uint64_t seed) : Placing(Checked(std::move(settings)), seed) {}
+
+  void Start(Time now) {
+    now_ = now;
+    for (std::size_t t = 0; t < quota_.size(); ++t) quota_[t] = {now, QuotaBurst(static_cast<int>(t))};
+    if (s_.list_on_request) AskForList();
+    Act(SetTimer{kSweepEvery, "sweep"});
+  }
+
+  void Handle(Time now, const Event& event) {
+    now_ = std::max(now_, now);
+    std::visit([this](const auto& e) { On(e); }, event);
+    ArmTimer();
+  }
+
+  Holdings holdings() const { return {workers_.size(), requests_.size(), waiting_.size(), keys_.size()}; }
+
+ private:
+  void On(const RequestArrived& e) {
+    const ClassSettings& cls = s_.classes.at(e.cls);
+    if (e.tenant != kNone) s_.tenants.at(e.tenant);
+    auto [it, fresh] = requests_.try_emplace(e.id);
+    if (!fresh) return;
+    Request& r = it->second;
+    r.id = e.id;
+    r.hash = e.key ? Mix(*e.key ^ 0x9e3779b97f4a7c15ULL) : HashText(cls.name);
+    r.slots = std::max(e.slots, 0.0);
+    r.valid_until = e.valid_until, r.cls = e.cls, r.tenant = e.tenant;
+    // A client's repeat keeps the time of its first try, told by how much of the longest wait seen is left to
+    // it: once its aim has passed it is not worth slots that others could still use.
+    longest_wait_[e.cls] = std::max(longest_wait_[e.cls], r.valid_until - now_);
+    const bool repeat = e.repeat || !s_.repeats_marked;
+    const Time first_try = repeat ? r.valid_until - longest_wait_[e.cls] : now_;
+    r.latest_start = std::min(first_try + cls.aim, r.valid_until);
+    r.over_share = TakeQuota(e.tenant);
+    r.turn = ++turns_;
+    due_.push({r.valid_until - EndMargin(), r.id});
+    arrivals_.Add(now_);
+    const double demand = CountArrival(r);
+    if (!Place(r, demand)) Wait(r);
+  }
+
+  void On(const AttemptNote& e) {
+    Request* r = Find(e.id);
+    if (r == nullptr || e.attempt < 0 || e.attempt >= static_cast<int>(r->attempts.size())) return;
+    Attempt& a = r->attempts[e.attempt];
+    if (a.fate != Fate::kOut) return;
+    Worker& w = workers_[a.worker];
+    if (std::exchange(a.untaken, false)) --w.trust[r->cls].untaken;
+    if (e.kind == AttemptNote::Kind::kStarted && a.started == 0) {
+      a.started = now_;
+      --w.unstarted;
+    }
+    SignOfLife(w);
+  }
+
+  void On(const AttemptEnded& e) {
+    Request* r = Find(e.id);
+    auto named = index_.find(e.worker);
+    if (named != index_.end() && e.outcome != Outcome::kMoot) {
+      NoteReport(workers_[named->second], e.report);
+      if (e.outcome == Outcome::kFull) NoteFull(workers_[named->second]);
+    }
+    if (r == nullptr || e.attempt < 0 || e.attempt >= static_cast<int>(r->attempts.size())) return;
+    Attempt& a = r->attempts[e.attempt];
+    if (a.fate != Fate::kOut) return;
+    Worker& w = workers_[a.worker];
+    NoteMove(w, -r->slots);
+    if (a.started == 0) --w.unstarted;
+    if (std::exchange(a.untaken, false)) --w.trust[r->cls].untaken;
+    const bool never_ran =
+        e.outcome == Outcome::kFull || e.outcome == Outcome::kConnectFailed || e.outcome == Outcome::kMoot;
+    a.fate = never_ran ? Fate::kNeverRan : Fate::kMayHaveRun;
+    Learn(*r, a, w, e.outcome);
+    if (e.complete && !r->ended) r->ended = true, StopWaiting(*r);
+    if (r->ended || e.outcome == Outcome::kServed)
+      Forget(*r);
+    else
+      TryAgain(*r);
+    ServeWaiting(4);
+  }
+
+  void Learn(const Request& r, const Attempt& a, Worker& w, Outcome outcome) {
+    if (outcome == Outcome::kServed) {
+      const double took = now_ - (a.started != 0 ? a.started : a.sent);
+      if (w.kind != kNone) kind_slowness_[w.kind].Add(took / RunTime(r.cls));
+      run_[r.cls].Add(took), run_all_.Add(took);
+      Doubt(r, w.trust[r.cls], -1);
+    }
+    if (outcome == Outcome::kError) Doubt(r, w.trust[r.cls], 2);
+    if (outcome == Outcome::kConnectFailed || outcome == Outcome::kTimeout)
+      Strike(w);
+    else if (outcome != Outcome::kCancelled && outcome != Outcome::kMoot)
+      SignOfLife(w);
+    if (FleetWide()) return;
+    const double had = w.held + r.slots;
+    const double was = w.learned;
+    if (outcome == Outcome::kServed) w.learned = std::max(w.learned, had) + r.slots / std::max(had, 1.0);
+    if (outcome == Outcome::kFull || outcome == Outcome::kTimeout)
+      w.learned = std::max(1.0, 0.8 * std::min(had, w.learned > 0 ? w.learned : had));
+    if (was == 0 && w.learned > 0) learned_held_ += std::max(had, 1.0);
+    learned_total_ += w.learned - was;
+  }
+
+  void On(const StreamStarted& e) {
+    if (Request* r = Find(e.id)) r->streaming = true;
+  }
+
+  void On(const RequestGone& e) {
+    if (Request* r = Find(e.id)) Close(*r);
+  }
+
+  void On(const ProbeEnded& e) {
+    auto it = index_.find(e.worker);
+    if (it == index_.end()) return;
+    NoteReport(workers_[it->second], e.report);
+    if (e.ok) SignOfLife(workers_[it->second]);
+  }
+
+  void On(const ListChanged& e) {
+    TakeList(e);
+    if (e.form != ListChanged::Form::kFailed) ServeWaiting(4);
+  }
+
+  void On(const TimerFired& e) {
+    if (e.token == "due") {
+      if (now_ >= armed_) armed_ = 0;  // else an older timer: the one armed last still comes
+      EndDue();
+    } else if (e.token == "sweep") {
+      Act(SetTimer{kSweepEvery, "sweep"});
+      EndDue();
+      FindSilent();
+      BalanceZones();
+      SendProbes();
+      ServeWaiting(16);
+      if (s_.list_on_request && !subscribed_ && now_ >= ask_at_) AskForList();
+    }
+  }
+
+  void ArmTimer() {
+    while (!due_.empty() && Find(due_.top().second) == nullptr) due_.pop();
+    if (due_.empty()) return;
+    const Time next = std::max(due_.top().first, now_ + 1);
+    if (armed_ > now_ && armed_ <= next)
+      return;  // one timer at a time: each re-arming would come back as well
+    armed_ = next;
+    Act(SetTimer{armed_ - now_, "due"});
+  }
+
+  Time armed_ = 0;
+  std::vector<Time> longest_wait_ =
+      std::vector<Time>(s_.classes.size());  // by class: arrival to patience's end
+  std::uint64_t turns_ = 0;
+};
+
+Brain::Brain(Settings settings, std::uint64_t seed)
+    : impl_(std::make_unique<Impl>(std::move(settings), seed)) {}
+Brain::~Brain() = default;
+Brain::Brain(Brain&&) noexcept = default;
+Brain& Brain::operator=(Brain&&) noexcept = default;
+
+void Brain::Start(Time now, std::vector<Action>* actions) {
+  impl_->out = actions;
+  impl_->Start(now);
+}
+
+void Brain::Handle(Time now, const Event& event, std::vector<Action>* actions) {
+  impl_->out = actions;
+  impl_->Handle(now, event);
+}
+
+Holdings Brain::holdings() const { return impl_->holdings(); }
+
+}  // namespace rookgw
--- /dev/null
+++ b/src/decisions/demand.h
@@ -0,0 +1,65 @@
+// Demand of a key, in slots: rate x slots x run time.
+#pragma once
+
+#include "decisions/ring.h"
+
+namespace rookgw::internal {
+
+class Demand : public Ring {
+ protected:
+  using Ring::Ring;
+
+  // Counts an arrival and returns the key's demand in slots. The arrival itself is left out of the rate: at
+  // the moment of an arrival a count that holds it is always too high.
+  double CountArrival(const Request& r) {
+    if (keys_.size() >= kMostKeys) ForgetKeys();
+    Key& key = keys_[r.hash];
+    if (key.seen != 0) key.count *= std::exp(-static_cast<double>(now_ - key.seen) / kRateMemory);
+    key.seen = now_;
+    return DemandAt(key.count++, r);
+  }
+
+  double DemandOf(const Request& r) { return DemandAt(keys_[r.hash].count, r); }
+
+  double DemandAt(double count, const Request& r) const {
+    return count / kRateMemory * Nodes() * r.slots * RunTime(r.cls);
+  }
+
+  // Nodes whose traffic falls on the same sets, as far as it is like this node's.
+  double Nodes() const {
+    if (!FleetWide()) return 1;
+    const bool zoned = s_.fee_cross_zone > 0 && s_.my_zone != kNone && !s_.zones.empty();
+    return std::max(1.0, static_cast<double>(s_.instances) / (zoned ? s_.zones.size() : 1));
+  }
+
+  // Mean run time of the class; before its first samples that of all classes, before any the class's aim.
+  double RunTime(int cls) const {
+    const double fallback = run_all_.weight >= 5 ? run_all_.value : static_cast<double>(s_.classes[cls].aim);
+    return std::max<double>(kMs, run_[cls].weight >= 5 ? run_[cls].value : fallback);
+  }
+
+  // Run time on this kind of machine, by the mean of all.
+  double Slowness(const Worker& w) const {
+    if (w.kind == kNone || kind_slowness_[w.kind].weight < 20) return 1;
+    return std::clamp(kind_slowness_[w.kind].value, 0.25, 4.0);
+  }
+
+  double MeanRun() const {
+    return std::max<double>(kMs, run_all_.weight > 0 ? run_all_.value : s_.classes[0].aim);
+  }
+
+  void ForgetKeys() {
+    std::vector<std::pair<Time, std::uint64_t>> ages;
+    for (const auto& [hash, key] : keys_) ages.push_back({key.seen, hash});
+    std::nth_element(ages.begin(), ages.begin() + ages.size() / 2, ages.end());
+    for (std::size_t i = 0; i < ages.size() / 2; ++i) keys_.erase(ages[i].second);
+  }
+
+  std::unordered_map<std::uint64_t, Key> keys_;  // walked only to find the oldest half, by a total order
+  std::vector<Mean> run_ = std::vector<Mean>(s_.classes.size());
+  std::vector<Mean> kind_slowness_ = std::vector<Mean>(s_.kinds.size());
+  Mean run_all_;
+  RateMeter arrivals_;
+};
+
+}  // namespace rookgw::internal
--- /dev/null
+++ b/src/decisions/gate.h
@@ -0,0 +1,113 @@
+// The gate, which keeps the four rules: every send and every ending passes it.
+#pragma once
+
+#include "decisions/health.h"
+
+namespace rookgw::internal {
+
+class Gate : public Health {
+ protected:
+  using Health::Health;
+
+  // The four rules, for one more attempt of r at this worker.
+  bool MaySend(const Request& r, int index) {
+    Worker& w = workers_[index];
+    if (r.ended || now_ >= r.valid_until - EndMargin()) return false;         // no answer would be in time
+    if (!w.listed || w.state != ListedWorker::State::kServing) return false;  // drains kept
+    if (static_cast<int>(r.attempts.size()) >= s_.max_attempts) return false;
+    if (Cold(w) && !ColdMayTake(w, r)) return false;  // not pushed over
+    if (Open(r) >= (s_.second_copies ? 2 : 1)) return false;
+    const Attempt* first = FirstThatMayHaveRun(r);
+    if (first == nullptr) return true;
+    const ClassSettings& cls = s_.classes[r.cls];
+    if (cls.effect == Effect::kRepeatable) return true;
+    if (cls.effect == Effect::kUnsafe) return false;
+    if (now_ + 2 * s_.tick >= first->sent + cls.window) return false;
+    if (cls.scope == KeyScope::kZone) return w.zone != kNone && w.zone == first->zone;
+    if (cls.scope == KeyScope::kCell) return w.cell != kNone && w.cell == first->cell;
+    return true;
+  }
+
+  bool MayDecline(const Request& r) const {
+    const ClassSettings& cls = s_.classes[r.cls];
+    return FirstThatMayHaveRun(r) == nullptr || cls.effect == Effect::kRepeatable ||
+           (cls.effect == Effect::kKeyed && cls.scope == KeyScope::kAll);
+  }
+
+  bool Send(Request& r, int index) {
+    if (!MaySend(r, index)) return false;
+    Worker& w = workers_[index];
+    if (Cold(w)) w.budget -= r.slots * RunTime(r.cls) / kSecond;
+    r.attempts.push_back({index, w.cell, w.zone, now_});
+    NoteMove(w, r.slots);
+    if (w.unstarted++ == 0) w.silent_since = now_;
+    ++w.trust[r.cls].untaken;
+    StopWaiting(r);
+    Act(Dispatch{r.id, w.id, 0});
+    if (s_.takes_told) due_.push({now_ + kTakePatience, r.id});
+    if (DropsHopeless(r)) due_.push({HopelessAt(r), r.id});
+    return true;
+  }
+
+  // Ends a request, by a refusal where that is harmless.
+  void End(Request& r) {
+    if (r.ended) return;
+    if (MayDecline(r))
+      Act(Decline{r.id, ComeBackAfter()});
+    else
+      Act(Fail{r.id});
+    Close(r);
+  }
+
+  // When a refused client had best come again: the jobs that fill the slots now have then ended, on average.
+  Time ComeBackAfter() const {
+    return s_.retry_after ? std::min(static_cast<Time>(MeanRun()), s_.max_retry_after) : 0;
+  }
+
+  // Nothing more is owed: no waiting, and what is still out is taken back.
+  void Close(Request& r) {
+    StopWaiting(r);
+    r.ended = true;
+    if (s_.cancelling)
+      for (std::size_t i = 0; i < r.attempts.size(); ++i)
+        if (r.attempts[i].fate == Fate::kOut) Act(CancelAttempt{r.id, static_cast<int>(i)});
+    Forget(r);
+  }
+
+  // An ended request is kept until its last attempt is closed: till then it holds slots.
+  void Forget(const Request& r) {
+    if (Open(r) == 0) requests_.erase(r.id);
+  }
+
+  Time EndMargin() const { return 2 * s_.tick; }  // an end decided now is seen a tick later
+
+  void StopWaiting(Request& r) {
+    if (!r.waiting) return;
+    r.waiting = false;
+    waiting_.erase({r.rank, r.turn, r.id});
+  }
+
+  // A job that has not started when even a longer one than usual would be late is called off where that
+  // helps: in overload a queue of such jobs makes all behind them late too.
+  bool DropsHopeless(const Request& r) const {
+    return s_.cancelling && s_.starts_told && s_.classes[r.cls].late_value == 0;
+  }
+
+  Time HopelessAt(const Request& r) const {
+    const double by = StartBy(workers_[r.attempts.back().worker], r, kHopeWork);
+    return static_cast<Time>(std::max<double>(by, r.latest_start)) + s_.tick;
+  }
+
+  bool Hopeless(const Request& r) const {
+    if (!DropsHopeless(r) || r.attempts.empty()) return false;
+    for (const Attempt& a : r.attempts)
+      if (a.fate == Fate::kOut && a.started != 0) return false;
+    return now_ >= HopelessAt(r);
+  }
+
+  std::set<std::tuple<double, std::uint64_t, RequestId>> waiting_;  // most worth first, then oldest
+  std::priority_queue<std::pair<Time, RequestId>, std::vector<std::pair<Time, RequestId>>, std::greater<>>
+      due_;
+};
+
+}  // namespace rookgw::internal
--- /dev/null
+++ b/src/decisions/health.h
@@ -0,0 +1,94 @@
+// Health of workers: silent, in doubt for a class, cold; and the probes that ask.
+#pragma once
+
+#include "decisions/room.h"
+
+namespace rookgw::internal {
+
+class Health : public Room {
+ protected:
+  using Room::Room;
+
+  bool Ejected(const Worker& w) const { return now_ < w.ejected_until; }
+
+  void SignOfLife(Worker& w) {
+    w.strikes = 0, w.ejected_until = 0;
+    w.silent_since = w.unstarted > 0 ? now_ : 0;
+  }
+
+  void Strike(Worker& w) {
+    w.strikes = std::min(w.strikes + 1, 5);
+    w.ejected_until = now_ + (kSecond / 4 << w.strikes);
+    w.silent_since = w.unstarted > 0 ? now_ : 0;
+  }
+
+  // Some workers leave all jobs of one class without a word; some fail most at once, look idle for it and
+  // draw ever more. One in doubt rests in that class, then gets one job at a time. Some have to go on.
+  void Doubt(const Request& r, Trust& trust, int more) {
+    trust.doubt = std::clamp(trust.doubt + more, 0, 6);
+    auto rests = [&](int i) { return now_ < workers_[i].trust[r.cls].rests_until; };
+    const bool may = 3 * std::ranges::count_if(listed_, rests) < 2 * std::ssize(listed_);
+    if (more > 0 && trust.doubt >= 3 && may)
+      trust.rests_until = now_ + (kSecond / 8 << std::min(trust.doubt, 5));
+  }
+
+  // A worker that holds jobs unstarted for as long as a whole answer may take has most likely hung.
+  void FindSilent() {
+    if (!s_.starts_told) return;
+    Time patience = 0;
+    for (std::size_t c = 0; c < s_.classes.size(); ++c)
+      patience = std::max<Time>(patience, s_.classes[c].aim + s_.classes[c].stretch * RunTime(c));
+    auto silent = [&](const Worker& w) { return w.unstarted > 0 && now_ - w.silent_since >= patience; };
+    auto away = [&](int i) { return silent(workers_[i]) || Ejected(workers_[i]); };
+    blind_ =
+        2 * std::ranges::count_if(listed_, away) > std::ssize(listed_);  // so many: this node's own fault
+    for (int i : listed_)
+      if (!blind_ && silent(workers_[i]) && !Ejected(workers_[i])) Strike(workers_[i]);
+  }
+
+  bool Cold(const Worker& w) const { return w.since > 0 && now_ - w.since < s_.ramp_time; }
+
+  // This node's part of what a cold worker may be sent: half the limit, over all instances. The allowance
+  // starts in debt by this node's place among them, so that nodes take turns.
+  void FillCold(Worker& w) {
+    if (w.budget_at == 0) {
+      const double place =
+          static_cast<double>((s_.ordinal + w.hash % s_.instances) % s_.instances) / s_.instances;
+      w.budget = -place * RunTime(0) / kSecond;
+      w.budget_at = now_;
+    }
+    const double age = static_cast<double>(now_ - w.since) / s_.ramp_time;
+    const double share = s_.cold_share + (1 - s_.cold_share) * std::clamp(age, 0.0, 1.0);
+    const double rate =
+        0.5 * s_.overload_factor * share * LeastTotal() / s_.instances;  // slot seconds a second
+    w.budget = std::min(w.budget + rate * (now_ - w.budget_at) / kSecond,
+                        std::max(rate * s_.overload_for / kSecond, RunTime(0) / kSecond));
+    w.budget_at = now_;
+  }
+
+  double LeastTotal() const { return FleetWide() ? std::max(1.0, 0.8 * mean_total_.value) : 1.0; }
+
+  bool ColdMayTake(Worker& w, const Request& r) {
+    FillCold(w);
+    return w.budget >= r.slots * RunTime(r.cls) / kSecond;
+  }
+
+  // Round the ring, about one probe a request: the fee is then the fee for one probe a request.
+  void SendProbes() {
+    if (!s_.probes || s_.reports == Settings::Reports::kNever || ring_.empty()) return;
+    probe_credit_ = std::min(probe_credit_ + arrivals_.Rate(now_) * kSweepEvery, 20.0);
+    for (std::size_t looked = 0; probe_credit_ >= 1 && looked < listed_.size(); ++looked) {
+      Worker& w = workers_[listed_[probe_next_++ % listed_.size()]];
+      if (w.state != ListedWorker::State::kServing || now_ - std::max(w.report_at, w.probed_at) < kReportLag)
+        continue;
+      w.probed_at = now_;
+      probe_credit_ -= 1;
+      Act(Probe{w.id});
+    }
+  }
+
+  double probe_credit_ = 0;
+  std::size_t probe_next_ = random_();
+};
+
+}  // namespace rookgw::internal
--- /dev/null
+++ b/src/decisions/placing.h
@@ -0,0 +1,176 @@
+// The ordinary path: a key's set on the ring, its least loaded member; else waiting, trying again, refusing.
+#pragma once
+
+#include "decisions/gate.h"
+
+namespace rookgw::internal {
+
+class Placing : public Gate {
+ protected:
+  using Gate::Gate;
+
+  // Finds the set and sends to its least loaded member. False: nobody eligible can start it in its aim.
+  bool Place(Request& r, double demand) {
+    if (ring_.empty()) return false;
+    Key& key = keys_[r.hash];
+    const std::size_t home = HomeOf(r.hash), longest = std::min(ring_.size(), kLongestWalk);
+    ++walk_;
+    members_.clear(), across_.clear();
+    double room = 0;
+    std::size_t needed = 0;
+    bool any_idle = false;
+    for (std::size_t step = 0; step < longest; ++step) {
+      const int w = ring_[(home + step) % ring_.size()].second;
+      if (std::exchange(workers_[w].seen_in, walk_) == walk_ || !Eligible(r, w)) continue;
+      if (Across(w, r)) {
+        if (across_.size() < kOverflow) across_.push_back(w);
+        continue;
+      }
+      members_.push_back(w);
+      room += std::max(0.0, RoomOf(w, r));
+      any_idle = any_idle || Idle(w, r);
+      if (needed == 0 && room >= demand) needed = members_.size();
+      if (needed == 0 || members_.size() < key.width) continue;
+      if (any_idle || members_.size() >= std::max(needed, key.width) + kOverflow) break;
+    }
+    if (members_.empty()) members_.swap(across_);
+    if (members_.empty()) return false;
+    if (needed == 0) needed = members_.size();
+    if (needed >= key.width || now_ - key.shrunk >= kShrinkEvery) key.width = needed, key.shrunk = now_;
+    const std::size_t width = std::min(key.width, members_.size());
+    const int best = LeastLoaded(r, width);
+    // A job that would queue in its set looks past it first: a new copy costs less than a wait, and where a
+    // few keys draw much of the traffic their sets would queue beside idle workers.
+    if (Idle(best, r)) return Send(r, best);
+    members_.insert(members_.end(), across_.begin(), across_.end());
+    for (std::size_t i = width; i < members_.size(); ++i)  // the nearest, so that overflow stays together too
+      if (Idle(members_[i], r)) return Send(r, members_[i]);
+    return Usable(best, r) && Send(r, best);
+  }
+
+  // Nodes that share a set hold the same old reports: in wide sets each ranks a few members drawn by its own
+  // seed, so that they do not all crowd the one that looked best.
+  int LeastLoaded(const Request& r, std::size_t width) {
+    int best = members_[0];
+    double least = std::numeric_limits<double>::infinity();
+    const bool rank = width <= kRankAll;
+    for (std::size_t i = 0; i < (rank ? width : kSamples); ++i) {
+      const int w = members_[rank ? i : random_() % width];
+      const double load = 1 - Free(workers_[w]) / Total(workers_[w]);
+      if (load < least) least = load, best = w;
+    }
+    if (rank || Usable(best, r)) return best;
+    for (std::size_t i = 0; i < width; ++i)
+      if (Usable(members_[i], r)) return members_[i];
+    return best;
+  }
+
+  // Where crossing zones is charged, sets are made of the own zone's workers and others take what overflows.
+  // Where the own zone is fuller than the others, a share of the keys has its sets on the ring of all zones:
+  // the same keys at every node that sees the same, so that they keep their copies.
+  bool Across(int index, const Request& r) const {
+    if (s_.fee_cross_zone <= 0 || s_.my_zone == kNone || workers_[index].zone == s_.my_zone) return false;
+    return static_cast<double>(Mix(r.hash) >> 11) * 0x1p-53 >= spill_;
+  }
+
+  void BalanceZones() {
+    if (s_.fee_cross_zone <= 0 || s_.my_zone == kNone) return;
+    Mean others;
+    for (std::size_t z = 0; z < zone_fill_.size(); ++z)
+      if (static_cast<int>(z) != s_.my_zone && zone_fill_[z].weight > 0) others.Add(zone_fill_[z].value);
+    const double own = zone_fill_[s_.my_zone].value;  // free slots by slots
+    const double step = kSweepEvery / static_cast<double>(kRateMemory);
+    if (own < std::min(kZoneGap, others.value - kZoneGap)) spill_ = std::min(1.0, spill_ + step);
+    if (own > std::min(2 * kZoneGap, others.value)) spill_ = std::max(0.0, spill_ - step);
+  }
+
+  bool Eligible(const Request& r, int index) {
+    const Worker& w = workers_[index];
+    const int kind = s_.classes[r.cls].kind;
+    if (kind != kNone && w.kind != kind) return false;
+    const Trust& trust = w.trust[r.cls];
+    if (Ejected(w) || now_ < trust.rests_until || (s_.takes_told && trust.doubt > 0 && trust.untaken > 0))
+      return false;
+    for (const Attempt& a : r.attempts)
+      if (a.worker == index) return false;
+    return MaySend(r, index);
+  }
+
+  double WorthOf(const Request& r) const {
+    const double worth = s_.classes[r.cls].worth * (r.over_share ? s_.over_share_worth : 1);
+    return worth / std::max(1.0, r.slots * RunTime(r.cls));
+  }
+
+  void Wait(Request& r) {
+    if (r.waiting || r.ended) return;
+    r.waiting = true;
+    r.rank = -WorthOf(r);
+    waiting_.insert({r.rank, r.turn, r.id});
+    due_.push({r.latest_start, r.id});
+  }
+
+  void ServeWaiting(int most) {
+    if (waiting_.empty()) return;
+    scratch_.clear();
+    for (auto it = waiting_.begin(); it != waiting_.end() && most > 0; ++it, --most)
+      scratch_.push_back(std::get<2>(*it));
+    for (RequestId id : scratch_)
+      if (Request* r = Find(id)) Place(*r, DemandOf(*r));
+  }
+
+  // After a failed attempt the walk goes on clockwise, past the workers already tried.
+  void TryAgain(Request& r) {
+    if (Open(r) > 0) return;
+    const bool pointless = now_ > r.latest_start || static_cast<int>(r.attempts.size()) >= s_.max_attempts ||
+                           (FirstThatMayHaveRun(r) != nullptr && s_.classes[r.cls].effect == Effect::kUnsafe);
+    if (pointless) return End(r);
+    if (!Place(r, DemandOf(r))) Wait(r);
+  }
+
+  // Requests whose time is up: the waiting ones at their latest start, any at its last moment for an answer.
+  void EndDue() {
+    while (!due_.empty() && due_.top().first <= now_) {
+      const RequestId id = due_.top().second;
+      due_.pop();
+      Request* r = Find(id);
+      if (r == nullptr || r->ended || r->streaming) continue;
+      if (now_ >= r->valid_until - EndMargin() || (r->waiting && now_ >= r->latest_start) || Hopeless(*r))
+        End(*r);
+      else
+        FindUntaken(*r);
+    }
+  }
+
+  void FindUntaken(Request& r) {
+    if (!s_.takes_told || r.attempts.empty()) return;
+    Attempt& a = r.attempts.back();
+    if (!a.untaken || now_ < a.sent + kTakePatience) return;
+    if (!std::exchange(a.missed, true)) return due_.push({now_ + 10 * kMs, r.id});  // own stall?
+    Trust& trust = workers_[a.worker].trust[r.cls];
+    a.untaken = false, --trust.untaken;
+    Doubt(r, trust, 3);
+    if (now_ <= r.latest_start && s_.classes[r.cls].effect != Effect::kUnsafe)
+      Act(CancelAttempt{r.id, static_cast<int>(r.attempts.size()) - 1});
+  }
+
+  double QuotaPerS(int t) const { return s_.tenants[t].quota_per_s / std::max(1, s_.instances); }
+  double QuotaBurst(int t) const { return std::max(2.0, 2 * QuotaPerS(t)); }  // two seconds' worth
+
+  bool TakeQuota(int tenant) {  // true: over its share
+    if (tenant == kNone) return false;
+    auto& [at, left] = quota_[tenant];
+    left = std::min(QuotaBurst(tenant), left + QuotaPerS(tenant) * (now_ - at) / kSecond);
+    at = now_;
+    if (left < 1) return true;
+    left -= 1;
+    return false;
+  }
+
+  std::vector<int> members_, across_;
+  std::vector<RequestId> scratch_;
+  double spill_ = 0;  // share of the keys whose sets are on the ring of all zones
+  std::uint64_t walk_ = 0;
+  std::vector<std::pair<Time, double>> quota_ = std::vector<std::pair<Time, double>>(s_.tenants.size());
+};
+
+}  // namespace rookgw::internal
--- /dev/null
+++ b/src/decisions/settings.h
@@ -0,0 +1,33 @@
+// Reads the settings of a deployment from the platform's JSON (the "settings" of a dispatcher's
+// configuration, which is also the object that the simulator attaches an instance with) into the terms of the
+// decisions.
+#pragma once
+
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "rookgw/brain.h"
+
+namespace rookgw {
+
+// What is wrong with the settings, in one line that names the key.
+class SettingsError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+// The settings with the name tables that requests, lists and reports are read by.
+struct Site {
+  Settings settings;
+  std::unordered_map<std::string, int> zones, kinds, classes, tenants;
+  std::vector<std::string> report_fields;
+  bool x0_is_slots = false, x1_is_memory = false;
+};
+
+// Throws SettingsError. Keys that are not known are passed over, missing optional ones keep their defaults.
+Site ParseSettings(std::string_view json);
+
+}  // namespace rookgw
--- /dev/null
+++ b/src/decisions/world.h
@@ -0,0 +1,168 @@
+// The ground floor of the decisions: the constants, what is held of workers, requests and keys, and the event
+// at hand. The floors above each know only those beneath: world, ring, demand, room, health, gate, placing,
+// brain.cpp.
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <queue>
+#include <random>
+#include <set>
+#include <string_view>
+#include <tuple>
+#include <unordered_map>
+#include <utility>
+
+#include "rookgw/brain.h"
+
+namespace rookgw::internal {
+
+inline constexpr Time kMs = 1000, kSecond = 1000 * kMs;
+inline constexpr Time kShrinkEvery = kSecond;     // least time between reductions of a set
+inline constexpr Time kRateMemory = 5 * kSecond;  // rates are averages over about this long
+inline constexpr Time kReportMemory =
+    1500 * kMs;  // a report's news fades to the fleet's mean over about this long
+inline constexpr Time kReportLag = 500 * kMs;  // own sends this long before a report came may not be in it
+inline constexpr Time kKeepGone =
+    30 * kSecond;  // news of attempts at a worker may still come after it is gone
+inline constexpr Time kTakePatience =
+    240 * kMs;  // workers that were well said within 160 ms that they have a job
+inline constexpr std::size_t kMostKeys = 20000;  // keys remembered; the oldest go first
+inline constexpr double kPoints = 16;            // ring points of a worker of mean size: evens out the arcs
+inline constexpr double kMostPoints = 64;
+inline constexpr std::size_t kRankAll = 8;  // sets up to this size are ranked, wider ones sampled
+inline constexpr double kLeastRoom = 0.5;   // of a worker's slots: keeps sets narrow where nothing is free
+inline constexpr double kAimWork = 0.6;     // of a run, on the safe side, is own work that stretches the aim
+inline constexpr double kHopeWork = 0.8;    // the same, on the other safe side, for calling off what was sent
+inline constexpr double kZoneGap =
+    0.1;  // of a zone's slots free: under it keys cross to zones emptier by as much
+inline constexpr std::size_t kOverflow = 2;  // workers looked at past a set in which none can start the job
+inline constexpr int kSamples = 4;
+inline constexpr std::size_t kLongestWalk = 256;  // ring steps for one decision, so that its cost has an end
+inline constexpr Time kSweepEvery = 50 * kMs;
+
+inline std::uint64_t Mix(std::uint64_t x) {  // splitmix64's finisher: the same on every node
+  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+  return x ^ (x >> 31);
+}
+
+inline std::uint64_t HashText(const std::string& text) {  // FNV-1a, then mixed
+  std::uint64_t h = 0xcbf29ce484222325ULL;
+  for (unsigned char c : text) h = (h ^ c) * 0x100000001b3ULL;
+  return Mix(h);
+}
+
+struct Mean {  // a running mean that starts as a plain average and then forgets
+  double value = 0, weight = 0;
+  void Add(double x, double most = 200) {
+    weight = std::min(weight + 1, most);
+    value += (x - value) / weight;
+  }
+};
+
+struct Move {  // an own send (+slots) or end (-slots) that a report may not show yet
+  Time at;
+  double slots;
+};
+
+struct Trust {  // in a worker's taking jobs of one class
+  int untaken = 0, doubt = 0;
+  Time rests_until = 0;
+};
+
+struct Worker {
+  std::string id;
+  std::uint64_t hash = 0, seen_in = 0;  // and the last walk that came past it
+  ListedWorker::State state = ListedWorker::State::kServing;
+  bool listed = false;
+  Time since = 0;
+  int cell = kNone, kind = kNone, zone = kNone;
+  double weight = 1;
+  int points = 0;
+  // Room
+  Time report_at = -1, full_at = 0;
+  double free = 0, usual_free = 0, most_free = 0, least_free = -1, learned = 0, held = 0;
+  std::vector<Move> moves;
+  // Health
+  int unstarted = 0, strikes = 0;
+  Time silent_since = 0, ejected_until = 0, probed_at = 0;
+  std::vector<Trust> trust;  // by class
+  // Cold
+  double budget = 0;
+  Time budget_at = 0, unlisted_at = 0;
+};
+
+enum class Fate : std::uint8_t { kOut, kNeverRan, kMayHaveRun };
+
+struct Attempt {
+  int worker, cell, zone;
+  Time sent, started = 0;
+  Fate fate = Fate::kOut;
+  bool untaken = true, missed = false;  // no word of it yet; and none when there should have been
+};
+
+struct Request {
+  RequestId id = 0;
+  std::uint64_t hash = 0;
+  double slots = 1;
+  Time valid_until = 0, latest_start = 0;
+  int cls = 0, tenant = kNone;
+  bool over_share = false, ended = false, waiting = false, streaming = false;
+  std::uint64_t turn = 0;
+  double rank = 0;  // in the waiting line
+  std::vector<Attempt> attempts;
+};
+
+struct Key {
+  double count = 0;  // decayed number of arrivals
+  Time seen = 0, shrunk = 0;
+  std::size_t width = 1;
+};
+struct RateMeter {
+  double count = 0;
+  Time at = 0;
+  void Add(Time now) { count = Decayed(now) + 1, at = now; }
+  double Decayed(Time now) const { return count * std::exp(-static_cast<double>(now - at) / kRateMemory); }
+  double Rate(Time now) const { return Decayed(now) / kRateMemory; }
+};
+class World {
+ public:
+  World(Settings settings, std::uint64_t seed) : s_(std::move(settings)), random_(seed) {}
+
+  std::vector<Action>* out = nullptr;
+
+ protected:
+  Request* Find(RequestId id) {
+    auto it = requests_.find(id);
+    return it == requests_.end() ? nullptr : &it->second;
+  }
+
+  template <typename A>
+  void Act(A action) {
+    out->emplace_back(std::move(action));
+  }
+
+  static std::ptrdiff_t Open(const Request& r) {
+    return std::ranges::count(r.attempts, Fate::kOut, &Attempt::fate);
+  }
+
+  static const Attempt* FirstThatMayHaveRun(const Request& r) {
+    for (const Attempt& a : r.attempts)
+      if (a.fate != Fate::kNeverRan) return &a;
+    return nullptr;
+  }
+
+  bool FleetWide() const { return s_.reports != Settings::Reports::kNever && s_.reports_slots; }
+
+  Settings s_;
+  std::mt19937_64 random_;
+  Time now_ = 0;
+  std::vector<Worker> workers_;                      // by interning index
+  std::unordered_map<std::string, int> index_;       // looked up only, never walked
+  std::vector<int> listed_;                          // indices of the listed workers, by id
+  std::unordered_map<RequestId, Request> requests_;  // looked up only
+};
+
+}  // namespace rookgw::internal
--- a/src/caller/callers.cpp
+++ b/src/fronts/http/callers.cpp
@@ -1,4 +1,4 @@
-#include "caller/callers.h"
+#include "fronts/http/callers.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -6,7 +6,7 @@
 #include <utility>
 #include <vector>
 
-#include "caller/request_parser.h"
+#include "fronts/http/request_parser.h"
 
 namespace lichenlug {
 namespace {
@@ -30,16 +30,16 @@
 
 }  // namespace
 
-Callers::Callers(asio::io_context& io, const Config& config, const RouteSet* routes, Deadlines* deadlines,
-                 TransactionTable* core, Branches* branches)
+Callers::Callers(asio::io_context& io, const CallerSettings& settings, std::function<bool()> has_list,
+                 Deadlines* deadlines, TransactionTable* core, CallBackPort* branches)
     : io_(io),
-      config_(config),
-      routes_(routes),
+      settings_(settings),
+      has_list_(std::move(has_list)),
       deadlines_(deadlines),
       core_(core),
       branches_(branches),
-      acceptor_(io, config.listen, /*reuse_addr=*/true),
-      legs_(config.most_caller_legs()) {}
+      acceptor_(io, settings.listen, /*reuse_addr=*/true),
+      legs_(settings.most_legs) {}
 
 void Callers::Start() { Accept(); }
 
@@ -149,7 +149,7 @@
   deadlines_->Remove(&leg.alarm);
   const std::string_view path = PathOf(message.target);
   if (path == "/-/ready") {
-    const bool ready = !draining_ && !routes_->empty();
+    const bool ready = !draining_ && has_list_();
     return Reply(handle, ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
   }
   if (path == "/callback") {
@@ -158,8 +158,8 @@
     leg.carried = leg.carried || good;
     return good ? Reply(handle, 200) : Reply(handle, 400, "not a call-back\n");
   }
-  const auto cls = config_.site.classes.find(std::string(FirstPart(message.target)));
-  if (cls == config_.site.classes.end()) return Reply(handle, 404, "no such class\n");
+  const auto cls = settings_.site.classes.find(std::string(FirstPart(message.target)));
+  if (cls == settings_.site.classes.end()) return Reply(handle, 404, "no such class\n");
   if (message.method != "POST") return Reply(handle, 405, "POST expected\n", {{"Allow", "POST"}});
   Submit(handle, std::move(message), cls->second);
 }
@@ -168,13 +168,13 @@
   last_request_ = deadlines_->Now();
   rookgw::RequestArrived arrived;
   auto job = std::make_shared<Job>();
-  if (const char* fault = ParseJobRequest(message, config_.site, cls, last_request_, &arrived, job.get()))
+  if (const char* fault = ParseJobRequest(message, settings_.site, cls, last_request_, &arrived, job.get()))
     return Reply(handle, 400, std::string(fault) + "\n");
   job->body = std::move(message.body);
   legs_.Find(handle)->of_client = true;
   // Nothing of it has run, so a busy answer is harmless; the last descriptors are kept for call-backs. What
   // counts is the jobs in work: connections on which nothing is owed make room when it is needed.
-  if (core_->owed() >= config_.most_serving_legs())
+  if (core_->owed() >= settings_.most_serving)
     return Reply(handle, 503, "too many connections\n", {}, /*close=*/true);
   if (!HasSpareLegs()) return Reply(handle, 503, "draining\n");
   if (!open_ids_.insert(job->call_id).second) return Reply(handle, 409, "this id is being served\n");
@@ -253,7 +253,7 @@
   drained_ = std::move(done);
   drain_began_ = deadlines_->Now();
   Time longest = 0;
-  for (const auto& cls : config_.site.settings.classes) longest = std::max(longest, cls.deadline);
+  for (const auto& cls : settings_.site.settings.classes) longest = std::max(longest, cls.deadline);
   const Time last_answer = drain_began_ + std::min(longest, kMostCounted) + kKillAfter - kLastAnswer;
   taking_until_ = std::max(drain_began_ + kNewConnections, last_answer - kLastJob);
   core_->EndNewBy(last_answer);
--- a/src/caller/callers.h
+++ b/src/fronts/http/callers.h
@@ -7,21 +7,28 @@
 #include <string>
 #include <unordered_set>
 
-#include "branch/branches.h"
-#include "config/config.h"
+#include "base/deadlines.h"
+#include "base/slots.h"
 #include "core/ports.h"
 #include "core/transactions.h"
-#include "net/deadlines.h"
+#include "decisions/settings.h"
 #include "net/http_connection.h"
-#include "net/slots.h"
 
 namespace lichenlug {
 
+struct CallerSettings {
+  asio::ip::tcp::endpoint listen;
+  std::size_t most_legs = 0;     // connections of clients and of runners that call back
+  std::size_t most_serving = 0;  // past so many transactions owed only call-backs are served
+  const rookgw::Site& site;      // outlives the callers
+};
+
 class Callers : public CallerPort {
  public:
+  // `has_list` tells whether there is a list of runners; without one the program is not ready.
   // Listens at once; throws std::system_error when the address is not to be had.
-  Callers(asio::io_context& io, const Config& config, const RouteSet* routes, Deadlines* deadlines,
-          TransactionTable* core, Branches* branches);
+  Callers(asio::io_context& io, const CallerSettings& settings, std::function<bool()> has_list,
+          Deadlines* deadlines, TransactionTable* core, CallBackPort* branches);
 
   asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
   void Start();
@@ -64,11 +71,11 @@
   void LookForEnd();
 
   asio::io_context& io_;
-  const Config& config_;
-  const RouteSet* routes_;
+  const CallerSettings settings_;
+  std::function<bool()> has_list_;
   Deadlines* deadlines_;
   TransactionTable* core_;
-  Branches* branches_;
+  CallBackPort* branches_;
   asio::ip::tcp::acceptor acceptor_;
   SlotTable<Leg> legs_;
   std::unordered_set<std::string> open_ids_;
--- a/src/caller/request_parser.cpp
+++ b/src/fronts/http/request_parser.cpp
@@ -1,4 +1,4 @@
-#include "caller/request_parser.h"
+#include "fronts/http/request_parser.h"
 
 #include <algorithm>
 #include <cctype>
@@ -93,7 +93,7 @@
   return path.substr(0, path.find('/'));
 }
 
-const char* ParseJobRequest(const HttpMessage& message, const rookgw::wire::Site& site, int cls, Time now,
+const char* ParseJobRequest(const HttpMessage& message, const rookgw::Site& site, int cls, Time now,
                             rookgw::RequestArrived* arrived, Job* job) {
   if (!TargetIsFit(message.target)) return "the target holds what a path and a query cannot";
   if (FindDoubled(message) != nullptr) return "a header that counts is given twice";
--- a/src/caller/request_parser.h
+++ b/src/fronts/http/request_parser.h
@@ -4,8 +4,8 @@
 #include <string>
 
 #include "core/ports.h"
+#include "decisions/settings.h"
 #include "net/http_connection.h"
-#include "wire.h"
 
 namespace lichenlug {
 
@@ -14,7 +14,7 @@
 
 // Fills in the request that came at `now`. Returns null, or what is wrong with it in one line. Every header
 // but the id may be absent.
-const char* ParseJobRequest(const HttpMessage& message, const rookgw::wire::Site& site, int cls, Time now,
+const char* ParseJobRequest(const HttpMessage& message, const rookgw::Site& site, int cls, Time now,
                             rookgw::RequestArrived* arrived, Job* job);
 
 }  // namespace lichenlug
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -8,13 +8,13 @@
 #include <iostream>
 #include <string>
 
+#include "base/deadlines.h"
 #include "branch/branches.h"
-#include "caller/callers.h"
-#include "config/config.h"
 #include "core/transactions.h"
-#include "discovery/route_set.h"
-#include "discovery/watch.h"
-#include "net/deadlines.h"
+#include "fronts/http/callers.h"
+#include "operate/config.h"
+#include "routes/route_set.h"
+#include "routes/watch.h"
 
 namespace lichenlug {
 namespace {
@@ -25,6 +25,16 @@
   return runners;
 }
 
+// The core asks the watch for the list through its own port: routes know nothing of the core.
+class WatchPort : public DiscoveryPort {
+ public:
+  explicit WatchPort(Watch* watch) : watch_(watch) {}
+  void Ask() override { watch_->Ask(); }
+
+ private:
+  Watch* watch_;
+};
+
 const char* Environment(const char* name) { return std::getenv(name); }
 
 // SIGHUP: where discovery is may change while the program runs; the rest is what it was built on and waits
@@ -50,16 +60,23 @@
   const Clock clock;
   Deadlines deadlines(io, clock);
   RouteSet routes;
+  const CallerSettings caller_settings{config.listen, config.most_caller_legs(), config.most_serving_legs(),
+                                       config.site};
+  const BranchSettings branch_settings{config.most_open, config.most_runner_links(), config.connect_timeout,
+                                       config.idle_close, config.site};
   TransactionTable core(config.site.settings, config.seed, config.most_open, &deadlines);
-  Watch watch(io, config, &routes, &deadlines, [&core](const RouteNews* news) {
-    if (news == nullptr) return core.RoutesChanged(Form::kFailed, 0, {});
-    core.RoutesChanged(news->complete ? Form::kWhole : Form::kPatch, news->revision, RunnersOf(*news));
-  });
-  Branches branches(io, config, &routes, &deadlines, &core);
-  Callers callers(io, config, &routes, &deadlines, &core, &branches);
+  Watch watch(
+      io, config.discovery, config.site, config.seed, &routes, &deadlines, [&core](const RouteNews* news) {
+        if (news == nullptr) return core.RoutesChanged(Form::kFailed, 0, {});
+        core.RoutesChanged(news->complete ? Form::kWhole : Form::kPatch, news->revision, RunnersOf(*news));
+      });
+  WatchPort discovery(&watch);
+  Branches branches(io, branch_settings, &routes, &deadlines, &core);
+  Callers callers(
+      io, caller_settings, [&routes] { return !routes.empty(); }, &deadlines, &core, &branches);
 
   routes.Apply(config.known);
-  core.Start(&branches, &watch);
+  core.Start(&branches, &discovery);
   core.RoutesChanged(Form::kSaved, config.known.revision, RunnersOf(config.known));
   watch.Ask();  // also where the settings say that news comes unasked: on sockets it never does
   callers.Start();
--- a/src/config/config.cpp
+++ b/src/operate/config.cpp
@@ -1,4 +1,4 @@
-#include "config/config.h"
+#include "operate/config.h"
 
 #include <sys/resource.h>
 
@@ -82,8 +82,8 @@
 
   if (!root.contains("settings")) Bad("settings", "missing");
   const Json& settings = Object(root, "settings");
-  config.site = rookgw::wire::ParseSettings(settings.dump());  // its messages begin with "settings: KEY"
-  config.site.settings.takes_told = true;                      // by a runner's 202
+  config.site = rookgw::ParseSettings(settings.dump());  // its messages begin with "settings: KEY"
+  config.site.settings.takes_told = true;                // by a runner's 202
   const Json& limits = Object(settings, "Limits");
   config.most_open = Get(limits, "MaxOpen", config.most_open, "settings.Limits.");
   config.idle_close = Get(limits, "IdleClose", config.idle_close, "settings.Limits.");
--- a/src/config/config.h
+++ b/src/operate/config.h
@@ -7,8 +7,8 @@
 #include <functional>
 #include <string>
 
-#include "discovery/route_set.h"
-#include "wire.h"
+#include "decisions/settings.h"
+#include "routes/route_set.h"
 
 namespace lichenlug {
 
@@ -20,7 +20,7 @@
   std::size_t most_open = 20000;       // transactions; settings.Limits.MaxOpen
   Time idle_close = 5 * kSecond;       // settings.Limits.IdleClose
   Time connect_timeout = kSecond / 5;  // settings.Limits.ConnectTimeout
-  rookgw::wire::Site site;
+  rookgw::Site site;
   RouteNews known;
 
   // Shares of the descriptors. The rest is for the listener, discovery, timers and what is being closed.
--- a/src/discovery/route_set.cpp
+++ b/src/routes/route_set.cpp
@@ -1,4 +1,4 @@
-#include "discovery/route_set.h"
+#include "routes/route_set.h"
 
 #include <charconv>
 #include <nlohmann/json.hpp>
@@ -27,7 +27,7 @@
   return it == names.end() ? rookgw::kNone : it->second;
 }
 
-Route ParseMember(const nlohmann::json& member, const rookgw::wire::Site& site) {
+Route ParseMember(const nlohmann::json& member, const rookgw::Site& site) {
   if (!member.is_object()) throw std::runtime_error("members[]: objects expected");
   Route route;
   route.runner.id = Get<std::string>(member, "id", "");
@@ -66,7 +66,7 @@
   throw std::runtime_error(key + ": '" + text + "' is no address:port");
 }
 
-RouteNews ParseRouteNews(const nlohmann::json& object, const rookgw::wire::Site& site) {
+RouteNews ParseRouteNews(const nlohmann::json& object, const rookgw::Site& site) {
   if (!object.is_object()) throw std::runtime_error("list: a JSON object expected");
   RouteNews news;
   news.revision = Get<std::int64_t>(object, "revision", 0);
--- a/src/discovery/route_set.h
+++ b/src/routes/route_set.h
@@ -7,8 +7,8 @@
 #include <unordered_map>
 #include <vector>
 
-#include "net/clock.h"
-#include "wire.h"
+#include "base/clock.h"
+#include "decisions/settings.h"
 
 namespace lichenlug {
 
@@ -26,7 +26,7 @@
 };
 
 // Throws std::runtime_error naming the key. Zones and kinds that the settings do not name count as none.
-RouteNews ParseRouteNews(const nlohmann::json& object, const rookgw::wire::Site& site);
+RouteNews ParseRouteNews(const nlohmann::json& object, const rookgw::Site& site);
 
 // Reads "address:port"; throws std::runtime_error naming `key`.
 asio::ip::tcp::endpoint ParseEndpoint(const std::string& text, const std::string& key);
--- a/src/discovery/watch.cpp
+++ b/src/routes/watch.cpp
@@ -1,4 +1,4 @@
-#include "discovery/watch.h"
+#include "routes/watch.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -17,15 +17,16 @@
 
 }  // namespace
 
-Watch::Watch(asio::io_context& io, const Config& config, RouteSet* routes, Deadlines* deadlines,
+Watch::Watch(asio::io_context& io, const asio::ip::tcp::endpoint& discovery, const rookgw::Site& site,
+             std::uint64_t seed, RouteSet* routes, Deadlines* deadlines,
              std::function<void(const RouteNews*)> news)
     : io_(io),
-      config_(config),
-      address_(config.discovery),
+      site_(site),
+      address_(discovery),
       routes_(routes),
       deadlines_(deadlines),
       news_(std::move(news)),
-      random_(static_cast<std::minstd_rand::result_type>(config.seed)) {}
+      random_(static_cast<std::minstd_rand::result_type>(seed)) {}
 
 void Watch::Ask() {
   if (!asked_ && !standing_ && again_ == Deadlines::Key{}) Begin();
@@ -95,7 +96,7 @@
   if (line.find_first_not_of(" \r\t") == std::string_view::npos) return true;  // a heartbeat
   RouteNews news;
   try {
-    news = ParseRouteNews(nlohmann::json::parse(line, nullptr, false), config_.site);
+    news = ParseRouteNews(nlohmann::json::parse(line, nullptr, false), site_);
   } catch (const std::exception&) {
     return false;
   }
--- a/src/discovery/watch.h
+++ b/src/routes/watch.h
@@ -11,22 +11,22 @@
 #include <string>
 #include <string_view>
 
-#include "config/config.h"
-#include "core/ports.h"
-#include "discovery/route_set.h"
-#include "net/deadlines.h"
+#include "base/deadlines.h"
+#include "base/slots.h"
+#include "decisions/settings.h"
 #include "net/http_connection.h"
-#include "net/slots.h"
+#include "routes/route_set.h"
 
 namespace lichenlug {
 
-class Watch : public DiscoveryPort {
+class Watch {
  public:
   // `news` is called with what has come, or with null when a call failed or the watch was lost.
-  Watch(asio::io_context& io, const Config& config, RouteSet* routes, Deadlines* deadlines,
+  Watch(asio::io_context& io, const asio::ip::tcp::endpoint& discovery, const rookgw::Site& site,
+        std::uint64_t seed, RouteSet* routes, Deadlines* deadlines,
         std::function<void(const RouteNews*)> news);
 
-  void Ask() override;  // does nothing while a watch stands, is asked for or is to be asked for again
+  void Ask();  // does nothing while a watch stands, is asked for or is to be asked for again
 
   // Discovery is at another address now: asks there at once.
   void MoveTo(const asio::ip::tcp::endpoint& address);
@@ -48,7 +48,7 @@
   void ExpectWithin(Handle handle, Time at);
 
   asio::io_context& io_;
-  const Config& config_;
+  const rookgw::Site& site_;  // outlives the watch
   asio::ip::tcp::endpoint address_;
   RouteSet* routes_;
   Deadlines* deadlines_;
--- a/src/wirehost_main.cpp
+++ b/src/simwire/main.cpp
@@ -1,7 +1,7 @@
-// The adapter: hosts instances of the decisions on standard input and output. See src/wirehost.h.
+// The adapter: hosts instances of the decisions on standard input and output. See simwire/wirehost.h.
 #include <iostream>
 
-#include "wirehost.h"
+#include "simwire/wirehost.h"
 
 int main() {
   std::ios::sync_with_stdio(false);
--- a/src/wire.h
+++ b/src/simwire/wire.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "decisions/settings.h"
 #include "rookgw/brain.h"
 
 namespace rookgw::wire {
@@ -20,15 +21,6 @@
   using std::runtime_error::runtime_error;
 };
 
-// The settings object of an ATTACH line, with the name tables that later lines are read by.
-struct Site {
-  Settings settings;
-  std::unordered_map<std::string, int> zones, kinds, classes, tenants;
-  std::vector<std::string> report_fields;
-  bool x0_is_slots = false, x1_is_memory = false;
-};
-Site ParseSettings(std::string_view json);
-
 // One list entry with its names unresolved: a list is shared by instances, names belong to a site.
 struct RawEntry {
   ListedWorker worker;
--- a/src/wirehost.cpp
+++ b/src/simwire/wirehost.cpp
@@ -1,4 +1,4 @@
-#include "wirehost.h"
+#include "simwire/wirehost.h"
 
 #include <array>
 #include <charconv>
@@ -7,7 +7,7 @@
 #include <string>
 #include <unordered_map>
 
-#include "wire.h"
+#include "simwire/wire.h"
 
 namespace rookgw::wire {
 namespace {
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -1,18 +1,19 @@
 // Transcripts of the wire through the host: what goes in, what must come out.
-#include "wire.h"
+#include "simwire/wire.h"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <sstream>
 
-#include "wirehost.h"
+#include "simwire/wirehost.h"
 
 namespace rookgw::wire {
 namespace {
 
 const char kSettings[] =
-    R"({"Dcs":["z1"],"HostTypes":["box"],"Discovery":"pushed","Instances":1,"Ordinal":0,"MyZone":"z1","Tick":2000,)"
+    R"({"Dcs":["z1"],"HostTypes":["box"],"Discovery":"pushed","Instances":1,"Ordinal":0,)"
+    R"("MyZone":"z1","Tick":2000,)"
     R"("Limits":{"MostTries":3,"Cancelling":true,"Probes":false,"SecondCopies":false},)"
     R"("Guarantees":{"AnswerSlack":16000,"ColdShare":0.2,"OverloadFactor":3.0,"OverloadFor":1000000,)"
     R"("RampTime":20000000,"DrainGrace":500000},"Report":{"Fields":["waiting","x0"],"How":"answers"},)"
