--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Shortcuts; CMake does the work.
-.PHONY: build test lint run
+.PHONY: build test lint run lab
 
 build:
 	cmake -B build -DCMAKE_BUILD_TYPE=Release
@@ -13,3 +13,7 @@
 
 run: build
 	exec build/lichenlug serve
+
+lab:
+	cmake -B build-lab -DCMAKE_BUILD_TYPE=Release -DROOKGW_BUILD_LAB=ON
+	cmake --build build-lab -j$$(nproc) --target lichenlug-lab
--- /dev/null
+++ b/lab/commands/commands.h
@@ -0,0 +1,15 @@
+// The sub-commands of lichenlug-lab, a file each. Each adds itself to the command line and says what it
+// returns to the shell: 0 when all is well, 1 when a rule broke or a check failed.
+#pragma once
+
+#include <CLI/CLI.hpp>
+#include <functional>
+
+namespace lichenlug::lab {
+
+using Command = std::function<int()>;
+
+// What to call when `app` was parsed and this sub-command was named.
+Command AddRun(CLI::App* app);
+
+}  // namespace lichenlug::lab
--- /dev/null
+++ b/lab/rivals/policy.h
@@ -0,0 +1,44 @@
+// What plays the part of a dispatcher's decisions in the laboratory: the module itself, an older build of it
+// behind the simulator's wire, or a plain rival. All have the interface of rookgw::Brain.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "rookgw/brain.h"
+
+namespace lichenlug::lab {
+
+class Policy {
+ public:
+  virtual ~Policy() = default;
+  virtual void Start(rookgw::Time now, std::vector<rookgw::Action>* actions) = 0;
+  virtual void Handle(rookgw::Time now, const rookgw::Event& event, std::vector<rookgw::Action>* actions) = 0;
+};
+
+// What is true of the boxes at this moment; only the oracle is given it.
+class Truth {
+ public:
+  virtual ~Truth() = default;
+  // When a job of so many slots and so much core time a slot would end at this box; a very large number where
+  // it would not.
+  virtual double EndAt(const std::string& box, double slots, double work) const = 0;
+  virtual double WorkOf(rookgw::RequestId id) const = 0;  // of a job, a slot
+};
+
+struct PolicyInputs {
+  rookgw::Settings settings;
+  std::uint64_t seed = 1;
+  const Truth* truth = nullptr;
+};
+
+// `name`: module, random, round-robin, least-outstanding, two-choices, least-reported, join-idle, oracle. The
+// name broken-N builds the module with rule N broken on purpose. Throws std::invalid_argument naming those
+// known.
+std::unique_ptr<Policy> MakePolicy(const std::string& name, PolicyInputs inputs);
+
+const std::vector<std::string>& PolicyNames();
+
+}  // namespace lichenlug::lab
--- /dev/null
+++ b/lab/tests/world_test.cpp
@@ -0,0 +1,144 @@
+// Days in virtual time: one seed is one day; rules that are broken on purpose are seen, and shown again by a
+// replay.
+#include "lab/virtual/world.h"
+
+#include <gtest/gtest.h>
+
+#include "lab/config/day_file.h"
+#include "lab/rules/checker.h"
+
+namespace lichenlug::lab {
+namespace {
+
+Day DayNamed(const std::string& name) { return ReadDay(std::string(LAB_DAYS) + "/" + name + ".toml"); }
+
+RunResult Play(const std::string& day, const std::string& policy, std::uint64_t seed) {
+  return World(DayNamed(day), policy, seed).Run();
+}
+
+TEST(World, OneSeedIsOneDay) {
+  const RunResult first = Play("everything", "module", 5), second = Play("everything", "module", 5);
+  EXPECT_EQ(first.digest, second.digest);
+  EXPECT_EQ(first.events, second.events);
+  EXPECT_NE(first.digest, Play("everything", "module", 6).digest);
+}
+
+TEST(World, TheModuleKeepsTheRulesThroughAllFaults) {
+  for (const char* day : {"everything", "partition", "storm", "roll", "shrink", "vanish"})
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+      const RunResult r = Play(day, "module", seed);
+      for (const auto& [rule, breach] : r.breaches)
+        ADD_FAILURE() << "rule " << rule << ": " << breach.what << "; lichenlug-lab run lab/days/" << day
+                      << ".toml --seed " << seed;
+      EXPECT_TRUE(r.drained);
+      EXPECT_GT(r.rule_checks, 5000u);
+    }
+}
+
+TEST(World, ARuleBrokenOnPurposeIsSeenAndTheReplayShowsItAgain) {
+  for (int rule = 1; rule <= 4; ++rule) {
+    const std::string policy = "broken-" + std::to_string(rule);
+    const std::string day = rule == 2 ? "everything" : "shrink";
+    const RunResult r = Play(day, policy, 2);
+    ASSERT_TRUE(r.breaches.contains(rule)) << policy;
+    const Breach again = Play(day, policy, 2).breaches.at(rule);
+    EXPECT_EQ(again.at, r.breaches.at(rule).at);
+    EXPECT_EQ(again.what, r.breaches.at(rule).what);
+    EXPECT_EQ(again.history, r.breaches.at(rule).history);
+  }
+}
+
+TEST(World, TheOracleBeatsRandomChoice) {
+  for (const char* day : {"calm", "busy", "slow"})
+    EXPECT_GT(Play(day, "oracle", 1).score.g, Play(day, "random", 1).score.g + 0.1) << day;
+}
+
+TEST(World, ADayThatNeverDrainsEndsAndSaysSo) {
+  Day day = DayNamed("calm");
+  day.length = 5 * kSecond;
+  for (ClassModel& c : day.site.classes) c.deadline = 1000 * kSecond, c.work = 500 * kSecond;
+  day.load = 30;
+  const RunResult r = World(day, "module", 1).Run();
+  EXPECT_FALSE(r.drained);
+}
+
+class CheckerTest : public testing::Test {
+ protected:
+  CheckerTest() {
+    site.dispatchers = 1;
+    ClassModel free, keyed, unsafe;
+    free.name = "free", keyed.name = "keyed", unsafe.name = "unsafe";
+    keyed.effect = rookgw::Effect::kKeyed, keyed.scope = rookgw::KeyScope::kCell, keyed.window = 2 * kSecond;
+    unsafe.effect = rookgw::Effect::kUnsafe;
+    site.classes = {free, keyed, unsafe};
+    checker = std::make_unique<Checker>(site);
+  }
+  void Sends(int cls, rookgw::Outcome first, int second_cell, Time gap = 1000) {
+    checker->Took(0, 0, 1, cls, 5 * kSecond);
+    checker->Sent(0, 1, 0, 0, 0, 0);
+    checker->Ended(500, 1, 0, first);
+    checker->Sent(gap, 1, 1, 1, 0, second_cell);
+  }
+  bool Broken(int rule) const { return checker->first().contains(rule); }
+  Site site;
+  std::unique_ptr<Checker> checker;
+};
+
+TEST_F(CheckerTest, SeesALateASecondAndAMissingAnswer) {
+  checker->Took(0, 0, 1, 0, kSecond);
+  checker->Answered(kSecond + site.answer_slack, 1, Checker::Answer::kFailed);
+  EXPECT_FALSE(Broken(1));
+  checker->Took(0, 0, 2, 0, kSecond);
+  checker->Answered(kSecond + site.answer_slack + 1, 2, Checker::Answer::kFailed);
+  EXPECT_TRUE(Broken(1));
+  checker = std::make_unique<Checker>(site);
+  checker->Took(0, 0, 3, 0, kSecond);
+  checker->Finish(kSecond);
+  EXPECT_TRUE(Broken(1));
+}
+
+TEST_F(CheckerTest, SeesRepeatsThatAClassForbids) {
+  using rookgw::Outcome;
+  struct Case {
+    int cls;
+    Outcome first;
+    int cell;
+    Time gap;
+    bool broken;
+  };
+  for (const Case& c : std::initializer_list<Case>{{0, Outcome::kReset, 1, 1000, false},
+                                                   {1, Outcome::kReset, 0, 1000, false},
+                                                   {1, Outcome::kReset, 1, 1000, true},
+                                                   {1, Outcome::kReset, 0, 2 * kSecond, true},
+                                                   {1, Outcome::kFull, 1, 1000, false},
+                                                   {2, Outcome::kFull, 1, 1000, false},
+                                                   {2, Outcome::kConnectFailed, 1, 1000, false},
+                                                   {2, Outcome::kCancelled, 0, 1000, true},
+                                                   {2, Outcome::kTimeout, 0, 1000, true}}) {
+    checker = std::make_unique<Checker>(site);
+    Sends(c.cls, c.first, c.cell, c.gap);
+    EXPECT_EQ(Broken(2), c.broken) << c.cls << " after " << static_cast<int>(c.first);
+  }
+}
+
+TEST_F(CheckerTest, SeesAnUnsafeJobRunTwiceThoughTheDispatcherWasNew) {
+  checker->Ran(0, 77, 1, 2, 0, 0, 0);
+  checker->Restarted(0);
+  checker->Ran(5, 77, 2, 2, 1, 0, 0);
+  EXPECT_TRUE(Broken(2));
+}
+
+TEST_F(CheckerTest, GivesTheGraceAfterADrainAndNoMore) {
+  using State = rookgw::ListedWorker::State;
+  checker->Told(0, 0, 4, State::kDraining);
+  checker->Told(400 * kMillisecond, 0, 4, State::kGone);  // the first word counts
+  checker->Took(0, 0, 1, 0, 5 * kSecond);
+  checker->Sent(site.drain_grace, 1, 0, 4, 0, 0);
+  EXPECT_FALSE(Broken(3));
+  checker->Ended(site.drain_grace, 1, 0, rookgw::Outcome::kFull);
+  checker->Sent(site.drain_grace + 1, 1, 1, 4, 0, 0);
+  EXPECT_TRUE(Broken(3));
+}
+
+}  // namespace
+}  // namespace lichenlug::lab
--- /dev/null
+++ b/lab/virtual/judge.cpp
@@ -0,0 +1,133 @@
+#include "lab/virtual/judge.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace lichenlug::lab {
+namespace {
+
+constexpr int kBins = 120;
+constexpr double kLeastMs = 0.1, kMostMs = 100'000;
+constexpr std::size_t kWindow = 10;  // seconds
+// How the parts of G weigh: the weights of the registry's own goal.
+constexpr double kWhole = 0.45, kWorstClass = 0.4, kWorstTenant = 0.1, kWorstWindow = 0.05;
+
+template <typename H>
+double Quantile(const H& h, double q) {
+  double total = 0, sum = 0;
+  for (auto&& bin : boost::histogram::indexed(h)) total += *bin;
+  for (auto&& bin : boost::histogram::indexed(h))
+    if (total > 0 && (sum += *bin) >= q * total) return bin.bin().upper();
+  return 0;
+}
+
+}  // namespace
+
+Judge::Judge(const Day& day)
+    : day_(day), by_class_(day.site.classes.size()), by_tenant_(day.site.tenants.size()) {
+  for (std::size_t i = 0; i < day.site.classes.size(); ++i)
+    latency_.push_back(boost::histogram::make_histogram(Axis(kBins, kLeastMs, kMostMs)));
+}
+
+Judge::Second& Judge::At(Time now) {
+  const std::size_t second = static_cast<std::size_t>(std::max<Time>(now, 0) / kSecond);
+  if (second >= seconds_.size()) seconds_.resize(second + 1);
+  return seconds_[second];
+}
+
+double Judge::WorthOf(const JobSpec& job, bool over_share) const {
+  return day_.site.classes[job.cls].worth * (over_share ? day_.site.over_share_worth : 1) * job.slots *
+         job.work / kSecond;
+}
+
+Time Judge::AimOf(const JobSpec& job) const {
+  const ClassModel& cls = day_.site.classes[job.cls];
+  return std::min(cls.aim + static_cast<Time>(cls.stretch * job.work), cls.deadline);
+}
+
+void Judge::Offered(const JobSpec& job, bool over_share) {
+  ++jobs_;
+  const double worth = WorthOf(job, over_share);
+  At(job.at).offered += worth;
+  by_class_[job.cls].offered += worth;
+  if (job.tenant >= 0 && !over_share) by_tenant_[job.tenant].offered += worth;
+}
+
+void Judge::Ended(const JobSpec& job, bool over_share, JobEnd end, Time latency) {
+  ++ends_[static_cast<std::size_t>(end)];
+  Second& second = At(job.at);
+  double gained = 0;
+  if (end == JobEnd::kServed) {
+    const bool late = latency > AimOf(job);
+    gained = WorthOf(job, over_share) * (late ? day_.site.classes[job.cls].late_worth : 1);
+    latency_[job.cls](std::max(latency / 1000.0, kLeastMs));
+    ++second.served, second.late += late;
+  }
+  second.refused += end == JobEnd::kRefused;
+  second.failed += end == JobEnd::kFailed || end == JobEnd::kTooLate;
+  second.gained += gained;
+  by_class_[job.cls].gained += gained;
+  if (job.tenant >= 0 && !over_share) by_tenant_[job.tenant].gained += gained;
+}
+
+void Judge::LoadOf(Time now, const std::vector<double>& used) { At(now).load = used; }
+
+Judge::Result Judge::result() const {
+  Result r;
+  Sum whole;
+  r.worst_window = r.worst_class = r.worst_tenant = 1;
+  for (std::size_t i = 1; i < seconds_.size(); ++i)  // from the first second on
+    whole.offered += seconds_[i].offered, whole.gained += seconds_[i].gained;
+  for (std::size_t i = 1; i + kWindow <= static_cast<std::size_t>(day_.length / kSecond); ++i) {
+    Sum window;
+    for (std::size_t j = i; j < std::min(i + kWindow, seconds_.size()); ++j)
+      window.offered += seconds_[j].offered, window.gained += seconds_[j].gained;
+    r.worst_window = std::min(r.worst_window, window.share());
+  }
+  for (const Sum& s : by_class_) r.worst_class = std::min(r.worst_class, s.share());
+  for (const Sum& s : by_tenant_) r.worst_tenant = std::min(r.worst_tenant, s.share());
+  r.whole = whole.share();
+  r.g = kWhole * r.whole + kWorstClass * r.worst_class + kWorstTenant * r.worst_tenant +
+        kWorstWindow * r.worst_window;
+  if (jobs_ > 0 && day_.site.zones.size() > 1)
+    r.g -= day_.site.fee_cross_zone * static_cast<double>(cross_zone_) / static_cast<double>(jobs_);
+  return r;
+}
+
+nlohmann::json Judge::ToJson() const {
+  nlohmann::json out;
+  const Result r = result();
+  out["g"] = r.g, out["whole"] = r.whole, out["worst_window"] = r.worst_window;
+  out["worst_class"] = r.worst_class, out["worst_tenant"] = r.worst_tenant;
+  out["jobs"] = jobs_, out["served"] = ends_[0], out["refused"] = ends_[1];
+  out["failed"] = ends_[2] + ends_[3];
+  out["attempts_per_job"] = jobs_ > 0 ? static_cast<double>(attempts_) / jobs_ : 0;
+  out["cross_zone_per_job"] = jobs_ > 0 ? static_cast<double>(cross_zone_) / jobs_ : 0;
+  for (std::size_t c = 0; c < by_class_.size(); ++c) {
+    nlohmann::json cls = {{"name", day_.site.classes[c].name}, {"share", by_class_[c].share()}};
+    for (double q : {0.5, 0.9, 0.99, 0.999}) cls["latency_ms"].push_back(Quantile(latency_[c], q));
+    nlohmann::json& bins = cls["cdf"] = nlohmann::json::array();  // [ms, jobs up to it]
+    double sum = 0;
+    for (auto&& bin : boost::histogram::indexed(latency_[c]))
+      if (*bin > 0) bins.push_back({bin.bin().upper(), sum += *bin});
+    out["classes"].push_back(std::move(cls));
+  }
+  for (std::size_t t = 0; t < by_tenant_.size(); ++t)
+    out["tenants"].push_back({{"name", day_.site.tenants[t].name},
+                              {"share", by_tenant_[t].share()},
+                              {"offered", by_tenant_[t].offered},
+                              {"gained", by_tenant_[t].gained}});
+  nlohmann::json& seconds = out["seconds"] = nlohmann::json::array();
+  for (const Second& s : seconds_)
+    seconds.push_back({{"offered", s.offered},
+                       {"gained", s.gained},
+                       {"served", s.served},
+                       {"refused", s.refused},
+                       {"failed", s.failed},
+                       {"late", s.late},
+                       {"attempts", s.attempts},
+                       {"load", s.load}});
+  return out;
+}
+
+}  // namespace lichenlug::lab
--- /dev/null
+++ b/lab/virtual/world.h
@@ -0,0 +1,257 @@
+// Plays a day in virtual time: clients, front, dispatchers, network, boxes, store and discovery, all events
+// in one ordered heap. Each dispatcher is a Policy hosted as the real core hosts the module: one event at a
+// time in the order in which they come, actions carried out before the next event, one outcome a branch, one
+// final answer a request, and an answer at the last moment should the policy give none.
+//
+// One day, policy and seed give one digest, on every run and build type.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <queue>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/slots.h"
+#include "lab/base/digest.h"
+#include "lab/model/box.h"
+#include "lab/model/network.h"
+#include "lab/model/workload.h"
+#include "lab/rivals/policy.h"
+#include "lab/rules/checker.h"
+#include "lab/virtual/judge.h"
+
+namespace lichenlug::lab {
+
+struct RunResult {
+  std::uint64_t digest = 0, events = 0;
+  bool drained = true;  // false: the day was cut off with work still open
+  double policy_seconds = 0, wall_seconds = 0;
+  std::uint64_t policy_events = 0, arrivals = 0;
+  // Time of the policy and number by kind of event, in the order of rookgw::Event.
+  std::array<double, std::variant_size_v<rookgw::Event>> seconds_by_event{};
+  std::array<std::uint64_t, std::variant_size_v<rookgw::Event>> count_by_event{};
+  std::map<int, Breach> breaches;
+  std::map<int, std::uint64_t> breach_count;
+  std::uint64_t rule_checks = 0, toppled = 0;
+  Judge::Result score;
+};
+
+// The settings that a dispatcher of the site is told. `job_rate`: jobs a second that fill the site.
+rookgw::Settings ToldSettings(const Site& site, int ordinal, double job_rate);
+
+class World : public Truth {
+ public:
+  // `policy` as in MakePolicy.
+  World(const Day& day, const std::string& policy, std::uint64_t seed);
+  ~World() override;
+
+  RunResult Run();
+  nlohmann::json ReportJson() const;  // after Run: what a report draws
+
+  double EndAt(const std::string& box, double slots, double work) const override;
+  double WorkOf(rookgw::RequestId id) const override;
+
+ private:
+  enum class What : std::uint8_t {
+    kArrive,
+    kClientSend,
+    kReachNode,
+    kReachBox,
+    kConnectFailed,
+    kBoxStep,
+    kStoreStep,
+    kNote,
+    kResult,
+    kCallOff,
+    kCalledOff,
+    kProbe,
+    kProbed,
+    kTimer,
+    kRegistry,
+    kListPush,
+    kListReply,
+    kAnswer,
+    kGiveUp,
+    kClientLeaves,
+    kLastMoment,
+    kFaultStart,
+    kFaultEnd,
+    kNodeDown,
+    kNodeUp,
+    kFrontSees,
+    kSample,
+    kAttemptDeadline
+  };
+  struct Event {
+    Time at;
+    std::uint64_t order;
+    What what;
+    std::uint32_t a, b;
+    std::uint64_t c;
+    bool operator>(const Event& other) const { return at != other.at ? at > other.at : order > other.order; }
+  };
+
+  struct JobState {
+    JobSpec spec;
+    bool over_share = false;
+    int tries = 0;
+    Time deadline = 0;
+    double work = 0;  // left to do, a slot; a checkpoint makes it less
+  };
+  struct Try {  // a transaction at a dispatcher
+    Handle job;
+    int node = 0, cls = 0;
+    std::uint32_t life = 0;
+    Time answer_by = 0;
+    bool answered = false;
+    double work = 0, slots = 1;
+    std::uint64_t job_number = 0;
+    std::vector<std::uint64_t> attempts;  // 0: it is over and forgotten
+  };
+  struct Attempt {  // a branch
+    std::uint64_t request = 0;
+    int node = 0, number = 0, box = 0, priority = 0;
+    std::uint32_t life = 0, epoch = 0;
+    double slots = 1, work = 0;
+    std::uint64_t key = 0, job_number = 0;
+    int cls = 0;
+    Time sent = 0;
+    bool told = false;      // its outcome is known at the dispatcher
+    bool box_done = false;  // nothing of it is, or will come, at the box
+    bool linked = false;    // holds a connection
+    bool called_off = false;
+  };
+  struct Link {
+    std::uint32_t epoch = 0;
+    int open = 0;
+    std::vector<Time> idle;  // since when, the latest last
+  };
+  struct Node {
+    std::unique_ptr<Policy> policy;
+    int zone = 0;
+    bool up = false, watching = false, push_due = false;
+    std::uint32_t life = 0;
+    Time offset = 0, stalled_until = 0, down_since = 0;
+    std::int64_t version = 0;
+    std::deque<rookgw::Event> events;
+    bool feeding = false;
+    std::unordered_map<int, Link> links;
+    std::unordered_map<int, Time> known_start;  // of boxes that it was told have started
+  };
+  struct Change {
+    int box;
+    rookgw::ListedWorker entry;
+  };
+  struct ColdWork {
+    Time at;
+    double work;
+    int node;
+  };
+
+  void Push(Time at, What what, std::uint32_t a = 0, std::uint32_t b = 0, std::uint64_t c = 0);
+  void Step(const Event& event);
+
+  // Clients and front
+  void ScheduleArrival();
+  void Arrive();
+  void ClientSend(Handle job);
+  void ReachNode(int node, std::uint32_t life, Handle job);
+  enum class Word : std::uint32_t { kServed, kRefused, kFailed, kUnreachable, kLost };
+  void ClientHears(Handle job, Word word, Time come_back);
+  void EndJob(Handle job, JobEnd end);
+  bool TakeQuota(int tenant);
+
+  // Dispatchers
+  void StartNode(int node, bool first);
+  void StopNode(int node);
+  void Feed(int node, rookgw::Event event);
+  void Do(int node, const rookgw::Dispatch& a);
+  void Do(int node, const rookgw::Decline& a);
+  void Do(int node, const rookgw::Fail& a);
+  void Do(int node, const rookgw::CancelAttempt& a);
+  void Do(int node, const rookgw::Probe& a);
+  void Do(int node, const rookgw::SetTimer& a);
+  void Do(int node, const rookgw::Subscribe& a);
+  void Do(int, const rookgw::Log&) {}
+  void Answer(std::uint64_t request, Word word, Checker::Answer kind, Time come_back);
+  void DropIfDone(std::uint64_t request);
+  void BranchEnded(std::uint64_t attempt, rookgw::Outcome outcome, const rookgw::LoadReport& report);
+  void DropAttempt(std::uint64_t attempt);
+  bool Current(const Attempt& a) const { return nodes_[a.node].life == a.life && nodes_[a.node].up; }
+
+  // Boxes
+  bool Reachable(int node, int box) const;
+  bool TakeLink(int node, int box, bool* fresh);
+  void GiveLinkBack(int node, int box, bool keep);
+  void ReachBox(std::uint64_t attempt);
+  void BoxNewsCame(int box);
+  void Result(std::uint64_t attempt, rookgw::Outcome outcome);
+  void ArmBox(int box);
+  void ArmStore();
+  void NoteColdWork(int box, const Attempt& a);
+  void StopBox(int box, Box::Life life);
+  void StartBox(int box, bool told);
+  double StoreRate() const;
+
+  // Discovery
+  void Register(int box, rookgw::ListedWorker::State state, Time after);
+  void Registered(std::uint64_t change);
+  void TellList(int node, rookgw::ListChanged::Form form);
+  bool DiscoveryWorks(FaultKind kind) const;
+  std::vector<rookgw::ListedWorker> ListAt(std::int64_t version) const;
+
+  void FaultStarts(std::size_t i);
+  void FaultEnds(std::size_t i);
+  std::vector<int> PartOf(std::size_t i, int n);
+  void Sample();
+  double Capacity() const;
+
+  const Day day_;
+  const Site& site_;
+  const std::string policy_;
+  const std::uint64_t seed_;
+  Random faults_random_, client_random_, box_random_, discovery_random_;
+  Network net_;
+  std::vector<Box> boxes_;
+  std::vector<std::string> box_ids_;
+  std::unordered_map<std::string, int> box_by_id_;
+  std::vector<Time> box_armed_;
+  std::vector<char> toppled_;
+  std::vector<std::deque<ColdWork>> cold_work_;
+  std::unique_ptr<Workload> workload_;
+  std::vector<Node> nodes_;
+  std::vector<int> front_;  // the dispatchers that the front takes for alive
+  SlotTable<JobState> jobs_{50'000'000};
+  SlotTable<Try> tries_{50'000'000};
+  SlotTable<Attempt> attempts_{50'000'000};
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+  std::uint64_t order_ = 0;
+  Time now_ = 0;
+  bool arrivals_over_ = false;
+  JobSpec next_job_;
+  FairShare store_;
+  Time store_armed_ = kNever;
+  std::vector<Change> changes_;  // pending and done, by number; the log holds those done
+  std::vector<std::uint64_t> log_;
+  std::vector<rookgw::ListedWorker> first_list_;
+  Time discovery_busy_until_ = 0;
+  std::vector<std::pair<Time, double>> quota_;
+  double quota_rate_ = 0;
+  std::vector<std::vector<int>> faulted_;  // boxes or dispatchers, by fault
+  std::vector<std::string> tokens_;
+  std::unordered_map<std::string, std::uint32_t> token_index_;
+  std::unordered_map<std::uint64_t, rookgw::LoadReport> carried_;  // reports under way, by event order
+  std::vector<BoxNews> news_;
+  std::vector<rookgw::Action> actions_;
+  Checker checker_;
+  Judge judge_;
+  Digest digest_;
+  RunResult result_;
+};
+
+}  // namespace lichenlug::lab
