--- a/lab/commands/commands.h
+++ b/lab/commands/commands.h
@@ -11,5 +11,7 @@
 
 // What to call when `app` was parsed and this sub-command was named.
 Command AddRun(CLI::App* app);
+Command AddExperiment(CLI::App* app);
+Command AddReport(CLI::App* app);
 
 }  // namespace lichenlug::lab
--- a/lab/config/day_file.cpp
+++ b/lab/config/day_file.cpp
@@ -8,12 +8,6 @@
 namespace lichenlug::lab {
 namespace {
 
-const std::vector<std::string> kFaultNames = {"vanish",         "kill",       "slow",      "grey",
-                                              "fail",           "lie",        "shrink",    "replace",
-                                              "roll",           "partition",  "one-way",   "discovery-down",
-                                              "discovery-half", "store",      "surge",     "retry-storm",
-                                              "hot-key",        "heavy-tail", "clock-jump"};
-
 KindModel ReadKind(TableReader t) {
   KindModel k;
   k.name = t.Text("name", k.name);
@@ -154,9 +148,19 @@
   ReadKeys(t.Table("keys"), &s->keys);
 }
 
+void Merge(const toml::table& from, toml::table* into) {
+  for (const auto& [key, node] : from) {
+    toml::table* below = into->get(key.str()) != nullptr ? into->get(key.str())->as_table() : nullptr;
+    if (node.is_table() && below != nullptr)
+      Merge(*node.as_table(), below);
+    else
+      into->insert_or_assign(key.str(), node);
+  }
+}
+
 Fault ReadFault(TableReader t, const Site& site) {
   Fault f;
-  f.kind = static_cast<FaultKind>(t.Choice("what", 0, kFaultNames));
+  f.kind = static_cast<FaultKind>(t.Choice("what", 0, FaultNames()));
   if (!t.Has("what")) t.Fault("what", "the name of a fault expected");
   f.start = t.Span("start", 10 * kSecond), f.length = t.Span("length", 10 * kSecond);
   f.part = t.Number("part", f.part, 0, 1), f.size = t.Number("size", f.size, 0);
@@ -172,13 +176,12 @@
 
 }  // namespace
 
-const char* FaultName(FaultKind kind) { return kFaultNames[static_cast<std::size_t>(kind)].c_str(); }
-
-Day ReadDay(const std::string& path) {
+Day ReadDay(const std::string& path, const toml::table& changes) {
   Problems problems;
   Day day;
   day.file = path;
-  const toml::table root = ReadTomlFile(path);
+  toml::table root = ReadTomlFile(path);
+  Merge(changes, &root);
   TableReader t(root, "", &problems);
   if (const std::string site = t.Text("site", ""); !site.empty()) {
     const std::string file = (std::filesystem::path(path).parent_path() / site).lexically_normal().string();
--- /dev/null
+++ b/lab/model/site.cpp
@@ -0,0 +1,16 @@
+#include "lab/model/site.h"
+
+namespace lichenlug::lab {
+
+const std::vector<std::string>& FaultNames() {
+  static const std::vector<std::string> names = {
+      "vanish",      "kill",           "slow",           "grey",      "fail",
+      "lie",         "shrink",         "replace",        "roll",      "partition",
+      "one-way",     "discovery-down", "discovery-half", "store",     "surge",
+      "retry-storm", "hot-key",        "heavy-tail",     "clock-jump"};
+  return names;
+}
+
+const char* FaultName(FaultKind kind) { return FaultNames()[static_cast<std::size_t>(kind)].c_str(); }
+
+}  // namespace lichenlug::lab
--- a/lab/model/site.h
+++ b/lab/model/site.h
@@ -146,6 +146,10 @@
   kClockJump,      // dispatchers' clocks go forward by `size` seconds at once
 };
 
+// The names that faults have in day files, in the order of FaultKind.
+const std::vector<std::string>& FaultNames();
+const char* FaultName(FaultKind kind);
+
 struct Fault {
   FaultKind kind = FaultKind::kVanish;
   Time start = 0, length = 0;
--- a/lab/virtual/world.cpp
+++ b/lab/virtual/world.cpp
@@ -63,11 +63,12 @@
   return s;
 }
 
-World::World(const Day& day, const std::string& policy, std::uint64_t seed)
+World::World(const Day& day, const std::string& policy, std::uint64_t seed, std::uint64_t policy_seed)
     : day_(day),
       site_(day_.site),
       policy_(policy),
       seed_(seed),
+      policy_seed_(policy_seed),
       faults_random_(seed, 31),
       client_random_(seed, 32),
       box_random_(seed, 33),
@@ -469,7 +470,7 @@
   node.offset = 0;
   PolicyInputs inputs;
   inputs.settings = ToldSettings(site_, n, workload_->rate() / day_.load);
-  inputs.seed = seed_ * 1000003 + n * 7919 + node.life;
+  inputs.seed = (seed_ + 0x9e3779b9 * policy_seed_) * 1000003 + n * 7919 + node.life;
   inputs.truth = this;
   node.policy = MakePolicy(policy_, std::move(inputs));
   actions_.clear();
@@ -1105,6 +1106,13 @@
   std::snprintf(digest, sizeof digest, "%016llx", static_cast<unsigned long long>(result_.digest));
   out["digest"] = digest, out["drained"] = result_.drained, out["events"] = result_.events;
   out["toppled"] = result_.toppled, out["rule_checks"] = result_.rule_checks;
+  nlohmann::json& faults = out["faults"] = nlohmann::json::array();
+  for (const Fault& f : day_.faults)
+    faults.push_back({{"what", FaultName(f.kind)},
+                      {"start_s", static_cast<double>(f.start) / kSecond},
+                      {"length_s", static_cast<double>(f.length) / kSecond},
+                      {"part", f.part},
+                      {"size", f.size}});
   nlohmann::json& breaches = out["breaches"] = nlohmann::json::array();
   for (const auto& [rule, breach] : result_.breaches)
     breaches.push_back({{"rule", rule},
--- a/lab/virtual/world.h
+++ b/lab/virtual/world.h
@@ -46,8 +46,9 @@
 
 class World : public Truth {
  public:
-  // `policy` as in MakePolicy.
-  World(const Day& day, const std::string& policy, std::uint64_t seed);
+  // `policy` as in MakePolicy. `policy_seed` moves the random numbers of the dispatchers and nothing of the
+  // day.
+  World(const Day& day, const std::string& policy, std::uint64_t seed, std::uint64_t policy_seed = 0);
   ~World() override;
 
   RunResult Run();
@@ -214,7 +215,7 @@
   const Day day_;
   const Site& site_;
   const std::string policy_;
-  const std::uint64_t seed_;
+  const std::uint64_t seed_, policy_seed_;
   Random faults_random_, client_random_, box_random_, discovery_random_;
   Network net_;
   std::vector<Box> boxes_;
