--- a/lab/report/report.cpp
+++ b/lab/report/report.cpp
@@ -129,6 +129,30 @@
   return DrawSvg(script.str() + "plot " + plots.str(), kWidth, kHeight + 80);
 }
 
+// Real time of the decisions for an arrival, with all that follows from it.
+std::string CostCurves(const std::vector<Json>& results, const Experiment& e) {
+  std::ostringstream script, plots;
+  script << "set xlabel " << Quoted(e.sweep_key)
+         << "\nset ylabel 'us of decisions an arrival'\nset key outside right\n"
+         << "set grid\nset logscale xy\n";
+  for (std::size_t v = 0; v < e.variants.size(); ++v) {
+    std::vector<std::vector<double>> rows;
+    for (double point : e.sweep_values) {
+      double sum = 0, n = 0;
+      for (const Json& r : results)
+        if (r["variant"] == e.variants[v].name && r["point"] == point)
+          sum += r["policy_us_per_arrival"].get<double>(), n += 1;
+      if (n > 0 && sum > 0 && point > 0) rows.push_back({point, sum / n});
+    }
+    if (rows.empty()) return "";
+    script << DataBlock("k" + std::to_string(v), rows);
+    plots << (v ? ", " : "") << "$k" << v << " with linespoints lw 2 pt 7 ps 0.5 lc rgb '" << Colour(v)
+          << "' title " << Quoted(e.variants[v].name) << ", " << rows[0][1] << "*sqrt(x/" << rows[0][0]
+          << ") dt 2 lc rgb '" << Colour(v) << "' title 'square root'";
+  }
+  return DrawSvg(script.str() + "plot " + plots.str(), kWidth, kHeight);
+}
+
 std::string DifferenceTable(const std::vector<Difference>& all, const Experiment& e) {
   std::ostringstream out;
   out << "<table><tr><th>variant</th><th>day</th>"
@@ -223,6 +247,8 @@
       page << "<h2>" << Escaped(name) << " over " << Escaped(e.sweep_key) << "</h2>\n"
            << SweepCurves(differences, e, name);
     }
+  if (!e.sweep_key.empty())
+    page << "<h2>Time of the decisions over " << Escaped(e.sweep_key) << "</h2>\n" << CostCurves(results, e);
   for (std::size_t d = 0; d < e.days.size(); ++d)
     for (std::size_t p = 0; p < e.sweep_values.size(); ++p) {
       std::vector<Run> runs;
--- a/lab/rivals/plain.cpp
+++ b/lab/rivals/plain.cpp
@@ -10,6 +10,7 @@
 #include <unordered_map>
 
 #include "lab/rivals/policy.h"
+#include "lab/rivals/wire.h"
 
 namespace lichenlug::lab {
 namespace {
@@ -318,6 +319,8 @@
   Time newest_since_ = 0, herd_until_ = 0;
 };
 
+constexpr std::string_view kWirePrefix = "wire:";
+
 using Maker = std::function<std::unique_ptr<Policy>(PolicyInputs)>;
 
 template <typename T>
@@ -353,10 +356,13 @@
 }  // namespace
 
 std::unique_ptr<Policy> MakePolicy(const std::string& name, PolicyInputs inputs) {
+  if (name.starts_with(kWirePrefix))
+    return MakeWirePolicy(name.substr(kWirePrefix.size()), std::move(inputs));
   const auto it = Makers().find(name);
   if (it != Makers().end()) return it->second(std::move(inputs));
   std::string known;
   for (const auto& [key, maker] : Makers()) known += (known.empty() ? "" : ", ") + key;
+  known += ", wire:COMMAND";
   throw std::invalid_argument("no policy \"" + name + "\"; known are " + known);
 }
 
--- a/lab/rivals/policy.h
+++ b/lab/rivals/policy.h
@@ -35,8 +35,9 @@
 };
 
 // `name`: module, random, round-robin, least-outstanding, two-choices, least-reported, join-idle, oracle. The
-// name broken-N builds the module with rule N broken on purpose. Throws std::invalid_argument naming those
-// known.
+// name broken-N is the module with rule N broken on
+// purpose, wire:COMMAND what that command decides on the simulator's wire. Throws std::invalid_argument
+// naming those known.
 std::unique_ptr<Policy> MakePolicy(const std::string& name, PolicyInputs inputs);
 
 const std::vector<std::string>& PolicyNames();
--- a/lab/tests/world_test.cpp
+++ b/lab/tests/world_test.cpp
@@ -16,6 +16,13 @@
   return World(DayNamed(day), policy, seed).Run();
 }
 
+struct RequestTotals {
+  std::uint64_t events, arrivals, rule_checks;
+  double g;
+  bool operator==(const RequestTotals&) const = default;
+};
+RequestTotals Totals(const RunResult& r) { return {r.events, r.arrivals, r.rule_checks, r.score.g}; }
+
 TEST(World, OneSeedIsOneDay) {
   const RunResult first = Play("everything", "module", 5), second = Play("everything", "module", 5);
   EXPECT_EQ(first.digest, second.digest);
@@ -69,6 +76,21 @@
   EXPECT_GT(World(day, "module", 1).Run().score.g, 0.75);  // 0.47 where its set ends with one walk
 }
 
+// What stands behind the wire is the same module and must do the same. Digests differ, as its first actions
+// come with its first list.
+TEST(World, TheModuleBehindTheWirePlaysTheSameDay) {
+  Day day = DayNamed("everything");
+  day.site.takes_told = false;  // not on the wire
+  const RequestTotals own = Totals(World(day, "module", 3).Run());
+  EXPECT_EQ(own, Totals(World(day, "wire:" LAB_WIREHOST, 3).Run()));
+  EXPECT_GT(own.events, 50'000u);
+}
+
+TEST(World, AWireProcessThatEndsIsToldInPlainWords) {
+  for (const char* command : {"wire:true", "wire:echo nonsense"})
+    EXPECT_THROW(World(DayNamed("calm"), command, 1).Run(), std::runtime_error) << command;
+}
+
 class CheckerTest : public testing::Test {
  protected:
   CheckerTest() {
