--- a/lab/model/box.h
+++ b/lab/model/box.h
@@ -4,6 +4,7 @@
 // Guards against: work lost or done twice inside the model. Each job that was taken gets exactly one end.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <unordered_map>
@@ -63,6 +64,7 @@
   bool Cold(Time now) const { return Warmth(now) < 1; }
   double FreeSlots() const { return slots_ - used_; }
   double Slots() const { return slots_; }
+  bool KeepsKey(std::uint64_t key) const { return std::ranges::find(kept_, key) != kept_.end(); }
   std::size_t Waiting() const { return queue_.size(); }
   // Truth for the oracle: core time at speed 1 that is held, and the pace that it is worked off at.
   double Backlog(Time now) const;
--- a/lab/rivals/plain.cpp
+++ b/lab/rivals/plain.cpp
@@ -51,7 +51,7 @@
     Time ran_at = 0;
   };
 
-  // One of `able`, which is not empty.
+  // One of `able`, which is not empty; below 0: none is worth it.
   virtual int Choose(const std::vector<int>& able, const Request& request) = 0;
 
   static constexpr Time kSweep = 50'000;
@@ -93,6 +93,7 @@
       if (Able(i, r)) able_.push_back(i);
     if (able_.empty()) return End(id, r);
     const int chosen = Choose(able_, r);
+    if (chosen < 0) return End(id, r);
     if (boxes_[chosen].entry.since != 0) boxes_[chosen].cold_credit -= 1;
     ++boxes_[chosen].out;
     r.boxes.push_back(chosen), r.open = true;
@@ -212,6 +213,7 @@
 
 // The least by a measure; among equals one at random.
 class LeastBy : public Plain {
+ protected:
   using Plain::Plain;
   virtual double Measure(int box, const Request& request) = 0;
   int Choose(const std::vector<int>& able, const Request& request) override {
@@ -229,19 +231,36 @@
 };
 
 class LeastOutstanding : public LeastBy {
+ public:
   using LeastBy::LeastBy;
+
+ private:
   double Measure(int box, const Request&) override { return boxes_[box].out; }
 };
 
 class LeastReported : public LeastBy {
+ public:
   using LeastBy::LeastBy;
+
+ private:
   double Measure(int box, const Request&) override { return boxes_[box].reported + boxes_[box].out * 1e-3; }
 };
 
 class Oracle : public LeastBy {
+ public:
   using LeastBy::LeastBy;
+
+ private:
   double Measure(int box, const Request& r) override {
-    return truth_->EndAt(boxes_[box].entry.id, r.arrived.slots, truth_->WorkOf(r.arrived.id));
+    return truth_->EndAt(boxes_[box].entry.id, r.arrived.id);
+  }
+
+  // What would end after its aim at the best of boxes only makes others late.
+  int Choose(const std::vector<int>& able, const Request& r) override {
+    const int best = LeastBy::Choose(able, r);
+    const ClassSettings& cls = s_.classes[r.arrived.cls];
+    const double aim = cls.aim + cls.stretch * truth_->WorkOf(r.arrived.id);
+    return Measure(best, r) <= aim ? best : -1;
   }
 };
 
--- a/lab/rivals/policy.h
+++ b/lab/rivals/policy.h
@@ -22,10 +22,10 @@
 class Truth {
  public:
   virtual ~Truth() = default;
-  // When a job of so many slots and so much core time a slot would end at this box; a very large number where
-  // it would not.
-  virtual double EndAt(const std::string& box, double slots, double work) const = 0;
-  virtual double WorkOf(rookgw::RequestId id) const = 0;  // of a job, a slot
+  // In how many microseconds this job would end at this box, its key fetched where that is needed; a very
+  // large number where it would not.
+  virtual double EndAt(const std::string& box, rookgw::RequestId job) const = 0;
+  virtual double WorkOf(rookgw::RequestId job) const = 0;  // core time at speed 1, a slot
 };
 
 struct PolicyInputs {
--- a/lab/virtual/world.cpp
+++ b/lab/virtual/world.cpp
@@ -410,7 +410,7 @@
   Try fresh;
   fresh.job = handle, fresh.node = n, fresh.life = node.life, fresh.cls = job->spec.cls;
   fresh.answer_by = job->deadline, fresh.work = job->work, fresh.slots = job->spec.slots;
-  fresh.job_number = job->spec.number;
+  fresh.job_number = job->spec.number, fresh.key = job->spec.key;
   const std::uint64_t id = tries_.Insert(std::move(fresh)).Packed();
   checker_.Took(now_, n, id, job->spec.cls, job->deadline);
   Push(job->deadline, What::kLastMoment, 0, 0, id);
@@ -1082,14 +1082,18 @@
   judge_.LoadOf(now_, used);
 }
 
-double World::EndAt(const std::string& id, double slots, double work) const {
+double World::EndAt(const std::string& id, rookgw::RequestId job) const {
   const auto it = box_by_id_.find(id);
-  if (it == box_by_id_.end()) return 1e18;
+  const Try* t = const_cast<World*>(this)->tries_.Find(Handle::Unpack(job));
+  if (it == box_by_id_.end() || t == nullptr) return 1e18;
   const Box& box = boxes_[it->second];
   if (box.life != Box::Life::kUp || box.fail_share > 0.5) return 1e18;
   const double pace = std::max(box.Pace(now_), 1e-9);
-  const double own = work / std::max(pace / box.Capacity() * (box.Capacity() / box.Slots()), 1e-9);
-  const double wait = box.FreeSlots() >= slots && box.Waiting() == 0 ? 0 : box.Backlog(now_) / pace;
+  const bool fetch =
+      site_.keys.setup > 0 && site_.kinds[box.kind_index].keys_kept > 0 && !box.KeepsKey(t->key);
+  const double own =
+      t->work * box.Slots() / pace + (fetch ? site_.keys.setup / std::max(StoreRate(), 1e-3) : 0);
+  const double wait = box.FreeSlots() >= t->slots && box.Waiting() == 0 ? 0 : box.Backlog(now_) / pace;
   return wait + own;
 }
 
--- a/lab/virtual/world.h
+++ b/lab/virtual/world.h
@@ -54,7 +54,7 @@
   RunResult Run();
   nlohmann::json ReportJson() const;  // after Run: what a report draws
 
-  double EndAt(const std::string& box, double slots, double work) const override;
+  double EndAt(const std::string& box, rookgw::RequestId job) const override;
   double WorkOf(rookgw::RequestId id) const override;
 
  private:
@@ -111,7 +111,7 @@
     Time answer_by = 0;
     bool answered = false;
     double work = 0, slots = 1;
-    std::uint64_t job_number = 0;
+    std::uint64_t job_number = 0, key = 0;
     std::vector<std::uint64_t> attempts;  // 0: it is over and forgotten
   };
   struct Attempt {  // a branch
