--- a/src/decisions/health.h
+++ b/src/decisions/health.h
@@ -74,11 +74,12 @@
     return w.budget >= r.slots * RunTime(r.cls) / kSecond;
   }
 
-  // Round the ring, about one probe a request: the fee is then the fee for one probe a request.
+  // Round the ring, one to three probes a request: the fee is then the fee for as many a request.
   void SendProbes() {
     if (!s_.probes || s_.reports == Settings::Reports::kNever || ring_.empty()) return;
-    probe_credit_ =
-        std::min(probe_credit_ + arrivals_.Rate(now_) * kSweepEvery * kProbesPerJob, 20.0 * kProbesPerJob);
+    // The more nodes act on the same news, the more they crowd the same workers: many ask less each.
+    const double a_job = std::clamp(kProbers / s_.instances, 1.0, kMostProbes);
+    probe_credit_ = std::min(probe_credit_ + arrivals_.Rate(now_) * kSweepEvery * a_job, 20 * a_job);
     for (std::size_t looked = 0; probe_credit_ >= 1 && looked < listed_.size(); ++looked) {
       Worker& w = workers_[listed_[probe_next_++ % listed_.size()]];
       const bool far = Zoned() && w.zone != s_.my_zone && probe_next_ / listed_.size() % 4 != 0;
--- a/src/decisions/world.h
+++ b/src/decisions/world.h
@@ -38,7 +38,7 @@
 inline constexpr double kZoneGap =
     0.1;  // of a zone's slots free: under it keys cross to zones emptier by as much
 inline constexpr std::size_t kOverflow = 2;  // workers looked at past a set in which none can start the job
-inline constexpr double kProbesPerJob = 3;
+inline constexpr double kMostProbes = 3, kProbers = 12;  // probes a job, up to so many nodes by that
 inline constexpr int kSamples = 4;
 inline constexpr std::size_t kLongestWalk = 256;  // ring steps for one decision, so that its cost has an end
 inline constexpr Time kSweepEvery = 50 * kMs;
