Keep the model's cap on probes and take out what nothing used in the lab's driver

Change: a probe counts until it is served; only what is full or down refuses at once; the dead way is gone, and reports that come with an event are taken in one place.

--- a/lab/tests/world_test.cpp
+++ b/lab/tests/world_test.cpp
@@ -69,6 +69,15 @@
   EXPECT_FALSE(r.drained);
 }
 
+TEST(World, ABoxTakesOnlySoManyProbesAtOnce) {
+  Day day = DayNamed("calm");
+  day.length = 6 * kSecond, day.site.dispatchers = 20, day.site.probe_work = 100 * kMillisecond;
+  for (KindModel& k : day.site.kinds) k.most_probes = 1000;
+  EXPECT_EQ(World(day, "module", 1).Run().probes_refused, 0u);
+  for (KindModel& k : day.site.kinds) k.most_probes = 1;
+  EXPECT_GT(World(day, "module", 1).Run().probes_refused, 50u);
+}
+
 TEST(World, AKeyThatWantsMoreThanOneWalkHoldsIsServedByTheWholeRing) {
   Day day = DayNamed("calm");
   day.length = 8 * kSecond, day.load = 0.5;
--- a/lab/virtual/world.cpp
+++ b/lab/virtual/world.cpp
@@ -161,14 +161,12 @@
 }
 
 void World::Step(const Event& e) {
-  const auto node_event = [&](int node) {  // what comes to a dispatcher that stands still waits for it
-    if (nodes_[node].stalled_until <= now_) return true;
-    Push(nodes_[node].stalled_until, e.what, e.a, e.b, e.c);
-    if (const auto it = carried_.find(e.order); it != carried_.end()) {
-      carried_[order_ - 1] = it->second;
-      carried_.erase(e.order);
-    }
-    return false;
+  const auto report_of = [&] {  // the load report that came with this event, if one did
+    const auto it = carried_.find(e.order);
+    if (it == carried_.end()) return rookgw::LoadReport{};
+    const rookgw::LoadReport report = it->second;
+    carried_.erase(it);
+    return report;
   };
   const Handle handle = Handle::Unpack(e.c);
   switch (e.what) {
@@ -177,13 +175,12 @@
     case What::kClientSend:
       return ClientSend(handle);
     case What::kReachNode:
-      if (node_event(static_cast<int>(e.a))) ReachNode(static_cast<int>(e.a), e.b, handle);
-      return;
+      return ReachNode(static_cast<int>(e.a), handle);
     case What::kReachBox:
       return ReachBox(e.c);
     case What::kConnectFailed: {
       Attempt* a = attempts_.Find(handle);
-      if (a == nullptr || !node_event(a->node)) return;
+      if (a == nullptr) return;
       a->box_done = true;
       return BranchEnded(e.c, Outcome::kConnectFailed, {});
     }
@@ -209,16 +206,13 @@
     }
     case What::kNote: {
       Attempt* a = attempts_.Find(handle);
-      if (a == nullptr || a->told || !Current(*a) || !node_event(a->node)) return;
+      if (a == nullptr || a->told || !Current(*a)) return;
       const auto kind = e.a == 0 ? AttemptNote::Kind::kTaken : AttemptNote::Kind::kStarted;
       return Feed(a->node, AttemptNote{a->request, a->number, kind, 0});
     }
     case What::kResult: {
       Attempt* a = attempts_.Find(handle);
-      if (a != nullptr && !node_event(a->node)) return;
-      rookgw::LoadReport report;
-      if (const auto it = carried_.find(e.order); it != carried_.end())
-        report = it->second, carried_.erase(it);
+      const rookgw::LoadReport report = report_of();
       if (a == nullptr) return;
       if (a->linked) GiveLinkBack(a->node, a->box, e.a != static_cast<std::uint32_t>(Outcome::kReset));
       a = attempts_.Find(handle);
@@ -239,49 +233,47 @@
     }
     case What::kCalledOff: {
       Attempt* a = attempts_.Find(handle);
-      if (a == nullptr || a->told || !Current(*a) || !node_event(a->node)) return;
+      if (a == nullptr || a->told || !Current(*a)) return;
       if (a->linked && a->box_done) GiveLinkBack(a->node, a->box, true), a->linked = false;
       return BranchEnded(e.c, Outcome::kCancelled, {});
     }
     case What::kProbe: {
-      const int b = static_cast<int>(e.a);
-      Box& box = boxes_[b];
-      const bool up = box.life == Box::Life::kUp || box.life == Box::Life::kDraining;
       const int node = static_cast<int>(e.c >> 32);
-      const std::uint32_t life = static_cast<std::uint32_t>(e.c);
-      if (up && box.Probe(now_)) {
-        const double pace =
-            box.masks_load ? 1 : std::max(0.01, box.Pace(now_) / std::max(1e-9, box.Capacity()));
-        const Time back = net_.Delay(now_, box.zone, nodes_[node].zone);
-        const Time took = std::llround(site_.probe_work / pace);
-        box.ProbeDone();
-        ArmBox(b);
+      Box& box = boxes_[e.a];
+      const bool up = box.life == Box::Life::kUp || box.life == Box::Life::kDraining;
+      const Time back = net_.Delay(now_, box.zone, nodes_[node].zone);
+      const bool taken = up && box.Probe(now_);
+      result_.probes_refused += up && !taken;
+      if (taken) {  // what it is slowed by shows, unless it masks that
+        const double pace = box.masks_load ? 1 : std::max(0.01, box.Pace(now_) / box.Capacity());
+        const Time took = std::llround(static_cast<double>(site_.probe_work) / pace);
+        ArmBox(static_cast<int>(e.a));
+        Push(now_ + took, What::kProbeServed, e.a, box.epoch);
         if (back != kNever && took < site_.probe_timeout) {
           carried_[order_] = box.Report(now_, &box_random_);
           return Push(now_ + took + back, What::kProbed, e.a, 1, e.c);
         }
       }
-      const Time until = now_ + (box.life == Box::Life::kSilent ? site_.probe_timeout : net_.ClientDelay());
-      (void)life;
-      return Push(until, What::kProbed, e.a, 0, e.c);
+      // Refused at once by what is full or down; nothing is heard of what is silent, cut off or too slow.
+      const bool refused = !taken && box.life != Box::Life::kSilent && back != kNever;
+      return Push(now_ + (refused ? back : site_.probe_timeout), What::kProbed, e.a, 0, e.c);
     }
+    case What::kProbeServed:
+      if (boxes_[e.a].epoch == e.b) boxes_[e.a].ProbeDone();
+      return;
     case What::kProbed: {
       const int node = static_cast<int>(e.c >> 32);
-      if (!node_event(node)) return;
-      rookgw::LoadReport report;
-      if (const auto it = carried_.find(e.order); it != carried_.end())
-        report = it->second, carried_.erase(it);
+      const rookgw::LoadReport report = report_of();
       if (!nodes_[node].up || nodes_[node].life != static_cast<std::uint32_t>(e.c)) return;
       return Feed(node, rookgw::ProbeEnded{box_ids_[e.a], e.b == 1, 0, report});
     }
     case What::kTimer:
-      if (!nodes_[e.a].up || nodes_[e.a].life != e.b || !node_event(static_cast<int>(e.a))) return;
+      if (!nodes_[e.a].up || nodes_[e.a].life != e.b) return;
       return Feed(static_cast<int>(e.a), rookgw::TimerFired{tokens_[e.c]});
     case What::kRegistry:
       return Registered(e.c);
     case What::kListPush: {
       Node& node = nodes_[e.a];
-      if (!node_event(static_cast<int>(e.a))) return;
       node.push_due = false;
       if (!node.up || node.life != e.b || !node.watching) return;
       if (DiscoveryWorks(FaultKind::kDiscoveryDown))
@@ -291,7 +283,6 @@
     }
     case What::kListReply: {
       Node& node = nodes_[e.a];
-      if (!node_event(static_cast<int>(e.a))) return;
       if (!node.up || node.life != e.b) return;
       if (e.c == 0)
         return Feed(static_cast<int>(e.a), ListChanged{ListChanged::Form::kFailed, node.version, {}});
@@ -304,7 +295,7 @@
       return EndJob(handle, JobEnd::kTooLate);
     case What::kClientLeaves: {
       Try* t = tries_.Find(handle);
-      if (t == nullptr || t->answered || !node_event(t->node)) return;
+      if (t == nullptr || t->answered) return;
       const int node = t->node;
       EndJob(t->job, JobEnd::kTooLate);
       Answer(e.c, Word::kFailed, Checker::Answer::kClientGone, 0);
@@ -313,8 +304,7 @@
     }
     case What::kLastMoment: {
       Try* t = tries_.Find(handle);
-      if (t == nullptr || !nodes_[t->node].up || nodes_[t->node].life != t->life || !node_event(t->node))
-        return;
+      if (t == nullptr || !nodes_[t->node].up || nodes_[t->node].life != t->life) return;
       const int node = t->node;
       if (!t->answered) {
         Answer(e.c, Word::kFailed, Checker::Answer::kFailed, 0);
@@ -329,7 +319,7 @@
     }
     case What::kAttemptDeadline: {
       Attempt* a = attempts_.Find(handle);
-      if (a == nullptr || a->told || !Current(*a) || !node_event(a->node)) return;
+      if (a == nullptr || a->told || !Current(*a)) return;
       return BranchEnded(e.c, e.a == 1 ? Outcome::kCancelled : Outcome::kTimeout, {});
     }
     case What::kFaultStart:
@@ -397,10 +387,10 @@
     return Push(now_ + 2 * way, What::kAnswer, static_cast<std::uint32_t>(Word::kUnreachable), 0,
                 handle.Packed());
   const int node = front_[(draw ^ draw >> 31) % front_.size()];
-  Push(now_ + way, What::kReachNode, static_cast<std::uint32_t>(node), nodes_[node].life, handle.Packed());
+  Push(now_ + way, What::kReachNode, static_cast<std::uint32_t>(node), 0, handle.Packed());
 }
 
-void World::ReachNode(int n, std::uint32_t, Handle handle) {
+void World::ReachNode(int n, Handle handle) {
   JobState* job = jobs_.Find(handle);
   if (job == nullptr) return;
   Node& node = nodes_[n];
--- a/lab/virtual/world.h
+++ b/lab/virtual/world.h
@@ -37,7 +37,7 @@
   std::array<std::uint64_t, std::variant_size_v<rookgw::Event>> count_by_event{};
   std::map<int, Breach> breaches;
   std::map<int, std::uint64_t> breach_count;
-  std::uint64_t rule_checks = 0, toppled = 0;
+  std::uint64_t rule_checks = 0, toppled = 0, probes_refused = 0;
   Judge::Result score;
 };
 
@@ -71,6 +71,7 @@
     kCallOff,
     kCalledOff,
     kProbe,
+    kProbeServed,
     kProbed,
     kTimer,
     kRegistry,
@@ -137,7 +138,7 @@
     int zone = 0;
     bool up = false, watching = false, push_due = false;
     std::uint32_t life = 0;
-    Time offset = 0, stalled_until = 0, down_since = 0;
+    Time offset = 0, down_since = 0;
     std::int64_t version = 0;
     std::deque<rookgw::Event> events;
     bool feeding = false;
@@ -161,7 +162,7 @@
   void ScheduleArrival();
   void Arrive();
   void ClientSend(Handle job);
-  void ReachNode(int node, std::uint32_t life, Handle job);
+  void ReachNode(int node, Handle job);
   enum class Word : std::uint32_t { kServed, kRefused, kFailed, kUnreachable, kLost };
   void ClientHears(Handle job, Word word, Time come_back);
   void EndJob(Handle job, JobEnd end);
