Refuse to mix results of different experiments in a folder, and say some things once

Quotas and "while a fault lasts" were worked out in two and eight places.

Fault::Active and QuotaPerS.

--- a/lab/commands/experiment.cpp
+++ b/lab/commands/experiment.cpp
@@ -4,7 +4,7 @@
 #include <unistd.h>
 
 #include <cstdio>
-#include <filesystem>
+#include <numeric>
 #include <thread>
 
 #include "lab/commands/commands.h"
@@ -20,9 +20,9 @@
 
 int Run(const Options& o) {
   Experiment e = ReadExperiment(o.file);
+  const std::uint64_t first = o.first_seed > 0 ? o.first_seed : e.seeds.front();
   if (o.seeds > 0) e.seeds.resize(o.seeds);
-  for (std::size_t i = 0; o.seeds > 0 || o.first_seed > 0 ? i < e.seeds.size() : false; ++i)
-    e.seeds[i] = (o.first_seed > 0 ? o.first_seed : 1) + i;
+  std::iota(e.seeds.begin(), e.seeds.end(), first);
   const std::string dir = o.dir.empty() ? "lab-results/" + e.name : o.dir;
   const bool terminal = isatty(STDERR_FILENO) != 0;
   const int broken = Play(e, dir, o.threads, [&](const Progress& p) {
--- a/lab/config/day_file.cpp
+++ b/lab/config/day_file.cpp
@@ -185,6 +185,7 @@
   TableReader t(root, "", &problems);
   if (const std::string site = t.Text("site", ""); !site.empty()) {
     const std::string file = (std::filesystem::path(path).parent_path() / site).lexically_normal().string();
+    day.site_file = file;
     const toml::table site_root = ReadTomlFile(file);
     TableReader reader(site_root, "", &problems);
     ReadSite(reader, &day.site);
--- a/lab/experiment/experiment.cpp
+++ b/lab/experiment/experiment.cpp
@@ -12,6 +12,7 @@
 #include <sstream>
 #include <thread>
 
+#include "lab/base/digest.h"
 #include "lab/config/day_file.h"
 #include "lab/config/reader.h"
 #include "lab/virtual/world.h"
@@ -24,6 +25,12 @@
 
 std::string ShortName(const std::string& path) { return fs::path(path).stem().string(); }
 
+std::string FileText(const std::string& path) {
+  std::ostringstream text;
+  text << std::ifstream(path).rdbuf();
+  return text.str();
+}
+
 std::string Worded(double value) {
   std::ostringstream out;
   out << value;
@@ -95,6 +102,18 @@
   t.Done();
   problems.Check();
   if (e.sweep_key.empty()) e.sweep_values = {0};
+  Digest digest;
+  digest.Add(LICHENLUG_VERSION), digest.Add(e.sweep_key);
+  for (const std::string& day : e.days) {
+    digest.Add(FileText(day));
+    if (const std::string site = ReadDay(day).site_file; !site.empty()) digest.Add(FileText(site));
+  }
+  for (const Variant& v : e.variants) {
+    std::ostringstream changes;
+    changes << v.changes;
+    digest.Add(v.name), digest.Add(v.policy), digest.Add(v.policy_seed), digest.Add(changes.str());
+  }
+  e.fingerprint = std::to_string(digest.Value());
   for (std::size_t v = 0; v < e.variants.size(); ++v)  // a fault in any day shows before the first run
     for (std::size_t d = 0; d < e.days.size(); ++d)
       for (std::size_t p = 0; p < e.sweep_values.size(); ++p) DayOf(e, {v, d, p, 0});
@@ -118,11 +137,8 @@
 
 // The plan goes with its results, so that a report needs no other file.
 void WritePlan(const Experiment& e, const std::string& dir) {
-  Json plan = {{"name", e.name},
-               {"days", e.days},
-               {"seeds", e.seeds},
-               {"sweep_key", e.sweep_key},
-               {"sweep_values", e.sweep_values},
+  Json plan = {{"name", e.name},           {"fingerprint", e.fingerprint}, {"days", e.days},
+               {"seeds", e.seeds},         {"sweep_key", e.sweep_key},     {"sweep_values", e.sweep_values},
                {"variants", Json::array()}};
   for (const Variant& v : e.variants) plan["variants"].push_back(v.name);
   std::ofstream(fs::path(dir) / "plan.json") << plan.dump() << "\n";
@@ -135,6 +151,7 @@
   if (!plan.is_object()) throw std::runtime_error(path + ": no plan of an experiment");
   Experiment e;
   e.name = plan.at("name").get<std::string>();
+  e.fingerprint = plan.at("fingerprint").get<std::string>();
   e.days = plan.at("days").get<std::vector<std::string>>();
   e.seeds = plan.at("seeds").get<std::vector<std::uint64_t>>();
   e.sweep_key = plan.at("sweep_key").get<std::string>();
@@ -156,6 +173,9 @@
 int Play(const Experiment& e, const std::string& dir, int threads,
          const std::function<void(const Progress&)>& told) {
   fs::create_directories(fs::path(dir) / "runs");
+  if (fs::exists(fs::path(dir) / "plan.json") && ReadPlan(dir).fingerprint != e.fingerprint)
+    throw std::runtime_error(
+        dir + ": holds results of other days, variants or versions; remove it or name another");
   WritePlan(e, dir);
   const fs::path path = fs::path(dir) / "results.jsonl";
   std::set<std::string> have;
--- a/lab/experiment/experiment.h
+++ b/lab/experiment/experiment.h
@@ -28,6 +28,7 @@
   std::vector<std::uint64_t> seeds;
   std::string sweep_key;  // empty: no sweep
   std::vector<double> sweep_values;
+  std::string fingerprint;  // of all that decides a run but for its seed and point
 };
 
 // Throws ConfigError.
@@ -41,8 +42,9 @@
 std::vector<RunKey> AllRuns(const Experiment& e);
 
 // Plays what is not in `dir`/results.jsonl yet, with so many threads, and appends a line a run, flushed at
-// once. A last line that was cut off is dropped. The first seed's reports go to `dir`/runs. Returns how many
-// rules broke.
+// once. A last line that was cut off is dropped. A folder that holds
+// results of other days, variants or versions is refused by std::runtime_error: they would be mixed. The
+// first seed's reports go to `dir`/runs. Returns how many rules broke.
 struct Progress {
   std::size_t done = 0, all = 0;
   double seconds_left = 0;
--- a/lab/model/network.h
+++ b/lab/model/network.h
@@ -40,7 +40,7 @@
     if (from == to) return now;
     Time open = now;
     for (const Fault& f : day_.faults) {
-      if (open < f.start || open >= f.start + f.length) continue;
+      if (!f.Active(open)) continue;
       const bool both = f.kind == FaultKind::kPartition && (from == f.zone || to == f.zone);
       if (both || (f.kind == FaultKind::kOneWay && from == f.zone)) open = f.start + f.length;
     }
--- a/lab/model/site.cpp
+++ b/lab/model/site.cpp
@@ -13,4 +13,10 @@
 
 const char* FaultName(FaultKind kind) { return FaultNames()[static_cast<std::size_t>(kind)].c_str(); }
 
+double QuotaPerS(const Site& site, const TenantModel& tenant, double job_rate) {
+  double shares = 0;
+  for (const TenantModel& t : site.tenants) shares += t.share;
+  return tenant.share / shares * site.quota_of_capacity * job_rate;
+}
+
 }  // namespace lichenlug::lab
--- a/lab/model/site.h
+++ b/lab/model/site.h
@@ -155,11 +155,15 @@
   Time start = 0, length = 0;
   double part = 0.1, size = 2;
   int zone = 0;
+  bool Active(Time now) const { return now >= start && now < start + length; }
 };
 
+// What a tenant may ask for inside its share, where `job_rate` jobs a second fill the site.
+double QuotaPerS(const Site& site, const TenantModel& tenant, double job_rate);
+
 struct Day {
   Site site;
-  std::string file;
+  std::string file, site_file;
   Time length = 40 * kSecond;
   double load = 0.6;  // of the capacity
   std::vector<Fault> faults;
--- a/lab/model/workload.cpp
+++ b/lab/model/workload.cpp
@@ -48,7 +48,7 @@
 double Workload::FaultFactor(FaultKind kind, Time now, double* part) const {
   double factor = 1;
   for (const Fault& f : day_.faults)
-    if (f.kind == kind && now >= f.start && now < f.start + f.length) {
+    if (f.kind == kind && f.Active(now)) {
       factor *= f.size;
       if (part != nullptr) *part = std::max(*part, f.part);
     }
@@ -83,7 +83,7 @@
   job->key = DrawKey();
   double hot_share = 0;
   for (const Fault& f : day_.faults)
-    if (f.kind == FaultKind::kHotKey && at_ >= f.start && at_ < f.start + f.length) hot_share += f.size;
+    if (f.kind == FaultKind::kHotKey && f.Active(at_)) hot_share += f.size;
   if (hot < hot_share) job->key = 0x686f74;
   const double mean = static_cast<double>(cls.work);
   switch (cls.spread) {
--- a/lab/tests/experiment_test.cpp
+++ b/lab/tests/experiment_test.cpp
@@ -102,6 +102,18 @@
   EXPECT_EQ(page.find("src="), std::string::npos);
 }
 
+TEST_F(ExperimentTest, MixesNoResultsOfAnotherPlan) {
+  std::size_t played = 0;
+  PlayAll(&played);
+  plan.seeds.push_back(99);  // more of the same goes on
+  PlayAll(&played);
+  EXPECT_EQ(played, 12u);
+  std::ofstream(dir / "e.toml", std::ios::app) << "max-attempts = 2\n";  // of the last variant's changes
+  plan = ReadExperiment((dir / "e.toml").string());
+  EXPECT_THROW(PlayAll(&played), std::runtime_error);
+  EXPECT_EQ(ReadResults(dir.string()).size(), 108u);
+}
+
 TEST_F(ExperimentTest, TellsAFaultBeforeTheFirstRun) {
   std::ofstream(dir / "bad.toml") << "days = [\"" LAB_DAYS
                                      "/calm.toml\"]\n[[variant]]\n[variant.set]\nlaod = 1\n";
--- a/lab/virtual/world.cpp
+++ b/lab/virtual/world.cpp
@@ -45,10 +45,8 @@
     out.priority = c.priority;
     s.classes.push_back(out);
   }
-  double shares = 0;
-  for (const TenantModel& t : site.tenants) shares += t.share;
   for (const TenantModel& t : site.tenants)
-    s.tenants.push_back({t.name, t.share, t.share / shares * site.quota_of_capacity * job_rate});
+    s.tenants.push_back({t.name, t.share, QuotaPerS(site, t, job_rate)});
   s.over_share_worth = site.over_share_worth, s.tick = site.tick;
   s.max_attempts = site.max_attempts, s.probes = site.probes, s.cancelling = site.cancelling;
   s.retry_after = site.retry_after, s.max_retry_after = site.max_retry_after;
@@ -106,7 +104,7 @@
       cold_work_.resize(boxes_.size());
   store_.SetRate(0, 1);
   workload_ = std::make_unique<Workload>(day_, Capacity(), seed);
-  quota_rate_ = workload_->rate() / day_.load * site_.quota_of_capacity;
+  job_rate_ = workload_->rate() / day_.load;
   for (std::size_t t = 0; t < quota_.size(); ++t) quota_[t] = {0, 1e9};
   nodes_.resize(site_.dispatchers);
 }
@@ -276,7 +274,7 @@
       Node& node = nodes_[e.a];
       node.push_due = false;
       if (!node.up || node.life != e.b || !node.watching) return;
-      if (DiscoveryWorks(FaultKind::kDiscoveryDown))
+      if (Spared(FaultKind::kDiscoveryDown))
         return TellList(static_cast<int>(e.a), ListChanged::Form::kPatch);
       node.watching = !site_.discovery.asked;
       return Feed(static_cast<int>(e.a), ListChanged{ListChanged::Form::kFailed, node.version, {}});
@@ -352,9 +350,7 @@
 
 bool World::TakeQuota(int tenant) {
   if (tenant < 0) return false;
-  double shares = 0;
-  for (const TenantModel& t : site_.tenants) shares += t.share;
-  const double rate = site_.tenants[tenant].share / shares * quota_rate_;
+  const double rate = QuotaPerS(site_, site_.tenants[tenant], job_rate_);
   auto& [at, left] = quota_[tenant];
   left = std::min(std::max(2.0, 2 * rate), left + rate * static_cast<double>(now_ - at) / kSecond);
   at = now_;
@@ -425,8 +421,7 @@
   double storm = 1;
   bool no_backoff = false;
   for (const Fault& f : day_.faults)
-    if (f.kind == FaultKind::kRetryStorm && now_ >= f.start && now_ < f.start + f.length)
-      storm *= f.size, no_backoff = true;
+    if (f.kind == FaultKind::kRetryStorm && f.Active(now_)) storm *= f.size, no_backoff = true;
   const bool harmless = word == Word::kRefused || word == Word::kUnreachable ||
                         cls.effect == rookgw::Effect::kRepeatable ||
                         (cls.effect == rookgw::Effect::kKeyed && cls.scope == rookgw::KeyScope::kAll &&
@@ -459,7 +454,7 @@
   node.up = true, node.watching = !site_.discovery.asked, node.push_due = false;
   node.offset = 0;
   PolicyInputs inputs;
-  inputs.settings = ToldSettings(site_, n, workload_->rate() / day_.load);
+  inputs.settings = ToldSettings(site_, n, job_rate_);
   inputs.seed = (seed_ + 0x9e3779b9 * policy_seed_) * 1000003 + n * 7919 + node.life;
   inputs.truth = this;
   node.policy = MakePolicy(policy_, std::move(inputs));
@@ -652,7 +647,7 @@
   const DiscoveryModel& d = site_.discovery;
   const std::uint32_t node = static_cast<std::uint32_t>(n), life = nodes_[n].life;
   const Time way = 2 * net_.ClientDelay();
-  if (!DiscoveryWorks(FaultKind::kDiscoveryDown)) return Push(now_ + way, What::kListReply, node, life, 0);
+  if (!Spared(FaultKind::kDiscoveryDown)) return Push(now_ + way, What::kListReply, node, life, 0);
   const Time begins = std::max(now_, discovery_busy_until_);
   const Time takes = static_cast<Time>(static_cast<double>(boxes_.size()) / d.lines_per_s * kSecond);
   if (begins + takes - now_ > d.timeout) return Push(now_ + d.timeout, What::kListReply, node, life, 0);
@@ -809,7 +804,7 @@
 double World::StoreRate() const {
   double brown = 1;
   for (const Fault& f : day_.faults)
-    if (f.kind == FaultKind::kStore && now_ >= f.start && now_ < f.start + f.length) brown *= f.size;
+    if (f.kind == FaultKind::kStore && f.Active(now_)) brown *= f.size;
   const double fetches = site_.keys.store_fetches / std::max(1.0, brown);
   if (site_.keys.store_fetches <= 0) return 1;
   return std::min(1.0, fetches / std::max<double>(1, static_cast<double>(store_.size())));
@@ -862,10 +857,8 @@
 
 // ---- Discovery ----
 
-bool World::DiscoveryWorks(FaultKind kind) const {
-  return std::ranges::none_of(day_.faults, [&](const Fault& f) {
-    return f.kind == kind && now_ >= f.start && now_ < f.start + f.length;
-  });
+bool World::Spared(FaultKind kind) const {
+  return std::ranges::none_of(day_.faults, [&](const Fault& f) { return f.kind == kind && f.Active(now_); });
 }
 
 void World::Register(int b, ListedWorker::State state, Time after) {
@@ -906,7 +899,7 @@
   Node& node = nodes_[n];
   const std::int64_t version = static_cast<std::int64_t>(log_.size());
   std::vector<ListedWorker> entries;
-  const bool half = !DiscoveryWorks(FaultKind::kDiscoveryHalf);
+  const bool half = !Spared(FaultKind::kDiscoveryHalf);
   if (half) form = ListChanged::Form::kWhole;
   if (form == ListChanged::Form::kPatch) {
     for (std::int64_t v = node.version; v < version; ++v) entries.push_back(changes_[log_[v]].entry);
@@ -1021,8 +1014,8 @@
   // A fault that another one of the same kind still holds on a box ends only for the others.
   auto still = [&](int b) {
     for (std::size_t j = 0; j < day_.faults.size(); ++j)
-      if (j != i && day_.faults[j].kind == f.kind && now_ >= day_.faults[j].start &&
-          now_ < day_.faults[j].start + day_.faults[j].length && std::ranges::binary_search(faulted_[j], b))
+      if (j != i && day_.faults[j].kind == f.kind && day_.faults[j].Active(now_) &&
+          std::ranges::binary_search(faulted_[j], b))
         return true;
     return false;
   };
--- a/lab/virtual/world.h
+++ b/lab/virtual/world.h
@@ -204,7 +204,7 @@
   void Register(int box, rookgw::ListedWorker::State state, Time after);
   void Registered(std::uint64_t change);
   void TellList(int node, rookgw::ListChanged::Form form);
-  bool DiscoveryWorks(FaultKind kind) const;
+  bool Spared(FaultKind kind) const;  // no fault of the kind is on
   std::vector<rookgw::ListedWorker> ListAt(std::int64_t version) const;
 
   void FaultStarts(std::size_t i);
@@ -243,7 +243,7 @@
   std::vector<rookgw::ListedWorker> first_list_;
   Time discovery_busy_until_ = 0;
   std::vector<std::pair<Time, double>> quota_;
-  double quota_rate_ = 0;
+  double job_rate_ = 0;                    // jobs a second that fill the site
   std::vector<std::vector<int>> faulted_;  // boxes or dispatchers, by fault
   std::vector<std::string> tokens_;
   std::unordered_map<std::string, std::uint32_t> token_index_;
