--- /dev/null
+++ b/lab/virtual/world_surroundings.cpp
@@ -0,0 +1,274 @@
+// What is round the dispatchers and boxes of a day: discovery, faults, what is measured.
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+
+#include "lab/virtual/world.h"
+
+namespace lichenlug::lab {
+
+using rookgw::ListChanged;
+using rookgw::ListedWorker;
+
+namespace {
+
+constexpr std::size_t kLoadGroups = 40;  // rows of the heat map
+
+}  // namespace
+
+// ---- Discovery ----
+
+bool World::Spared(FaultKind kind) const {
+  return std::ranges::none_of(day_.faults, [&](const Fault& f) { return f.kind == kind && f.Active(now_); });
+}
+
+void World::Register(int b, ListedWorker::State state, Time after) {
+  const Box& box = boxes_[b];
+  ListedWorker entry{box_ids_[b], state, box.since, box.cell, box.kind_index, box.zone, 1};
+  changes_.push_back({b, std::move(entry)});
+  Push(now_ + after, What::kRegistry, 0, 0, changes_.size() - 1);
+}
+
+void World::Registered(std::uint64_t change) {
+  log_.push_back(change);
+  for (std::size_t n = 0; n < nodes_.size(); ++n) {
+    Node& node = nodes_[n];
+    if (!node.up || !node.watching || std::exchange(node.push_due, true)) continue;
+    const Time wait =
+        static_cast<Time>(discovery_random_.Uniform() * static_cast<double>(site_.discovery.period));
+    Push(now_ + wait, What::kListPush, static_cast<std::uint32_t>(n), node.life);
+  }
+}
+
+std::vector<ListedWorker> World::ListAt(std::int64_t version) const {
+  std::vector<ListedWorker> list = first_list_;
+  std::unordered_map<std::string, std::size_t> at;
+  for (std::size_t i = 0; i < list.size(); ++i) at[list[i].id] = i;
+  for (std::int64_t v = 0; v < version; ++v) {
+    const ListedWorker& entry = changes_[log_[v]].entry;
+    const auto [it, fresh] = at.try_emplace(entry.id, list.size());
+    if (fresh)
+      list.push_back(entry);
+    else
+      list[it->second] = entry;
+  }
+  std::erase_if(list, [](const ListedWorker& e) { return e.state == ListedWorker::State::kGone; });
+  return list;
+}
+
+void World::TellList(int n, ListChanged::Form form) {
+  Node& node = nodes_[n];
+  const std::int64_t version = static_cast<std::int64_t>(log_.size());
+  std::vector<ListedWorker> entries;
+  const bool half = !Spared(FaultKind::kDiscoveryHalf);
+  if (half) form = ListChanged::Form::kWhole;
+  if (form == ListChanged::Form::kPatch) {
+    for (std::int64_t v = node.version; v < version; ++v) entries.push_back(changes_[log_[v]].entry);
+  } else {
+    entries = ListAt(version);
+    if (half)
+      for (std::size_t i = 0; i < entries.size(); ++i)
+        if (i % 2 == 1) entries[i].state = ListedWorker::State::kGone;
+    if (half)
+      std::erase_if(entries, [](const ListedWorker& e) { return e.state == ListedWorker::State::kGone; });
+    // Who is not in a whole list is gone.
+    std::vector<char> named(boxes_.size());
+    for (const ListedWorker& e : entries) named[box_by_id_.at(e.id)] = 1;
+    for (std::size_t b = 0; b < boxes_.size(); ++b)
+      if (!named[b]) checker_.Told(now_, n, static_cast<int>(b), ListedWorker::State::kGone);
+  }
+  for (const ListedWorker& entry : entries) {
+    const int box = box_by_id_.at(entry.id);
+    if (entry.id == box_ids_[box]) {  // the machine that is there now
+      checker_.Told(now_, n, box, entry.state);
+      node.known_start[box] = entry.since;
+    }
+  }
+  node.version = version;
+  if (form == ListChanged::Form::kPatch && entries.empty()) return;
+  Feed(n, ListChanged{form, version, entries});
+}
+
+// ---- Faults ----
+
+// A share of n, drawn for this fault alone, in order.
+std::vector<int> World::PartOf(std::size_t i, int n) {
+  Random draw(seed_, 1000 + i);
+  std::vector<int> all(n);
+  for (int k = 0; k < n; ++k) all[k] = k;
+  for (int k = n; k > 1; --k) std::swap(all[k - 1], all[draw.Below(k)]);
+  all.resize(std::clamp<std::size_t>(static_cast<std::size_t>(std::llround(day_.faults[i].part * n)), 1, n));
+  std::ranges::sort(all);
+  return all;
+}
+
+void World::FaultStarts(std::size_t i) {
+  const Fault& f = day_.faults[i];
+  const int boxes = static_cast<int>(boxes_.size());
+  auto each = [&](auto call) {
+    faulted_[i] = PartOf(i, boxes);
+    for (int b : faulted_[i]) call(b);
+  };
+  switch (f.kind) {
+    case FaultKind::kVanish:
+      return each([&](int b) {
+        if (toppled_[b]) return;
+        StopBox(b, Box::Life::kSilent);
+        Register(b, ListedWorker::State::kGone, site_.discovery.notice_silent);
+      });
+    case FaultKind::kKill:
+      return each([&](int b) {
+        if (toppled_[b]) return;
+        StopBox(b, Box::Life::kDown);
+        Register(b, ListedWorker::State::kGone, site_.discovery.notice);
+      });
+    case FaultKind::kReplace:
+      return each([&](int b) {
+        if (toppled_[b]) return;
+        StopBox(b, Box::Life::kDown);
+        Register(b, ListedWorker::State::kGone, site_.discovery.notice);
+        box_ids_[b] += "r";  // another machine at the same place
+        box_by_id_[box_ids_[b]] = b;
+        StartBox(b, true);
+      });
+    case FaultKind::kShrink:
+      return each([&](int b) {
+        if (toppled_[b]) return;
+        boxes_[b].Drain(now_, &news_);
+        BoxNewsCame(b);
+        Register(b, ListedWorker::State::kDraining, site_.discovery.notice);
+      });
+    case FaultKind::kSlow:
+    case FaultKind::kGrey:
+      return each([&](int b) {
+        boxes_[b].Advance(now_, &news_);
+        boxes_[b].SetSlow(now_, std::max(f.size, 1e-3));
+        boxes_[b].masks_load = f.kind == FaultKind::kGrey;
+        BoxNewsCame(b);
+      });
+    case FaultKind::kFail:
+      return each([&](int b) { boxes_[b].fail_share = std::min(f.size, 1.0); });
+    case FaultKind::kLie:
+      return each([&](int b) { boxes_[b].lies = true; });
+    case FaultKind::kRoll: {
+      faulted_[i] = PartOf(i, site_.dispatchers);
+      const Time step = f.length / static_cast<Time>(faulted_[i].size());
+      for (std::size_t k = 0; k < faulted_[i].size(); ++k)
+        Push(now_ + static_cast<Time>(k) * step, What::kNodeDown, static_cast<std::uint32_t>(faulted_[i][k]),
+             0, static_cast<std::uint64_t>(f.size * kSecond));
+      return;
+    }
+    case FaultKind::kClockJump:
+      faulted_[i] = PartOf(i, site_.dispatchers);
+      for (int n : faulted_[i]) nodes_[n].offset += static_cast<Time>(f.size * kSecond);
+      return;
+    case FaultKind::kStore:
+      store_.SetRate(now_, StoreRate());
+      return ArmStore();
+    default:
+      return;  // looked up where it counts
+  }
+}
+
+void World::FaultEnds(std::size_t i) {
+  const Fault& f = day_.faults[i];
+  // A fault that another one of the same kind still holds on a box ends only for the others.
+  auto still = [&](int b) {
+    for (std::size_t j = 0; j < day_.faults.size(); ++j)
+      if (j != i && day_.faults[j].kind == f.kind && day_.faults[j].Active(now_) &&
+          std::ranges::binary_search(faulted_[j], b))
+        return true;
+    return false;
+  };
+  for (int b : faulted_[i]) {
+    if (f.kind == FaultKind::kRoll || f.kind == FaultKind::kClockJump) continue;
+    if (still(b)) continue;
+    switch (f.kind) {
+      case FaultKind::kVanish:
+      case FaultKind::kKill:
+      case FaultKind::kShrink:
+        StartBox(b, true);
+        break;
+      case FaultKind::kSlow:
+      case FaultKind::kGrey:
+        boxes_[b].Advance(now_, &news_);
+        boxes_[b].SetSlow(now_, 1), boxes_[b].masks_load = false;
+        BoxNewsCame(b);
+        break;
+      case FaultKind::kFail:
+        boxes_[b].fail_share = 0;
+        break;
+      case FaultKind::kLie:
+        boxes_[b].lies = false;
+        break;
+      default:
+        break;
+    }
+  }
+  if (f.kind == FaultKind::kStore) store_.SetRate(now_, StoreRate()), ArmStore();
+  // What changed meanwhile was not told to those who could not be reached.
+  if (f.kind == FaultKind::kDiscoveryHalf)
+    for (std::size_t n = 0; n < nodes_.size(); ++n)
+      if (nodes_[n].up && nodes_[n].watching) TellList(static_cast<int>(n), ListChanged::Form::kWhole);
+}
+
+// ---- What is measured ----
+
+void World::Sample() {
+  const std::size_t groups = std::min(kLoadGroups, boxes_.size());
+  std::vector<double> used(groups), cores(groups);
+  for (std::size_t b = 0; b < boxes_.size(); ++b) {
+    const std::size_t group = b * groups / boxes_.size();
+    used[group] += boxes_[b].UsedCores();
+    cores[group] += site_.kinds[boxes_[b].kind_index].cores;
+  }
+  for (std::size_t g = 0; g < groups; ++g) used[g] /= cores[g];
+  judge_.LoadOf(now_, used);
+}
+
+double World::EndAt(const std::string& id, rookgw::RequestId job) const {
+  const auto it = box_by_id_.find(id);
+  const Try* t = const_cast<World*>(this)->tries_.Find(Handle::Unpack(job));
+  if (it == box_by_id_.end() || t == nullptr) return 1e18;
+  const Box& box = boxes_[it->second];
+  if (box.life != Box::Life::kUp || box.fail_share > 0.5) return 1e18;
+  const double pace = std::max(box.Pace(now_), 1e-9);
+  const bool fetch =
+      site_.keys.setup > 0 && site_.kinds[box.kind_index].keys_kept > 0 && !box.KeepsKey(t->key);
+  const double own =
+      t->work * box.Slots() / pace + (fetch ? site_.keys.setup / std::max(StoreRate(), 1e-3) : 0);
+  const double wait = box.FreeSlots() >= t->slots && box.Waiting() == 0 ? 0 : box.Backlog(now_) / pace;
+  return wait + own;
+}
+
+double World::WorkOf(rookgw::RequestId id) const {
+  const Try* t = const_cast<World*>(this)->tries_.Find(Handle::Unpack(id));
+  return t != nullptr ? t->work : 0;
+}
+
+nlohmann::json World::ReportJson() const {
+  nlohmann::json out = judge_.ToJson();
+  out["policy"] = policy_, out["seed"] = seed_, out["day"] = day_.file, out["site"] = site_.name;
+  out["boxes"] = site_.boxes, out["dispatchers"] = site_.dispatchers, out["load"] = day_.load;
+  char digest[20];
+  std::snprintf(digest, sizeof digest, "%016llx", static_cast<unsigned long long>(result_.digest));
+  out["digest"] = digest, out["drained"] = result_.drained, out["events"] = result_.events;
+  out["toppled"] = result_.toppled, out["rule_checks"] = result_.rule_checks;
+  nlohmann::json& faults = out["faults"] = nlohmann::json::array();
+  for (const Fault& f : day_.faults)
+    faults.push_back({{"what", FaultName(f.kind)},
+                      {"start_s", static_cast<double>(f.start) / kSecond},
+                      {"length_s", static_cast<double>(f.length) / kSecond},
+                      {"part", f.part},
+                      {"size", f.size}});
+  nlohmann::json& breaches = out["breaches"] = nlohmann::json::array();
+  for (const auto& [rule, breach] : result_.breaches)
+    breaches.push_back({{"rule", rule},
+                        {"at_us", breach.at},
+                        {"what", breach.what},
+                        {"box", breach.box},
+                        {"count", result_.breach_count.at(rule)}});
+  return out;
+}
+}  // namespace lichenlug::lab
