--- a/src/routes/watch.cpp
+++ b/src/routes/watch.cpp
@@ -7,12 +7,7 @@
 namespace lichenlug {
 namespace {
 
-// After SIGHUP all that discovery has to tell counts as told within 4 s, so a call that gets no answer must
-// leave time for another.
-constexpr Time kConnectPatience = kSecond;
-constexpr Time kFirstPatience = 2500 * kMillisecond;  // for the first byte
-constexpr Time kPatience = 5 * kSecond;               // between lines: one comes every 2 s
-constexpr Time kFirstBackoff = 200 * kMillisecond, kMostBackoff = 2 * kSecond;
+constexpr Time kPatience = 5 * kSecond;  // between lines: one comes every 2 s
 constexpr std::size_t kMostLine = 1024 * 1024;
 
 }  // namespace
@@ -26,7 +21,7 @@
       routes_(routes),
       deadlines_(deadlines),
       news_(std::move(news)),
-      random_(static_cast<std::minstd_rand::result_type>(seed)) {}
+      ask_again_(site.settings.instances, site.settings.ask_every, seed) {}
 
 void Watch::Ask() {
   if (!asked_ && !standing_ && again_ == Deadlines::Key{}) Begin();
@@ -34,7 +29,7 @@
 
 void Watch::MoveTo(const asio::ip::tcp::endpoint& address) {
   if (std::exchange(address_, address) == address) return;
-  failures_ = 0;
+  ask_again_.Hurry();
   Begin();
 }
 
@@ -46,7 +41,7 @@
       std::make_shared<HttpConnection>(asio::ip::tcp::socket(io_), HttpConnection::Side::kClient);
   const auto connection = fresh.connection;
   const Handle handle = asked_ = calls_.Insert(std::move(fresh));
-  ExpectWithin(handle, deadlines_->Now() + kConnectPatience);
+  ExpectWithin(handle, deadlines_->Now() + AskAgain::kConnectPatience);
   HttpConnection::Events events;
   events.on_head = [this, handle](const HttpMessage& head) {
     if (Call* call = calls_.Find(handle)) call->good = head.status == 200;
@@ -62,7 +57,7 @@
 }
 
 void Watch::Connected(Handle handle) {
-  ExpectWithin(handle, deadlines_->Now() + kFirstPatience);
+  ExpectWithin(handle, deadlines_->Now() + AskAgain::kFirstPatience);
   const auto connection = calls_.Find(handle)->connection;
   connection->Start();
   const std::string host = address_.address().to_string() + ":" + std::to_string(address_.port());
@@ -100,7 +95,7 @@
   } catch (const std::exception&) {
     return false;
   }
-  failures_ = 0;
+  ask_again_.Spoke();
   routes_->Apply(news);
   news_(&news);
   return true;
@@ -110,9 +105,7 @@
   if (calls_.Find(handle) == nullptr) return;
   End(handle);
   if (!asked_ && again_ == Deadlines::Key{}) {
-    const Time backoff = std::min(kMostBackoff, kFirstBackoff << std::min(failures_++, 8));
-    const Time jitter = static_cast<Time>(random_() % static_cast<std::uint64_t>(backoff / 2));
-    again_ = deadlines_->Add(deadlines_->Now() + backoff / 2 + jitter, [this] {
+    again_ = deadlines_->Add(deadlines_->Now() + ask_again_.Failed(), [this] {
       again_ = {};
       Begin();
     });
--- a/src/routes/watch.h
+++ b/src/routes/watch.h
@@ -7,7 +7,6 @@
 
 #include <functional>
 #include <memory>
-#include <random>
 #include <string>
 #include <string_view>
 
@@ -15,6 +14,7 @@
 #include "base/slots.h"
 #include "decisions/settings.h"
 #include "net/http_connection.h"
+#include "routes/ask_again.h"
 #include "routes/route_set.h"
 
 namespace lichenlug {
@@ -56,8 +56,7 @@
   SlotTable<Call> calls_{2};
   Handle asked_, standing_;  // one that has not spoken yet; the one that speaks
   Deadlines::Key again_;     // when to ask again
-  std::minstd_rand random_;
-  int failures_ = 0;
+  AskAgain ask_again_;
 };
 
 }  // namespace lichenlug
