--- a/include/rookgw/brain.h
+++ b/include/rookgw/brain.h
@@ -156,12 +156,18 @@
   LoadReport report;
 };
 
+struct Elsewhere {  // what the other nodes tell of a worker
+  std::string worker;
+  double slots = 0;     // they hold there together, as far as they told
+  int failing = kNone;  // nodes that agree say that it fails jobs of this class; `slots` is then not told
+};
+
 struct TimerFired {
   std::string token;
 };
 
 using Event = std::variant<ListChanged, RequestArrived, AttemptNote, AttemptEnded, StreamStarted, RequestGone,
-                           ProbeEnded, TimerFired>;
+                           ProbeEnded, TimerFired, Elsewhere>;
 
 // ---- Actions ---------------------------------------------------------------------------------------------
 
--- a/lab/rivals/plain.cpp
+++ b/lab/rivals/plain.cpp
@@ -187,6 +187,7 @@
   }
 
   void On(const AttemptNote&) {}
+  void On(const rookgw::Elsewhere&) {}
   void On(const StreamStarted&) {}
 
   std::vector<Action>* out_ = nullptr;
--- a/lab/rivals/wire.cpp
+++ b/lab/rivals/wire.cpp
@@ -140,6 +140,7 @@
     *out << "PROBED " << kNode << " " << e.worker << " " << (e.ok ? 0 : 4) << " " << e.took << " "
          << Usage(e.report) << "\n";
   }
+  void Word(const rookgw::Elsewhere&, std::ostringstream*) const {}  // the wire has no word for it
   void Word(const TimerFired& e, std::ostringstream* out) const {
     *out << "FIRED " << kNode << " " << e.token << "\n";
   }
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -53,6 +53,14 @@
   virtual bool CallBack(const std::string& body) = 0;
 };
 
+// Hears what this dispatcher has out, so that others can be told.
+class PeerPort {
+ public:
+  virtual ~PeerPort() = default;
+  virtual void Hold(const std::string& runner, double slots) = 0;  // so many more; fewer where negative
+  virtual void Failed(const std::string& runner, int cls) = 0;     // a job of this class
+};
+
 class DiscoveryPort {
  public:
   virtual ~DiscoveryPort() = default;
--- a/src/core/transactions.cpp
+++ b/src/core/transactions.cpp
@@ -12,8 +12,8 @@
                                    Deadlines* deadlines)
     : settings_(settings), deadlines_(deadlines), brain_(settings, seed), table_(most) {}
 
-void TransactionTable::Start(BranchPort* branches, DiscoveryPort* discovery) {
-  branches_ = branches, discovery_ = discovery;
+void TransactionTable::Start(BranchPort* branches, DiscoveryPort* discovery, PeerPort* peers) {
+  branches_ = branches, discovery_ = discovery, peers_ = peers;
   std::vector<rookgw::Action> actions;
   brain_.Start(deadlines_->Now(), &actions);
   for (const rookgw::Action& action : actions) std::visit([this](const auto& a) { Do(a); }, action);
@@ -25,7 +25,7 @@
                                CallerPort* caller, Handle leg) {
   Transaction fresh;
   fresh.job = std::move(job), fresh.caller = caller, fresh.leg = leg;
-  fresh.deadline = arrived.valid_until;
+  fresh.deadline = arrived.valid_until, fresh.slots = arrived.slots, fresh.cls = arrived.cls;
   const Handle handle = table_.Insert(std::move(fresh));
   if (!handle) return {};
   ++owed_;
@@ -63,6 +63,8 @@
   if (transaction == nullptr) return;
   Branch& branch = transaction->branches[ref.number];
   if (std::exchange(branch.over, true)) return;  // one outcome only: the first
+  if (peers_ != nullptr) peers_->Hold(branch.runner, -transaction->slots);
+  if (peers_ != nullptr && outcome == Outcome::kError) peers_->Failed(branch.runner, transaction->cls);
   // The caller comes first, the bookkeeping after.
   if (outcome == Outcome::kServed)
     Answer(ref.transaction, {FinalAnswer::Kind::kServed, std::move(result), 0});
@@ -85,6 +87,14 @@
   Feed(rookgw::ListChanged{form, version, runners});
 }
 
+void TransactionTable::HeldElsewhere(const std::string& runner, double slots) {
+  Feed(rookgw::Elsewhere{runner, slots});
+}
+
+void TransactionTable::FailingElsewhere(const std::string& runner, int cls) {
+  Feed(rookgw::Elsewhere{runner, 0, cls});
+}
+
 void TransactionTable::Feed(rookgw::Event event) {
   events_.push_back(std::move(event));
   if (std::exchange(feeding_, true)) return;
@@ -108,6 +118,7 @@
   const BranchRef ref{handle, static_cast<int>(transaction->branches.size())};
   const Time now = deadlines_->Now();
   transaction->branches.push_back({action.worker, now, {}, false});
+  if (peers_ != nullptr) peers_->Hold(action.worker, transaction->slots);
   if (transaction->answered || ref.number >= settings_.max_attempts || now >= transaction->deadline)
     return BranchEnded(ref, Outcome::kMoot);
   Time deadline = transaction->deadline;
--- a/src/core/transactions.h
+++ b/src/core/transactions.h
@@ -21,7 +21,7 @@
   TransactionTable(const rookgw::Settings& settings, std::uint64_t seed, std::size_t most,
                    Deadlines* deadlines);
 
-  void Start(BranchPort* branches, DiscoveryPort* discovery);
+  void Start(BranchPort* branches, DiscoveryPort* discovery, PeerPort* peers = nullptr);
 
   // `arrived.id` is filled in here. A handle that names nothing: the table is full, and nothing is owed. The
   // answer may come before this returns.
@@ -38,6 +38,8 @@
   void ProbeEnded(const std::string& runner, bool ok, Time took, const rookgw::LoadReport& report);
   void RoutesChanged(rookgw::ListChanged::Form form, std::int64_t version,
                      const std::vector<rookgw::ListedWorker>& runners);
+  void HeldElsewhere(const std::string& runner, double slots);
+  void FailingElsewhere(const std::string& runner, int cls);
 
   std::size_t owed() const { return owed_; }  // transactions with no final answer yet
 
@@ -53,6 +55,8 @@
     CallerPort* caller = nullptr;
     Handle leg;
     Time deadline = 0;
+    double slots = 1;
+    int cls = 0;
     Deadlines::Key last_moment;
     std::vector<Branch> branches;
     bool answered = false;
@@ -75,6 +79,7 @@
   rookgw::Brain brain_;
   BranchPort* branches_ = nullptr;
   DiscoveryPort* discovery_ = nullptr;
+  PeerPort* peers_ = nullptr;
   SlotTable<Transaction> table_;
   std::deque<rookgw::Event> events_;  // what actions bring about is told after the event that led to them
   bool feeding_ = false;
--- a/src/decisions/brain.cpp
+++ b/src/decisions/brain.cpp
@@ -100,9 +100,9 @@
       const double took = now_ - (a.started != 0 ? a.started : a.sent);
       if (w.kind != kNone) kind_slowness_[w.kind].Add(took / RunTime(r.cls));
       run_[r.cls].Add(took), run_all_.Add(took);
-      Doubt(r, w.trust[r.cls], -1);
+      Doubt(r.cls, w.trust[r.cls], -1);
     }
-    if (outcome == Outcome::kError) Doubt(r, w.trust[r.cls], 2);
+    if (outcome == Outcome::kError) Doubt(r.cls, w.trust[r.cls], 2);
     if (outcome == Outcome::kConnectFailed || outcome == Outcome::kTimeout)
       Strike(w);
     else if (outcome != Outcome::kCancelled && outcome != Outcome::kMoot)
@@ -132,6 +132,14 @@
     if (e.ok) SignOfLife(workers_[it->second]);
   }
 
+  void On(const Elsewhere& e) {
+    auto it = index_.find(e.worker);
+    if (it == index_.end()) return;
+    Worker& w = workers_[it->second];
+    if (e.failing != kNone) return Doubt(e.failing, w.trust.at(e.failing), 1);
+    w.elsewhere = e.slots, told_at_ = now_;
+  }
+
   void On(const ListChanged& e) {
     TakeList(e);
     if (e.form != ListChanged::Form::kFailed) ServeWaiting(4);
--- a/src/decisions/health.h
+++ b/src/decisions/health.h
@@ -24,11 +24,10 @@
 
   // Some workers leave all jobs of one class without a word; some fail most at once, look idle for it and
   // draw ever more. One in doubt rests in that class, then gets one job at a time. Some have to go on.
-  void Doubt(const Request& r, Trust& trust, int more) {
+  void Doubt(int cls, Trust& trust, int more) {
     trust.doubt = std::clamp(trust.doubt + more, 0, 6);
-    if (more <= 0 || trust.doubt < 3)
-      return;  // looking over the whole fleet is for the few cases that need it
-    auto rests = [&](int i) { return now_ < workers_[i].trust[r.cls].rests_until; };
+    if (more <= 0 || trust.doubt < 3) return;  // what follows looks over the whole fleet
+    auto rests = [&](int i) { return now_ < workers_[i].trust[cls].rests_until; };
     if (3 * std::ranges::count_if(listed_, rests) < 2 * std::ssize(listed_))
       trust.rests_until = now_ + (kSecond / 8 << std::min(trust.doubt, 5));
   }
--- a/src/decisions/placing.h
+++ b/src/decisions/placing.h
@@ -26,7 +26,7 @@
       const int w = ring_[(home + step) % ring_.size()].second;
       if (std::exchange(workers_[w].seen_in, walk_) == walk_ || !Eligible(r, w)) continue;
       if (Across(w, r)) {
-        if (across_.size() < kOverflow) across_.push_back(w);
+        if (across_.size() < kOverflow && (!Told() || Idle(w, r))) across_.push_back(w);
         continue;
       }
       members_.push_back(w);
@@ -34,7 +34,7 @@
       any_idle = any_idle || Idle(w, r);
       if (needed == 0 && room >= demand) needed = members_.size();
       if (needed == 0 || members_.size() < key.width) continue;
-      if (any_idle || members_.size() >= std::max(needed, key.width) + kOverflow) break;
+      if (any_idle || (!Told() && members_.size() >= std::max(needed, key.width) + kOverflow)) break;
     }
     if (longest < ring_.size()) {
       const double filled = needed == 0 ? demand / std::max(room, 1.0) : static_cast<double>(step) / longest;
@@ -157,7 +157,7 @@
     if (!std::exchange(a.missed, true)) return due_.push({now_ + 10 * kMs, r.id});  // own stall?
     Trust& trust = workers_[a.worker].trust[r.cls];
     a.untaken = false, --trust.untaken;
-    Doubt(r, trust, 3);
+    Doubt(r.cls, trust, 3);
     if (now_ <= r.latest_start && s_.classes[r.cls].effect != Effect::kUnsafe)
       Act(CancelAttempt{r.id, static_cast<int>(r.attempts.size()) - 1});
   }
--- a/src/decisions/room.h
+++ b/src/decisions/room.h
@@ -14,6 +14,7 @@
   double Free(const Worker& w) const {
     const double total = Total(w);
     if (!FleetWide()) return total - w.held;
+    if (Told() && (!Zoned() || w.zone == s_.my_zone)) return total - w.held - w.elsewhere;
     double free = mean_free_.weight > 0 ? mean_free_.value * total : total;
     if (w.report_at >= 0) {
       const double age = now_ - w.report_at;
@@ -24,8 +25,7 @@
     }
     for (const Move& m : w.moves)
       if (m.at > w.report_at - kReportLag) free -= m.slots;
-    // A job of this node's that has not started tells at once, whatever old reports say, how long the queue
-    // is.
+    // A job of this node's that has not started tells at once how long the queue is, whatever reports say.
     if (s_.starts_told && w.unstarted > 0 && !blind_)
       free = std::min(free, 1 - (now_ - w.silent_since) / MeanRun() * total);
     return free;
@@ -52,7 +52,8 @@
     if (r.over_share && behind > 0) return false;  // a tenant's flood fills what is free, no queue
     const double wait = behind <= 0 ? 0 : behind / Total(w) * MeanRun() * Slowness(w);
     // A queue is counted on only as far as one was ever reported: some workers have none.
-    if (FleetWide() && Free(w) - r.slots < least_fill_ * Total(w) - 0.5) return false;
+    if (FleetWide() && (!Told() || full_seen_) && Free(w) - r.slots < least_fill_ * Total(w) - 0.5)
+      return false;
     return now_ + wait <= StartBy(w, r, kAimWork);
   }
 
@@ -99,9 +100,13 @@
   void NoteFull(Worker& w) {
     w.least_free = std::min(w.least_free, w.free);
     w.usual_free += (w.least_free - w.usual_free) / 2;
-    w.full_at = now_;
+    w.full_at = now_, full_seen_ = true;
   }
 
+  // The other nodes tell what they hold: all that is out at a worker of the own zone is known at once.
+  bool Told() const { return told_at_ != 0 && now_ - told_at_ < kReportMemory; }
+
+  bool full_seen_ = false;
   bool blind_ = false;  // so many workers silent at once that this node's own view is at fault
   Mean mean_free_, mean_total_;
   std::vector<Mean> zone_fill_ = std::vector<Mean>(s_.zones.size());
--- a/src/decisions/world.h
+++ b/src/decisions/world.h
@@ -84,7 +84,7 @@
   int points = 0;
   // Room
   Time report_at = -1, full_at = 0;
-  double free = 0, usual_free = 0, most_free = 0, least_free = -1, learned = 0, held = 0;
+  double free = 0, usual_free = 0, most_free = 0, least_free = -1, learned = 0, held = 0, elsewhere = 0;
   std::vector<Move> moves;
   // Health
   int unstarted = 0, strikes = 0;
@@ -160,7 +160,7 @@
 
   Settings s_;
   std::mt19937_64 random_;
-  Time now_ = 0;
+  Time now_ = 0, told_at_ = 0;                       // the latest word of what other nodes hold
   std::vector<Worker> workers_;                      // by interning index
   std::unordered_map<std::string, int> index_;       // looked up only, never walked
   std::vector<int> listed_;                          // indices of the listed workers, by id
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -13,6 +13,8 @@
 #include "core/transactions.h"
 #include "fronts/http/callers.h"
 #include "operate/config.h"
+#include "peers/holdings.h"
+#include "peers/transport.h"
 #include "routes/route_set.h"
 #include "routes/watch.h"
 
@@ -35,6 +37,44 @@
   Watch* watch_;
 };
 
+// What goes out and ends at runners reaches the other dispatchers; what they tell reaches the decisions.
+class Peers : public PeerPort, public HoldingsHeard {
+ public:
+  Peers(asio::io_context& io, const Config& config, Deadlines* deadlines, TransactionTable* core)
+      : deadlines_(deadlines),
+        core_(core),
+        holdings_(config.seed, ZoneToHear(config.site.settings), this),
+        transport_(io, config.peers, &holdings_, deadlines) {}
+
+  void Start() { transport_.Start(); }
+  void Hold(const std::string& runner, double slots) override {
+    holdings_.Hold(runner, slots, deadlines_->Now());
+    transport_.Changed();
+  }
+  void Failed(const std::string& runner, int cls) override {
+    holdings_.Failed(runner, cls, deadlines_->Now());
+    transport_.Changed();
+  }
+  void Held(const std::string& runner, int slots) override { core_->HeldElsewhere(runner, slots); }
+  void Failing(const std::string& runner, int cls) override { core_->FailingElsewhere(runner, cls); }
+  void Name(const RouteNews& news) {
+    for (const Route& route : news.members) holdings_.Name(route.runner.id, route.runner.zone);
+  }
+
+ private:
+  // Where crossing zones is charged a dispatcher seldom sends to other zones' runners and need not hear of
+  // them.
+  static int ZoneToHear(const rookgw::Settings& settings) {
+    return settings.fee_cross_zone > 0 && settings.my_zone != rookgw::kNone ? settings.my_zone
+                                                                            : Holdings::kNoZone;
+  }
+
+  Deadlines* deadlines_;
+  TransactionTable* core_;
+  Holdings holdings_;
+  PeerTransport transport_;
+};
+
 const char* Environment(const char* name) { return std::getenv(name); }
 
 // SIGHUP: where discovery is may change while the program runs; the rest is what it was built on and waits
@@ -51,6 +91,19 @@
   }
 }
 
+// The port for what is held, or null where there is nobody to tell.
+PeerPort* StartPeers(const Config& config, Peers* peers) {
+  if (!config.peers.on()) return nullptr;
+  try {
+    peers->Start();
+    return peers;
+  } catch (const std::system_error& e) {
+    std::cerr << config.name << " hears and tells no other dispatcher: peer_listen: " << e.what()
+              << std::endl;
+    return nullptr;
+  }
+}
+
 void Serve(const Config& config) {
   using Form = rookgw::ListChanged::Form;
   std::signal(SIGPIPE, SIG_IGN);  // a peer that is gone shows as an error of the write
@@ -65,18 +118,22 @@
   const BranchSettings branch_settings{config.most_open, config.most_runner_links(), config.connect_timeout,
                                        config.idle_close, config.site};
   TransactionTable core(config.site.settings, config.seed, config.most_open, &deadlines);
-  Watch watch(
-      io, config.discovery, config.site, config.seed, &routes, &deadlines, [&core](const RouteNews* news) {
-        if (news == nullptr) return core.RoutesChanged(Form::kFailed, 0, {});
-        core.RoutesChanged(news->complete ? Form::kWhole : Form::kPatch, news->revision, RunnersOf(*news));
-      });
+  Peers peers(io, config, &deadlines, &core);
+  Watch watch(io, config.discovery, config.site, config.seed, &routes, &deadlines,
+              [&core, &peers](const RouteNews* news) {
+                if (news == nullptr) return core.RoutesChanged(Form::kFailed, 0, {});
+                peers.Name(*news);
+                core.RoutesChanged(news->complete ? Form::kWhole : Form::kPatch, news->revision,
+                                   RunnersOf(*news));
+              });
   WatchPort discovery(&watch);
   Branches branches(io, branch_settings, &routes, &deadlines, &core);
   Callers callers(
       io, caller_settings, [&routes] { return !routes.empty(); }, &deadlines, &core, &branches);
 
   routes.Apply(config.known);
-  core.Start(&branches, &discovery);
+  peers.Name(config.known);
+  core.Start(&branches, &discovery, StartPeers(config, &peers));
   core.RoutesChanged(Form::kSaved, config.known.revision, RunnersOf(config.known));
   watch.Ask();  // also where the settings say that news comes unasked: on sockets it never does
   callers.Start();
--- a/src/operate/config.cpp
+++ b/src/operate/config.cpp
@@ -50,6 +50,29 @@
   return seed;
 }
 
+asio::ip::udp::endpoint PeerAddress(const std::string& text, const std::string& key) {
+  const auto endpoint = ParseEndpoint(text, key);
+  return {endpoint.address(), endpoint.port()};
+}
+
+PeerSettings ReadPeers(const Json& root, int own_number) {
+  PeerSettings peers;
+  const std::string listen = Get<std::string>(root, "peer_listen", ""),
+                    all = Get<std::string>(root, "peers_all", "");
+  if (listen.empty()) return peers;
+  peers.listen = PeerAddress(listen, "peer_listen");
+  if (!all.empty()) peers.all = PeerAddress(all, "peers_all");
+  peers.own_number = own_number;
+  const auto listed = root.find("peers");
+  if (listed == root.end() || listed->is_null()) return peers;
+  if (!listed->is_array()) Bad("peers", "a list of ADDRESS:PORT expected");
+  for (const Json& peer : *listed) {
+    if (!peer.is_string()) Bad("peers", "a list of ADDRESS:PORT expected");
+    peers.peers.push_back(PeerAddress(peer.get<std::string>(), "peers"));
+  }
+  return peers;
+}
+
 using Environment = std::function<const char*(const char*)>;
 
 Config Read(const Environment& environment, bool file_names_discovery) {
@@ -98,6 +121,9 @@
       Bad("known", e.what());
     }
   }
+  const auto may_tell = limits.find("MayTell");
+  if (may_tell != limits.end() && *may_tell == true)
+    config.peers = ReadPeers(root, config.site.settings.ordinal);
   return config;
 }
 
--- a/src/operate/config.h
+++ b/src/operate/config.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "decisions/settings.h"
+#include "peers/transport.h"
 #include "routes/route_set.h"
 
 namespace lichenlug {
@@ -22,6 +23,7 @@
   Time connect_timeout = kSecond / 5;  // settings.Limits.ConnectTimeout
   rookgw::Site site;
   RouteNews known;
+  PeerSettings peers;  // off where settings.Limits.MayTell is not true
 
   // Shares of the descriptors. The rest is for the listener, discovery, timers and what is being closed.
   std::size_t most_runner_links() const { return most_sockets / 4; }
