--- a/src/decisions/demand.h
+++ b/src/decisions/demand.h
@@ -51,13 +51,11 @@
   }
 
   void ForgetKeys() {
-    std::vector<std::pair<Time, std::uint64_t>> ages;
-    for (const auto& [hash, key] : keys_) ages.push_back({key.seen, hash});
-    std::nth_element(ages.begin(), ages.begin() + ages.size() / 2, ages.end());
-    for (std::size_t i = 0; i < ages.size() / 2; ++i) keys_.erase(ages[i].second);
+    for (Time age = kRateMemory; keys_.size() >= kMostKeys; age /= 2)
+      std::erase_if(keys_, [&](const auto& entry) { return now_ - entry.second.seen >= age; });
   }
 
-  std::unordered_map<std::uint64_t, Key> keys_;  // walked only to find the oldest half, by a total order
+  std::unordered_map<std::uint64_t, Key> keys_;  // walked only to forget the oldest
   std::vector<Mean> run_ = std::vector<Mean>(s_.classes.size());
   std::vector<Mean> kind_slowness_ = std::vector<Mean>(s_.kinds.size());
   Mean run_all_;
--- a/src/decisions/health.h
+++ b/src/decisions/health.h
@@ -40,36 +40,28 @@
       patience = std::max<Time>(patience, s_.classes[c].aim + s_.classes[c].stretch * RunTime(c));
     auto silent = [&](const Worker& w) { return w.unstarted > 0 && now_ - w.silent_since >= patience; };
     auto away = [&](int i) { return silent(workers_[i]) || Ejected(workers_[i]); };
-    blind_ =
-        2 * std::ranges::count_if(listed_, away) > std::ssize(listed_);  // so many: this node's own fault
+    blind_ = 2 * std::ranges::count_if(listed_, away) > std::ssize(listed_);  // it is this node's fault
     for (int i : listed_)
       if (!blind_ && silent(workers_[i]) && !Ejected(workers_[i])) Strike(workers_[i]);
   }
 
-  bool Cold(const Worker& w) const { return w.since > 0 && now_ - w.since < s_.ramp_time; }
+  // Where all that is out there is known, a cold worker may hold what it can run now. Elsewhere this node's
+  // part is half the limit, over all instances, and starts in debt by its place among them, so that nodes
+  // take turns.
+  bool ColdMayTake(Worker& w, const Request& r) {
+    if (Told(w)) return Free(w) >= r.slots;
 
-  // This node's part of what a cold worker may be sent: half the limit, over all instances. The allowance
-  // starts in debt by this node's place among them, so that nodes take turns.
-  void FillCold(Worker& w) {
     if (w.budget_at == 0) {
-      const double place =
-          static_cast<double>((s_.ordinal + w.hash % s_.instances) % s_.instances) / s_.instances;
+      const double place = 1.0 * ((s_.ordinal + w.hash % s_.instances) % s_.instances) / s_.instances;
       w.budget = -place * RunTime(0) / kSecond;
       w.budget_at = now_;
     }
-    const double age = static_cast<double>(now_ - w.since) / s_.ramp_time;
-    const double share = s_.cold_share + (1 - s_.cold_share) * std::clamp(age, 0.0, 1.0);
+    const double slots = FleetWide() ? std::max(1.0, 0.8 * mean_total_.value) : 1.0;
     const double rate =
-        0.5 * s_.overload_factor * share * LeastTotal() / s_.instances;  // slot seconds a second
+        0.5 * s_.overload_factor * ColdShare(w) * slots / s_.instances;  // slot seconds a second
     w.budget = std::min(w.budget + rate * (now_ - w.budget_at) / kSecond,
                         std::max(rate * s_.overload_for / kSecond, RunTime(0) / kSecond));
     w.budget_at = now_;
-  }
-
-  double LeastTotal() const { return FleetWide() ? std::max(1.0, 0.8 * mean_total_.value) : 1.0; }
-
-  bool ColdMayTake(Worker& w, const Request& r) {
-    FillCold(w);
     return w.budget >= r.slots * RunTime(r.cls) / kSecond;
   }
 
@@ -78,6 +70,7 @@
     if (!s_.probes || s_.reports == Settings::Reports::kNever || ring_.empty()) return;
     // The more nodes act on the same news, the more they crowd the same workers: many ask less each.
     const double a_job = std::clamp(kProbers / s_.instances, 1.0, kMostProbes);
+    scarce_ = a_job * arrivals_.Rate(now_) * kReportMemory < listed_.size();
     probe_credit_ = std::min(probe_credit_ + arrivals_.Rate(now_) * kSweepEvery * a_job, 20 * a_job);
     for (std::size_t looked = 0; probe_credit_ >= 1 && looked < listed_.size(); ++looked) {
       Worker& w = workers_[listed_[probe_next_++ % listed_.size()]];
--- a/src/decisions/room.h
+++ b/src/decisions/room.h
@@ -14,7 +14,7 @@
   double Free(const Worker& w) const {
     const double total = Total(w);
     if (!FleetWide()) return total - w.held;
-    if (Told() && (!Zoned() || w.zone == s_.my_zone)) return total - w.held - w.elsewhere;
+    if (Told(w)) return total * ColdShare(w) - w.held - w.elsewhere;
     double free = mean_free_.weight > 0 ? mean_free_.value * total : total;
     if (w.report_at >= 0) {
       const double age = now_ - w.report_at;
@@ -32,12 +32,21 @@
   }
 
   double Total(const Worker& w) const {
+    const Mean& whole = w.whole.weight > 2 ? w.whole : mean_whole_;
+    if (Told(w) && whole.weight > 0) return std::max(1.0, whole.value);
     if (FleetWide()) return std::max({w.most_free, mean_total_.value, 1.0});
     if (w.learned > 0) return w.learned;
     const double others = learned_held_ > 0 ? learned_total_ / learned_held_ : 2;  // at the others' mean load
     return std::max(1.0, w.held * others);
   }
 
+  bool Cold(const Worker& w) const { return w.since > 0 && now_ - w.since < s_.ramp_time; }
+
+  double ColdShare(const Worker& w) const {  // of its capacity, at the least
+    const double age = Cold(w) ? static_cast<double>(now_ - w.since) / s_.ramp_time : 1;
+    return s_.cold_share + (1 - s_.cold_share) * std::clamp(age, 0.0, 1.0);
+  }
+
   // Room counts the short queue that a job can stand in and still start within half its aim.
   double RoomOf(int index, const Request& r) const {
     const Worker& w = workers_[index];
@@ -85,13 +94,14 @@
     const double keep =
         w.report_at < 0 ? 0 : std::exp(-static_cast<double>(now_ - w.report_at) / kReportMemory);
     w.usual_free = w.free + keep * (w.usual_free - w.free);
-    w.most_free =
-        std::max(w.most_free, *report.free_slots +
-                                  (report.active && *report.free_slots >= 1 ? *report.active - waiting : 0));
+    // Free slots and jobs held make the whole only where some are free.
+    const bool whole = report.active && *report.free_slots >= 1;
+    w.most_free = std::max(w.most_free, *report.free_slots + (whole ? *report.active - waiting : 0));
     w.least_free = std::min(w.least_free, w.free);
     w.report_at = now_;
     std::erase_if(w.moves, [this](const Move& m) { return m.at <= now_ - kReportLag; });
     mean_total_.Add(w.most_free);
+    if (whole) w.whole.Add(*report.free_slots + *report.active), mean_whole_.Add(w.whole.value);
     mean_free_.Add(w.free / Total(w));
     if (w.zone != kNone) zone_fill_[w.zone].Add(w.free / Total(w), 50);
   }
@@ -103,12 +113,14 @@
     w.full_at = now_, full_seen_ = true;
   }
 
-  // The other nodes tell what they hold: all that is out at a worker of the own zone is known at once.
-  bool Told() const { return told_at_ != 0 && now_ - told_at_ < kReportMemory; }
+  // Own reports are too scarce to go by, and the others tell what they hold: all that is out is known at
+  // once.
+  bool Told() const { return scarce_ && now_ - told_at_ < kReportMemory; }
+  bool Told(const Worker& w) const { return Told() && (!Zoned() || w.zone == s_.my_zone); }
 
-  bool full_seen_ = false;
+  bool full_seen_ = false, scarce_ = false;
   bool blind_ = false;  // so many workers silent at once that this node's own view is at fault
-  Mean mean_free_, mean_total_;
+  Mean mean_free_, mean_total_, mean_whole_;
   std::vector<Mean> zone_fill_ = std::vector<Mean>(s_.zones.size());
   double least_fill_ = 0;  // the deepest queue ever reported, as (negative) free slots by slots
   double learned_total_ = 0, learned_held_ = 0;
--- a/src/decisions/world.h
+++ b/src/decisions/world.h
@@ -19,24 +19,20 @@
 namespace rookgw::internal {
 
 inline constexpr Time kMs = 1000, kSecond = 1000 * kMs;
-inline constexpr Time kShrinkEvery = kSecond;     // least time between reductions of a set
-inline constexpr Time kRateMemory = 5 * kSecond;  // rates are averages over about this long
-inline constexpr Time kReportMemory =
-    1500 * kMs;  // a report's news fades to the fleet's mean over about this long
-inline constexpr Time kReportLag = 500 * kMs;  // own sends this long before a report came may not be in it
-inline constexpr Time kKeepGone =
-    30 * kSecond;  // news of attempts at a worker may still come after it is gone
-inline constexpr Time kTakePatience =
-    240 * kMs;  // workers that were well said within 160 ms that they have a job
-inline constexpr std::size_t kMostKeys = 20000;  // keys remembered; the oldest go first
-inline constexpr double kPoints = 16;            // ring points of a worker of mean size: evens out the arcs
+inline constexpr Time kShrinkEvery = kSecond;      // least time between reductions of a set
+inline constexpr Time kRateMemory = 5 * kSecond;   // rates are averages over about this long
+inline constexpr Time kReportMemory = 1500 * kMs;  // news fades to the fleet's mean over about this long
+inline constexpr Time kReportLag = 500 * kMs;     // own sends this long before a report came may not be in it
+inline constexpr Time kKeepGone = 30 * kSecond;   // attempts at a worker may still end after it is gone
+inline constexpr Time kTakePatience = 240 * kMs;  // well workers said within 160 ms that they have a job
+inline constexpr std::size_t kMostKeys = 20000;   // keys remembered; the oldest go first
+inline constexpr double kPoints = 16;             // ring points of a worker of mean size: evens out the arcs
 inline constexpr double kMostPoints = 64;
 inline constexpr std::size_t kRankAll = 8;  // sets up to this size are ranked, wider ones sampled
 inline constexpr double kLeastRoom = 0.5;   // of a worker's slots: keeps sets narrow where nothing is free
 inline constexpr double kAimWork = 0.6;     // of a run, on the safe side, is own work that stretches the aim
 inline constexpr double kHopeWork = 0.8;    // the same, on the other safe side, for calling off what was sent
-inline constexpr double kZoneGap =
-    0.1;  // of a zone's slots free: under it keys cross to zones emptier by as much
+inline constexpr double kZoneGap = 0.1;     // free slots: under it keys cross to zones emptier by as much
 inline constexpr std::size_t kOverflow = 2;  // workers looked at past a set in which none can start the job
 inline constexpr double kMostProbes = 3, kProbers = 12;  // probes a job, up to so many nodes by that
 inline constexpr int kSamples = 4;
@@ -85,6 +81,7 @@
   // Room
   Time report_at = -1, full_at = 0;
   double free = 0, usual_free = 0, most_free = 0, least_free = -1, learned = 0, held = 0, elsewhere = 0;
+  Mean whole;  // slots, free and in use
   std::vector<Move> moves;
   // Health
   int unstarted = 0, strikes = 0;
@@ -125,9 +122,8 @@
 struct RateMeter {
   double count = 0;
   Time at = 0;
-  void Add(Time now) { count = Decayed(now) + 1, at = now; }
-  double Decayed(Time now) const { return count * std::exp(-static_cast<double>(now - at) / kRateMemory); }
-  double Rate(Time now) const { return Decayed(now) / kRateMemory; }
+  void Add(Time now) { count = Rate(now) * kRateMemory + 1, at = now; }
+  double Rate(Time now) const { return count / kRateMemory * std::exp(1.0 * (at - now) / kRateMemory); }
 };
 class World {
  public:
--- a/tests/holdings_test.cpp
+++ b/tests/holdings_test.cpp
@@ -140,34 +140,102 @@
   for (const auto& [runner, slots] : b.heard.held) EXPECT_EQ(slots, 0) << runner;
 }
 
-// A hundred nodes with one old report: what the others hold keeps this one from the runner that looks free.
-TEST(Elsewhere, ANodeDoesNotCrowdARunnerThatOthersHaveFilled) {
-  rookgw::Settings s;
-  s.instances = 100, s.max_attempts = 2, s.probes = true, s.reports_slots = true;
-  s.reports = rookgw::Settings::Reports::kProbe;
-  s.classes.push_back({.name = "c", .aim = 300000, .deadline = 5000000});
-  rookgw::LoadReport idle;
-  idle.free_slots = 5, idle.active = 0;
-  rookgw::RequestArrived job;
-  job.id = 1, job.key = 7, job.valid_until = 5000000;
-  const auto first_choice = [&](double elsewhere_at_home, std::string but) {
-    rookgw::Brain brain(s, 1);
-    std::vector<rookgw::Action> actions;
-    brain.Start(1, &actions);
-    const std::vector<rookgw::ListedWorker> list{{.id = "r1"}, {.id = "r2"}};
-    brain.Handle(2, rookgw::ListChanged{rookgw::ListChanged::Form::kWhole, 1, list}, &actions);
-    for (const char* id : {"r1", "r2"}) brain.Handle(3, rookgw::ProbeEnded{id, true, 1, idle}, &actions);
-    if (!but.empty()) brain.Handle(4, rookgw::Elsewhere{but, elsewhere_at_home}, &actions);
-    actions.clear();
-    brain.Handle(5, job, &actions);
-    for (const auto& action : actions)
+// One of a hundred nodes, with two workers, told by the others what they hold.
+class Elsewhere : public testing::Test {
+ protected:
+  static rookgw::Settings Site() {
+    rookgw::Settings s;
+    s.instances = 100, s.max_attempts = 2, s.probes = true, s.reports_slots = true;
+    s.reports = rookgw::Settings::Reports::kProbe;
+    s.cold_share = 0.3, s.ramp_time = 10 * kSecond, s.overload_factor = 4, s.overload_for = kSecond;
+    s.classes.push_back({.name = "c", .aim = 300000, .deadline = 5000000});
+    return s;
+  }
+  void SetUp() override { brain_.Start(1, &actions_); }
+  void Tell(const rookgw::Event& event) {
+    actions_.clear();
+    brain_.Handle(now_ += 1000, event, &actions_);
+  }
+  void List(Time first_since) {
+    const std::vector<rookgw::ListedWorker> list{{.id = "r1", .since = first_since}, {.id = "r2"}};
+    Tell(rookgw::ListChanged{rookgw::ListChanged::Form::kWhole, 1, list});
+  }
+  // No reports come: the node goes by what the others tell.
+  void Sweep() { Tell(rookgw::TimerFired{"sweep"}); }
+  void Report(const std::string& worker, double free, double active) {
+    rookgw::LoadReport report;
+    report.free_slots = free, report.active = active;
+    Tell(rookgw::ProbeEnded{worker, true, 1, report});
+  }
+  std::string Place(std::uint64_t key) {  // where one more job goes, empty: it waits
+    rookgw::RequestArrived job;
+    job.id = ++jobs_, job.key = key, job.valid_until = now_ + 5 * kSecond;
+    Tell(job);
+    for (const auto& action : actions_)
       if (const auto* sent = std::get_if<rookgw::Dispatch>(&action)) return sent->worker;
-    return std::string();
-  };
-  const std::string home = first_choice(0, "");
-  ASSERT_FALSE(home.empty());
-  EXPECT_EQ(first_choice(4, home), home);
-  EXPECT_EQ(first_choice(5, home), home == "r1" ? "r2" : "r1");
+    return {};
+  }
+
+  rookgw::Brain brain_{Site(), 1};
+  std::vector<rookgw::Action> actions_;
+  Time now_ = 100 * kSecond;
+  std::uint64_t jobs_ = 0;
+};
+
+TEST_F(Elsewhere, ANodeDoesNotCrowdARunnerThatOthersHaveFilled) {
+  List(0);
+  for (const char* id : {"r1", "r2"})
+    for (int i = 0; i < 3; ++i) Report(id, 5, 0);
+  Sweep();
+  const std::string home = Place(7), other = home == "r1" ? "r2" : "r1";
+  Tell(rookgw::Elsewhere{home, 2}), Tell(rookgw::Elsewhere{other, 4});
+  EXPECT_EQ(Place(7), home);
+  Tell(rookgw::Elsewhere{home, 4});
+  EXPECT_EQ(Place(7), other);
+}
+
+// Reports made while a worker is full show no free slots; they must not be taken for a small worker.
+TEST_F(Elsewhere, ReportsOfFullWorkersDoNotMakeThemLookSmall) {
+  List(0);
+  for (int i = 0; i < 3; ++i) Report("r1", 1, 4), Report("r2", 1, 4);
+  for (int i = 0; i < 300; ++i) Report("r1", 0, 5), Report("r2", 0, 5);
+  Sweep();
+  Tell(rookgw::Elsewhere{"r1", 4}), Tell(rookgw::Elsewhere{"r2", 4});
+  const std::string first = Place(7);
+  EXPECT_FALSE(first.empty());
+  EXPECT_EQ(Place(7), first == "r1" ? "r2" : "r1");
+}
+
+// All nodes together may have at a cold worker what it can run, and this one need not wait for its hundredth.
+TEST_F(Elsewhere, AColdWorkerHoldsWhatItCanRunAndNoMore) {
+  List(now_);
+  for (const char* id : {"r1", "r2"})
+    for (int i = 0; i < 3; ++i) Report(id, 5, 0);
+  Sweep();
+  Tell(rookgw::Elsewhere{"r2", 200});  // the warm one is full, as all know
+  int taken = 0;
+  for (std::uint64_t key = 0; key < 20; ++key) taken += Place(key) == "r1";
+  EXPECT_EQ(taken, 1);  // 0.3 of five slots
+  now_ += 5 * kSecond;
+  Tell(rookgw::Elsewhere{"r1", 0});
+  taken = 0;
+  for (std::uint64_t key = 20; key < 40; ++key) taken += Place(key) == "r1";
+  EXPECT_EQ(taken, 2);  // 0.65 of them, less the one that it has
+}
+
+// Where jobs and so reports are many, what is told changes nothing: small tiers stay as they were.
+TEST_F(Elsewhere, IsPassedOverWhereReportsAreFresh) {
+  List(0);
+  for (std::uint64_t key = 0; key < 200; ++key) {
+    rookgw::AttemptEnded served;
+    served.worker = Place(key), served.id = jobs_, served.complete = true;
+    Tell(served);
+  }
+  Sweep();
+  for (const char* id : {"r1", "r2"})
+    for (int i = 0; i < 3; ++i) Report(id, 5, 0);
+  Tell(rookgw::Elsewhere{"r1", 1e5}), Tell(rookgw::Elsewhere{"r2", 1e5});
+  EXPECT_FALSE(Place(8).empty());
 }
 
 }  // namespace
