--- a/src/decisions/health.h
+++ b/src/decisions/health.h
@@ -50,7 +50,6 @@
   // take turns.
   bool ColdMayTake(Worker& w, const Request& r) {
     if (Told(w)) return Free(w) >= r.slots;
-
     if (w.budget_at == 0) {
       const double place = 1.0 * ((s_.ordinal + w.hash % s_.instances) % s_.instances) / s_.instances;
       w.budget = -place * RunTime(0) / kSecond;
