--- a/src/peers/holdings.h
+++ b/src/peers/holdings.h
@@ -38,9 +38,9 @@
 
 class Holdings {
  public:
-  static constexpr std::size_t kMostBytes = 256;     // of a datagram, by PROTOCOL
-  static constexpr Time kGatherEnds = kSecond / 10;  // fewer slots can wait for company, more cannot
-  static constexpr Time kFade = 6 * kSecond;         // a job's longest stay, with a little to spare
+  static constexpr std::size_t kMostBytes = 256;          // of a datagram, by PROTOCOL
+  static constexpr Time kGatherEnds = 20 * kMillisecond;  // fewer slots can wait for company, more cannot
+  static constexpr Time kFade = 6 * kSecond;              // a job's longest stay, with a little to spare
   static constexpr Time kAgree = 4 * kSecond;
   static constexpr Time kGreetEvery = 4 * kSecond;
 
