Drop told failures of classes that are none, keep told sums whole; xxHash for runner ids

Cause, found on reading the change again. Holdings passed on any class 0 to 3, and Brain looks it up with at(): on a site of two classes two datagrams naming class 2 ended the program. Name cleared the sums when it had named 4,096 runners while peers' words stayed, so that sums went below nothing, and inner names were not bounded at all. News of runners of no known zone went out as a second stream, whose numbers made receivers drop good datagrams as older. FNV-1a was written a second time. Failures told by others also counted in small tiers, which are to stay as before.

--- a/src/decisions/brain.cpp
+++ b/src/decisions/brain.cpp
@@ -136,7 +136,7 @@
     auto it = index_.find(e.worker);
     if (it == index_.end()) return;
     Worker& w = workers_[it->second];
-    if (e.failing != kNone) return Doubt(e.failing, w.trust.at(e.failing), 1);
+    if (e.failing != kNone) return scarce_ ? Doubt(e.failing, w.trust.at(e.failing), 1) : void();
     w.elsewhere = e.slots, told_at_ = now_;
   }
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -43,7 +43,8 @@
   Peers(asio::io_context& io, const Config& config, Deadlines* deadlines, TransactionTable* core)
       : deadlines_(deadlines),
         core_(core),
-        holdings_(config.seed, ZoneToHear(config.site.settings), this),
+        holdings_(config.seed, ZoneToHear(config.site.settings),
+                  static_cast<int>(config.site.settings.classes.size()), this),
         transport_(io, config.peers, &holdings_, deadlines) {}
 
   void Start() { transport_.Start(); }
@@ -58,7 +59,12 @@
   void Held(const std::string& runner, int slots) override { core_->HeldElsewhere(runner, slots); }
   void Failing(const std::string& runner, int cls) override { core_->FailingElsewhere(runner, cls); }
   void Name(const RouteNews& news) {
-    for (const Route& route : news.members) holdings_.Name(route.runner.id, route.runner.zone);
+    if (news.complete) holdings_.ForgetAll();
+    for (const Route& route : news.members)
+      if (route.runner.state == rookgw::ListedWorker::State::kGone)
+        holdings_.Forget(route.runner.id);
+      else
+        holdings_.Name(route.runner.id, route.runner.zone);
   }
 
  private:
@@ -122,9 +128,9 @@
   Watch watch(io, config.discovery, config.site, config.seed, &routes, &deadlines,
               [&core, &peers](const RouteNews* news) {
                 if (news == nullptr) return core.RoutesChanged(Form::kFailed, 0, {});
-                peers.Name(*news);
                 core.RoutesChanged(news->complete ? Form::kWhole : Form::kPatch, news->revision,
                                    RunnersOf(*news));
+                peers.Name(*news);
               });
   WatchPort discovery(&watch);
   Branches branches(io, branch_settings, &routes, &deadlines, &core);
@@ -132,9 +138,9 @@
       io, caller_settings, [&routes] { return !routes.empty(); }, &deadlines, &core, &branches);
 
   routes.Apply(config.known);
-  peers.Name(config.known);
   core.Start(&branches, &discovery, StartPeers(config, &peers));
   core.RoutesChanged(Form::kSaved, config.known.revision, RunnersOf(config.known));
+  peers.Name(config.known);
   watch.Ask();  // also where the settings say that news comes unasked: on sockets it never does
   callers.Start();
   std::cerr << config.name << " serves at " << callers.address() << std::endl;
--- a/src/peers/holdings.cpp
+++ b/src/peers/holdings.cpp
@@ -1,5 +1,8 @@
 #include "peers/holdings.h"
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -10,7 +13,6 @@
 constexpr int kVersion = 1;
 constexpr std::size_t kEntry = 2;
 constexpr int kMostSlots = 11, kFailed = 12, kMostClasses = 4;
-constexpr std::size_t kMostNamed = 4096;
 
 void Append(std::string* bytes, std::uint16_t entry) {
   *bytes += static_cast<char>(entry >> 8);
@@ -21,26 +23,31 @@
 
 }  // namespace
 
-Holdings::Holdings(std::uint64_t seed, int zone, HoldingsHeard* heard)
-    : life_(static_cast<int>(seed % 8)), zone_(zone), heard_(heard) {}
+Holdings::Holdings(std::uint64_t seed, int zone, int classes, HoldingsHeard* heard)
+    : life_(static_cast<int>(seed % 8)), zone_(zone), classes_(classes), heard_(heard) {}
 
 std::uint16_t Holdings::Short(std::string_view runner) {
-  std::uint64_t hash = 0xcbf29ce484222325ULL;  // FNV-1a, folded: the same at every dispatcher
-  for (const unsigned char c : runner) hash = (hash ^ c) * 0x100000001b3ULL;
-  return static_cast<std::uint16_t>((hash ^ hash >> 12 ^ hash >> 24 ^ hash >> 36 ^ hash >> 48) & 0xfff);
+  return static_cast<std::uint16_t>(XXH64(runner.data(), runner.size(), 0) & 0xfff);
 }
 
 void Holdings::Name(const std::string& runner, int zone) {
   const std::uint16_t id = Short(runner);
-  if (names_.size() >= kMostNamed) names_.clear(), others_.clear();
-  names_[id][runner] = zone_ == kNoZone ? kNoZone : zone;
+  names_[id][runner] = zone_ == kNoZone || zone < 0 ? zone_ : zone;
+  const auto told = others_.find(id);
+  if (told != others_.end()) heard_->Held(runner, told->second);
+}
+
+void Holdings::Forget(const std::string& runner) {
+  const auto named = names_.find(Short(runner));
+  if (named != names_.end() && named->second.erase(runner) > 0 && named->second.empty()) names_.erase(named);
 }
 
+// A receiver is in one zone and so hears one stream, whose datagrams it can order by their numbers.
 Holdings::Stream& Holdings::StreamFor(const std::string& runner) {
   const auto named = names_.find(Short(runner));
-  if (zone_ == kNoZone || named == names_.end()) return streams_[kNoZone];
+  if (named == names_.end()) return streams_[zone_];
   const auto zone = named->second.find(runner);
-  return streams_[zone == named->second.end() ? kNoZone : zone->second];
+  return streams_[zone == named->second.end() ? zone_ : zone->second];
 }
 
 void Holdings::Due(Time at) {
@@ -120,6 +127,7 @@
   const std::uint16_t runner = entry >> 4;
   const int said = entry & 0xf;
   if (said >= kFailed) {
+    if (said - kFailed >= classes_) return void(++dropped_);
     auto& [accuser, at] = accused_[entry];
     const bool agreed = at != 0 && accuser != number && now - at < kAgree;
     accuser = number, at = now;
@@ -146,7 +154,7 @@
 
 int Holdings::ZoneOf(int peer) const {
   const auto it = peers_.find(peer);
-  return it == peers_.end() ? kEverybody : it->second.zone;
+  return it == peers_.end() ? kUnheard : it->second.zone;
 }
 
 void Holdings::Fade(Time now) {
--- a/src/peers/holdings.h
+++ b/src/peers/holdings.h
@@ -6,12 +6,12 @@
 // once.
 //
 // A datagram is one head byte (two bits version, three life, three number) and either the sender's zone in
-// one byte (a greeting) or up to 85 entries of two bytes: twelve bits of the hash of the runner's id and four
-// of what is said of it. 0 to 11: the sender now holds so many slots there (11: or more); 12 to 15: it failed
-// a job of class 0 to 3. Holdings are absolute, so what is lost is made good by the next word on the same
-// runner, and what comes twice changes nothing. What a peer said fades when it says no more of it; another
-// life of the sender takes back all that the last one said. Runners that share their twelve bits all count as
-// holding the sum.
+// one byte (a greeting) or up to 85 entries of two bytes: twelve bits of the xxHash of the runner's id and
+// four of what is said of it. 0 to 11: the sender now holds so many slots there (11: or more); 12 to 15: it
+// failed a job of class 0 to 3. Holdings are absolute, so what is lost is made good by the next word on the
+// same runner, and what comes twice changes nothing. What a peer said fades when it says no more of it;
+// another life of the sender takes back all that the last one said. Runners that share their twelve bits all
+// count as holding the sum.
 //
 // Others' word is bounded: a peer adds at most 11 slots to a runner, and a failure counts only when two peers
 // have told of one within kAgree.
@@ -45,16 +45,20 @@
   static constexpr Time kGreetEvery = 4 * kSecond;
 
   struct Datagram {
-    int zone;  // for the peers of this zone; kEverybody
+    int zone;  // for the peers of this zone; kNoZone: for all
     std::string bytes;
   };
-  static constexpr int kNoZone = 255, kEverybody = -1;
+  static constexpr int kNoZone = 255, kUnheard = -1;
 
   // `seed` marks this life. `zone`: which runners' news this dispatcher wants, kNoZone: the same for all.
-  Holdings(std::uint64_t seed, int zone, HoldingsHeard* heard);
+  // `classes`: how many there are; a failure in another is dropped and counted.
+  Holdings(std::uint64_t seed, int zone, int classes, HoldingsHeard* heard);
 
   // A runner of the list and its zone: what is told of others is passed over until they are named.
+  // A zone not known (below 0) counts as the own one. What was told of it before is heard now.
   void Name(const std::string& runner, int zone);
+  void Forget(const std::string& runner);  // it has left the list
+  void ForgetAll() { names_.clear(); }     // a whole list comes
 
   // This dispatcher holds so many slots more (or fewer) at a runner; the runner failed a job of this class.
   void Hold(const std::string& runner, double slots, Time now);
@@ -71,7 +75,7 @@
   // in a life not met before knows nobody: `greet` says that it is to be greeted.
   bool Hear(int peer, std::string_view bytes, Time now, bool* greet);
 
-  int ZoneOf(int peer) const;  // kEverybody: not heard of yet
+  int ZoneOf(int peer) const;  // kUnheard: it has not greeted yet
 
   // Lets what has not been said again for kFade go. Called now and then.
   void Fade(Time now);
@@ -84,7 +88,7 @@
     Time at = 0;
   };
   struct Peer {
-    int life = -1, number = -1, zone = kEverybody;
+    int life = -1, number = -1, zone = kUnheard;
     Time heard = 0;
     std::map<std::uint16_t, Told> told;
   };
@@ -100,7 +104,7 @@
   void Entry(Peer& peer, int number, std::uint16_t entry, Time now);
   void Add(std::uint16_t runner, int slots);
 
-  const int life_, zone_;
+  const int life_, zone_, classes_;
   HoldingsHeard* heard_;
   Time due_at_ = 0;
   std::map<std::uint16_t, double> held_;                       // own
