--- a/src/decisions/brain.cpp
+++ b/src/decisions/brain.cpp
@@ -153,7 +153,7 @@
       Act(SetTimer{kSweepEvery, "sweep"});
       EndDue();
       FindSilent();
-      BalanceZones();
+      CountFree(), BalanceZones();
       SendProbes();
       ServeWaiting(16);
       if (s_.list_on_request && !subscribed_ && now_ >= ask_at_) AskForList();
@@ -164,15 +164,13 @@
     while (!due_.empty() && Find(due_.top().second) == nullptr) due_.pop();
     if (due_.empty()) return;
     const Time next = std::max(due_.top().first, now_ + 1);
-    if (armed_ > now_ && armed_ <= next)
-      return;  // one timer at a time: each re-arming would come back as well
+    if (armed_ > now_ && armed_ <= next) return;  // one timer at a time: each armed comes back as well
     armed_ = next;
     Act(SetTimer{armed_ - now_, "due"});
   }
 
   Time armed_ = 0;
-  std::vector<Time> longest_wait_ =
-      std::vector<Time>(s_.classes.size());  // by class: arrival to patience's end
+  std::vector<Time> longest_wait_ = std::vector<Time>(s_.classes.size());  // by class: to patience's end
   std::uint64_t turns_ = 0;
 };
 
--- a/src/decisions/gate.h
+++ b/src/decisions/gate.h
@@ -100,9 +100,8 @@
 
   bool Hopeless(const Request& r) const {
     if (!DropsHopeless(r) || r.attempts.empty()) return false;
-    for (const Attempt& a : r.attempts)
-      if (a.fate == Fate::kOut && a.started != 0) return false;
-    return now_ >= HopelessAt(r);
+    const Attempt& last = r.attempts.back();
+    return now_ >= HopelessAt(r) && (last.fate != Fate::kOut || last.started == 0);
   }
 
   std::set<std::tuple<double, std::uint64_t, RequestId>> waiting_;  // most worth first, then oldest
--- a/src/decisions/placing.h
+++ b/src/decisions/placing.h
@@ -47,30 +47,28 @@
     if (needed == 0) needed = members_.size();
     if (needed >= key.width || now_ - key.shrunk >= kShrinkEvery) key.width = needed, key.shrunk = now_;
     const std::size_t width = std::min(key.width, members_.size());
-    const int best = LeastLoaded(r, width);
+    const int best = LeastLoaded(width);
     // A job that would queue in its set looks past it first: a new copy costs less than a wait, and where a
     // few keys draw much of the traffic their sets would queue beside idle workers.
     if (Idle(best, r)) return Send(r, best);
     members_.insert(members_.end(), across_.begin(), across_.end());
-    for (std::size_t i = width; i < members_.size(); ++i)  // the nearest, so that overflow stays together too
+    const bool chase = chase_ >= 1 || random_() % 1024 < 1024 * chase_;
+    for (std::size_t i = width; chase && i < members_.size(); ++i)  // the nearest: overflow stays together
       if (Idle(members_[i], r)) return Send(r, members_[i]);
     return Usable(best, r) && Send(r, best);
   }
 
   // Nodes that share a set hold the same old reports: in wide sets each ranks a few members drawn by its own
   // seed, so that they do not all crowd the one that looked best.
-  int LeastLoaded(const Request& r, std::size_t width) {
+  int LeastLoaded(std::size_t width) {
     int best = members_[0];
     double least = std::numeric_limits<double>::infinity();
     const bool rank = width <= kRankAll;
-    for (std::size_t i = 0; i < (rank ? width : kSamples); ++i) {
+    for (std::size_t i = 0; i < std::min(width, kRankAll); ++i) {
       const int w = members_[rank ? i : random_() % width];
       const double load = 1 - Free(workers_[w]) / Total(workers_[w]);
       if (load < least) least = load, best = w;
     }
-    if (rank || Usable(best, r)) return best;
-    for (std::size_t i = 0; i < width; ++i)
-      if (Usable(members_[i], r)) return members_[i];
     return best;
   }
 
@@ -78,12 +76,21 @@
   // Where the own zone is fuller than the others, a share of the keys has its sets on the ring of all zones:
   // the same keys at every node that sees the same, so that they keep their copies.
   bool Across(int index, const Request& r) const {
-    if (s_.fee_cross_zone <= 0 || s_.my_zone == kNone || workers_[index].zone == s_.my_zone) return false;
+    if (!Zoned() || workers_[index].zone == s_.my_zone) return false;
     return static_cast<double>(Mix(r.hash) >> 11) * 0x1p-53 >= spill_;
   }
 
+  // Free slots that all nodes of the zone see are chased by all that have jobs to place before the next news:
+  // each chases with the chance that leaves as many takers as there are slots.
+  void CountFree() {
+    double free = 1e-9;
+    for (int i : listed_) free += Told(workers_[i]) ? std::max(0.0, Free(workers_[i])) : 0;
+    const double takers = (arrivals_.Rate(now_) * kSweepEvery + waiting_.size()) * Nodes();
+    chase_ = Told() ? std::min(1.0, free / takers) : 1;
+  }
+
   void BalanceZones() {
-    if (s_.fee_cross_zone <= 0 || s_.my_zone == kNone) return;
+    if (!Zoned()) return;
     Mean others;
     for (std::size_t z = 0; z < zone_fill_.size(); ++z)
       if (static_cast<int>(z) != s_.my_zone && zone_fill_[z].weight > 0) others.Add(zone_fill_[z].value);
@@ -177,6 +184,7 @@
 
   std::vector<int> members_, across_;
   std::vector<RequestId> scratch_;
+  double chase_ = 1;  // chance that a job looks past its set
   double spill_ = 0;  // share of the keys whose sets are on the ring of all zones
   std::uint64_t walk_ = 0;
   std::vector<std::pair<Time, double>> quota_ = std::vector<std::pair<Time, double>>(s_.tenants.size());
--- a/src/decisions/ring.h
+++ b/src/decisions/ring.h
@@ -90,9 +90,8 @@
     ask_at_ = now_ + std::max<Time>(s_.ask_every / 2, kSecond);
   }
 
-  std::size_t HomeOf(std::uint64_t hash) const {
-    return std::lower_bound(ring_.begin(), ring_.end(), std::pair{hash, -1}) -
-           ring_.begin();  // past: the first
+  std::size_t HomeOf(std::uint64_t hash) const {  // the ring's size stands for its first point
+    return std::lower_bound(ring_.begin(), ring_.end(), std::pair{hash, -1}) - ring_.begin();
   }
 
   std::vector<std::pair<std::uint64_t, int>> ring_;  // hash and index of all listed workers
--- a/src/decisions/room.h
+++ b/src/decisions/room.h
@@ -113,8 +113,7 @@
     w.full_at = now_, full_seen_ = true;
   }
 
-  // Own reports are too scarce to go by, and the others tell what they hold: all that is out is known at
-  // once.
+  // Own reports are too scarce to go by, and others tell what they hold: all that is out is known.
   bool Told() const { return scarce_ && now_ - told_at_ < kReportMemory; }
   bool Told(const Worker& w) const { return Told() && (!Zoned() || w.zone == s_.my_zone); }
 
--- a/src/peers/relay.h
+++ b/src/peers/relay.h
@@ -39,7 +39,7 @@
  public:
   static constexpr int kMembers = 0, kWord = 2, kDigest = 3;  // versions
   static constexpr std::size_t kMostBytes = 256;              // of a datagram, by PROTOCOL
-  static constexpr Time kGather = 50 * kMillisecond;          // between digests: changes wait for company
+  static constexpr Time kGather = 20 * kMillisecond;          // between digests: changes wait for company
   static constexpr Time kBeat = 200 * kMillisecond;           // a digest comes at least so often
   static constexpr Time kRepeat = 250 * kMillisecond;   // a word comes at least so often while slots are held
   static constexpr Time kSilent = 600 * kMillisecond;   // a relay not heard for so long is none
