Give a job up by DELETE once its last byte is written: a crossing 202 made a second copy

Cause: Branches::GiveUp closed the connection where no 202 had been read, and called that given up. Ruled out: DELETEs that failed (10, all of requests that were over), answers that are no 202 (400 and 503 only), resets (none). Change: once the last byte is written a DELETE gives up, the branch counts as out until it is answered, and the job's connection stays till then; a runner that answers neither for 150 ms is closed on. So that a retry still comes in time, TryAgain goes on while a longer job than usual could be (HopelessAt), instead of up to the latest start of any.

--- a/src/branch/branches.cpp
+++ b/src/branch/branches.cpp
@@ -14,6 +14,7 @@
 
 constexpr Time kProbePatience = 500 * kMillisecond;  // a later answer would tell of another load
 constexpr Time kGiveUpPatience = kSecond;
+constexpr Time kUntakenPatience = 150 * kMillisecond;  // with a runner that has not even said 202
 
 std::string NameOf(const std::string& call_id, const std::string& runner) { return call_id + '\n' + runner; }
 
@@ -64,16 +65,20 @@
   Branch* branch = branches_.Find(handle);
   if (branch == nullptr || branch->stage == Stage::kGivingUp) return;
   deadlines_->Remove(&branch->alarm);
-  if (branch->stage == Stage::kTaken) {
-    // After the 202 only a DELETE gives it up, and it counts as out until that has gone through.
+  const Link* link = branch->stage == Stage::kSent ? links_.Find(branch->link) : nullptr;
+  if (branch->stage == Stage::kTaken || (link != nullptr && link->written)) {
+    // Once the runner may have said 202 only a DELETE gives it up, and it counts as out until that has gone
+    // through. A 202 may be on its way, so closing is what is left where no answer comes to the DELETE.
+    const Time patience = link != nullptr ? kUntakenPatience : kGiveUpPatience;
     branch->stage = Stage::kGivingUp;
     Exchange exchange;
     exchange.kind = Exchange::Kind::kGiveUp, exchange.branch = handle, exchange.outcome = outcome;
-    exchange.deadline = deadlines_->Now() + kGiveUpPatience, exchange.call_id = branch->job->call_id;
+    exchange.deadline = deadlines_->Now() + patience, exchange.call_id = branch->job->call_id;
     return Begin(std::string(branch->runner), std::move(exchange));
   }
-  // Before the 202 closing gives it up. A connection still coming up has sent nothing and may be of use yet.
-  if (branch->stage == Stage::kSent) DropLink(branch->link);
+  // Before the last byte closing gives it up. A connection still coming up has sent nothing and may be of
+  // use.
+  if (link != nullptr) DropLink(branch->link);
   EndBranch(handle, outcome);
 }
 
@@ -163,9 +168,11 @@
   link.written = false;
   deadlines_->Move(&link.alarm, exchange.deadline, [this, handle] {
     const Link* late = links_.Find(handle);
-    // A job's own alarm words the outcome; this one frees the connection of a job that is over already.
-    if (late->exchange.kind == Exchange::Kind::kJob) GiveUp(late->exchange.branch, Outcome::kTimeout);
-    if (links_.Find(handle) != nullptr) Broke(handle);
+    const Handle job = late->exchange.kind == Exchange::Kind::kJob ? late->exchange.branch : Handle{};
+    // A job's own alarm words the outcome, and one that is being given up drops its connection when it ends;
+    // this frees the connection of a job that is over already.
+    if (job) GiveUp(job, Outcome::kTimeout);
+    if (links_.Find(handle) != nullptr && branches_.Find(job) == nullptr) Broke(handle);
   });
   link.connection->Next();
   link.connection->Write(std::move(bytes), [this, handle](std::error_code error) {
@@ -256,8 +263,9 @@
   Branch* branch = branches_.Find(handle);
   if (branch == nullptr) return;  // its call-back was faster
   if (answer.status == 202) {
-    branch->stage = Stage::kTaken;
     branch->link = {};
+    if (branch->stage == Stage::kGivingUp) return;
+    branch->stage = Stage::kTaken;
     return core_->BranchNote(branch->ref, rookgw::AttemptNote::Kind::kTaken, 0);
   }
   rookgw::LoadReport report;
@@ -317,6 +325,7 @@
   if (branch == nullptr) return;
   const BranchRef ref = branch->ref;
   deadlines_->Remove(&branch->alarm);
+  if (branch->stage == Stage::kGivingUp) DropLink(branch->link);  // no 202 came on it
   by_name_.erase(NameOf(branch->job->call_id, branch->runner));
   branches_.Erase(handle);
   core_->BranchEnded(ref, outcome, report, std::move(result));
--- a/src/decisions/placing.h
+++ b/src/decisions/placing.h
@@ -137,7 +137,7 @@
   // After a failed attempt the walk goes on clockwise, past the workers already tried.
   void TryAgain(Request& r) {
     if (Open(r) > 0) return;
-    const bool pointless = now_ > r.latest_start || static_cast<int>(r.attempts.size()) >= s_.max_attempts ||
+    const bool pointless = now_ > HopelessAt(r) || static_cast<int>(r.attempts.size()) >= s_.max_attempts ||
                            (FirstThatMayHaveRun(r) != nullptr && s_.classes[r.cls].effect == Effect::kUnsafe);
     if (pointless) return End(r);
     if (!Place(r, DemandOf(r))) Wait(r);
--- a/tests/scenario_player.cpp
+++ b/tests/scenario_player.cpp
@@ -63,7 +63,7 @@
   std::string phase = "active";
   std::map<int, std::string> in;  // bytes that came, by connection
   std::vector<Message> inbox;     // what has come and is not expected yet
-  std::vector<int> unanswered;    // a runner's jobs, the oldest first
+  std::vector<int> unanswered;    // a runner's jobs and DELETEs, the oldest first
   int fd = -1;                    // a client's connection, or discovery's watch
   int spoken_on = -1;             // discovery's watch that has had its head
   int ended = 0;                  // connections that the other side ended
@@ -264,7 +264,8 @@
       actor.fd = message.fd, actor.spoken_on = -1;
       if (name == "d") Tell(name, true, runners_, false);
     }
-    if (message.first.starts_with("POST")) actor.unanswered.push_back(message.fd);
+    if (message.first.starts_with("POST") || message.first.starts_with("DELETE"))
+      actor.unanswered.push_back(message.fd);
     actor.inbox.push_back(message);
   }
 
@@ -361,7 +362,7 @@
     } else if (what == "jobs") {  // send C jobs CLASS COUNT: each on a connection of its own
       for (int i = 0; i < std::stoi(words.at(4)); ++i)
         Write(Connect(&actor), Job(words.at(3), who + std::to_string(i), ""));
-    } else {  // send R STATUS [HEADER:VALUE ...]: the answer to its oldest job
+    } else {  // send R STATUS [HEADER:VALUE ...]: the answer to its oldest job or DELETE
       Until("a job to answer", [&] { return !actor.unanswered.empty(); });
       Write(actor.unanswered.front(), Answer(what, "", Headers(words, 3)));
       actor.unanswered.erase(actor.unanswered.begin());
