Wait for a silent runner's DELETE as long as for a connection; one rule on older datagrams

Need, found on reading the change again: the 150 ms were a constant without a reason in the settings, and crossing_taken.scenario had to answer within them, which a slow sanitized run need not. The rule on datagrams that overtake one another stood in Holdings and Relay; now once, in sums.h.

--- a/src/branch/branches.cpp
+++ b/src/branch/branches.cpp
@@ -14,7 +14,6 @@
 
 constexpr Time kProbePatience = 500 * kMillisecond;  // a later answer would tell of another load
 constexpr Time kGiveUpPatience = kSecond;
-constexpr Time kUntakenPatience = 150 * kMillisecond;  // with a runner that has not even said 202
 
 std::string NameOf(const std::string& call_id, const std::string& runner) { return call_id + '\n' + runner; }
 
@@ -69,7 +68,8 @@
   if (branch->stage == Stage::kTaken || (link != nullptr && link->written)) {
     // Once the runner may have said 202 only a DELETE gives it up, and it counts as out until that has gone
     // through. A 202 may be on its way, so closing is what is left where no answer comes to the DELETE.
-    const Time patience = link != nullptr ? kUntakenPatience : kGiveUpPatience;
+    // A runner that has not even said 202 is waited for only as long as a connection to a live one may take.
+    const Time patience = link != nullptr ? settings_.connect_timeout : kGiveUpPatience;
     branch->stage = Stage::kGivingUp;
     Exchange exchange;
     exchange.kind = Exchange::Kind::kGiveUp, exchange.branch = handle, exchange.outcome = outcome;
--- a/src/peers/holdings.cpp
+++ b/src/peers/holdings.cpp
@@ -110,9 +110,7 @@
     if (relay_) relay_->Met(number, peer.zone);
     return true;
   }
-  // Datagrams overtake one another by milliseconds: soon after one, a number just behind it is older news.
-  if (peer.number >= 0 && now - peer.heard < kSecond / 10 && (peer.number - count + 8) % 8 < 4)
-    return ++dropped_, false;
+  if (IsOlder(peer.number, peer.heard, count, now)) return ++dropped_, false;
   peer.number = count, peer.heard = now;
   for (std::size_t at = 1; at < bytes.size(); at += kEntry) Entry(peer, number, EntryAt(bytes, at), now);
   return true;
--- a/src/peers/relay.cpp
+++ b/src/peers/relay.cpp
@@ -251,7 +251,8 @@
   Peer& from = peers_[peer];
   if (from.zone == kUnheard) Met(peer, zone_);  // it takes part here; a greeting may put it right
   Stream& stream = head >> 6 == kWord ? from.word : from.digest;
-  if (!InOrder(&stream, head & 7, now)) return false;
+  if (IsOlder(stream.number, stream.at, head & 7, now)) return false;
+  stream.number = head & 7, stream.at = now;
   bytes.remove_prefix(1);
   DropSilent(now);
   if (head >> 6 == kDigest && from.zone == zone_ && relays_.insert(peer).second) {
@@ -266,14 +267,6 @@
   return true;
 }
 
-// Datagrams overtake one another by milliseconds: soon after one, a number just behind it is older news.
-bool Relay::InOrder(Stream* stream, int number, Time now) {
-  if (stream->number >= 0 && now - stream->at < kSecond / 10 && (stream->number - number + 8) % 8 < 4)
-    return false;
-  stream->number = number, stream->at = now;
-  return true;
-}
-
 void Relay::Word(int peer, Stream* stream, std::string_view entries, Time now) {
   served_at_ = now;
   std::map<ShortId, Said> told;
--- a/src/peers/relay.h
+++ b/src/peers/relay.h
@@ -106,7 +106,6 @@
     Time told = 0, empty_since = 0;
   };
 
-  bool InOrder(Stream* stream, int number, Time now);
   void Choose(int zone, Group* group, Time now);
   bool Serves(Time now) const { return now - served_at_ < kServes; }
   void Word(int peer, Stream* stream, std::string_view entries, Time now);
--- a/src/peers/sums.h
+++ b/src/peers/sums.h
@@ -29,6 +29,12 @@
 std::uint16_t EntryAt(std::string_view bytes, std::size_t at);
 int SlotsToSay(double slots);
 
+// Datagrams, numbered 0 to 7, overtake one another by milliseconds: soon after one, a number just behind it
+// is older news. `last` below 0: there was none.
+inline bool IsOlder(int last, Time heard, int number, Time now) {
+  return last >= 0 && now - heard < kSecond / 10 && (last - number + 8) % 8 < 4;
+}
+
 class HoldingsHeard {
  public:
   virtual ~HoldingsHeard() = default;
