Rank a machine's speed against all kinds; own jobs bound free slots, however old the report

Seen: a probe at each wait showed jobs turned down at all ten workers, five of them idle, with Slowness 1.55 to 1.69 although there is one kind of machine only (demand.h, Slowness). It compared each run with the mean of its class so far; at a start short runs end first, so that later ones are all over that mean, and a stretch of 2 left no start in time. Second: reports are 0.5 to 1.9 s old there, and free slots were shown where own running jobs filled the worker (room.h, Free).

Change: speed is by kind over the same ratio of all kinds; free slots are at most the slots less own held ones; the mean size forgets sooner; RunTime falls back on the mean run.

--- a/src/decisions/brain.cpp
+++ b/src/decisions/brain.cpp
@@ -97,8 +97,9 @@
 
   void Learn(const Request& r, const Attempt& a, Worker& w, Outcome outcome) {
     if (outcome == Outcome::kServed) {
-      const double took = now_ - (a.started != 0 ? a.started : a.sent);
-      if (w.kind != kNone) kind_slowness_[w.kind].Add(took / RunTime(r.cls));
+      const double took = now_ - (a.started != 0 ? a.started : a.sent), slowness = took / RunTime(r.cls);
+      slowness_.Add(slowness);
+      if (w.kind != kNone) kind_slowness_[w.kind].Add(slowness);
       run_[r.cls].Add(took), run_all_.Add(took);
       Doubt(r.cls, w.trust[r.cls], -1);
     }
@@ -108,8 +109,7 @@
     else if (outcome != Outcome::kCancelled && outcome != Outcome::kMoot)
       SignOfLife(w);
     if (FleetWide()) return;
-    const double had = w.held + r.slots;
-    const double was = w.learned;
+    const double had = w.held + r.slots, was = w.learned;
     if (outcome == Outcome::kServed) w.learned = std::max(w.learned, had) + r.slots / std::max(had, 1.0);
     if (outcome == Outcome::kFull || outcome == Outcome::kTimeout)
       w.learned = std::max(1.0, 0.8 * std::min(had, w.learned > 0 ? w.learned : had));
--- a/src/decisions/demand.h
+++ b/src/decisions/demand.h
@@ -34,16 +34,15 @@
   // Crossing zones is charged: the own zone's workers come first.
   bool Zoned() const { return s_.fee_cross_zone > 0 && s_.my_zone != kNone && !s_.zones.empty(); }
 
-  // Mean run time of the class; before its first samples that of all classes, before any the class's aim.
+  // Mean run time of the class; before its first samples that of all classes.
   double RunTime(int cls) const {
-    const double fallback = run_all_.weight >= 5 ? run_all_.value : static_cast<double>(s_.classes[cls].aim);
-    return std::max<double>(kMs, run_[cls].weight >= 5 ? run_[cls].value : fallback);
+    return run_[cls].weight >= 5 ? std::max<double>(kMs, run_[cls].value) : MeanRun();
   }
 
-  // Run time on this kind of machine, by the mean of all.
+  // Run time on this kind of machine by that of all kinds: while runs get longer, each is over its mean.
   double Slowness(const Worker& w) const {
     if (w.kind == kNone || kind_slowness_[w.kind].weight < 20) return 1;
-    return std::clamp(kind_slowness_[w.kind].value, 0.25, 4.0);
+    return std::clamp(kind_slowness_[w.kind].value / std::max(slowness_.value, 1e-9), 0.25, 4.0);
   }
 
   double MeanRun() const {
@@ -58,7 +57,7 @@
   std::unordered_map<std::uint64_t, Key> keys_;  // walked only to forget the oldest
   std::vector<Mean> run_ = std::vector<Mean>(s_.classes.size());
   std::vector<Mean> kind_slowness_ = std::vector<Mean>(s_.kinds.size());
-  Mean run_all_;
+  Mean run_all_, slowness_;
   RateMeter arrivals_;
 };
 
--- a/src/decisions/room.h
+++ b/src/decisions/room.h
@@ -25,6 +25,7 @@
     }
     for (const Move& m : w.moves)
       if (m.at > w.report_at - kReportLag) free -= m.slots;
+    free = std::min(free, total - w.held);  // however old the report is, own jobs are there
     // A job of this node's that has not started tells at once how long the queue is, whatever reports say.
     if (s_.starts_told && w.unstarted > 0 && !blind_)
       free = std::min(free, 1 - (now_ - w.silent_since) / MeanRun() * total);
@@ -100,7 +101,7 @@
     w.least_free = std::min(w.least_free, w.free);
     w.report_at = now_;
     std::erase_if(w.moves, [this](const Move& m) { return m.at <= now_ - kReportLag; });
-    mean_total_.Add(w.most_free);
+    mean_total_.Add(w.most_free, 60);
     if (whole) w.whole.Add(*report.free_slots + *report.active), mean_whole_.Add(w.whole.value);
     mean_free_.Add(w.free / Total(w));
     if (w.zone != kNone) zone_fill_[w.zone].Add(w.free / Total(w), 50);
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -407,6 +407,36 @@
 
 // ---- Health ----------------------------------------------------------------------------------------------
 
+TEST(Room, OwnJobsFillAWorkerHoweverOldItsReportIs) {  // reports two seconds old said that it was free
+  Node node;
+  node.ListMany(8, 4);
+  const std::string home = node.Ask(1);
+  node.Started(1);
+  for (RequestId id = 2; id <= 4; ++id) {
+    ASSERT_EQ(node.Ask(id), home);
+    node.Started(id);
+  }
+  node.Run(800 * kMs);
+  for (int w = 0; w < 8; ++w) node.Report("w" + std::to_string(w), 4);
+  const std::string next = node.Ask(5);
+  EXPECT_NE(next, "");
+  EXPECT_NE(next, home);
+}
+
+TEST(Room,
+     RunsThatGetLongerDoNotMakeTheOnlyKindSlow) {  // one calm day in eight refused from its first second
+  Node node;
+  node.ListMany(8, 6);
+  for (RequestId id = 1; id <= 30; ++id) {
+    const std::string worker = node.Ask(id, id);
+    ASSERT_NE(worker, "") << id;
+    node.Started(id);
+    node.Run(static_cast<Time>(id) * 60 * kMs);
+    node.Ended(id, worker, Outcome::kServed, 0, Reported(6));
+  }
+  EXPECT_NE(node.Ask(31, 31), "");
+}
+
 TEST(Health, AWorkerThatNeverStartsItsJobsIsPutAside) {
   Node node;
   node.ListMany(10, 6);
