Pass over kept connections of an age at which runners' machines drop them unsaid

At fault: Branches::IdleLink took any kept connection, for up to four fifths of the idle time of the settings, 8 s there. Ruled out: one limit of age a runner (ages at the break are spread alike at all), connections broken in mid-request.

Change: branch/kept_links.h tallies by age how exchanges over kept connections fared, pure; a job goes over a new connection where kept ones as old broke clearly more often than new ones do. Probes and DELETEs go over any and show when it is over. The passed-over one is closed, so runners hold no more connections than before.

--- a/src/branch/branches.cpp
+++ b/src/branch/branches.cpp
@@ -95,9 +95,10 @@
   exchange.began = deadlines_->Now();
   const Route* route = routes_->Find(runner);
   if (route == nullptr || route->host.empty()) return Failed(exchange, runner, Outcome::kConnectFailed);
-  Handle handle = IdleLink(*route);
+  Handle handle = IdleLink(*route, exchange.kind == Exchange::Kind::kJob);
   if (handle) {
-    links_.Find(handle)->exchange = std::move(exchange);
+    Link& kept = *links_.Find(handle);
+    kept.exchange = std::move(exchange), kept.kept = deadlines_->Now() - kept.idle_since;
     return Transmit(handle);
   }
   if (links_.full() && !EvictIdleLink()) return Failed(exchange, runner, Outcome::kConnectFailed);
@@ -124,15 +125,21 @@
   });
 }
 
-Handle Branches::IdleLink(const Route& route) {
+// One that is not fit for a job is closed, so that the new one in its place does not add to what runners
+// hold.
+Handle Branches::IdleLink(const Route& route, bool for_job) {
   std::vector<Handle>& idle = idle_[route.runner.id];
+  const Time now = deadlines_->Now();
   while (!idle.empty()) {
     const Handle handle = idle.back();
     idle.pop_back();
     Link* link = links_.Find(handle);
     if (link == nullptr) continue;
-    if (link->address == route.address && !link->connection->HasUnread()) return handle;
+    const bool usable = link->address == route.address && !link->connection->HasUnread();
+    const bool unfit = usable && for_job && kept_links_.Unfit(now - link->idle_since, now);
+    if (usable && !unfit) return handle;
     DropLink(handle);
+    if (unfit) return {};
   }
   return {};
 }
@@ -187,6 +194,7 @@
   Link* link = links_.Find(handle);
   const Exchange exchange = std::exchange(link->exchange, {});
   const std::string runner = link->runner;
+  kept_links_.Note(link->kept, false, deadlines_->Now());
   const bool reusable = answer.keep_alive && link->written && exchange.kind != Exchange::Kind::kNone;
   if (reusable)
     Rest(handle);
@@ -214,6 +222,8 @@
   const Exchange exchange = std::exchange(link->exchange, {});
   const Outcome outcome = link->up && link->written ? Outcome::kReset : Outcome::kConnectFailed;
   const std::string runner = link->runner;
+  if (link->up && exchange.kind != Exchange::Kind::kNone)
+    kept_links_.Note(link->kept, true, deadlines_->Now());
   DropLink(handle);
   Failed(exchange, runner, outcome);
 }
@@ -236,6 +246,7 @@
 void Branches::Rest(Handle handle) {
   Link* link = links_.Find(handle);
   link->exchange = {};
+  link->idle_since = deadlines_->Now();
   idle_[link->runner].push_back(handle);
   deadlines_->Move(&link->alarm, deadlines_->Now() + settings_.idle_close * 4 / 5,
                    [this, handle] { DropLink(handle); });
--- a/src/branch/branches.h
+++ b/src/branch/branches.h
@@ -12,6 +12,7 @@
 
 #include "base/deadlines.h"
 #include "base/slots.h"
+#include "branch/kept_links.h"
 #include "core/ports.h"
 #include "core/transactions.h"
 #include "decisions/settings.h"
@@ -71,11 +72,12 @@
     asio::ip::tcp::endpoint address;
     Exchange exchange;
     bool up = false, written = false;
+    Time idle_since = 0, kept = KeptLinks::kNew;  // kept: how long it had stood idle before this exchange
     Deadlines::Key alarm;
   };
 
   void Begin(const std::string& runner, Exchange exchange);
-  Handle IdleLink(const Route& route);
+  Handle IdleLink(const Route& route, bool for_job);
   void Transmit(Handle handle);
   void Answered(Handle handle, const HttpMessage& answer);
   void Broke(Handle handle);
@@ -97,6 +99,7 @@
   TransactionTable* core_;
   SlotTable<Branch> branches_;
   SlotTable<Link> links_;
+  KeptLinks kept_links_;
   std::unordered_map<std::string, Handle> by_name_;            // call id and runner
   std::unordered_map<std::string, std::vector<Handle>> idle_;  // by runner, the latest used last
 };
