lichenlug-lab fleet: real processes with faults on every link, judged from outside; make demo

Need: no test had ever started more than one process of the program, and what matters most to the operators is how many behave together when parts fail.

Change: lab/fleet starts dispatchers as processes (two versions side by side if wanted), and is boxes (on the laboratory's model), discovery and open-loop clients itself; TCP and datagrams pass through relays with cuts, holes, one-way faults, delay, resets, loss, copies and reordering; processes are killed, ended, paused and started again. Fleet files are checked whole. The laboratory's checker judges; a failure prints the command that plays it again and leaves a log of each job. `make demo` and the README begin with it. Not there yet: sentinels that break each rule on purpose, early and doubled call-backs.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Shortcuts; CMake does the work.
-.PHONY: build test lint run lab
+.PHONY: build test lint run lab demo
 
 build:
 	cmake -B build -DCMAKE_BUILD_TYPE=Release
@@ -17,3 +17,7 @@
 lab:
 	cmake -B build-lab -DCMAKE_BUILD_TYPE=Release -DROOKGW_BUILD_LAB=ON
 	cmake --build build-lab -j$$(nproc) --target lichenlug-lab
+
+# Three dispatchers and six boxes on loopback; a box and a dispatcher are lost half-way. Ends by itself.
+demo: build lab
+	build-lab/lab/lichenlug-lab fleet lab/fleets/demo.toml
--- a/lab/commands/commands.h
+++ b/lab/commands/commands.h
@@ -13,5 +13,6 @@
 Command AddRun(CLI::App* app);
 Command AddExperiment(CLI::App* app);
 Command AddReport(CLI::App* app);
+Command AddFleet(CLI::App* app);
 
 }  // namespace lichenlug::lab
--- /dev/null
+++ b/lab/fleet/clients.cpp
@@ -0,0 +1,185 @@
+#include "lab/fleet/clients.h"
+
+#include <cstdio>
+
+namespace lichenlug::lab {
+namespace {
+
+constexpr std::size_t kMostIdle = 50;    // connections kept to one dispatcher
+constexpr Time kPatience = 3 * kSecond;  // past the deadline: then no answer comes any more
+
+std::string Hex(std::uint64_t number, int digits) {
+  char text[24];
+  std::snprintf(text, sizeof text, "%0*llx", digits, static_cast<unsigned long long>(number));
+  return text;
+}
+
+}  // namespace
+
+Clients::Clients(asio::io_context& io, Deadlines* deadlines, const Day& day, double capacity,
+                 std::uint64_t seed, Jobs* jobs, Address reached, Is in_front, Is runs)
+    : io_(io),
+      deadlines_(deadlines),
+      day_(day),
+      jobs_(jobs),
+      reached_(std::move(reached)),
+      in_front_(std::move(in_front)),
+      runs_(std::move(runs)),
+      workload_(day, capacity, seed),
+      random_(seed, 44),
+      play_(Hex((seed * 0x9e3779b97f4a7c15ULL) >> 32, 8)),
+      idle_(day.site.dispatchers) {}
+
+Clients::~Clients() { *alive_ = false; }
+
+void Clients::Start(Time now) {
+  began_ = now;
+  Next();
+}
+
+void Clients::Next() {
+  JobSpec spec;
+  if (!workload_.Next(&spec)) return void(no_more_ = true);
+  deadlines_->Add(began_ + spec.at, [this, alive = alive_, spec] {
+    if (!*alive) return;
+    HandIn(spec);
+    Next();
+  });
+}
+
+void Clients::HandIn(const JobSpec& spec) {
+  const ClassModel& cls = day_.site.classes[spec.cls];
+  Count(&ClientFigures::handed_in);
+  figures_.worth += cls.worth, recent_.worth += cls.worth;
+  std::vector<int> up;
+  for (int n = 0; n < day_.site.dispatchers; ++n)
+    if (in_front_(n)) up.push_back(n);
+  if (up.empty()) return Count(&ClientFigures::unreached);
+  auto call = std::make_shared<Call>();
+  call->spec = spec, call->dispatcher = up[random_.Below(up.size())];
+  call->due = began_ + spec.at, call->answer_by = call->due + cls.deadline;
+  ++open_;
+  jobs_->HandedIn(deadlines_->Now(), spec, call->dispatcher, call->answer_by);
+  call->alarm = deadlines_->Add(call->answer_by + kPatience, [this, alive = alive_, call] {
+    if (!*alive || call->over) return;
+    call->alarm = {};
+    // It was owed an answer: the checker finds that none came, unless the link was at fault.
+    const bool clear =
+        jobs_->links().ClearSince(call->due, deadlines_->Now(), "c", DispatcherName(call->dispatcher));
+    if (!clear) return End(call, Checker::Answer::kClientGone);
+    call->over = true, --open_;
+    Count(&ClientFigures::failed);
+    if (call->connection != nullptr) call->connection->Close();
+  });
+  Send(call);
+}
+
+void Clients::Send(const Handle& call) {
+  auto& idle = idle_[call->dispatcher];
+  HttpConnection::Events events;
+  events.on_begin = [call] { call->begun = true; };
+  events.on_message = [this, alive = alive_, call](const HttpMessage& answer) {
+    if (*alive) Answered(call, answer);
+  };
+  events.on_end = [this, alive = alive_, call](HttpConnection::End) {
+    if (*alive) Broke(call);
+  };
+  const auto write = [this, call] {
+    const ClassModel& cls = day_.site.classes[call->spec.cls];
+    const std::string id = play_ + Hex(call->spec.number, 8);
+    char budget[32];
+    std::snprintf(budget, sizeof budget, "%.3f",
+                  static_cast<double>(call->answer_by - deadlines_->Now()) / kSecond);
+    std::vector<std::pair<std::string, std::string>> headers = {{"X-Call-Id", id}, {"X-Budget", budget}};
+    if (call->spec.tenant >= 0) headers.emplace_back("X-Caller", day_.site.tenants[call->spec.tenant].name);
+    headers.emplace_back("Cookie", "obj=" + Hex(call->spec.key, 16));
+    headers.emplace_back("X-Call-Info", "slots=" + std::to_string(static_cast<int>(call->spec.slots)));
+    if (cls.effect == rookgw::Effect::kKeyed) headers.emplace_back("Idempotency-Key", id + id);
+    call->connection->Write(FormatRequest("POST", "/" + cls.name, "rig", headers, "{}"),
+                            [](std::error_code) {});
+  };
+  call->kept = !idle.empty(), call->begun = false;
+  if (call->kept) {
+    call->connection = idle.back();
+    idle.pop_back();
+    call->connection->SetEvents(std::move(events));
+    call->connection->Next();
+    return write();
+  }
+  call->connection =
+      std::make_shared<HttpConnection>(asio::ip::tcp::socket(io_), HttpConnection::Side::kClient);
+  call->connection->SetEvents(std::move(events));
+  call->connection->Connect(reached_(call->dispatcher),
+                            [this, alive = alive_, call, write](std::error_code error) {
+                              if (!*alive || call->over) return;
+                              if (error) return Broke(call);
+                              call->connection->Start();
+                              write();
+                            });
+}
+
+void Clients::Answered(const Handle& call, const HttpMessage& answer) {
+  if (call->over) return;
+  if (answer.status == 200) {
+    const Jobs::Job* job = jobs_->Find(call->spec.number);
+    if (answer.body != job->result)  // served with what no box made for it: as lost as no answer
+      jobs_->checker().Answered(deadlines_->Now(), call->spec.number, Checker::Answer::kServed);
+    const ClassModel& cls = day_.site.classes[call->spec.cls];
+    const Time took = deadlines_->Now() - call->due;
+    Count(&ClientFigures::served);
+    figures_.latency.push_back(took);
+    // In time: within the aim and so many times its own work, at speed 1.
+    if (static_cast<double>(took) <= static_cast<double>(cls.aim) + cls.stretch * call->spec.work) {
+      Count(&ClientFigures::in_time);
+      figures_.worth_in_time += cls.worth, recent_.worth_in_time += cls.worth;
+    }
+    const auto connection = call->connection;
+    End(call, Checker::Answer::kServed);
+    auto& idle = idle_[call->dispatcher];
+    if (!answer.keep_alive || idle.size() >= kMostIdle) return connection->Close();
+    HttpConnection::Events events;
+    events.on_end = [this, alive = alive_, n = call->dispatcher,
+                     weak = std::weak_ptr(connection)](HttpConnection::End) {
+      const auto ended = weak.lock();
+      if (!*alive || ended == nullptr) return;
+      std::erase(idle_[n], ended);
+      ended->Close();
+    };
+    connection->SetEvents(std::move(events));
+    idle.push_back(connection);
+    return;
+  }
+  const bool refused = answer.status == 429 || answer.status == 503;
+  Count(refused ? &ClientFigures::refused : &ClientFigures::failed);
+  const auto connection = call->connection;
+  End(call, refused ? Checker::Answer::kRefused : Checker::Answer::kFailed);
+  connection->Close();
+}
+
+// The connection ended with no answer.
+void Clients::Broke(const Handle& call) {
+  if (call->over) return;
+  call->connection->Close();
+  const Time now = deadlines_->Now();
+  const bool clear = jobs_->links().ClearSince(call->due, now, "c", DispatcherName(call->dispatcher));
+  // Closed between requests, as the request came: once more on a new connection.
+  if (clear && call->kept && !call->begun) return Send(call);
+  const Jobs::Job* job = jobs_->Find(call->spec.number);
+  const bool died = !runs_(call->dispatcher) || job->life != jobs_->LifeOf(call->dispatcher);
+  Count(&ClientFigures::unreached);
+  // Not the dispatcher's fault where it died or the link did; else it owed an answer, and the checker finds
+  // none.
+  if (!clear || died) return End(call, Checker::Answer::kClientGone);
+  call->over = true, --open_;
+  deadlines_->Remove(&call->alarm);
+}
+
+void Clients::End(const Handle& call, Checker::Answer answer) {
+  if (std::exchange(call->over, true)) return;
+  --open_;
+  deadlines_->Remove(&call->alarm);
+  if (answer == Checker::Answer::kClientGone && call->connection != nullptr) call->connection->Close();
+  jobs_->Answered(deadlines_->Now(), call->spec.number, answer);
+}
+
+}  // namespace lichenlug::lab
