--- a/lab/fleet/boxes.cpp
+++ b/lab/fleet/boxes.cpp
@@ -153,7 +153,8 @@
         word["state"] = "started";
         break;
       case BoxNews::Kind::kEnded:
-        word["state"] = "done", word["result"] = job->result = attempt.call_id + " by " + BoxName(b);
+        word["state"] = "done",
+        word["result"] = job->results.emplace_back(attempt.call_id + " by " + BoxName(b));
         EndAttempt(b, item.id, Outcome::kServed);
         break;
       case BoxNews::Kind::kFailed:
--- a/lab/fleet/clients.h
+++ b/lab/fleet/clients.h
@@ -53,7 +53,9 @@
   void Send(const Handle& call);
   void Answered(const Handle& call, const HttpMessage& answer);
   void Broke(const Handle& call);
+  void Keep(int n, const HttpServer::Connection& connection);
   void End(const Handle& call, Checker::Answer answer);
+  void Lost(const Handle& call);  // it was owed an answer and has none
   void Count(std::uint64_t ClientFigures::*what) { ++(figures_.*what), ++(recent_.*what); }
 
   asio::io_context& io_;
--- a/lab/fleet/rig.cpp
+++ b/lab/fleet/rig.cpp
@@ -236,8 +236,8 @@
     asked.ready = true, asked.front_notices = 0;
     if (began_ != 0) say_(DispatcherName(n) + " is ready again");
   };
-  events.on_end = [again, asking](HttpConnection::End) {
-    asking->Close();
+  events.on_end = [this, n, again](HttpConnection::End) {
+    dispatchers_[n].asking->Close();
     again();
   };
   asking->SetEvents(std::move(events));
@@ -331,6 +331,7 @@
       });
       return process->Signal(SIGTERM);
     case FleetFaultKind::kPause:
+      jobs_->checker().Paused(deadlines_.Now(), i, deadlines_.Now() + fault.length);
       return process->Signal(SIGSTOP);
     case FleetFaultKind::kBoxKill:
       boxes_->Kill(i);
--- a/lab/rules/checker.cpp
+++ b/lab/rules/checker.cpp
@@ -8,7 +8,7 @@
 using rookgw::KeyScope;
 using rookgw::Outcome;
 
-Checker::Checker(const Site& site) : site_(site), away_(site.dispatchers) {}
+Checker::Checker(const Site& site) : site_(site), away_(site.dispatchers), wakes_(site.dispatchers) {}
 
 void Checker::Break(int rule, Time now, const Request* request, int box, const std::string& what) {
   ++count_[rule];
@@ -48,7 +48,7 @@
   if (state == rookgw::ListedWorker::State::kServing)
     away_[dispatcher].erase(box);
   else
-    away_[dispatcher].try_emplace(box, now);
+    away_[dispatcher].try_emplace(box, std::max(now, wakes_[dispatcher]));
 }
 
 void Checker::Restarted(int dispatcher) {
@@ -56,9 +56,17 @@
   std::erase_if(requests_, [dispatcher](const auto& entry) { return entry.second.dispatcher == dispatcher; });
 }
 
+void Checker::Paused(Time now, int dispatcher, Time until) {
+  wakes_[dispatcher] = std::max(wakes_[dispatcher], until);
+  for (auto& [box, since] : away_[dispatcher]) since = std::max(since, until);
+  for (auto& [id, r] : requests_)
+    if (r.dispatcher == dispatcher && !r.answered) r.answer_by += until - now;
+}
+
 void Checker::Took(Time now, int dispatcher, std::uint64_t request, int cls, Time answer_by) {
   Request& r = requests_[request];
-  r.dispatcher = dispatcher, r.cls = cls, r.answer_by = answer_by;
+  r.dispatcher = dispatcher, r.cls = cls,
+  r.answer_by = answer_by + std::max<Time>(0, wakes_[dispatcher] - now);
   r.history.push_back({now, Step::Kind::kTook, dispatcher, 0});
 }
 
--- a/lab/rules/checker.h
+++ b/lab/rules/checker.h
@@ -34,6 +34,8 @@
 
   void Told(Time now, int dispatcher, int box, rookgw::ListedWorker::State state);
   void Restarted(int dispatcher);  // it knows nothing any more and owes nothing
+  // It can do nothing until then: what it owes and what it is told counts from its waking.
+  void Paused(Time now, int dispatcher, Time until);
 
   void Took(Time now, int dispatcher, std::uint64_t request, int cls, Time answer_by);
   void Sent(Time now, std::uint64_t request, int attempt, int box, int zone, int cell);
@@ -79,7 +81,8 @@
   std::unordered_map<std::uint64_t, Request> requests_;
   std::unordered_map<std::uint64_t, Run> runs_;  // of jobs that may not run freely
   std::vector<std::unordered_map<int, Time>>
-      away_;  // by dispatcher: boxes told as draining or gone, since when
+      away_;                 // by dispatcher: boxes told as draining or gone, since when
+  std::vector<Time> wakes_;  // by dispatcher: the end of its last pause
   std::map<int, Breach> first_;
   std::map<int, std::uint64_t> count_;
   std::uint64_t checks_ = 0;
--- /dev/null
+++ b/lab/tests/fleet_test.cpp
@@ -0,0 +1,188 @@
+// The rig of real processes: it catches a dispatcher that breaks a rule, and passes one that does not.
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+
+#include "lab/config/reader.h"
+#include "lab/fleet/fleet_file.h"
+#include "lab/fleet/links.h"
+
+namespace lichenlug::lab {
+namespace {
+
+// A day of 4 s with three boxes, and what is to be played on it.
+class FleetTest : public testing::Test {
+ protected:
+  FleetTest() : folder_(std::filesystem::temp_directory_path() / ("fleet-test-" + std::to_string(getpid()))) {
+    std::filesystem::create_directories(folder_);
+    std::ofstream(folder_ / "day.toml") << R"(
+length = "4s"
+load = 0.4
+boxes = 3
+dispatchers = 2
+max-attempts = 5
+overload-factor = 2
+overload-for = "500ms"
+[[kind]]
+name = "box"
+cores = 4
+queue-per-core = 20
+cold-from = 0.2
+cold-for = "8s"
+[[class]]
+name = "publish"
+work = "60ms"
+aim = "300ms"
+deadline = "1s"
+effect = "unsafe"
+[[tenant]]
+name = "core"
+[discovery]
+notice = "200ms"
+notice-start = "100ms"
+)";
+  }
+  ~FleetTest() override { std::filesystem::remove_all(folder_); }
+
+  // What `lichenlug-lab fleet` says of a fleet of this program, and its exit code.
+  std::pair<int, std::string> Play(const std::string& program, const std::string& rest, int seed = 1) {
+    const std::string file = (folder_ / "fleet.toml").string();
+    std::ofstream(file) << "day = \"day.toml\"\nprogram = [" << program << "]\n" << rest;
+    const std::string command = std::string(LAB_PROGRAM) + " fleet " + file + " --quiet --seed " +
+                                std::to_string(seed) + " --logs " + (folder_ / "logs").string() + " 2>&1";
+    std::FILE* pipe = popen(command.c_str(), "r");
+    std::string said;
+    for (int c; (c = std::fgetc(pipe)) != EOF;) said += static_cast<char>(c);
+    return {WEXITSTATUS(pclose(pipe)), said};
+  }
+
+  std::pair<int, std::string> PlaySentinel(const std::string& mode, const std::string& rest = "") {
+    return Play("\"" LAB_SENTINEL "\", \"" + mode + "\"", rest);
+  }
+
+  std::string Refused(const std::string& text) {
+    std::ofstream(folder_ / "fleet.toml") << text;
+    try {
+      ReadFleet((folder_ / "fleet.toml").string());
+    } catch (const ConfigError& e) {
+      return e.what();
+    }
+    return "";
+  }
+
+  const std::filesystem::path folder_;
+};
+
+constexpr const char* kDrain = "[[fault]]\nwhat = \"box-drain\"\nwho = \"b1\"\nat = \"1s\"\n";
+constexpr const char* kColdStart =
+    "[[fault]]\nwhat = \"box-kill\"\nwho = \"b1\"\nat = \"500ms\"\nfor = \"500ms\"\n";
+
+TEST_F(FleetTest, ADispatcherThatKeepsTheRulesPasses) {
+  const auto [code, said] = PlaySentinel("good", kDrain);
+  EXPECT_EQ(code, 0) << said;
+  EXPECT_NE(said.find("no rule broken in"), std::string::npos) << said;
+}
+
+TEST_F(FleetTest, ForgottenJobsAreCaught) {
+  const auto [code, said] = PlaySentinel("forgets");
+  EXPECT_EQ(code, 1);
+  EXPECT_NE(said.find("RULE 1 BROKEN"), std::string::npos) << said;
+  EXPECT_NE(said.find("no final answer"), std::string::npos) << said;
+}
+
+TEST_F(FleetTest, InventedResultsAreCaught) {
+  const auto [code, said] = PlaySentinel("invents");
+  EXPECT_EQ(code, 1);
+  EXPECT_NE(said.find("RULE 1 BROKEN"), std::string::npos) << said;
+}
+
+TEST_F(FleetTest, DoubledJobsAreCaught) {
+  const auto [code, said] = PlaySentinel("doubles");
+  EXPECT_EQ(code, 1);
+  EXPECT_NE(said.find("RULE 2 BROKEN"), std::string::npos) << said;
+}
+
+TEST_F(FleetTest, IgnoredDrainsAreCaught) {
+  const auto [code, said] = PlaySentinel("ignores", kDrain);
+  EXPECT_EQ(code, 1);
+  EXPECT_NE(said.find("RULE 3 BROKEN"), std::string::npos) << said;
+}
+
+TEST_F(FleetTest, ACrowdedColdBoxIsCaught) {
+  const auto [code, said] = PlaySentinel("crowds", kColdStart);
+  EXPECT_EQ(code, 1);
+  EXPECT_NE(said.find("RULE 4 BROKEN"), std::string::npos) << said;
+}
+
+TEST_F(FleetTest, ACrashIsTold) {
+  const auto [code, said] = PlaySentinel("crashes");
+  EXPECT_EQ(code, 1);
+  EXPECT_NE(said.find("ended with 3"), std::string::npos) << said;
+  EXPECT_NE(said.find("play it again"), std::string::npos) << said;
+}
+
+TEST_F(FleetTest, AProgramThatIsNotThereIsTold) {
+  const auto [code, said] = Play("\"/nowhere/lichenlug\"", "");
+  EXPECT_EQ(code, 1);
+  EXPECT_NE(said.find("CRASH"), std::string::npos) << said;
+}
+
+TEST_F(FleetTest, AFileWithFaultsIsRefusedWithAllOfThem) {
+  const std::string said = Refused(
+      "day = \"day.toml\"\nstrange = 1\n[[fault]]\nwhat = \"kill\"\nwho = \"n7\"\n[[fault]]\nwhat = "
+      "\"cut\"\nfrom = "
+      "\"n0\"\nto = \"x\"\n");
+  for (const char* part : {"strange", "fault[0].who", "n7", "fault[1].to", "fault[1].for"})
+    EXPECT_NE(said.find(part), std::string::npos) << part << "\n" << said;
+}
+
+TEST(LinksTest, AOneWayFaultLeavesTheWayBack) {
+  FleetFault cut;
+  cut.kind = FleetFaultKind::kCut, cut.from = "n0", cut.to = "b*", cut.at = kSecond, cut.length = kSecond;
+  FleetFault hole = cut;
+  hole.kind = FleetFaultKind::kHole, hole.from = "n1", hole.one_way = true;
+  Links links({cut, hole}, 1);
+  const Time during = 3 * kSecond / 2;
+  EXPECT_TRUE(links.At(during, "n0", "b3").cut);
+  EXPECT_TRUE(links.At(during, "b3", "n0").cut);
+  EXPECT_FALSE(links.At(during, "n0", "d").cut);
+  EXPECT_FALSE(links.At(3 * kSecond, "n0", "b3").cut);
+  EXPECT_TRUE(links.At(during, "n1", "b0").hole);
+  EXPECT_FALSE(links.At(during, "b0", "n1").hole);
+  EXPECT_FALSE(links.ClearSince(0, during, "n1", "b0"));
+  EXPECT_TRUE(links.ClearSince(0, during, "n2", "b0"));
+  links.Vanish("b0", 4 * kSecond);
+  EXPECT_TRUE(links.At(5 * kSecond, "n2", "b0").hole);
+  links.Return("b0", 5 * kSecond);
+  EXPECT_FALSE(links.At(5 * kSecond, "n2", "b0").hole);
+}
+
+// The program itself, with faults drawn by the seed; each seed is a test of its own, so that they play side
+// by side.
+class RealFleet : public testing::TestWithParam<int> {};
+
+TEST_P(RealFleet, KeepsTheRules) {
+  const std::filesystem::path folder =
+      std::filesystem::temp_directory_path() / ("real-fleet-" + std::to_string(getpid()));
+  std::filesystem::create_directories(folder);
+  std::filesystem::copy(LAB_FLEETS "/twelve-day.toml", folder / "twelve-day.toml",
+                        std::filesystem::copy_options::overwrite_existing);
+  std::ofstream(folder / "fleet.toml")
+      << "day = \"twelve-day.toml\"\ndrawn-faults = 8\nanswer-slack = \"10s\"\n"
+      << "program = [\"" LAB_DISPATCHER "\", \"serve\"]\n";
+  const std::string command = std::string(LAB_PROGRAM) + " fleet " + (folder / "fleet.toml").string() +
+                              " --quiet --seed " + std::to_string(GetParam()) + " --logs " +
+                              (folder / "logs").string() + " >" + (folder / "said").string() + " 2>&1";
+  const int code = std::system(command.c_str());
+  std::ifstream said(folder / "said");
+  EXPECT_EQ(code, 0) << std::string(std::istreambuf_iterator<char>(said), {});
+  std::filesystem::remove_all(folder);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, RealFleet, testing::Range(1, 16));
+
+}  // namespace
+}  // namespace lichenlug::lab
