A silent watch is begun anew in time and beside the old one; agents at once

Need: what a silent watch misses counts as told 6 s after the silence began, where lists are pushed what the agent has at once. Seen: with a watch silent right after a heartbeat and one call lost the program read the list 7.9 s after the silence and sent to a runner that drained (scenario silent_watch on the program as it was); an agent that takes five calls and says nothing was waited for 2.5 s each (silent_agent). At fault: kPatience of 5 s and Lost() in routes/watch.cpp, which took a silence for a failed call, so that AskAgain::Failed() waited by the tier's size (seconds at 300).

Change: a watch is silent after 2.4 s; a new one is asked for within 0.8 s at random while the old goes on; a first call that fails leaves a second 1 s within the 6 s; a third is an outage as before. A heartbeat that comes late takes the call back and is waited for longer (to 3.2 s). Pushed lists: 0.25 s of patience and waits of 50 to 150 ms, whatever the tier. All in routes/ask_again.h, pure. Lists may be indented over several lines (routes/news_lines.h).

--- a/src/routes/watch.cpp
+++ b/src/routes/watch.cpp
@@ -5,13 +5,6 @@
 #include <utility>
 
 namespace lichenlug {
-namespace {
-
-constexpr Time kPatience = 5 * kSecond;  // between lines: one comes every 2 s
-constexpr std::size_t kMostLine = 1024 * 1024;
-
-}  // namespace
-
 Watch::Watch(asio::io_context& io, const asio::ip::tcp::endpoint& discovery, const rookgw::Site& site,
              std::uint64_t seed, RouteSet* routes, Deadlines* deadlines,
              std::function<void(const RouteNews*)> news)
@@ -21,7 +14,7 @@
       routes_(routes),
       deadlines_(deadlines),
       news_(std::move(news)),
-      ask_again_(site.settings.instances, site.settings.ask_every, seed) {}
+      ask_again_(site.settings.instances, !site.settings.list_on_request, site.settings.ask_every, seed) {}
 
 void Watch::Ask() {
   if (!asked_ && !standing_ && again_ == Deadlines::Key{}) Begin();
@@ -41,7 +34,7 @@
       std::make_shared<HttpConnection>(asio::ip::tcp::socket(io_), HttpConnection::Side::kClient);
   const auto connection = fresh.connection;
   const Handle handle = asked_ = calls_.Insert(std::move(fresh));
-  ExpectWithin(handle, deadlines_->Now() + AskAgain::kConnectPatience);
+  ExpectBy(handle, ask_again_.ConnectBy(deadlines_->Now()));
   HttpConnection::Events events;
   events.on_head = [this, handle](const HttpMessage& head) {
     if (Call* call = calls_.Find(handle)) call->good = head.status == 200;
@@ -57,7 +50,7 @@
 }
 
 void Watch::Connected(Handle handle) {
-  ExpectWithin(handle, deadlines_->Now() + AskAgain::kFirstPatience);
+  ExpectBy(handle, ask_again_.FirstByteBy(deadlines_->Now()));
   const auto connection = calls_.Find(handle)->connection;
   connection->Start();
   const std::string host = address_.address().to_string() + ":" + std::to_string(address_.port());
@@ -67,31 +60,29 @@
   });
 }
 
-// Pieces end anywhere: lines are put together here.
 void Watch::Piece(Handle handle, std::string_view bytes) {
   Call* call = calls_.Find(handle);
   if (call == nullptr || !call->good) return;
-  ExpectWithin(handle, deadlines_->Now() + kPatience);
   if (handle == asked_) {  // it speaks: the one that stood before has had its time
     End(standing_);
     standing_ = std::exchange(asked_, {});
+  } else if (std::exchange(silent_, false)) {
+    ask_again_.Woke();
+    deadlines_->Remove(&again_);
   }
-  while (!bytes.empty() && (call = calls_.Find(handle)) != nullptr) {
-    const std::size_t end = bytes.find('\n');
-    call->line.append(bytes.substr(0, end));
-    if (call->line.size() > kMostLine) return Lost(handle);
-    if (end == std::string_view::npos) return;
-    bytes.remove_prefix(end + 1);
-    if (!Line(std::exchange(call->line, {}))) return Lost(handle);
-  }
+  call->heard = deadlines_->Now();
+  deadlines_->Move(&call->alarm, ask_again_.BeatBy(call->heard), [this, handle] { Silent(handle); });
+  const bool good = call->lines.Add(bytes, [this, handle](std::string_view object) {
+    return News(object) && calls_.Find(handle) != nullptr;
+  });
+  if (!good) Lost(handle);
 }
 
 // False: what it said is not known, so it is to be asked again from what is.
-bool Watch::Line(std::string_view line) {
-  if (line.find_first_not_of(" \r\t") == std::string_view::npos) return true;  // a heartbeat
+bool Watch::News(std::string_view object) {
   RouteNews news;
   try {
-    news = ParseRouteNews(nlohmann::json::parse(line, nullptr, false), site_);
+    news = ParseRouteNews(nlohmann::json::parse(object, nullptr, false), site_);
   } catch (const std::exception&) {
     return false;
   }
@@ -101,18 +92,28 @@
   return true;
 }
 
+// The watch that stands may be broken, or its heartbeat late: it goes on while a new one is asked for.
+void Watch::Silent(Handle handle) {
+  const Call* call = calls_.Find(handle);
+  if (asked_) return;
+  silent_ = true;
+  AskAt(ask_again_.Silent(call->heard, deadlines_->Now()));
+}
+
 void Watch::Lost(Handle handle) {
   if (calls_.Find(handle) == nullptr) return;
   End(handle);
-  if (!asked_ && again_ == Deadlines::Key{}) {
-    again_ = deadlines_->Add(deadlines_->Now() + ask_again_.Failed(), [this] {
-      again_ = {};
-      Begin();
-    });
-  }
+  if (!asked_ && again_ == Deadlines::Key{}) AskAt(deadlines_->Now() + ask_again_.Failed());
   if (!standing_) news_(nullptr);
 }
 
+void Watch::AskAt(Time at) {
+  deadlines_->Move(&again_, at, [this] {
+    again_ = {};
+    Begin();
+  });
+}
+
 void Watch::End(Handle handle) {
   Call* call = calls_.Find(handle);
   if (call == nullptr) return;
@@ -120,10 +121,10 @@
   call->connection->Close();
   calls_.Erase(handle);
   if (asked_ == handle) asked_ = {};
-  if (standing_ == handle) standing_ = {};
+  if (standing_ == handle) standing_ = {}, silent_ = false;
 }
 
-void Watch::ExpectWithin(Handle handle, Time at) {
+void Watch::ExpectBy(Handle handle, Time at) {
   deadlines_->Move(&calls_.Find(handle)->alarm, at, [this, handle] { Lost(handle); });
 }
 
--- a/src/routes/watch.h
+++ b/src/routes/watch.h
@@ -1,8 +1,8 @@
-// The watch on discovery: keeps one chunked answer open, reads the list and its changes from it line by line,
-// and asks again, a little later each time, when it ends or falls silent.
+// The watch on discovery: keeps one chunked answer open, reads the list and its changes from it, and asks
+// again when it ends or falls silent. When to do so is AskAgain's.
 //
-// When discovery moves, the watch at its old address goes on until the new one speaks: between the two there
-// is no time in which news could be missed.
+// When discovery moves or the watch falls silent, the one that stands goes on until a new one speaks: between
+// the two there is no time in which news could be missed.
 #pragma once
 
 #include <functional>
@@ -15,6 +15,7 @@
 #include "decisions/settings.h"
 #include "net/http_connection.h"
 #include "routes/ask_again.h"
+#include "routes/news_lines.h"
 #include "routes/route_set.h"
 
 namespace lichenlug {
@@ -34,18 +35,21 @@
  private:
   struct Call {  // one answer, asked for or standing
     std::shared_ptr<HttpConnection> connection;
-    std::string line;  // the part of it that has come
+    NewsLines lines;
     Deadlines::Key alarm;
     bool good = false;
+    Time heard = 0;  // when it last said something
   };
 
   void Begin();
   void Connected(Handle handle);
   void Piece(Handle handle, std::string_view bytes);
-  bool Line(std::string_view line);
+  bool News(std::string_view object);
+  void Silent(Handle handle);
   void Lost(Handle handle);
+  void AskAt(Time at);
   void End(Handle handle);
-  void ExpectWithin(Handle handle, Time at);
+  void ExpectBy(Handle handle, Time at);
 
   asio::io_context& io_;
   const rookgw::Site& site_;  // outlives the watch
@@ -56,6 +60,7 @@
   SlotTable<Call> calls_{2};
   Handle asked_, standing_;  // one that has not spoken yet; the one that speaks
   Deadlines::Key again_;     // when to ask again
+  bool silent_ = false;      // the one that stands has said nothing for too long
   AskAgain ask_again_;
 };
 
--- /dev/null
+++ b/tests/news_lines_test.cpp
@@ -0,0 +1,47 @@
+// What a watch says, in pieces that end anywhere, in one line or indented.
+#include "routes/news_lines.h"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+namespace lichenlug {
+namespace {
+
+struct Reader {
+  NewsLines lines;
+  std::vector<std::string> objects;
+  bool Add(std::string_view bytes) {
+    return lines.Add(bytes, [this](std::string_view object) {
+      objects.emplace_back(object);
+      return true;
+    });
+  }
+};
+
+TEST(NewsLines, ObjectsAndHeartbeatsInPiecesOfAnySize) {
+  const std::string said = "\n{\"a\":\"x{\\\"\"}\r\n\n{\n  \"b\": [\n    1\n  ]\n}\n \n{}\n";
+  for (std::size_t step = 1; step <= said.size(); ++step) {
+    Reader reader;
+    for (std::size_t at = 0; at < said.size(); at += step)
+      ASSERT_TRUE(reader.Add(std::string_view(said).substr(at, step)));
+    EXPECT_EQ(reader.objects,
+              (std::vector<std::string>{"{\"a\":\"x{\\\"\"}\r", "{\n  \"b\": [\n    1\n  ]\n}", "{}"}));
+  }
+}
+
+TEST(NewsLines, WhatBrokeOffInsideAnObjectIsNotWaitedForForEver) {
+  EXPECT_FALSE(Reader().Add("{\"a\": [1,\n\n"));
+  EXPECT_FALSE(Reader().Add("{\"a\": \"tex\n{}\n"));
+  Reader endless;
+  EXPECT_FALSE(endless.Add("{\"a\": \"" + std::string(NewsLines::kMost, 'x')));
+}
+
+TEST(NewsLines, WhatMakesNoObjectIsHandedOverAsItCame) {
+  Reader reader;
+  EXPECT_TRUE(reader.Add("}}\nsurely not\n{}\n"));
+  EXPECT_EQ(reader.objects, (std::vector<std::string>{"}}", "surely not", "{}"}));
+}
+
+}  // namespace
+}  // namespace lichenlug
--- a/tests/scenario_player.cpp
+++ b/tests/scenario_player.cpp
@@ -68,6 +68,7 @@
   int spoken_on = -1;             // discovery's watch that has had its head
   int ended = 0;                  // connections that the other side ended
   int probes = 0;
+  int deaf = 0;  // so many calls to discovery get no answer
 };
 
 class Player {
@@ -260,7 +261,9 @@
       ++actor.probes;
       return Write(message.fd, Answer("200", R"({"inflight":0,"util":0.1,"x0":5})"));
     }
-    if (name[0] == 'd') {  // each call becomes a watch that first tells the whole list
+    if (name[0] == 'd' && actor.deaf > 0) {
+      --actor.deaf;
+    } else if (name[0] == 'd') {  // each call becomes a watch that first tells the whole list
       actor.fd = message.fd, actor.spoken_on = -1;
       if (name == "d") Tell(name, true, runners_, false);
     }
@@ -333,6 +336,10 @@
     } else if (who == "program") {
       kill(pid_, SIGTERM);
       Until("word that it drains", [&] { return said_.find(" drains\n") != std::string::npos; });
+    } else if (who[0] == 'd' && what == "deaf") {
+      actor.deaf = std::stoi(words.at(3));
+    } else if (who[0] == 'd' && what == "beat") {
+      Write(actor.fd, "1\r\n\n\r\n");
     } else if (who[0] == 'd') {  // send d patch|whole [split] NAME=PHASE ...
       Words names;
       for (std::size_t i = 3; i < words.size(); ++i)
@@ -340,7 +347,7 @@
           names.push_back(words[i].substr(0, equals));
           actors_[names.back()].phase = words[i].substr(equals + 1);
         }
-      Tell(who, what == "whole", names, words.size() > 3 && words[3] == "split");
+      if (what != "gap") Tell(who, what == "whole", names, words.size() > 3 && words[3] == "split");
     } else if (what == "callback") {  // send R callback ID STATE [RESULT]
       Json body = {{"id", words.at(3)}, {"from", who}, {"state", words.at(4)}};
       if (words.size() > 5) body["result"] = words[5];
