A job without a 202 is given up by closing first, then by a DELETE, twice on a new connection

At fault: Branches::GiveUp, which kept the job's connection open until the DELETE was answered, and EndBranch, which closed it only then.

Change: the close goes out first, so that a job that arrives later arrives with its end; a DELETE that comes after it finds one that arrived before. On a connection that never carried an answer a second DELETE follows the first, as the first may overtake the close. The outcome waits for the last answer, as before.

--- a/src/branch/branches.cpp
+++ b/src/branch/branches.cpp
@@ -67,11 +67,15 @@
   const Link* link = branch->stage == Stage::kSent ? links_.Find(branch->link) : nullptr;
   if (branch->stage == Stage::kTaken || (link != nullptr && link->written)) {
     // Once the runner may have said 202 only a DELETE gives it up, and it counts as out until that has gone
-    // through. A 202 may be on its way, so closing is what is left where no answer comes to the DELETE.
-    // A runner that has not even said 202 is waited for only as long as a connection to a live one may take.
+    // through; until then closing does. The job may still lie unread in a connection that came up late, where
+    // a DELETE finds nothing yet: so the close goes first, and a job whose connection was new is asked for
+    // twice, as the DELETE may overtake the close, too. A runner that has not even said 202 is waited for
+    // only as long as a connection to a live one may take.
     const Time patience = link != nullptr ? settings_.connect_timeout : kGiveUpPatience;
     branch->stage = Stage::kGivingUp;
     Exchange exchange;
+    exchange.twice = link != nullptr && link->kept < 0;
+    if (link != nullptr) DropLink(std::exchange(branch->link, {}));
     exchange.kind = Exchange::Kind::kGiveUp, exchange.branch = handle, exchange.outcome = outcome;
     exchange.deadline = deadlines_->Now() + patience, exchange.call_id = branch->job->call_id;
     return Begin(std::string(branch->runner), std::move(exchange));
@@ -204,6 +208,11 @@
     case Exchange::Kind::kJob:
       return JobAnswered(exchange.branch, answer);
     case Exchange::Kind::kGiveUp:
+      if (exchange.twice && branches_.Find(exchange.branch) != nullptr) {
+        Exchange second = exchange;
+        second.twice = false;
+        return Begin(runner, std::move(second));
+      }
       return EndBranch(exchange.branch, exchange.outcome);
     case Exchange::Kind::kProbe:
       return core_->ProbeEnded(
@@ -275,7 +284,6 @@
   if (branch == nullptr) return;  // its call-back was faster
   if (answer.status == 202) {
     branch->link = {};
-    if (branch->stage == Stage::kGivingUp) return;
     branch->stage = Stage::kTaken;
     return core_->BranchNote(branch->ref, rookgw::AttemptNote::Kind::kTaken, 0);
   }
@@ -336,7 +344,6 @@
   if (branch == nullptr) return;
   const BranchRef ref = branch->ref;
   deadlines_->Remove(&branch->alarm);
-  if (branch->stage == Stage::kGivingUp) DropLink(branch->link);  // no 202 came on it
   by_name_.erase(NameOf(branch->job->call_id, branch->runner));
   branches_.Erase(handle);
   core_->BranchEnded(ref, outcome, report, std::move(result));
--- a/src/branch/branches.h
+++ b/src/branch/branches.h
@@ -62,6 +62,7 @@
     Handle branch;  // of a job or of what is given up
     Time began = 0, deadline = 0;
     rookgw::Outcome outcome = rookgw::Outcome::kCancelled;  // of a branch given up
+    bool twice = false;  // a DELETE that is said once more when it is answered
     std::string call_id;
   };
 
--- a/tests/scenario_player.cpp
+++ b/tests/scenario_player.cpp
@@ -248,6 +248,7 @@
       if (size == 0 || (size < 0 && errno != EAGAIN)) {
         ++actor.ended;
         if (actor.fd == fd) actor.fd = -1;
+        std::erase(actor.unanswered, fd);  // nothing can be answered on it
         close(fd);
         it = actor.in.erase(it);
       } else {
