--- a/src/peers/membership.h
+++ b/src/peers/membership.h
@@ -28,6 +28,10 @@
   // A datagram of another kind came from this peer.
   void Evidence(int peer, Time now);
 
+  // The peer's address refused a datagram (ICMP: nobody listens at that port). Such a death is sure and
+  // quick.
+  void Refused(int peer, Time now);
+
   // This dispatcher ends: farewells are due at once.
   void Leave(Time now);
 
--- /dev/null
+++ b/src/peers/membership_facts.cpp
@@ -0,0 +1,59 @@
+#include "peers/membership_facts.h"
+
+#include <algorithm>
+#include <map>
+
+namespace lichenlug::membership {
+namespace {
+
+bool Heavier(const Accuser& a, const Accuser& b) {
+  return std::tuple(b.weight, a.number, a.zone) < std::tuple(a.weight, b.number, b.zone);
+}
+
+// The heaviest of each zone, and the zones of the heaviest: weights only grow, so whoever is left out here
+// would be left out after any later join as well.
+std::vector<Accuser> Bounded(const std::vector<Accuser>& a, const std::vector<Accuser>& b) {
+  std::map<std::pair<std::uint8_t, std::uint16_t>, Weight> all;
+  for (const auto* some : {&a, &b})
+    for (const Accuser& it : *some) {
+      Weight& weight = all[{it.zone, it.number}];
+      weight = std::max(weight, it.weight);
+    }
+  std::map<std::uint8_t, std::vector<Accuser>> zones;
+  for (const auto& [key, weight] : all) zones[key.first].push_back({key.second, key.first, weight});
+  std::vector<std::vector<Accuser>> ranked;
+  for (auto& [zone, some] : zones) {
+    std::ranges::sort(some, Heavier);
+    if (some.size() > Fact::kMostOfZone) some.resize(Fact::kMostOfZone);
+    ranked.push_back(std::move(some));
+  }
+  std::ranges::sort(ranked, [](const auto& x, const auto& y) {
+    return std::tuple(y[0].weight, x[0].zone) < std::tuple(x[0].weight, y[0].zone);
+  });
+  if (ranked.size() > Fact::kMostZones) ranked.resize(Fact::kMostZones);
+  std::vector<Accuser> kept;
+  for (const auto& some : ranked) kept.insert(kept.end(), some.begin(), some.end());
+  std::ranges::sort(kept);
+  return kept;
+}
+
+}  // namespace
+
+bool Merge(Fact* known, const Fact& told) {
+  if (told.Epoch() < known->Epoch()) return false;
+  const Fact before = *known;
+  if (told.Epoch() > known->Epoch()) *known = told;
+  known->dead = known->dead || told.dead;
+  known->zone = std::min(known->zone, told.zone);
+  known->accusers = Bounded(known->accusers, told.accusers);
+  return *known != before;
+}
+
+bool Merge(BadLinks* known, const BadLinks& told) {
+  const auto order = [](const BadLinks& it) { return std::tie(it.life, it.version, it.unheard); };
+  if (order(told) <= order(*known)) return false;
+  *known = told;
+  return true;
+}
+
+}  // namespace lichenlug::membership
