--- a/src/peers/membership.cpp
+++ b/src/peers/membership.cpp
@@ -30,6 +30,7 @@
   static constexpr Time kStale = 100 * kMillisecond;  // after a sleep: what waited is read within it
   static constexpr Time kTrust = kSecond;             // a round of fresh probes
   static constexpr Time kObjects = kSecond;           // an objection is said again
+  static constexpr Time kWarm = 2 * kSecond;          // a starter fetches what the others know
   static constexpr Time kSayLinks = 2 * kSecond;
   static constexpr int kPushTo = 3, kFarewells = 24, kFarewellTimes = 3;
 
@@ -41,6 +42,7 @@
     own.life = std::clamp<std::uint64_t>(life, 1, kMostLife), own.zone = here_.zone;
     here_.table.Put(here_.number, own, true);
     here_.trusted_at = here_.now() + kTrust, here_.round_trip_at = here_.now();
+    warm_until_ = here_.now() + kWarm;
     const Time spread = std::min(4 * kSecond, here_.tier() * 10 * kMillisecond);
     for (Peer& peer : here_.peers) peer.recheck_at = here_.now() + here_.Below(spread);
     view_.own = here_.number;
@@ -215,7 +217,10 @@
       if (peer.look_at != 0 && now >= peer.look_at && prober_.Ping(i, Outbox::kForHelp)) peer.look_at = 0;
       if (now >= peer.recheck_at) Recheck(i, &peer);
     }
-    if (now >= look_at_) look_at_ = now + kPeek;
+    if (now >= look_at_) {
+      look_at_ = now + kPeek;
+      if (now < warm_until_) Fetch();
+    }
     if (now >= step_at_) {
       step_at_ = now + kStep;
       judge_.Step();
@@ -226,6 +231,13 @@
     if (judge_.Urgent()) urgent_ = true;
   }
 
+  // A starter asks any for the parts of its table that differ, until it knows all.
+  void Fetch() {
+    const int member = static_cast<int>(here_.Below(here_.tier() - 1));
+    for (int i = 0; i < here_.tier(); ++i)
+      if (here_.table.Of(i).life == 0) return member == here_.number ? void() : prober_.Ask(member);
+  }
+
   // Those that do not count are asked now and then, all observers together no more than some hundred times a
   // second.
   void Recheck(int member, Peer* peer) {
@@ -285,7 +297,7 @@
   membership::Judge judge_;
   TierView view_;
   BadLinks links_;
-  Time look_at_ = 0, step_at_ = 0, push_at_ = 0, links_at_ = 0, objects_until_ = 0;
+  Time warm_until_ = 0, look_at_ = 0, step_at_ = 0, push_at_ = 0, links_at_ = 0, objects_until_ = 0;
   bool urgent_ = false;
   int farewells_ = 0;
 };
