--- a/lab/membership/detectors.cpp
+++ b/lab/membership/detectors.cpp
@@ -5,6 +5,7 @@
 #include "lab/membership/heartbeat.h"
 #include "lab/membership/phi.h"
 #include "lab/membership/swim.h"
+#include "peers/membership.h"
 
 namespace lichenlug::lab {
 namespace {
@@ -14,6 +15,22 @@
   return [settings](const Seat& seat, Time now) { return std::make_unique<Rival>(settings, seat, now); };
 }
 
+// The program's own, which knows its zone.
+class Own : public Detector {
+ public:
+  Own(const Seat& seat, Time now) : part_({seat.number, seat.tier, seat.zone}, seat.life, seat.seed, now) {}
+
+  Time DueAt() const override { return part_.DueAt(); }
+  std::vector<Word> Tell(Time now) override { return part_.Tell(now); }
+  bool Hear(int peer, std::string_view body, Time now) override { return part_.Hear(peer, body, now); }
+  void Beat(Time now) override { part_.Beat(now); }
+  void Leave(Time now) override { part_.Leave(now); }
+  const TierView& View() const override { return part_.View(); }
+
+ private:
+  Membership part_;
+};
+
 Swim::Settings Lifeguard() {
   Swim::Settings settings;
   settings.lifeguard = true;
@@ -24,7 +41,8 @@
   return {{"heartbeat", With<Heartbeat>({})},
           {"swim", With<Swim>({})},
           {"lifeguard", With<Swim>(Lifeguard())},
-          {"phi", With<Phi>({})}};
+          {"phi", With<Phi>({})},
+          {"membership", [](const Seat& seat, Time now) { return std::make_unique<Own>(seat, now); }}};
 }
 
 }  // namespace
--- a/lab/membership/phi.cpp
+++ b/lab/membership/phi.cpp
@@ -24,14 +24,16 @@
   }
 }
 
-// Of a datagram: what it is, life, incarnation, rumours.
+// Of a datagram: heartbeat (1), has just started (2), of the table (4); life, incarnation, rumours.
 void Phi::Say(int peer, std::size_t most, bool heartbeat, bool fill) {
   const Rumour& own = rumours_.Of(seat_.number);
-  std::string body(1, static_cast<char>((heartbeat ? 1 : 0) | (joining_ ? 2 : 0)));
+  std::string body(1, static_cast<char>((heartbeat ? 1 : 0) | (joining_ ? 2 : 0) | (fill ? 4 : 0)));
   Put(&body, own.life, 6);
   Put(&body, own.incarnation, 2);
-  rumours_.Write(&body, most, rumours_.Of(peer).standing == Standing::kDead ? peer : -1);
-  if (fill) rumours_.Fill(&body, kMostBody - 1);
+  if (fill)
+    rumours_.Fill(&body, kMostBody - 1);
+  else
+    rumours_.Write(&body, most, rumours_.Of(peer).standing == Standing::kDead ? peer : -1);
   out_.push_back({peer, std::move(body)});
 }
 
@@ -49,12 +51,12 @@
 
 bool Phi::Hear(int peer, std::string_view body, Time now) {
   const auto head = Get(&body, 1), life = Get(&body, 6), incarnation = Get(&body, 2);
-  if (!head || !life || !incarnation || *head > 3) return false;
+  if (!head || !life || !incarnation || *head > 7) return false;
   const auto rumours = rumours_.Read(body);
   if (!rumours) return false;
   if (*life < rumours_.Of(peer).life) return true;  // of a life that is over
   rumours_.Take({peer, Standing::kAlive, static_cast<std::uint16_t>(*incarnation), 0, *life}, true);
-  for (const Rumour& rumour : *rumours) rumours_.Take(rumour, !joining_ || rumour.number == seat_.number);
+  for (const Rumour& rumour : *rumours) rumours_.Take(rumour, (*head & 4) == 0);
   if ((*head & 1) != 0) {
     Watched& watched = watched_[Index(peer)];
     if (watched.life != *life) watched = {{}, 0, *life};
@@ -92,13 +94,14 @@
   if (now < look_at_) return;
   look_at_ = now + kLookEvery;
   for (int n = 0; n < seat_.tier; ++n) {
-    const Watched& watched = watched_[Index(n)];
+    Watched& watched = watched_[Index(n)];
     Rumour rumour = rumours_.Of(n);
     if (watched.heard == 0 || watched.life != rumour.life || !rumours_.Counts(n) ||
         Level(watched, now) < settings_.threshold)
       continue;
     rumour.standing = Standing::kDead;
     rumours_.Take(rumour);
+    watched.heard = 0;  // heard from again, it starts anew
   }
 }
 
--- a/lab/membership/phi.h
+++ b/lab/membership/phi.h
@@ -38,10 +38,10 @@
  private:
   struct Watched {
     std::deque<Time> spans;
-    Time heard = 0;  // 0: not in this life
+    Time heard = 0;  // 0: not in this life, or not since it was declared dead
     std::uint64_t life = 0;
   };
-  static constexpr Time kJoins = 10 * kSecond, kLookEvery = 50 * kMillisecond;
+  static constexpr Time kJoins = 30 * kSecond, kLookEvery = 50 * kMillisecond;
 
   static std::size_t Index(int number) { return static_cast<std::size_t>(number); }
   void Say(int peer, std::size_t most, bool heartbeat, bool fill);
--- a/lab/membership/swim.cpp
+++ b/lab/membership/swim.cpp
@@ -15,11 +15,11 @@
       reconnect_at_(now),
       suspicions_(Index(seat.tier)) {}
 
-// Of a datagram: kind and whether this one has just started, number, life, incarnation, then what the kind
-// wants, then rumours.
+// Of a datagram: kind, whether this one has just started (8) and whether it is of the table (4); number, life,
+// incarnation, then what the kind wants, then rumours.
 void Swim::Say(int peer, Kind kind, std::uint16_t number, int target, bool joins) {
   const Rumour& own = rumours_.Of(seat_.number);
-  std::string body(1, static_cast<char>(static_cast<int>(kind) | (joining_ ? 8 : 0)));
+  std::string body(1, static_cast<char>(static_cast<int>(kind) | (joining_ ? 8 : 0) | (joins ? 4 : 0)));
   Put(&body, number, 2);
   Put(&body, own.life, 6);
   Put(&body, own.incarnation, 2);
@@ -27,8 +27,10 @@
   const Standing standing = rumours_.Of(peer).standing;
   const bool tell_it =
       standing == Standing::kDead || (standing == Standing::kSuspected && settings_.lifeguard);
-  rumours_.Write(&body, kMostBody - 1, tell_it ? peer : -1);
-  if (joins) rumours_.Fill(&body, kMostBody - 1);
+  if (joins)
+    rumours_.Fill(&body, kMostBody - 1);
+  else
+    rumours_.Write(&body, kMostBody - 1, tell_it ? peer : -1);
   out_.push_back({peer, std::move(body)});
 }
 
@@ -159,9 +161,9 @@
   Heard(rumour, now);
 }
 
-void Swim::Heard(const Rumour& rumour, Time now) {
+void Swim::Heard(const Rumour& rumour, Time now, bool pass_on) {
   const std::uint64_t objections = rumours_.objections();
-  const bool news = rumours_.Take(rumour, !joining_ || rumour.number == seat_.number);
+  const bool news = rumours_.Take(rumour, pass_on);
   if (rumours_.objections() != objections) Healthier(-1);
   if (rumour.number == seat_.number) return;
   Suspicion& suspicion = suspicions_[Index(rumour.number)];
@@ -185,7 +187,7 @@
 
 bool Swim::Hear(int peer, std::string_view body, Time now) {
   const auto head = Get(&body, 1), number = Get(&body, 2), life = Get(&body, 6), incarnation = Get(&body, 2);
-  if (!head || !number || !life || !incarnation || (*head & ~11ULL) != 0) return false;
+  if (!head || !number || !life || !incarnation || (*head & ~15ULL) != 0) return false;
   const auto kind = static_cast<Kind>(*head & 3);
   const auto target = kind == Kind::kAsk ? Get(&body, 2) : 0;
   if (!target || *target >= static_cast<std::uint64_t>(seat_.tier)) return false;
@@ -193,7 +195,7 @@
   if (!rumours) return false;
   if (*life < rumours_.Of(peer).life) return true;  // of a life that is over
   Heard({peer, Standing::kAlive, static_cast<std::uint16_t>(*incarnation), 0, *life}, now);
-  for (const Rumour& rumour : *rumours) Heard(rumour, now);
+  for (const Rumour& rumour : *rumours) Heard(rumour, now, (*head & 4) == 0);
   const auto asked = static_cast<std::uint16_t>(*number);
   const bool joins = (*head & 8) != 0;
   if (rumours_.Of(seat_.number).standing == Standing::kLeft) return true;
--- a/lab/membership/swim.h
+++ b/lab/membership/swim.h
@@ -58,7 +58,7 @@
     std::vector<int> accusers;
   };
   static constexpr std::size_t kMostHelp = 64;
-  static constexpr Time kJoins = 10 * kSecond;
+  static constexpr Time kJoins = 30 * kSecond;
 
   static std::size_t Index(int number) { return static_cast<std::size_t>(number); }
   void Say(int peer, Kind kind, std::uint16_t number, int target = -1, bool joins = false);
@@ -66,7 +66,7 @@
   void Reconnect(Time now);
   void CheckProbes(Time now);
   void Accuse(int number, Time now);
-  void Heard(const Rumour& rumour, Time now);
+  void Heard(const Rumour& rumour, Time now, bool pass_on = true);
   void Healthier(int by);
   Time Lasts(const Suspicion& suspicion) const;
   int NextTarget();
