--- a/lab/membership/days.cpp
+++ b/lab/membership/days.cpp
@@ -30,9 +30,11 @@
     faults_.push_back({kind, at, length, a, b, amount});
   }
   // One in twelve of the tier, at least one; a tier of three keeps two.
-  void Deaths(Time from, Time to, int most) {
+  // Every second one by default is a machine that vanishes.
+  void Deaths(Time from, Time to, int most, double vanish = 0.5) {
     const int n = std::clamp(size_ / 12, 1, most);
-    for (int i = 0; i < n; ++i) Add(Kind::kDie, Between(from, to), 0, order_[doomed_++]);
+    for (int i = 0; i < n; ++i)
+      Add(random_.Chance(vanish) ? Kind::kVanish : Kind::kDie, Between(from, to), 0, order_[doomed_++]);
   }
   // So often a second for each hundred members, and at least every five seconds.
   void Often(double per_hundred, Time from, Time to, const std::function<void(Time)>& what) {
@@ -97,7 +99,12 @@
     {"calm", [](const std::string& name, Drawer d) { return d.Finish(name, S(80)); }},
     {"deaths",
      [](const std::string& name, Drawer d) {
-       d.Deaths(kWarm + S(2), S(50), 12);
+       d.Deaths(kWarm + S(2), S(50), 12, 0);
+       return d.Finish(name, S(50) + kCalmEnd);
+     }},
+    {"vanish",
+     [](const std::string& name, Drawer d) {
+       d.Deaths(kWarm + S(2), S(50), 12, 1);
        return d.Finish(name, S(50) + kCalmEnd);
      }},
     {"pauses",
--- a/lab/membership/detector.h
+++ b/lab/membership/detector.h
@@ -16,6 +16,9 @@
   virtual void Beat(Time now) = 0;   // each turn of the process's loop, and at least each 100 ms
   virtual void Leave(Time now) = 0;  // the process ends soon: farewells
   virtual const TierView& View() const = 0;
+  // What was sent to this peer came to an address where no process listens. The published rivals use only
+  // silence.
+  virtual void Refused(int, Time) {}
 };
 
 struct Seat {
--- a/lab/membership/detectors.cpp
+++ b/lab/membership/detectors.cpp
@@ -26,6 +26,7 @@
   void Beat(Time now) override { part_.Beat(now); }
   void Leave(Time now) override { part_.Leave(now); }
   const TierView& View() const override { return part_.View(); }
+  void Refused(int peer, Time now) override { part_.Refused(peer, now); }
 
  private:
   Membership part_;
--- a/lab/membership/net.cpp
+++ b/lab/membership/net.cpp
@@ -92,6 +92,7 @@
     return;
   }
   m.part->Beat(now_);
+  if (event.what == What::kRefused) m.part->Refused(event.from, now_);
   if (event.what == What::kHandle && !m.part->Hear(event.from, event.body, now_)) ++refused_;
   Turn(event.member);
 }
@@ -109,7 +110,7 @@
   m.life = static_cast<std::uint64_t>(now_);
   m.started = now_;
   m.paused_until = m.slow_until = m.busy_until = m.timer_at = 0;
-  m.seen = 0, m.timer_late = false;
+  m.seen = 0, m.timer_late = m.vanished = false;
   const std::uint64_t seed = seed_ * 1'000'003 + m.life * 31 + Index(member);
   m.part = make_({member, size(), ZoneOf(member), m.life, seed}, now_);
   onlooker_->Started(member, now_);
@@ -143,7 +144,11 @@
 
 void Net::Arrive(Event& event) {
   Member& m = members_[Index(event.member)];
-  if (!m.part) return;
+  if (!m.part) {
+    const bool refused = !m.vanished && Passes(event.member, event.from) && !Lost(event.member, event.from);
+    if (refused) Push(now_ + Way(event.member, event.from), What::kRefused, event.from, event.member);
+    return;
+  }
   if (m.paused_until > now_) {
     if (m.inbox.size() < kSocketBuffer)
       m.inbox.emplace_back(event.from, std::move(event.body));
@@ -202,13 +207,19 @@
 }
 
 void Net::Carry(int from, int to, const std::string& body) {
-  if (cut_[Pair(from, to)] > 0) return;
-  if (const double lost = std::max<double>(loss_, link_loss_[Pair(from, to)]); lost > 0 && wire_.Chance(lost))
-    return;
+  if (Passes(from, to) && !Lost(from, to)) Push(now_ + Way(from, to), What::kArrive, to, from, body);
+}
+
+bool Net::Lost(int from, int to) {
+  const double lost = std::max<double>(loss_, link_loss_[Pair(from, to)]);
+  return lost > 0 && wire_.Chance(lost);
+}
+
+Time Net::Way(int from, int to) {
   double ms = ways_[Index(ZoneOf(from) * zones_ + ZoneOf(to))] * (1 + wire_.Exponential(0.1));
   if (wire_.Chance(0.01)) ms += wire_.Between(0, 20);
   if (reorder_ > 0 && wire_.Chance(reorder_)) ms += wire_.Between(0, 200);
-  Push(now_ + Micros(ms), What::kArrive, to, from, body);
+  return Micros(ms);
 }
 
 void Net::Apply(const Fault& f, int index) {
@@ -218,6 +229,7 @@
   if (has_member && !Running(f.a)) return;
   Member* m = has_member ? &members_[Index(f.a)] : nullptr;
   switch (f.kind) {
+    case Kind::kVanish: m->vanished = true; [[fallthrough]];
     case Kind::kDie: return End(f.a, false);
     case Kind::kRestart: End(f.a, false); return Push(now_ + f.length, What::kStart, f.a);
     case Kind::kLeave:
--- a/lab/membership/net.h
+++ b/lab/membership/net.h
@@ -22,7 +22,8 @@
 
 struct Fault {
   enum class Kind {
-    kDie,      // `a` ends without a word
+    kDie,      // the process `a` ends without a word; its address then refuses datagrams
+    kVanish,   // its machine goes: nothing refuses
     kRestart,  // `a` ends without a word and starts anew after `length`
     kLeave,    // `a` says farewell, ends, and starts anew after `length` (0: never)
     kPause,    // `a` stands still
@@ -93,7 +94,7 @@
   std::uint64_t overflown() const { return overflown_; }  // of socket buffers
 
  private:
-  enum class What : std::uint8_t { kFault, kFaultEnds, kStart, kEnd, kWake, kArrive, kHandle, kTimer, kBeat, kTick };
+  enum class What : std::uint8_t { kFault, kFaultEnds, kStart, kEnd, kWake, kArrive, kHandle, kRefused, kTimer, kBeat, kTick };
   struct Event {
     Time at;
     std::uint64_t order;
@@ -107,7 +108,7 @@
     std::uint64_t life = 0, seen = 0, second_bytes = 0;
     std::uint32_t generation = 0;
     Time started = 0, paused_until = 0, slow_until = 0, busy_until = 0, timer_at = 0, second = 0;
-    bool timer_late = false;
+    bool timer_late = false, vanished = false;
     std::deque<std::pair<int, std::string>> inbox;
     Sent sent;
   };
@@ -126,6 +127,8 @@
   void Turn(int member);  // what a loop does at the end of each turn
   void Send(int from, int to, const std::string& body);
   void Carry(int from, int to, const std::string& body);
+  bool Lost(int from, int to);
+  Time Way(int from, int to);
   Time Late(Member& member);
   void FindParts();
 
