--- a/lab/membership/days.cpp
+++ b/lab/membership/days.cpp
@@ -39,7 +39,8 @@
   // So often a second for each hundred members, and at least every five seconds.
   void Often(double per_hundred, Time from, Time to, const std::function<void(Time)>& what) {
     const double rate = std::max(0.2, per_hundred * size_ / 100);
-    for (double at = static_cast<double>(from); (at += random_.Exponential(kSecond / rate)) < static_cast<double>(to);)
+    for (double at = static_cast<double>(from);
+         (at += random_.Exponential(kSecond / rate)) < static_cast<double>(to);)
       what(static_cast<Time>(at));
   }
   void Pauses(Time from, Time to) {
@@ -77,7 +78,8 @@
   }
   void RestartAll(Time from) {  // within a second
     for (std::size_t i = doomed_; i < order_.size(); ++i)
-      Add(Kind::kRestart, Between(from, from + kSecond), Between(300 * kMillisecond, 600 * kMillisecond), order_[i]);
+      Add(Kind::kRestart, Between(from, from + kSecond), Between(300 * kMillisecond, 600 * kMillisecond),
+          order_[i]);
     Add(Kind::kHealed, from + 2 * kSecond, 0);
   }
   Day Finish(const std::string& name, Time length) {
--- a/lab/membership/judge.cpp
+++ b/lab/membership/judge.cpp
@@ -135,9 +135,8 @@
     const Time known = end.known[Index(observer)];
     if (known == kExcused) continue;
     const Time until = known == 0 ? end.at + kPatience : known;
-    const bool blocked = std::ranges::any_of(blocked_[Index(observer)], [&](const Span& span) {
-      return span.from < until && span.to > end.at;
-    });
+    const bool blocked = std::ranges::any_of(
+        blocked_[Index(observer)], [&](const Span& span) { return span.from < until && span.to > end.at; });
     if (blocked) continue;
     never |= known == 0;
     last = std::max(last, known - end.at);
--- a/lab/membership/judge.h
+++ b/lab/membership/judge.h
@@ -24,12 +24,12 @@
   std::uint64_t wrong_views = 0;          // by each observer
   std::uint64_t beyond_a_cut = 0;         // views, not counted above
   std::uint64_t suspicions = 0;           // views, of those that ran
-  std::uint64_t flaps = 0;                // views: one that ran no longer counted and came back in the same life
+  std::uint64_t flaps = 0;  // views: one that ran no longer counted and came back in the same life
   std::uint64_t digest = 0;
-  double hours = 0;                       // measured
-  double bytes_mean = 0, bytes_max = 0;   // a second, of a member
-  double bytes_peak = 0;                  // in any one second, of any member
-  double datagrams = 0;                   // a second, of a member
+  double hours = 0;                      // measured
+  double bytes_mean = 0, bytes_max = 0;  // a second, of a member
+  double bytes_peak = 0;                 // in any one second, of any member
+  double datagrams = 0;                  // a second, of a member
 };
 
 class Judge : public Onlooker {
@@ -73,8 +73,8 @@
   Net& net_;
   const Time measured_from_;
   std::vector<Seen> seen_;
-  std::vector<int> wrong_by_;      // by subject: how many err now
-  std::vector<bool> for_all_;      // by subject: this episode is counted as one of all
+  std::vector<int> wrong_by_;  // by subject: how many err now
+  std::vector<bool> for_all_;  // by subject: this episode is counted as one of all
   std::vector<std::vector<Span>> blocked_;
   std::vector<End> ends_;
   std::vector<Time> healed_;  // not yet agreed
--- a/lab/membership/net.cpp
+++ b/lab/membership/net.cpp
@@ -31,9 +31,8 @@
 void Net::Push(Time at, What what, int member, int from, std::string body) {
   const std::uint32_t generation = member < 0 ? 0 : members_[Index(member)].generation;
   queue_.push_back({at, order_++, what, member, from, generation, std::move(body)});
-  std::ranges::push_heap(queue_, [](const Event& x, const Event& y) {
-    return x.at != y.at ? x.at > y.at : x.order > y.order;
-  });
+  std::ranges::push_heap(
+      queue_, [](const Event& x, const Event& y) { return x.at != y.at ? x.at > y.at : x.order > y.order; });
 }
 
 void Net::Play(const Day& day, Onlooker* onlooker) {
@@ -56,7 +55,8 @@
     now_ = event.at;
     ++events_;
     digest_.Add(static_cast<std::uint64_t>(event.at));
-    digest_.Add(static_cast<std::uint64_t>(event.what) << 48 | static_cast<std::uint64_t>(event.member + 1) << 24 |
+    digest_.Add(static_cast<std::uint64_t>(event.what) << 48 |
+                static_cast<std::uint64_t>(event.member + 1) << 24 |
                 static_cast<std::uint64_t>(event.from + 1));
     digest_.Add(event.body);
     Handle(event);
@@ -67,15 +67,22 @@
 
 void Net::Handle(Event& event) {
   switch (event.what) {
-    case What::kFault: return Apply(day_.faults[Index(event.from)], event.from);
-    case What::kFaultEnds: return Undo(day_.faults[Index(event.from)]);
-    case What::kTick: onlooker_->Tick(now_); return Push(now_ + kTickEvery, What::kTick, -1);
-    case What::kStart: return Start(event.member);
-    case What::kArrive: return Arrive(event);  // at a socket of this address, whichever life it is by now
-    default: break;
+    case What::kFault:
+      return Apply(day_.faults[Index(event.from)], event.from);
+    case What::kFaultEnds:
+      return Undo(day_.faults[Index(event.from)]);
+    case What::kTick:
+      onlooker_->Tick(now_);
+      return Push(now_ + kTickEvery, What::kTick, -1);
+    case What::kStart:
+      return Start(event.member);
+    case What::kArrive:
+      return Arrive(event);  // at a socket of this address, whichever life it is by now
+    default:
+      break;
   }
   Member& m = members_[Index(event.member)];
-  if (event.generation != m.generation) return;
+  if (event.generation != m.generation || !m.part) return;
   if (event.what == What::kEnd) return End(event.member, true);
   if (event.what == What::kWake) return Wake(event.member);
   if (event.what == What::kBeat) Push(now_ + kBeatEvery + Late(m), What::kBeat, event.member);
@@ -229,9 +236,14 @@
   if (has_member && !Running(f.a)) return;
   Member* m = has_member ? &members_[Index(f.a)] : nullptr;
   switch (f.kind) {
-    case Kind::kVanish: m->vanished = true; [[fallthrough]];
-    case Kind::kDie: return End(f.a, false);
-    case Kind::kRestart: End(f.a, false); return Push(now_ + f.length, What::kStart, f.a);
+    case Kind::kVanish:
+      m->vanished = true;
+      [[fallthrough]];
+    case Kind::kDie:
+      return End(f.a, false);
+    case Kind::kRestart:
+      End(f.a, false);
+      return Push(now_ + f.length, What::kStart, f.a);
     case Kind::kLeave:
       if (m->paused_until > now_) return;
       m->part->Leave(now_);
@@ -243,27 +255,51 @@
       m->paused_until = std::max(m->paused_until, now_ + f.length);
       onlooker_->Blocked(f.a, now_, m->paused_until);
       return Push(m->paused_until, What::kWake, f.a);
-    case Kind::kSlow: m->slow_until = now_ + f.length; return;
-    case Kind::kLoss: loss_ = f.amount; break;
-    case Kind::kLinkLoss: link_loss_[Pair(f.a, f.b)] = static_cast<float>(f.amount); break;
-    case Kind::kCopies: copies_ = f.amount; break;
-    case Kind::kReorder: reorder_ = f.amount; break;
+    case Kind::kSlow:
+      m->slow_until = now_ + f.length;
+      return;
+    case Kind::kLoss:
+      loss_ = f.amount;
+      break;
+    case Kind::kLinkLoss:
+      link_loss_[Pair(f.a, f.b)] = static_cast<float>(f.amount);
+      break;
+    case Kind::kCopies:
+      copies_ = f.amount;
+      break;
+    case Kind::kReorder:
+      reorder_ = f.amount;
+      break;
     case Kind::kCut:
-    case Kind::kZoneCut: Cut(f, 1); break;
-    case Kind::kHealed: return;
+    case Kind::kZoneCut:
+      Cut(f, 1);
+      break;
+    case Kind::kHealed:
+      return;
   }
   if (f.length > 0) Push(now_ + f.length, What::kFaultEnds, -1, index);
 }
 
 void Net::Undo(const Fault& f) {
   switch (f.kind) {
-    case Fault::Kind::kLoss: loss_ = 0; break;
-    case Fault::Kind::kLinkLoss: link_loss_[Pair(f.a, f.b)] = 0; break;
-    case Fault::Kind::kCopies: copies_ = 0; break;
-    case Fault::Kind::kReorder: reorder_ = 0; break;
+    case Fault::Kind::kLoss:
+      loss_ = 0;
+      break;
+    case Fault::Kind::kLinkLoss:
+      link_loss_[Pair(f.a, f.b)] = 0;
+      break;
+    case Fault::Kind::kCopies:
+      copies_ = 0;
+      break;
+    case Fault::Kind::kReorder:
+      reorder_ = 0;
+      break;
     case Fault::Kind::kCut:
-    case Fault::Kind::kZoneCut: Cut(f, -1); break;
-    default: break;
+    case Fault::Kind::kZoneCut:
+      Cut(f, -1);
+      break;
+    default:
+      break;
   }
 }
 
--- a/lab/membership/net.h
+++ b/lab/membership/net.h
@@ -22,13 +22,13 @@
 
 struct Fault {
   enum class Kind {
-    kDie,      // the process `a` ends without a word; its address then refuses datagrams
-    kVanish,   // its machine goes: nothing refuses
-    kRestart,  // `a` ends without a word and starts anew after `length`
-    kLeave,    // `a` says farewell, ends, and starts anew after `length` (0: never)
-    kPause,    // `a` stands still
-    kSlow,     // `a` handles each datagram and each timer 50 to 500 ms late, in order
-    kLoss,     // each datagram is lost with the chance `amount`
+    kDie,       // the process `a` ends without a word; its address then refuses datagrams
+    kVanish,    // its machine goes: nothing refuses
+    kRestart,   // `a` ends without a word and starts anew after `length`
+    kLeave,     // `a` says farewell, ends, and starts anew after `length` (0: never)
+    kPause,     // `a` stands still
+    kSlow,      // `a` handles each datagram and each timer 50 to 500 ms late, in order
+    kLoss,      // each datagram is lost with the chance `amount`
     kLinkLoss,  // from `a` to `b` alone
     kCopies,    // a datagram comes twice
     kReorder,   // a datagram takes up to 200 ms more
@@ -66,7 +66,8 @@
  public:
   static constexpr Time kEpoch = 1'750'000'000 * kSecond;
   static constexpr Time kBeatEvery = 100 * kMillisecond;
-  static constexpr std::size_t kSocketBuffer = 256;  // datagrams, about what Linux's default holds of small ones
+  static constexpr std::size_t kSocketBuffer =
+      256;  // datagrams, about what Linux's default holds of small ones
 
   struct Sent {
     std::uint64_t bytes = 0, datagrams = 0;  // since measured_from; body and two bytes each
@@ -94,7 +95,19 @@
   std::uint64_t overflown() const { return overflown_; }  // of socket buffers
 
  private:
-  enum class What : std::uint8_t { kFault, kFaultEnds, kStart, kEnd, kWake, kArrive, kHandle, kRefused, kTimer, kBeat, kTick };
+  enum class What : std::uint8_t {
+    kFault,
+    kFaultEnds,
+    kStart,
+    kEnd,
+    kWake,
+    kArrive,
+    kHandle,
+    kRefused,
+    kTimer,
+    kBeat,
+    kTick
+  };
   struct Event {
     Time at;
     std::uint64_t order;
--- a/lab/membership/phi.h
+++ b/lab/membership/phi.h
@@ -20,7 +20,7 @@
     int watchers = 8;
     double threshold = 8;
     Time least_deviation = 100 * kMillisecond;
-    Time pause = 1400 * kMillisecond;  // of a heartbeat that is borne with
+    Time pause = 1850 * kMillisecond;  // of a heartbeat that is borne with
     std::size_t window = 100;
     std::size_t rumour_bytes = 120;  // of a heartbeat
     double times_each = 3;
--- a/lab/membership/rumours.cpp
+++ b/lab/membership/rumours.cpp
@@ -7,11 +7,16 @@
 
 int Rank(Standing standing) {
   switch (standing) {
-    case Standing::kUnknown: return 0;
-    case Standing::kAlive: return 1;
-    case Standing::kSuspected: return 2;
-    case Standing::kDead: return 3;
-    default: return 4;  // left
+    case Standing::kUnknown:
+      return 0;
+    case Standing::kAlive:
+      return 1;
+    case Standing::kSuspected:
+      return 2;
+    case Standing::kDead:
+      return 3;
+    default:
+      return 4;  // left
   }
 }
 
@@ -25,7 +30,8 @@
   if (body->size() < static_cast<std::size_t>(bytes)) return std::nullopt;
   std::uint64_t value = 0;
   for (int i = 0; i < bytes; ++i)
-    value |= static_cast<std::uint64_t>(static_cast<unsigned char>((*body)[static_cast<std::size_t>(i)])) << (8 * i);
+    value |= static_cast<std::uint64_t>(static_cast<unsigned char>((*body)[static_cast<std::size_t>(i)]))
+             << (8 * i);
   body->remove_prefix(static_cast<std::size_t>(bytes));
   return value;
 }
@@ -80,7 +86,8 @@
     Set(rumour, pass_on);
     return true;
   }
-  if (rumour.life != known.life || known.standing == Standing::kLeft) return false;  // of a clock that ran back
+  if (rumour.life != known.life || known.standing == Standing::kLeft)
+    return false;  // of a clock that ran back
   ++objections_;
   Set({own(), Standing::kAlive, static_cast<std::uint16_t>(rumour.incarnation + 1), 0, known.life});
   return true;
--- a/lab/membership/swim.cpp
+++ b/lab/membership/swim.cpp
@@ -15,8 +15,8 @@
       reconnect_at_(now),
       suspicions_(Index(seat.tier)) {}
 
-// Of a datagram: kind, whether this one has just started (8) and whether it is of the table (4); number, life,
-// incarnation, then what the kind wants, then rumours.
+// Of a datagram: kind, whether this one has just started (8) and whether it is of the table (4); number,
+// life, incarnation, then what the kind wants, then rumours.
 void Swim::Say(int peer, Kind kind, std::uint16_t number, int target, bool joins) {
   const Rumour& own = rumours_.Of(seat_.number);
   std::string body(1, static_cast<char>(static_cast<int>(kind) | (joining_ ? 8 : 0) | (joins ? 4 : 0)));
@@ -200,7 +200,9 @@
   const bool joins = (*head & 8) != 0;
   if (rumours_.Of(seat_.number).standing == Standing::kLeft) return true;
   switch (kind) {
-    case Kind::kPing: Say(peer, Kind::kAck, asked, -1, joins); break;
+    case Kind::kPing:
+      Say(peer, Kind::kAck, asked, -1, joins);
+      break;
     case Kind::kAsk:
       if (helping_.size() >= kMostHelp || static_cast<int>(*target) == seat_.number) break;
       helping_[++number_] = {peer, asked, settings_.lifeguard ? now + settings_.answer : 0, now + kSecond};
--- a/lab/membership/table.cpp
+++ b/lab/membership/table.cpp
@@ -83,7 +83,8 @@
 
 std::string Row(const MembersCell& cell) {
   std::ostringstream out;
-  const std::vector<double> deaths = Pooled(cell, &Verdict::deaths), healed = Pooled(cell, &Verdict::agreements);
+  const std::vector<double> deaths = Pooled(cell, &Verdict::deaths),
+                            healed = Pooled(cell, &Verdict::agreements);
   out << "| " << cell.day << " | " << cell.detector << " | ";
   if (deaths.empty()) {
     out << " | | | ";
@@ -95,11 +96,14 @@
   const auto wrong = [](const Verdict& v) { return static_cast<double>(v.wrong_members) / v.hours; };
   const Interval hourly = BootstrapMean(BySeed(cell, wrong));
   out << Short(hourly.mean);
-  if (hourly.mean > 0 && hourly.high < 1e12) out << " (" << Short(std::max(0.0, hourly.low)) << " to " << Short(hourly.high) << ")";
+  if (hourly.mean > 0 && hourly.high < 1e12)
+    out << " (" << Short(std::max(0.0, hourly.low)) << " to " << Short(hourly.high) << ")";
   const auto each = [&](auto what) {
-    out << " | " << Short(Mean(cell, [&](const Verdict& v) { return static_cast<double>(v.*what) / v.hours; }));
+    out << " | "
+        << Short(Mean(cell, [&](const Verdict& v) { return static_cast<double>(v.*what) / v.hours; }));
   };
-  each(&Verdict::wrong_for_all), each(&Verdict::wrong_views), each(&Verdict::beyond_a_cut), each(&Verdict::flaps);
+  each(&Verdict::wrong_for_all), each(&Verdict::wrong_views), each(&Verdict::beyond_a_cut),
+      each(&Verdict::flaps);
   out << " | " << Short(Mean(cell, [](const Verdict& v) { return v.bytes_mean; })) << " | "
       << Short(Worst(cell, &Verdict::bytes_max)) << " | " << Short(Worst(cell, &Verdict::bytes_peak)) << " | "
       << Short(Mean(cell, [](const Verdict& v) { return v.datagrams; })) << " | ";
@@ -131,8 +135,8 @@
     plots << (d ? ", " : "") << "$" << name << " using 1:2 with boxes fill solid noborder lc rgb '"
           << kColours[d % std::size(kColours)] << "' title " << Quoted(plan.detectors[d]);
   }
-  script << "set xtics (" << ticks.str() << ") scale 0\nset xrange [-0.1:" << plan.days.size() << "]\nset boxwidth "
-         << 0.9 / (n + 1) << "\n";
+  script << "set xtics (" << ticks.str() << ") scale 0\nset xrange [-0.1:" << plan.days.size()
+         << "]\nset boxwidth " << 0.9 / (n + 1) << "\n";
   return script.str() + "plot " + plots.str() + "\n";
 }
 
@@ -160,7 +164,8 @@
       try {
         MembersCell& cell = cells[i / seeds];
         const std::uint64_t seed = plan.first_seed + i % seeds;
-        cell.verdicts[i % seeds] = PlayDay(cell.size, FaultDay(cell.day, cell.size, seed), seed, makers[i / seeds]);
+        cell.verdicts[i % seeds] =
+            PlayDay(cell.size, FaultDay(cell.day, cell.size, seed), seed, makers[i / seeds]);
         const std::lock_guard lock(mutex);
         told(++done, all);
       } catch (...) {
@@ -183,8 +188,10 @@
   for (int size : plan.sizes) {
     out << "## " << size << " members, seeds " << plan.first_seed << " to "
         << plan.first_seed + static_cast<std::uint64_t>(plan.seeds) - 1 << "\n\n"
-        << "| day | detector | known to all, s: p50 | p99 (95%) | worst | wrongly dead members/h (95%) | of them for "
-           "over half/h | wrong views/h | views dead beyond a cut/h | flaps/h | bytes/s mean | worst member | worst "
+        << "| day | detector | known to all, s: p50 | p99 (95%) | worst | wrongly dead members/h (95%) | of "
+           "them for "
+           "over half/h | wrong views/h | views dead beyond a cut/h | flaps/h | bytes/s mean | worst member "
+           "| worst "
            "second | datagrams/s | agreed, s: p50 / worst |\n"
         << "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n";
     for (const MembersCell& cell : cells)
--- a/lab/membership/table.h
+++ b/lab/membership/table.h
@@ -23,7 +23,8 @@
   std::vector<Verdict> verdicts;  // by seed
 };
 
-std::vector<MembersCell> PlayMembers(const MembersPlan& plan, const std::function<void(std::size_t, std::size_t)>& told);
+std::vector<MembersCell> PlayMembers(const MembersPlan& plan,
+                                     const std::function<void(std::size_t, std::size_t)>& told);
 
 // Tables in markdown, one a size.
 std::string MembersTable(const MembersPlan& plan, const std::vector<MembersCell>& cells);
