--- a/lab/membership/swim.h
+++ b/lab/membership/swim.h
@@ -23,7 +23,7 @@
     int probes = 4;  // a period
     Time answer = 70 * kMillisecond;
     int helpers = 3;
-    Time suspicion = 2250 * kMillisecond;  // Lifeguard: the least
+    Time suspicion = 2150 * kMillisecond;  // Lifeguard: the least
     bool lifeguard = false;
     double most_suspicion = 6;  // times the least; what a suspicion of one member alone lasts
     int confirmations = 3;
