--- /dev/null
+++ b/src/checkpoints/deal.cpp
@@ -0,0 +1,75 @@
+#include "checkpoints/deal.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+namespace lichenlug {
+namespace {
+
+double Wanted(const Job& job) {
+  const Choice choice = Choose(job);
+  return choice.saves == 0 ? 0 : 1 / choice.interval;
+}
+
+// The level up to which each gets what it wants.
+double Level(std::vector<double> wants, double allowed) {
+  std::ranges::sort(wants);
+  double left = allowed;
+  for (std::size_t i = 0; i < wants.size(); ++i) {
+    const double part = left / static_cast<double>(wants.size() - i);
+    if (wants[i] > part) return part;
+    left -= wants[i];
+  }
+  return wants.empty() ? 0 : wants.back();
+}
+
+// The jobs of one tenant share `level` by a price. Gives the price.
+double Share(std::vector<Wish*>* wishes, double level) {
+  // Young's rate at a price bounds the search; the choice itself is asked at its end.
+  const auto rough = [&](double price) {
+    double sum = 0;
+    for (const Wish* it : *wishes)
+      sum +=
+          std::min(it->free, std::sqrt(it->job.rate / (2 * (it->job.save + price / it->job.worth_a_second))));
+    return sum;
+  };
+  double low = 0, high = 1;
+  while (rough(high) > level && high < 1e12) high *= 4;
+  for (int i = 0; i < 40; ++i) (rough((low + high) / 2) > level ? low : high) = (low + high) / 2;
+  double sum = 0;
+  for (Wish* it : *wishes) {
+    Job priced = it->job;
+    priced.price = high / priced.worth_a_second;
+    it->given = std::min(it->free, Wanted(priced));
+    sum += it->given;
+  }
+  if (sum > level)
+    for (Wish* it : *wishes) it->given *= level / sum * (1 - 1e-9);
+  return high;
+}
+
+}  // namespace
+
+Dealt Deal(std::vector<Wish>* wishes, double allowed) {
+  Dealt dealt;
+  std::map<std::string, std::vector<Wish*>> tenants;
+  std::map<std::string, double> wants;
+  for (Wish& wish : *wishes) {
+    wish.given = wish.free = Wanted(wish.job);
+    tenants[wish.tenant].push_back(&wish);
+    wants[wish.tenant] += wish.free, dealt.wanted += wish.free;
+  }
+  dealt.given = dealt.wanted;
+  if (dealt.wanted <= allowed) return dealt;
+  std::vector<double> list;
+  for (const auto& [tenant, want] : wants) list.push_back(want);
+  const double level = Level(list, allowed);
+  for (auto& [tenant, own] : tenants)
+    if (wants[tenant] > level) dealt.gain = std::max(dealt.gain, Share(&own, level));
+  dealt.given = 0;
+  for (const Wish& wish : *wishes) dealt.given += wish.given;
+  return dealt;
+}
+
+}  // namespace lichenlug
--- /dev/null
+++ b/src/checkpoints/lending.cpp
@@ -0,0 +1,153 @@
+#include "checkpoints/lending.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace lichenlug {
+namespace {
+
+constexpr std::size_t kAskBytes = 1 + 4 + 8 + 8 + 8, kGrantBytes = 1 + 4 + 8 + 8;
+
+void Append(std::string* bytes, std::uint64_t value, int count) {
+  for (int i = 0; i < count; ++i) *bytes += static_cast<char>(value >> (8 * i) & 0xff);
+}
+
+std::uint64_t Take(std::string_view* bytes, int count) {
+  std::uint64_t value = 0;
+  for (int i = 0; i < count; ++i)
+    value |= static_cast<std::uint64_t>(static_cast<unsigned char>((*bytes)[static_cast<std::size_t>(i)]))
+             << (8 * i);
+  bytes->remove_prefix(static_cast<std::size_t>(count));
+  return value;
+}
+
+// As made, or with one zero byte behind it.
+bool Fits(std::string_view body, std::size_t size) {
+  return body.size() == size || (body.size() == size + 1 && body.back() == '\0');
+}
+
+}  // namespace
+
+Lending::Lending(const Place& place, Amount bound, std::uint64_t life, Time now)
+    : number_(place.number),
+      tier_(std::max(1, place.tier)),
+      own_(bound / tier_),
+      life_(life),
+      quiet_until_(now + kLease + kMargin),
+      turn_(place.number) {}
+
+Amount Lending::LentOut(Time now) const {
+  Amount sum = 0;
+  for (const auto& [peer, borrower] : borrowers_) {
+    Amount most = 0;
+    for (const Lent& lease : borrower.leases)
+      if (now < lease.end) most = std::max(most, lease.amount);
+    sum += most;
+  }
+  return sum;
+}
+
+Amount Lending::Allowed(Time now) const {
+  if (now < quiet_until_) return 0;
+  Amount sum = own_ - LentOut(now);
+  for (const auto& [peer, lender] : lenders_)
+    if (now < lender.end) sum += lender.amount;
+  return sum;
+}
+
+Time Lending::End(Time now) const {
+  Time end = now + kLease;
+  for (const auto& [peer, lender] : lenders_)
+    if (now < lender.end && lender.amount > 0) end = std::min(end, lender.end);
+  return end;
+}
+
+void Lending::Use(Amount used, Amount more, double gain, Time now) {
+  used_ = used, more_ = more, gain_ = gain;
+  if (more_ > 0) next_ask_ = std::max(next_ask_, now);
+}
+
+std::vector<PeerPart::Word> Lending::Asks(const TierView& tier, Time now) {
+  std::vector<PeerPart::Word> words;
+  // What is borrowed and in use is asked for again before it ends.
+  Amount borrowed = 0;
+  for (const auto& [peer, lender] : lenders_)
+    if (now < lender.end) borrowed += lender.amount;
+  const Amount needed = std::min(borrowed, std::max<Amount>(0, used_ - (own_ - LentOut(now)))) + more_;
+  if (needed <= 0 || now < next_ask_ || now < quiet_until_ || tier.members.empty()) return words;
+  next_ask_ = now + kAsk;
+  const auto ask = [&](int peer, Amount amount) {
+    Lender& lender = lenders_[peer];
+    lender.ask = ++asks_, lender.asked = now;
+    std::string body(1, kAskWord);
+    Append(&body, lender.ask, 4), Append(&body, life_, 8);
+    Append(&body, static_cast<std::uint64_t>(amount), 8),
+        Append(&body, std::bit_cast<std::uint64_t>(gain_), 8);
+    words.push_back({peer, body});
+  };
+  for (const auto& [peer, lender] : lenders_)
+    if (now < lender.end && lender.amount > 0 && lender.end - now < kLease / 2 && now - lender.asked > kAsk)
+      ask(peer, lender.amount + more_ / kAsksAtOnce);
+  if (more_ <= 0) return words;
+  const int size = static_cast<int>(tier.members.size());
+  for (int i = 0, asked = 0; i < size && asked < kAsksAtOnce; ++i) {
+    turn_ = (turn_ + 1) % size;
+    const TierMember& member = tier.members[static_cast<std::size_t>(turn_)];
+    if (member.number == number_ || !TierView::Counts(member.standing)) continue;
+    if (const auto at = lenders_.find(member.number); at != lenders_.end() && now < at->second.end) {
+      if (at->second.amount > 0) continue;
+    }
+    ask(member.number, more_), ++asked;
+  }
+  return words;
+}
+
+bool Lending::Hear(int peer, std::string_view body, Time now, std::vector<PeerPart::Word>* answers) {
+  if (body.empty() || peer == number_ || peer < 0 || peer >= tier_) return false;
+  if (body[0] == kAskWord) return Fits(body, kAskBytes) && HearAsk(peer, body.substr(1), now, answers);
+  return body[0] == kGrantWord && Fits(body, kGrantBytes) && HearGrant(peer, body.substr(1), now);
+}
+
+bool Lending::HearAsk(int peer, std::string_view body, Time now, std::vector<PeerPart::Word>* answers) {
+  const auto ask = static_cast<std::uint32_t>(Take(&body, 4));
+  const std::uint64_t life = Take(&body, 8);
+  const auto asked = static_cast<Amount>(Take(&body, 8));
+  const auto gain = std::bit_cast<double>(Take(&body, 8));
+  if (asked <= 0 || !(gain >= 0)) return false;
+  Borrower& borrower = borrowers_[peer];
+  if (life < borrower.life || (life == borrower.life && ask <= borrower.ask)) return true;  // old news
+  borrower.life = life, borrower.ask = ask;
+  std::erase_if(borrower.leases, [now](const Lent& it) { return it.end <= now; });
+  Amount held = 0;
+  for (const Lent& lease : borrower.leases) held = std::max(held, lease.amount);
+  const Amount lendable = own_ - own_ / 4 - LentOut(now) + held;
+  const Amount free = Allowed(now) - used_ + held;
+  Amount give = std::min({asked, lendable, free});
+  if (now < quiet_until_) give = 0;
+  if (gain_ > 0 && gain > kWorthMore * gain_ && give < asked && lendable > give)
+    yield_ = std::min(asked, lendable) / 2, yield_until_ = now + kLease;
+  if (gain <= kWorthMore * gain_) give = std::min(give, held);
+  if (give <= 0) return true;
+  borrower.leases.push_back({give, now + kLease + kMargin});
+  std::string grant(1, kGrantWord);
+  Append(&grant, ask, 4), Append(&grant, life, 8), Append(&grant, static_cast<std::uint64_t>(give), 8);
+  answers->push_back({peer, grant});
+  return true;
+}
+
+bool Lending::HearGrant(int peer, std::string_view body, Time now) {
+  const auto ask = static_cast<std::uint32_t>(Take(&body, 4));
+  const std::uint64_t life = Take(&body, 8);
+  const auto amount = static_cast<Amount>(Take(&body, 8));
+  const auto at = lenders_.find(peer);
+  if (amount <= 0) return false;
+  // A grant for an ask before the last is of no use: the lender counts the greater of both, not the sum.
+  if (life != life_ || at == lenders_.end() || at->second.ask != ask) return true;
+  Lender& lender = at->second;
+  const Time end = lender.asked + kLease;
+  if (end <= now) return true;
+  lender.amount = amount, lender.end = end;
+  return true;
+}
+
+}  // namespace lichenlug
--- /dev/null
+++ b/src/checkpoints/rates.h
@@ -0,0 +1,83 @@
+// How often runners die, with what is not known about it.
+//
+// Deaths and exposure fade with Facts::kHalfLife. A rate is pooled, each level the prior of the next: tier,
+// zone, kind within the zone, runner; Gamma priors and Poisson counts, so the mean at a level is (k + deaths)
+// / (k / mean above + exposure) with k = kStrength deaths. At the top half a death in kTopExposure: with no
+// death seen the rate is small and bounded (`upper`), never zero. Runners younger than kYoung have rates of
+// their own, whose prior is that of all. Many deaths of a zone within kTogether are one event of the zone;
+// its rate, by the share of the zone that it took, is added to that of each runner there.
+//
+// After a change beyond chance only what came since counts: the greatest likelihood ratio over change points
+// 10 s to 4 h ago, each 1.5 times the one before, must pass e^kAlarm. False alarms: see
+// docs/measurements/checkpoints.md.
+//
+// All sums are of whole numbers over ordered facts, the rest is +, -, *, / in a fixed order: dispatchers that
+// have the same facts have the same rates, to the last bit, within the same second.
+#pragma once
+
+#include <array>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "checkpoints/facts.h"
+
+namespace lichenlug {
+
+struct Rate {
+  double mean = 0;   // a second
+  double sd = 0;     // of what is known of it
+  double upper = 0;  // 95% sure to be below
+};
+
+class Rates {
+ public:
+  static constexpr Time kYoung = 30 * kSecond, kTogether = 2 * kSecond;
+  static constexpr double kStrength = 8, kTopExposure = 1800;  // deaths; runner-seconds
+  static constexpr double kAlarm = 12;
+
+  Rates() = default;
+  Rates(const Facts& facts, Time now);  // as of the last full second
+
+  Rate Of(std::uint32_t runner, int kind, int zone, bool young) const;
+  // The mean over the time from age `age` to `age + span`, both in seconds.
+  Rate Over(std::uint32_t runner, int kind, int zone, double age, double span) const;
+
+  Time since() const { return since_; }   // the change that is believed; 0: none within the horizon
+  int events() const { return events_; }  // zones that fell, within the horizon
+
+ private:
+  struct Tally {
+    std::int64_t deaths = 0, exposure = 0;  // sums of weights; of their differences, see Seconds
+    double Deaths() const;
+    double Seconds() const;
+  };
+  using Ages = std::array<Tally, 2>;  // old, young
+  struct Death {
+    Ticks at;
+    LifeKey key;
+  };
+
+  void Add(Ages* ages, const LifeKey& key, const Life& life, bool died) const;
+  std::int64_t Weight(Ticks at) const;
+  void FindEvents(const Facts& facts, std::map<int, std::vector<Death>> by_zone, std::vector<LifeKey>* taken);
+  void FindChange(const Facts& facts, const std::vector<LifeKey>& taken);
+  static double Below(double above, const Tally& tally);
+
+  Ticks now_ = 0, from_ = 0;
+  Time since_ = 0;
+  int events_ = 0;
+  struct Event {
+    int zone;
+    Ticks at;
+    double share;
+  };
+  std::vector<Event> fallen_;
+  Ages tier_;
+  std::map<int, Ages> zones_;
+  std::map<std::pair<int, int>, Ages> kinds_;
+  std::map<std::uint32_t, Ages> runners_;
+  std::map<int, double> zone_rate_;
+};
+
+}  // namespace lichenlug
--- /dev/null
+++ b/tests/checkpoints_test.cpp
@@ -0,0 +1,380 @@
+// Checkpoint intervals: facts that join in any order, rates that say what they do not know, the finite
+// optimum against brute force, and the store's bound under cuts, losses, deaths and healing.
+#include "checkpoints/checkpoints.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <cmath>
+#include <deque>
+
+#include "checkpoints/deal.h"
+
+namespace lichenlug {
+namespace {
+
+constexpr Time kStart = 1'700'000'000 * kSecond;
+constexpr int kSchedules = 10'000;
+
+void Check(const char* what, const std::function<void()>& property, int times = kSchedules) {
+  rc::detail::TestMetadata metadata;
+  metadata.id = metadata.description = what;
+  rc::detail::TestParams params;
+  params.seed = 25, params.maxSuccess = times, params.maxSize = 60;
+  const auto result = rc::detail::checkTestable(property, metadata, params);
+  std::ostringstream text;
+  rc::detail::printResultMessage(result, text);
+  EXPECT_TRUE(result.template is<rc::detail::SuccessResult>()) << text.str();
+}
+
+TierView Tier(int size, int own, int present) {
+  TierView view;
+  view.own = own;
+  for (int i = 0; i < size; ++i)
+    view.members.push_back({i, i % 3, i == own || present-- > 0 ? Standing::kAlive : Standing::kDead, 1});
+  return view;
+}
+
+struct Said {
+  LifeKey key;
+  Life life;
+};
+
+std::vector<Said> AnyLives() {
+  const int count = *rc::gen::inRange(0, 24);
+  std::vector<Said> said;
+  for (int i = 0; i < count; ++i) {
+    Said it;
+    it.key = {*rc::gen::inRange<std::uint32_t>(1, 6), *rc::gen::inRange<Ticks>(1, 8)};
+    it.life.zone = *rc::gen::inRange(0, 3), it.life.kind = *rc::gen::inRange(0, 3);
+    it.life.until = it.key.start + *rc::gen::inRange<Ticks>(0, 9);
+    it.life.ended = *rc::gen::inRange<Ticks>(0, 2) * (it.key.start + *rc::gen::inRange<Ticks>(0, 9));
+    it.life.planned = *rc::gen::inRange(0, 5) == 0, it.life.whole = *rc::gen::arbitrary<bool>();
+    it.life.seen = static_cast<std::uint16_t>(*rc::gen::inRange(0, 8));
+    said.push_back(it);
+  }
+  return said;
+}
+
+Facts Table(const std::vector<Said>& said) {
+  Facts facts({.lives = 9, .of_runner = 3});
+  for (const Said& it : said) facts.Join(it.key, it.life);
+  return facts;
+}
+
+Facts Joined(Facts a, const Facts& b) {
+  a.Join(b);
+  return a;
+}
+
+TEST(CheckpointFacts, JoinIsASemilatticeEvenAtItsBound) {
+  Check("join", [] {
+    const auto a = AnyLives(), b = AnyLives(), c = AnyLives();
+    const Facts fa = Table(a), fb = Table(b), fc = Table(c);
+    RC_ASSERT(Joined(fa, fb).lives() == Joined(fb, fa).lives());
+    RC_ASSERT(Joined(Joined(fa, fb), fc).lives() == Joined(fa, Joined(fb, fc)).lives());
+    RC_ASSERT(Joined(fa, fa).lives() == fa.lives());
+    auto all = a;
+    all.insert(all.end(), b.begin(), b.end());
+    auto back = all;
+    std::ranges::reverse(back);
+    RC_ASSERT(Table(all).lives() == Table(back).lives());
+    RC_ASSERT(Table(all).lives() == Joined(fa, fb).lives());
+    RC_ASSERT(Table(all).lives().size() <= 9U);
+  });
+}
+
+TEST(CheckpointFacts, LifeGoesThroughBytesAndAnythingElseIsDropped) {
+  Checkpoints mine({}, {0, 3, 0}, 1, 1, kStart);
+  Check("bytes", [&] {
+    for (const Said& it : AnyLives()) {
+      std::string bytes;
+      AppendLife(&bytes, it.key, it.life);
+      LifeKey key;
+      Life life;
+      RC_ASSERT(ReadLife(bytes, &key, &life));
+      if (it.life.ended == 0 || it.life.ended >= it.key.start) RC_ASSERT(key == it.key && life == it.life);
+    }
+    auto noise = *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
+    if (!noise.empty()) noise[0] = static_cast<char>(noise[0] & 3);
+    const Lives before = mine.facts().lives();
+    if (!mine.Hear(1, noise, kStart)) RC_ASSERT(mine.facts().lives() == before);
+  });
+}
+
+TEST(CheckpointFacts, DeathSeenByTwoHalvesThatHealIsOne) {
+  const Checkpoints::Settings settings;
+  Checkpoints a(settings, {0, 4, 0}, 1, 1, kStart), b(settings, {1, 4, 1}, 1, 2, kStart);
+  a.TierChanged(Tier(4, 0, 1), kStart), b.TierChanged(Tier(4, 1, 1), kStart);  // two of four each: no whole
+  for (Checkpoints* it : {&a, &b}) {
+    it->Seen("r", 0, 0, kStart - 100 * kSecond, kStart);
+    it->Seen("r", 0, 0, kStart + kSecond, kStart + 2 * kSecond);
+    EXPECT_EQ(it->facts().Waiting(), 1) << "seen from one cut-off place only";
+  }
+  for (int i = 0; i < 3; ++i)
+    for (const auto& [from, to] : {std::pair(&a, &b), std::pair(&b, &a)})
+      for (const auto& word : from->Tell(kStart + (10 + i) * kSecond))
+        EXPECT_TRUE(to->Hear(0, word.body, kStart + 10 * kSecond));
+  EXPECT_EQ(a.facts().lives(), b.facts().lives());
+  int died = 0;
+  for (const auto& [key, life] : a.facts().lives()) died += life.Counts() ? 1 : 0;
+  EXPECT_EQ(died, 1);
+  EXPECT_EQ(a.facts().Waiting(), 0);
+}
+
+TEST(CheckpointFacts, DrainWithASaveUnderWayIsNoFailureAndALifeThatIsHeardAgainLives) {
+  Checkpoints it({}, {0, 1, 0}, 1, 1, kStart);
+  it.Seen("drained", 0, 0, kStart - 1000 * kSecond, kStart);
+  it.Seen("lost", 0, 0, kStart - 1000 * kSecond, kStart);
+  it.Begin(1, {"t", "c", "drained", 600}, kStart);
+  it.Draining("drained", kStart + kSecond);
+  it.Noted(1, 5.5, 5, 0, false, kStart + kSecond);  // half a save: none was made
+  it.Moved(1, "lost", kStart + kSecond);
+  it.Lost("drained", kStart + 2 * kSecond);
+  it.Lost("lost", kStart + 2 * kSecond);
+  const auto died = [&] {
+    return std::ranges::count_if(it.facts().lives(), [](const auto& life) { return life.second.Counts(); });
+  };
+  EXPECT_EQ(died(), 1);
+  it.Seen("lost", 0, 0, kStart - 1000 * kSecond, kStart + 3 * kSecond);
+  EXPECT_EQ(died(), 0);
+}
+
+// A tier of `runners` in three zones; each life begins where the last has ended, `gap` seconds each.
+void Live(Facts* facts, int runners, double from, double to, double gap) {
+  for (int r = 0; r < runners; ++r) {
+    for (double at = from + gap * r / runners; at < to; at += gap) {
+      Life life{r % 3, 0, static_cast<Ticks>((std::min(to, at + gap)) * 10), 0, false, true, 1};
+      if (at + gap < to) life.ended = life.until;
+      facts->Join({static_cast<std::uint32_t>(r + 1), static_cast<Ticks>(at * 10)}, life);
+    }
+  }
+}
+
+TEST(CheckpointRates, NoDeathGivesABoundAndManyDeathsTheRate) {
+  Facts none, many;
+  Live(&none, 30, 1e6, 1e6 + 1000, 5000);
+  Live(&many, 30, 1e6, 1e6 + 3000, 100);
+  const Rate quiet = Rates(none, 1'001'000 * kSecond).Of(1, 0, 1, false);
+  EXPECT_GT(quiet.mean, 0);
+  EXPECT_LT(quiet.mean, 1e-4);
+  EXPECT_LT(quiet.upper, 4.0 / 30'000);
+  EXPECT_GT(quiet.upper, quiet.mean);
+  const Rate busy = Rates(many, 1'003'000 * kSecond).Over(1, 0, 1, 0, 100);
+  EXPECT_NEAR(busy.mean, 0.01, 0.002);
+  EXPECT_LT(busy.sd, 0.1 * busy.mean);
+}
+
+TEST(CheckpointRates, RisesAndFallsBackAfterABurst) {
+  Facts facts;
+  Live(&facts, 30, 1e6, 1e6 + 6000, 1000);
+  Live(&facts, 30, 1e6 + 6000, 1e6 + 6300, 50);
+  const auto at = [&](double now) {
+    return Rates(facts, static_cast<Time>(now) * kSecond).Of(1, 0, 1, true).mean;
+  };
+  const double before = at(1e6 + 6000), high = at(1e6 + 6300);
+  EXPECT_GT(high, 5 * before);
+  Live(&facts, 30, 1e6 + 6300, 1e6 + 8000, 1000);
+  EXPECT_LT(at(1e6 + 8000), 2 * before);
+}
+
+TEST(CheckpointRates, ZoneThatFallsIsOneEvent) {
+  Facts facts;
+  Live(&facts, 60, 1e6, 1e6 + 2000, 50000);
+  const double before = Rates(facts, 1'002'000 * kSecond).Of(1, 0, 1, false).mean;
+  for (int r = 0; r < 60; r += 3) {
+    const auto id = static_cast<std::uint32_t>(r + 1);
+    Ticks start = 0;
+    Life life = *facts.Newest(id, &start);
+    life.ended = life.until = 10'020'000 + r % 20, life.whole = true;
+    facts.Join({id, start}, life);
+  }
+  const Rates after(facts, 1'002'005 * kSecond);
+  EXPECT_EQ(after.events(), 1);
+  EXPECT_EQ(after.since(), 0) << "no change of the runners' own rate";
+  EXPECT_LT(after.Of(2, 0, 1, false).mean, before + 2e-4) << "twenty deaths would be 1.6e-4 a second more";
+}
+
+Job AnyJob() {
+  Job job;
+  job.work = std::pow(10, *rc::gen::inRange(70, 386) / 100.0);
+  job.save = *rc::gen::inRange(1, 100) / 10.0, job.restart = *rc::gen::inRange(0, 100) / 10.0;
+  job.rate = std::pow(10, -*rc::gen::inRange(100, 500) / 100.0);
+  return job;
+}
+
+TEST(CheckpointChoice, FiniteOptimumIsThatOfBruteForce) {
+  Check(
+      "brute force",
+      [] {
+        const Job job = AnyJob();
+        const Choice choice = Choose(job);
+        double least = Loss(job, 0);
+        for (int n = 1; n <= 3 * job.work / std::sqrt(2 * job.save / job.rate) + 20; ++n)
+          least = std::min(least, Loss(job, n));
+        RC_ASSERT(choice.loss <= least * (1 + 1e-9));
+      },
+      1000);
+}
+
+TEST(CheckpointChoice, TendsToYoungAndDaly) {
+  const Job job{.work = 1e6, .save = 5, .restart = 10, .rate = 1e-4};
+  const double young = std::sqrt(2 * 5 / 1e-4), ratio = std::sqrt(5 * 1e-4 / 2);
+  EXPECT_NEAR(Choose(job).interval, young * (1 + ratio / 3 + ratio * ratio / 9) - 5, 1);
+}
+
+TEST(CheckpointChoice, NoSaveBelowBreakEvenNorForAJobShorterThanASave) {
+  EXPECT_EQ(Choose({.work = 0.5, .save = 1, .rate = 0.1}).saves, 0);
+  EXPECT_EQ(Choose({.work = 100, .save = 5, .rate = 1e-4}).saves, 0);
+  const Choice some = Choose({.work = 1000, .save = 1, .rate = 1e-2});
+  EXPECT_NEAR(some.interval * (some.saves + 1), 1000, 0.1)
+      << "the last segment is a whole one: none near the end";
+}
+
+TEST(CheckpointChoice, DeadlineThatALossWouldBreakIsWorthMoreSaves) {
+  Job job{.work = 600, .save = 2, .restart = 5, .rate = 1e-4};
+  const int calm = Choose(job).saves;
+  job.slack = 700, job.lost_when_late = 600;
+  EXPECT_GT(Choose(job).saves, calm);
+  job.slack = 590;
+  EXPECT_EQ(Choose(job).saves, calm) << "late anyway";
+  const Choice kept = Again(job, 260, 1);
+  EXPECT_EQ(kept.interval, 260) << "no dance for a small gain";
+}
+
+TEST(CheckpointDeal, OneTenantsManyJobsLeaveTheOthersTheirShare) {
+  std::vector<Wish> wishes;
+  const Job job{.work = 3600, .save = 1, .restart = 2, .rate = 1e-3};
+  for (int i = 0; i < 200; ++i) wishes.push_back({"many", job});
+  for (int i = 0; i < 4; ++i) wishes.push_back({"few", job});
+  const Dealt dealt = Deal(&wishes, 1);
+  EXPECT_LE(dealt.given, 1);
+  EXPECT_GT(dealt.gain, 0);
+  EXPECT_DOUBLE_EQ(wishes.back().given, wishes.back().free);
+}
+
+TEST(CheckpointChoice, SameFactsGiveTheSameIntervalToTheMillisecond) {
+  Checkpoints::Settings settings{.saves_a_second = 1e6};
+  Checkpoints a(settings, {0, 3, 0}, 1, 1, kStart), b(settings, {1, 3, 1}, 1, 9, kStart);
+  const Time now = kStart + 4000 * kSecond;
+  for (const bool back : {false, true}) {
+    Checkpoints& it = back ? b : a;
+    it.TierChanged(Tier(3, back, 2), kStart);
+    for (int i = 0; i < 90; ++i) {
+      const int r = back ? 89 - i : i;
+      it.Seen("r" + std::to_string(r), r % 3, r % 2, kStart - r * kSecond, kStart);
+      it.Seen("r" + std::to_string(r), r % 3, r % 2, kStart + (50 + r * 40) * kSecond, now);
+    }
+  }
+  const SavePlan plan = a.Begin(1, {"t", "c", "r7", 7200}, now);
+  EXPECT_EQ(plan.every % kMillisecond, 0);
+  EXPECT_GT(plan.every, 0);
+  EXPECT_EQ(plan.every, b.Begin(2, {"t", "c", "r7", 7200}, now).every);
+}
+
+// A tier under a store's bound: cuts, lost, late and doubled datagrams, dead dispatchers and new lives. The
+// jobs of one that dies go by what they were told until that has ended: the worst that can be.
+TEST(CheckpointBudget, SavesASecondNeverPassTheBoundUnderAnySchedule) {
+  Check("budget", [] {
+    constexpr int kSize = 5;
+    constexpr Amount kBound = 1'000'000;
+    struct Node {
+      std::optional<Lending> lending;
+      std::vector<std::pair<Amount, Time>> told;  // rate until then
+      bool up = true;
+      Amount want = 0;
+    };
+    struct Mail {
+      Time at;
+      int from, to;
+      std::string body;
+    };
+    std::vector<Node> nodes(kSize);
+    std::vector<Mail> mails;
+    std::minstd_rand random(*rc::gen::arbitrary<std::uint32_t>());
+    Time now = kStart;
+    for (int i = 0; i < kSize; ++i)
+      nodes[static_cast<std::size_t>(i)].lending.emplace(Lending::Place{i, kSize}, kBound, 1, now);
+    std::uint64_t life = 1;
+    unsigned cut = 0;  // by bit of the node
+    Amount most = 0;
+    for (int step = 0; step < 160; ++step) {
+      now += static_cast<Time>(random() % 1000) * kMillisecond;
+      if (random() % 16 == 0) cut = random() % 2 ? 0 : static_cast<unsigned>(random() % 32);
+      Node& any = nodes[random() % kSize];
+      if (random() % 12 == 0) any.want = static_cast<Amount>(random() % 3) * kBound / 4;
+      if (random() % 50 == 0) {
+        any.up = !any.up;
+        if (any.up)
+          any.lending.emplace(Lending::Place{static_cast<int>(&any - nodes.data()), kSize}, kBound, ++life,
+                              now);
+      }
+      for (int i = 0; i < kSize; ++i) {
+        Node& node = nodes[static_cast<std::size_t>(i)];
+        std::erase_if(node.told, [now](const auto& it) { return it.second <= now; });
+        if (!node.up || random() % 8 == 0) continue;  // paused for a step
+        const Amount allowed = node.lending->Allowed(now);
+        Amount used = 0;
+        for (const auto& [rate, until] : node.told) used = std::max(used, rate);
+        if (node.want > used && allowed > used) used = std::min(node.want, allowed);
+        if (used <= allowed && node.want > 0)
+          node.told.emplace_back(std::min(used, node.want), node.lending->End(now));
+        node.lending->Use(used, std::max<Amount>(0, node.want - used), static_cast<double>(node.want), now);
+        for (auto& word : node.lending->Asks(Tier(kSize, i, kSize), now))
+          mails.push_back({now + static_cast<Time>(random() % 3) * kSecond, i, word.peer, word.body});
+      }
+      std::vector<Mail> due;
+      std::erase_if(mails, [&](const Mail& it) { return it.at <= now && (due.push_back(it), true); });
+      for (const Mail& mail : due) {
+        Node& to = nodes[static_cast<std::size_t>(mail.to)];
+        if (!to.up || ((cut >> mail.from ^ cut >> mail.to) & 1) != 0 || random() % 4 == 0) continue;
+        if (random() % 6 == 0)
+          mails.push_back({now + static_cast<Time>(random() % 25) * kSecond, mail.from, mail.to, mail.body});
+        std::vector<PeerPart::Word> answers;
+        RC_ASSERT(to.lending->Hear(mail.from, mail.body, now, &answers));
+        for (auto& word : answers)
+          mails.push_back({now + static_cast<Time>(random() % 2) * kSecond, mail.to, word.peer, word.body});
+      }
+      Amount sum = 0;
+      for (const Node& node : nodes) {
+        Amount used = 0;
+        for (const auto& [rate, until] : node.told)
+          if (now < until) used = std::max(used, rate);
+        sum += used;
+      }
+      most = std::max(most, sum);
+      RC_ASSERT(sum <= kBound);
+    }
+    RC_TAG(most > kBound / 2 ? "over half was used" : "less was used");
+  });
+}
+
+// One dispatcher has all the jobs: it borrows, and never promises more than the bound.
+TEST(CheckpointBudget, BusyDispatcherBorrowsAndItsJobsStayWithinTheBound) {
+  Checkpoints::Settings settings{.saves_a_second = 2};
+  std::vector<std::unique_ptr<Checkpoints>> tier;
+  for (int i = 0; i < 4; ++i) {
+    tier.push_back(std::make_unique<Checkpoints>(settings, Checkpoints::Place{i, 4, i % 2}, 1, 1, kStart));
+    tier.back()->TierChanged(Tier(4, i, 4), kStart);
+  }
+  double most = 0;
+  for (int second = 30; second < 120; ++second) {
+    const Time now = kStart + second * kSecond;
+    if (second == 40)
+      for (std::uint64_t id = 1; id <= 200; ++id) tier[0]->Begin(id, {"t", "c", "r", 7200}, now);
+    double sum = 0;
+    for (const auto& it : tier) it->Retold(now), sum += it->Committed(now);
+    EXPECT_LE(sum, 2);
+    most = std::max(most, sum);
+    for (int round = 0; round < 2; ++round)
+      for (int i = 0; i < 4; ++i)
+        for (const auto& word : tier[static_cast<std::size_t>(i)]->Tell(now))
+          for (int to = 0; to < 4; ++to)
+            if (to != i && (word.peer == to || word.peer == PeerPart::kAll))
+              tier[static_cast<std::size_t>(to)]->Hear(i, word.body, now);
+  }
+  EXPECT_GT(most, 1) << "its own share is 0.5";
+}
+
+}  // namespace
+}  // namespace lichenlug
