--- a/src/checkpoints/checkpoints.cpp
+++ b/src/checkpoints/checkpoints.cpp
@@ -61,6 +61,7 @@
   const std::uint32_t id = Facts::Short(runner);
   if (const Life* last = facts_.Newest(id, &start)) {
     Life life = *last;
+    life.until = std::max(life.until, now / kTick);  // it was at work until now
     EndLife({id, start}, &life, false, now);
   }
 }
