--- a/lab/commands/checkpoints.cpp
+++ b/lab/commands/checkpoints.cpp
@@ -115,8 +115,8 @@
     for (const std::string fixed : {"none", "1", "10", "60"}) {
       double sum = 0, load = 0;
       for (const Played& it : by[day.name][fixed]) sum += it.worth, load = std::max(load, it.saves);
-      if (sum > most &&
-          load <= day.bound)  // what the store cannot bear is no rival most = sum, best = fixed;
+      // What the store cannot bear is no rival.
+      if (sum > most && load <= day.bound) most = sum, best = fixed;
     }
     std::vector<double> values;
     double saves = 0, minute = 0, committed = 0, alarms = 0;
