--- a/src/checkpoints/checkpoints.cpp
+++ b/src/checkpoints/checkpoints.cpp
@@ -39,10 +39,10 @@
     return;
   }
   Ticks start = 0;
-  if (const Life* last = facts_.Newest(key.runner, &start); last != nullptr && start < key.start) {
+  if (const Life* last = facts_.Newest(key.runner, &start); last != nullptr && start != key.start) {
+    if (start > key.start) return;  // an old report that comes late: that life is over
     Life former = *last;
-    const bool known = former.ended > 0;
-    if (!known || former.until > former.ended) EndLife({key.runner, start}, &former, false, now);
+    EndLife({key.runner, start}, &former, false, now);
   }
   facts_.Join(key, life);
 }
@@ -61,17 +61,21 @@
   const std::uint32_t id = Facts::Short(runner);
   if (const Life* last = facts_.Newest(id, &start)) {
     Life life = *last;
-    life.until = std::max(life.until, now / kTick);  // it was at work until now
+    if (life.ended == 0) life.until = std::max(life.until, now / kTick);  // it was at work until now
     EndLife({id, start}, &life, false, now);
   }
 }
 
 void Checkpoints::EndLife(const LifeKey& key, Life* life, bool planned, Time now) {
+  const auto own = static_cast<std::uint16_t>(1U << (place_.zone < 0 ? 15 : std::min(place_.zone, 15)));
+  const bool whole = place_.tier == 1 || tier_.whole();
+  const bool ended = life->ended > 0 && life->until <= life->ended;
+  if (!planned && ended && (life->seen & own) != 0 && (life->whole || !whole)) return;  // said before
   // A drain that is under way is no end: exposure goes on until the life is heard no more.
   if (!planned) life->ended = std::max(now / kTick, life->until);
   life->planned |= planned;
-  life->whole |= place_.tier == 1 || tier_.whole();
-  life->seen |= static_cast<std::uint16_t>(1U << (place_.zone < 0 ? 15 : std::min(place_.zone, 15)));
+  life->whole |= whole;
+  life->seen |= own;
   facts_.Join(key, *life);
   if (news_.size() >= Facts::Bounds().lives) return;
   // Others see it, too: who has heard it from one of them keeps quiet.
--- a/src/checkpoints/lending.cpp
+++ b/src/checkpoints/lending.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::size_t kAskBytes = 1 + 4 + 8 + 8 + 8, kGrantBytes = 1 + 4 + 8 + 8;
+constexpr std::size_t kMostLeases = 64;  // of one borrower: who asks more often waits
 
 void Append(std::string* bytes, std::uint64_t value, int count) {
   for (int i = 0; i < count; ++i) *bytes += static_cast<char>(value >> (8 * i) & 0xff);
@@ -127,7 +128,7 @@
   if (gain_ > 0 && gain > kWorthMore * gain_ && give < asked && lendable > give)
     yield_ = std::min(asked, lendable) / 2, yield_until_ = now + kLease;
   if (gain <= kWorthMore * gain_) give = std::min(give, held);
-  if (give <= 0) return true;
+  if (give <= 0 || borrower.leases.size() >= kMostLeases) return true;
   borrower.leases.push_back({give, now + kLease + kMargin});
   std::string grant(1, kGrantWord);
   Append(&grant, ask, 4), Append(&grant, life, 8), Append(&grant, static_cast<std::uint64_t>(give), 8);
@@ -140,7 +141,7 @@
   const std::uint64_t life = Take(&body, 8);
   const auto amount = static_cast<Amount>(Take(&body, 8));
   const auto at = lenders_.find(peer);
-  if (amount <= 0) return false;
+  if (amount <= 0 || amount > own_) return false;
   // A grant for an ask before the last is of no use: the lender counts the greater of both, not the sum.
   if (life != life_ || at == lenders_.end() || at->second.ask != ask) return true;
   Lender& lender = at->second;
--- a/src/checkpoints/rates.cpp
+++ b/src/checkpoints/rates.cpp
@@ -46,6 +46,10 @@
 
 void Rates::FindEvents(const Facts& facts, std::map<int, std::vector<Death>> by_zone,
                        std::vector<LifeKey>* taken) {
+  std::map<int, std::pair<std::vector<Ticks>, std::vector<Ticks>>> spans;  // starts and ends, by zone
+  for (const auto& [key, life] : facts.lives())
+    spans[life.zone].first.push_back(key.start), spans[life.zone].second.push_back(life.until);
+  for (auto& [zone, span] : spans) std::ranges::sort(span.first), std::ranges::sort(span.second);
   for (auto& [zone, deaths] : by_zone) {
     std::ranges::sort(deaths, {}, [](const Death& it) { return std::pair(it.at, it.key); });
     for (std::size_t first = 0; first < deaths.size();) {
@@ -57,9 +61,11 @@
         continue;
       }
       const Ticks at = deaths[first].at;
-      const int there = static_cast<int>(std::ranges::count_if(facts.lives(), [&](const auto& it) {
-        return it.second.zone == zone && it.first.start < at && it.second.until >= at;
-      }));
+      const auto& [starts, ends] = spans[zone];
+      const auto before = [at](const std::vector<Ticks>& times) {
+        return std::ranges::lower_bound(times, at) - times.begin();
+      };
+      const int there = static_cast<int>(before(starts) - before(ends));
       if (count * kPartOfZone < there) {
         ++first;
         continue;
--- a/tests/checkpoints_test.cpp
+++ b/tests/checkpoints_test.cpp
@@ -138,6 +138,9 @@
   EXPECT_EQ(died(), 1);
   it.Seen("lost", 0, 0, kStart - 1000 * kSecond, kStart + 3 * kSecond);
   EXPECT_EQ(died(), 0);
+  it.Seen("lost", 0, 0, kStart + 4 * kSecond, kStart + 5 * kSecond);
+  it.Seen("lost", 0, 0, kStart - 1000 * kSecond, kStart + 6 * kSecond);
+  EXPECT_EQ(died(), 1) << "an old report that comes late revives nobody";
 }
 
 // A tier of `runners` in three zones; each life begins where the last has ended, `gap` seconds each.
