--- a/tests/checkpoints_test.cpp
+++ b/tests/checkpoints_test.cpp
@@ -41,17 +41,16 @@
 };
 
 std::vector<Said> AnyLives() {
-  const int count = *rc::gen::inRange(0, 24);
-  std::vector<Said> said;
-  for (int i = 0; i < count; ++i) {
-    Said it;
-    it.key = {*rc::gen::inRange<std::uint32_t>(1, 6), *rc::gen::inRange<Ticks>(1, 8)};
-    it.life.zone = *rc::gen::inRange(0, 3), it.life.kind = *rc::gen::inRange(0, 3);
-    it.life.until = it.key.start + *rc::gen::inRange<Ticks>(0, 9);
-    it.life.ended = *rc::gen::inRange<Ticks>(0, 2) * (it.key.start + *rc::gen::inRange<Ticks>(0, 9));
-    it.life.planned = *rc::gen::inRange(0, 5) == 0, it.life.whole = *rc::gen::arbitrary<bool>();
-    it.life.seen = static_cast<std::uint16_t>(*rc::gen::inRange(0, 8));
-    said.push_back(it);
+  // Not by rapidcheck's ranges: they grow with its size, and small tables never reach their bound.
+  std::minstd_rand random(*rc::gen::arbitrary<std::uint32_t>());
+  const auto below = [&](unsigned n) { return static_cast<int>(random() / 7 % n); };
+  std::vector<Said> said(static_cast<std::size_t>(below(24)));
+  for (Said& it : said) {
+    it.key = {static_cast<std::uint32_t>(1 + below(5)), 1 + below(7)};
+    it.life.zone = below(3), it.life.kind = below(3), it.life.until = it.key.start + below(9);
+    it.life.ended = below(2) * (it.key.start + below(9));
+    it.life.planned = below(5) == 0, it.life.whole = below(2) == 0;
+    it.life.seen = static_cast<std::uint16_t>(below(8));
   }
   return said;
 }
@@ -159,7 +158,7 @@
   Live(&none, 30, 1e6, 1e6 + 1000, 5000);
   Live(&many, 30, 1e6, 1e6 + 3000, 100);
   const Rate quiet = Rates(none, 1'001'000 * kSecond).Of(1, 0, 1, false);
-  EXPECT_GT(quiet.mean, 0);
+  EXPECT_GT(quiet.mean, 1e-6);
   EXPECT_LT(quiet.mean, 1e-4);
   EXPECT_LT(quiet.upper, 4.0 / 30'000);
   EXPECT_GT(quiet.upper, quiet.mean);
