--- a/lab/checkpoints/play.cpp
+++ b/lab/checkpoints/play.cpp
@@ -31,6 +31,8 @@
       minutes[static_cast<std::size_t>(second / 60)] += saved_;
       played_.saves += saved_, saved_ = 0;
     }
+    // What is not saved when the day ends is not lost: else rare savers would pay for the day's length.
+    for (const SaveSlot& slot : slots_) Earn(slot.unsaved * slot.density, day_.seconds());
     played_.saves /= day_.seconds();
     played_.worst_minute = *std::ranges::max_element(minutes) / 60;
     played_.committed = policy_->committed();
