--- /dev/null
+++ b/src/quarantine/background.cpp
@@ -0,0 +1,119 @@
+#include "quarantine/background.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace lichenlug {
+namespace {
+
+// How many tries' worth the level above is when a rate is estimated from few.
+constexpr double kTierPrior = 50, kClassPrior = 10, kRunnerPrior = 4;
+
+bool SamePlace(const Sign& a, const Sign& b) { return a.runner == b.runner && a.life == b.life; }
+
+// That a life ended under several jobs at once is one end of it; that it hung several is as many.
+bool Repeats(const Sign& other, const Sign& sign) {
+  return other.runner == sign.runner && (other.life != sign.life || other.what == Outcome::kHung);
+}
+
+}  // namespace
+
+void Background::Fade(Rate* rate, Time now) {
+  if (now <= rate->at) return;
+  const double left = std::exp2(-static_cast<double>(now - rate->at) / kWindow);
+  rate->tries *= left, rate->failed *= left, rate->at = now;
+}
+
+Background::Rate* Background::In(std::map<std::uint32_t, Rate>* of, std::uint32_t which) {
+  if (of->size() >= kMostRates && !of->contains(which)) return nullptr;
+  return &(*of)[which];
+}
+
+void Background::Ran(std::uint32_t runner, std::uint32_t job_class, Outcome what, Time now) {
+  if (what == Outcome::kNothing) return;
+  for (Rate* rate : {&all_, In(&runners_, runner), In(&classes_, job_class)}) {
+    if (rate == nullptr) continue;
+    Fade(rate, now);
+    rate->tries += 1;
+    rate->failed += what == Outcome::kFailed ? 1 : 0;
+  }
+}
+
+void Background::Ended(const End& end) {
+  for (const End& known : ends_)
+    if (known.job == end.job && SamePlace(known.sign, end.sign)) return;
+  ends_.push_back(end);
+  if (ends_.size() > kMostEnds) ends_.pop_front();
+}
+
+double Background::Tries(const std::map<std::uint32_t, Rate>& of, std::uint32_t which, Time now) const {
+  const auto it = of.find(which);
+  if (it == of.end()) return 0;
+  Rate rate = it->second;
+  Fade(&rate, now);
+  return rate.tries * members_;
+}
+
+std::uint8_t Background::Weigh(const End& end, Time now) const {
+  Rate all = all_;
+  Fade(&all, now);
+  const Sign& sign = end.sign;
+  if (sign.what == Outcome::kSucceeded) return 0;
+  if (const auto it = explained_.find({sign.runner, sign.life});
+      it != explained_.end() && it->second != end.job)
+    return 0;
+  if (sign.what == Outcome::kFailed) {
+    const auto it = classes_.find(end.job_class);
+    Rate of_class = it == classes_.end() ? Rate{} : it->second;
+    Fade(&of_class, now);
+    const double tier = (all.failed + kFailedFloor * kTierPrior) / (all.tries + kTierPrior);
+    const double here = (of_class.failed + tier * kClassPrior) / (of_class.tries + kClassPrior);
+    return ToWeight(std::log(kFailedIfPoison / std::max({tier, here, kFailedFloor})));
+  }
+  double tier = 0, runner = 0;
+  std::set<Fingerprint> class_jobs;
+  std::set<std::uint32_t> zone_runners;
+  for (const End& other : ends_) {
+    if (other.job == end.job || std::abs(other.sign.at - sign.at) > kWindow) continue;
+    tier += 1;
+    if (other.job_class == end.job_class) class_jobs.insert(other.job);
+    if (Repeats(other.sign, sign)) runner += 1;
+    if (other.sign.zone == sign.zone && other.sign.runner != sign.runner &&
+        std::abs(other.sign.at - sign.at) <= kTogether)
+      zone_runners.insert(other.sign.runner);
+  }
+  const double of_tier = (tier + kFloor * kTierPrior) / (all.tries * members_ + kTierPrior);
+  const double of_class = (static_cast<double>(class_jobs.size()) + of_tier * kClassPrior) /
+                          (Tries(classes_, end.job_class, now) + kClassPrior);
+  const double of_runner = (runner + of_tier * kRunnerPrior) /
+                           (std::max(Tries(runners_, sign.runner, now), runner) + kRunnerPrior);
+  const double of_zone = zone_runners.size() >= 2 ? kBadIfPoison : 0;
+  const double expected = std::max({of_tier, of_class, of_runner, of_zone, kFloor});
+  return ToWeight(std::log(kBadIfPoison / std::min(expected, kBadIfPoison)));
+}
+
+std::vector<Background::End> Background::Near(const End& end) const {
+  std::vector<End> near;
+  for (const End& other : ends_)
+    if (other.job != end.job && std::abs(other.sign.at - end.sign.at) <= kWindow &&
+        (other.sign.runner == end.sign.runner || other.job_class == end.job_class ||
+         (other.sign.zone == end.sign.zone && std::abs(other.sign.at - end.sign.at) <= kTogether)))
+      near.push_back(other);
+  return near;
+}
+
+void Background::TakeBack(const Fingerprint& poison, const std::vector<Sign>& signs) {
+  for (const Sign& sign : signs) {
+    if (!sign.bad()) continue;
+    if (explained_.size() >= kMostExplained) explained_.clear();  // older than the window by then
+    explained_[{sign.runner, sign.life}] = poison;
+  }
+  std::erase_if(ends_, [&](const End& it) {
+    return it.job == poison || std::ranges::any_of(signs, [&](const Sign& sign) {
+             return sign.bad() && SamePlace(sign, it.sign);
+           });
+  });
+}
+
+}  // namespace lichenlug
--- /dev/null
+++ b/src/quarantine/codec.h
@@ -0,0 +1,61 @@
+// Tickets as bytes, little-endian: the same records in datagrams and in a snapshot.
+//
+// Guards against half a record read as a whole one: a reader that runs out of bytes fails for good, and
+// values out of their range make the record unreadable. Times are ages, so that clocks need not agree by more
+// than the way takes; ends of discards and quarantines are Unix seconds.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "quarantine/ticket.h"
+
+namespace lichenlug {
+
+class ByteReader {
+ public:
+  explicit ByteReader(std::string_view bytes) : bytes_(bytes) {}
+
+  template <typename T>
+  T Number() {
+    T value = 0;
+    if (left() < sizeof(T)) good_ = false, at_ = bytes_.size();
+    for (std::size_t i = 0; good_ && i < sizeof(T); ++i)
+      value = static_cast<T>(value | static_cast<T>(static_cast<std::uint8_t>(bytes_[at_++])) << (8 * i));
+    return value;
+  }
+  std::string_view Text(std::size_t size) {
+    if (left() < size) {
+      good_ = false, at_ = bytes_.size();
+      return {};
+    }
+    at_ += size;
+    return bytes_.substr(at_ - size, size);
+  }
+  bool good() const { return good_; }
+  std::size_t left() const { return bytes_.size() - at_; }
+
+ private:
+  std::string_view bytes_;
+  std::size_t at_ = 0;
+  bool good_ = true;
+};
+
+template <typename T>
+void PutNumber(std::string* bytes, T value) {
+  for (std::size_t i = 0; i < sizeof(T); ++i)
+    *bytes += static_cast<char>(static_cast<std::uint64_t>(value) >> (8 * i) & 0xff);
+}
+
+// At most `most` bytes; the line for people is left out where it does not fit. Without it a record has at
+// most kMostRecord bytes whatever the ticket.
+inline constexpr std::size_t kMostRecord = 252;
+std::string Encode(const Fingerprint& job, const Ticket& ticket, Time now, std::size_t most = kMostRecord);
+
+// Nothing: malformed.
+std::optional<std::pair<Fingerprint, Ticket>> Decode(std::string_view record, Time now);
+
+}  // namespace lichenlug
--- /dev/null
+++ b/src/quarantine/pages.cpp
@@ -0,0 +1,98 @@
+#include "quarantine/pages.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace lichenlug {
+namespace {
+
+using nlohmann::json;
+using What = Quarantine::Owned::What;
+
+OwnersAnswer Problem(int status, const char* type, const char* detail) {
+  return {status, json{{"type", type}, {"detail", detail}}.dump()};
+}
+
+OwnersAnswer Of(const Quarantine::Owned& owned, const Fingerprint& job) {
+  switch (owned.what) {
+    case What::kDone:
+      return {200, json{{"ticket", job.Ticket()},
+                        {"state", StateName(owned.state)},
+                        {"held_by", owned.holders},
+                        {"members", owned.members}}
+                       .dump()};
+    case What::kNotFound:
+      return Problem(404, "not-found", "no such ticket of this tenant");
+    case What::kNotHeld:
+      return Problem(409, "not-held", "the job is not held: hand it in");
+    case What::kTooManyDeciders:
+      return Problem(409, "too-many-deciders", "ask a dispatcher that has decided of this ticket before");
+    case What::kBadEnd:
+      return Problem(400, "bad-end", "days: 1 to 30");
+  }
+  return {};
+}
+
+json Row(const Fingerprint& job, const Ticket& ticket, Time now) {
+  json row{{"ticket", job.Ticket()},
+           {"state", StateName(ticket.StateAt(now))},
+           {"job", ticket.line},
+           {"runners_lost", ticket.strikes()},
+           {"failed_trials", ticket.failed_trials},
+           {"evidence", std::round(ticket.evidence.Sum(now) * 10) / 10}};
+  const Decisions::Dot standing = ticket.decisions.Standing(UnixSeconds(now));
+  if (const std::uint32_t until =
+          standing.what == Decided::kDiscarded ? standing.until : ticket.condemned_until)
+    row["until"] = until;
+  return row;
+}
+
+}  // namespace
+
+OwnersAnswer ListPage(const Quarantine& quarantine, std::string_view tenant, std::string_view after, int most,
+                      Time now) {
+  Fingerprint from;
+  if (!after.empty()) {
+    const auto parsed = Fingerprint::Parse(after);
+    if (!parsed) return Problem(400, "bad-ticket", "after: 32 hexadecimal digits");
+    from = *parsed;
+  }
+  most = std::clamp(most, 1, kMostOnPage);
+  const auto found = quarantine.List(ShortHash(tenant), from, most + 1);
+  json page{{"tickets", json::array()}};
+  for (std::size_t i = 0; i < std::min<std::size_t>(found.size(), static_cast<std::size_t>(most)); ++i)
+    page["tickets"].push_back(Row(found[i].first, found[i].second, now));
+  if (found.size() > static_cast<std::size_t>(most))
+    page["next"] = found[static_cast<std::size_t>(most) - 1].first.Ticket();
+  return {200, page.dump()};
+}
+
+OwnersAnswer ReleasePage(Quarantine* quarantine, std::string_view tenant, std::string_view ticket, Time now) {
+  const auto job = Fingerprint::Parse(ticket);
+  if (!job) return Of({.what = What::kNotFound}, {});
+  return Of(quarantine->Release(ShortHash(tenant), *job, now), *job);
+}
+
+OwnersAnswer DiscardPage(Quarantine* quarantine, std::string_view tenant, std::string_view ticket, int days,
+                         Time now) {
+  const auto job = Fingerprint::Parse(ticket);
+  if (!job) return Of({.what = What::kNotFound}, {});
+  if (days < 1 || days > 30) return Of({.what = What::kBadEnd}, {});
+  // The end of a UTC day, so that asking twice is one decision.
+  const std::uint32_t day = 24 * 3600;
+  const std::uint32_t until = (UnixSeconds(now) / day + static_cast<std::uint32_t>(days)) * day;
+  return Of(quarantine->Discard(ShortHash(tenant), *job, until, now), *job);
+}
+
+OwnersAnswer HeldAnswer(const Fingerprint& job, const Quarantine::Verdict& verdict) {
+  const bool discarded = verdict.what == Quarantine::Verdict::What::kDiscarded;
+  const std::string path = "/-/quarantine/" + job.Ticket();
+  json answer{{"type", discarded ? "job-discarded" : "job-quarantined"},
+              {"ticket", job.Ticket()},
+              {"until", verdict.until},
+              {"release", "POST " + path + "/release"}};
+  if (!discarded) answer["discard"] = "POST " + path + "/discard?days=7";
+  return {422, answer.dump()};
+}
+
+}  // namespace lichenlug
--- /dev/null
+++ b/src/quarantine/quarantine_shared.cpp
@@ -0,0 +1,172 @@
+// What Quarantine tells its peers, hears from them and minds by itself, and what owners decide.
+#include <algorithm>
+
+#include "quarantine/quarantine.h"
+
+namespace lichenlug {
+namespace {
+
+// A peer that claims a longer hold than any program gives is not believed.
+constexpr std::uint32_t kClocksApart = 3600;
+
+}  // namespace
+
+Time Quarantine::DueAt() const {
+  const Time gossip = gossip_.DueAt(std::max<Time>(now_, 1));
+  if (at_stake_.empty()) return gossip;
+  const Time pulse = now_ + Homes::kPulse;
+  return gossip == 0 ? pulse : std::min(gossip, pulse);
+}
+
+std::vector<PeerPart::Word> Quarantine::Tell(Time now) {
+  now_ = now;
+  Notice(now);
+  MindClaims(now);
+  table_.Sweep(now);
+  return gossip_.Tell(table_, now);
+}
+
+void Quarantine::MindClaims(Time now) {
+  for (auto& [job, claim] : claims_) {
+    Ticket* ticket = table_.Find(job);
+    if (now < claim.renew_at || ticket == nullptr) continue;
+    claim.renew_at = now + kRenew;
+    if (ticket->attempt.home != own_ || ticket->attempt.epoch != claim.epoch)
+      continue;  // given up by the others
+    ticket->attempt.until = now + kClaim;
+    gossip_.Changed(job, false);
+  }
+  for (auto it = at_stake_.begin(); it != at_stake_.end();) {
+    const Fingerprint job = *it++;
+    Ticket* ticket = table_.Find(job);
+    const State state = ticket == nullptr ? State::kWatched : ticket->StateAt(now);
+    if (state == State::kOnTrial && !ticket->attempt.Runs(now) && !claims_.contains(job) &&
+        homes_.MayAct(*ticket, now)) {  // its home was never heard of again: it failed
+      const bool was_condemned = ticket->condemned(now);
+      ticket->attempt.running = false;
+      PutBack(ticket, now);
+      Settle(job, ticket, state, was_condemned, true, now);
+    } else if (state != State::kSuspected && state != State::kReleased && state != State::kOnTrial) {
+      at_stake_.erase(job);
+    }
+  }
+}
+
+bool Quarantine::Hear(int peer, std::string_view body, Time now) {
+  now_ = std::max(now_, now);
+  Notice(now);
+  std::vector<Gossip::Heard> heard;
+  if (!gossip_.Hear(peer, body, table_, now, &heard)) {
+    ++counters_.malformed;
+    return false;
+  }
+  for (const Gossip::Heard& it : heard)
+    if (Learn(it.job, it.ticket, now) && it.wanted) gossip_.Arrived(peer, it.job, it.ticket.decisions);
+  return true;
+}
+
+bool Quarantine::Learn(const Fingerprint& job, const Ticket& heard, Time now) {
+  const std::uint32_t today = UnixSeconds(now);
+  if (heard.condemned_until > today + kHold + kClocksApart ||
+      heard.decisions.Standing(today).until > today + kLongestDiscard + kClocksApart) {
+    ++counters_.malformed;
+    return false;
+  }
+  Ticket* ticket = table_.Find(job);
+  if (ticket == nullptr) {
+    if (heard.Spent(now) && heard.decisions.dots().empty()) return true;
+    ticket = table_.Make(job, heard.tenant, now);
+    if (ticket == nullptr) {
+      ++counters_.no_room;
+      return false;
+    }
+  }
+  const State before = ticket->StateAt(now);
+  const bool was_condemned = ticket->condemned(now);
+  const std::vector<Sign> known = ticket->evidence.signs();
+  if (!Merge(ticket, heard)) return true;
+  std::vector<Background::End> fresh;
+  for (const Sign& sign : ticket->evidence.signs())
+    if (sign.bad() && std::ranges::none_of(known, [&](const Sign& it) { return it.SameAs(sign); }))
+      fresh.push_back({job, ticket->job_class, sign});
+  for (const Background::End& end : fresh)
+    if (!ticket->condemned(now)) ticket->evidence.Lower(end.sign, background_.Weigh(end, now));
+  Settle(job, ticket, before, was_condemned, false, now);
+  for (const Background::End& end : fresh)
+    if (!ticket->condemned(now)) Compare(end, now);
+  return true;
+}
+
+void Quarantine::TierChanged(const TierView& view, Time now) {
+  now_ = now;
+  Notice(now);
+  if (!homes_.SetView(view, now)) return;
+  gossip_.SetMembers(own_, homes_.counted());
+  background_.SetMembers(homes_.members());
+  for (const Fingerprint& job : at_stake_)
+    if (Ticket* ticket = table_.Find(job)) homes_.Place(job, ticket, now);
+}
+
+Quarantine::Owned Quarantine::Answer(const Fingerprint& job, const Ticket& ticket, Owned::What what,
+                                     Time now) const {
+  return {.what = what,
+          .state = ticket.StateAt(now),
+          .holders = gossip_.Holders(job, ticket),
+          .members = homes_.members()};
+}
+
+Quarantine::Owned Quarantine::Take(const Fingerprint& job, Ticket* ticket, Decided what, std::uint32_t until,
+                                   Time now) {
+  const State before = ticket->StateAt(now);
+  const bool was_condemned = ticket->condemned(now);
+  if (!ticket->decisions.Decide(by_, what, until))
+    return Answer(job, *ticket, Owned::What::kTooManyDeciders, now);
+  Settle(job, ticket, before, was_condemned, true, now);
+  gossip_.CountHolders(job, *ticket, now);
+  return Answer(job, *ticket, Owned::What::kDone, now);
+}
+
+Quarantine::Owned Quarantine::Release(std::uint64_t tenant, const Fingerprint& job, Time now) {
+  now_ = now;
+  Ticket* ticket = table_.Find(job);
+  if (ticket == nullptr || ticket->tenant != tenant) return {.what = Owned::What::kNotFound};
+  switch (ticket->StateAt(now)) {
+    case State::kReleased:
+    case State::kOnTrial:
+      gossip_.CountHolders(job, *ticket, now);
+      return Answer(job, *ticket, Owned::What::kDone, now);
+    case State::kQuarantined:
+    case State::kDiscarded:
+      return Take(job, ticket, Decided::kReleased, 0, now);
+    case State::kWatched:
+    case State::kSuspected:
+      break;
+  }
+  return Answer(job, *ticket, Owned::What::kNotHeld, now);
+}
+
+Quarantine::Owned Quarantine::Discard(std::uint64_t tenant, const Fingerprint& job, std::uint32_t until,
+                                      Time now) {
+  now_ = now;
+  Ticket* ticket = table_.Find(job);
+  if (ticket == nullptr || ticket->tenant != tenant) return {.what = Owned::What::kNotFound};
+  if (until <= UnixSeconds(now) || until > UnixSeconds(now) + kLongestDiscard)
+    return Answer(job, *ticket, Owned::What::kBadEnd, now);
+  const Decisions::Dot standing = ticket->decisions.Standing(UnixSeconds(now));
+  if (standing.what == Decided::kDiscarded && standing.until == until) {
+    gossip_.CountHolders(job, *ticket, now);
+    return Answer(job, *ticket, Owned::What::kDone, now);
+  }
+  return Take(job, ticket, Decided::kDiscarded, until, now);
+}
+
+std::vector<std::pair<Fingerprint, Ticket>> Quarantine::List(std::uint64_t tenant, const Fingerprint& after,
+                                                             int most) const {
+  std::vector<std::pair<Fingerprint, Ticket>> found;
+  for (auto it = table_.all().upper_bound(after);
+       it != table_.all().end() && static_cast<int>(found.size()) < most; ++it)
+    if (it->second.tenant == tenant) found.push_back(*it);
+  return found;
+}
+
+}  // namespace lichenlug
--- /dev/null
+++ b/src/quarantine/snapshot.h
@@ -0,0 +1,34 @@
+// A snapshot of the tickets as bytes: versioned, checksummed, all or nothing.
+//
+//   "LLQUARAN", version (2 bytes), written at (8, microseconds), count (4), {length (2), record}..., XXH3 (8)
+//
+// Guards against a file that was cut short, changed by one bit, or written by a newer program: none of its
+// tickets is taken, and why is said in one line. A dispatcher without a snapshot hears from its peers.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <system_error>
+#include <utility>
+#include <vector>
+
+#include "quarantine/table.h"
+
+namespace lichenlug {
+
+enum class SnapshotError { kCutShort = 1, kNotASnapshot, kNewer, kOlder, kDamaged };
+const std::error_category& SnapshotErrors();
+inline std::error_code make_error_code(SnapshotError it) { return {static_cast<int>(it), SnapshotErrors()}; }
+
+struct Snapshot {
+  std::vector<std::pair<Fingerprint, Ticket>> tickets;  // none where there is an error
+  std::error_code error;
+};
+
+std::string WriteSnapshot(const Table& table, Time now);
+Snapshot ReadSnapshot(std::string_view bytes);
+
+}  // namespace lichenlug
+
+template <>
+struct std::is_error_code_enum<lichenlug::SnapshotError> : std::true_type {};
--- /dev/null
+++ b/src/quarantine/store.cpp
@@ -0,0 +1,84 @@
+#include "quarantine/store.h"
+
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <cstdio>
+
+namespace lichenlug {
+namespace {
+
+constexpr std::size_t kLargest = 64u << 20;
+
+std::string PathIn(const std::string& folder) { return folder + "/quarantine.snapshot"; }
+
+// A descriptor that is closed whatever happens.
+struct Descriptor {
+  int number;
+  ~Descriptor() {
+    if (number >= 0) ::close(number);
+  }
+};
+
+StoreError Failed(const char* step, const std::string& path) {
+  return {std::error_code(errno, std::system_category()), step, path};
+}
+
+}  // namespace
+
+std::string StoreError::Line() const {
+  std::string line = "quarantine: " + step + " " + path + ": " + cause.message() + "; ";
+  if (cause == std::errc::no_space_on_device) return line + "make room; tickets are kept in memory meanwhile";
+  if (cause == std::errc::permission_denied || cause == std::errc::read_only_file_system)
+    return line + "let the program's user write there";
+  if (cause == std::errc::no_such_file_or_directory || cause == std::errc::not_a_directory)
+    return line + "make the folder, or name another one";
+  return line + "check the disk; tickets are kept in memory and by the other dispatchers meanwhile";
+}
+
+std::optional<StoreError> SaveFile(const std::string& folder, const std::string& bytes) {
+  const std::string path = PathIn(folder), beside = path + ".new";
+  {
+    const Descriptor file{::open(beside.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600)};
+    if (file.number < 0) return Failed("open", beside);
+    for (std::size_t done = 0; done < bytes.size();) {
+      const ssize_t wrote = ::write(file.number, bytes.data() + done, bytes.size() - done);
+      if (wrote < 0 && errno == EINTR) continue;
+      if (wrote < 0) return Failed("write", beside);
+      done += static_cast<std::size_t>(wrote);
+    }
+    if (::fsync(file.number) != 0) return Failed("sync", beside);
+  }
+  if (std::rename(beside.c_str(), path.c_str()) != 0) return Failed("rename to", path);
+  const Descriptor directory{::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC)};
+  if (directory.number < 0) return Failed("open", folder);
+  if (::fsync(directory.number) != 0) return Failed("sync", folder);
+  return std::nullopt;
+}
+
+StoredBytes LoadFile(const std::string& folder) {
+  const std::string path = PathIn(folder);
+  const Descriptor file{::open(path.c_str(), O_RDONLY | O_CLOEXEC)};
+  if (file.number < 0) {
+    struct stat is {};
+    const bool first_start = errno == ENOENT && ::stat(folder.c_str(), &is) == 0 && S_ISDIR(is.st_mode);
+    if (first_start) return {};
+    errno = errno == 0 ? ENOENT : errno;
+    return {{}, Failed("open", path)};
+  }
+  StoredBytes read;
+  std::array<char, 65536> buffer;
+  while (read.bytes.size() <= kLargest) {
+    const ssize_t got = ::read(file.number, buffer.data(), buffer.size());
+    if (got < 0 && errno == EINTR) continue;
+    if (got < 0) return {{}, Failed("read", path)};
+    if (got == 0) return read;
+    read.bytes.append(buffer.data(), static_cast<std::size_t>(got));
+  }
+  return {{}, StoreError{std::make_error_code(std::errc::file_too_large), "read", path}};
+}
+
+}  // namespace lichenlug
--- /dev/null
+++ b/src/quarantine/table.cpp
@@ -0,0 +1,77 @@
+#include "quarantine/table.h"
+
+namespace lichenlug {
+
+Ticket* Table::Find(const Fingerprint& job) {
+  const auto it = tickets_.find(job);
+  return it == tickets_.end() ? nullptr : &it->second;
+}
+
+const Ticket* Table::Find(const Fingerprint& job) const {
+  const auto it = tickets_.find(job);
+  return it == tickets_.end() ? nullptr : &it->second;
+}
+
+Ticket* Table::Make(const Fingerprint& job, std::uint64_t tenant, Time now) {
+  if (Ticket* known = Find(job)) return known;
+  const auto count = of_tenant_.find(tenant);
+  const bool full =
+      tickets_.size() >= most_ || (count != of_tenant_.end() && count->second >= most_of_tenant_);
+  if (full && !PushOut(tenant, now)) {
+    ++let_through_;
+    return nullptr;
+  }
+  ++of_tenant_[tenant];
+  Ticket* made = &tickets_[job];
+  made->tenant = tenant, made->changed = now;
+  return made;
+}
+
+bool Table::PushOut(std::uint64_t tenant, Time now) {
+  const Fingerprint* oldest = nullptr;
+  Time since = 0;
+  for (const auto& [job, ticket] : tickets_)
+    if (ticket.tenant == tenant && (oldest == nullptr || ticket.changed < since) &&
+        ticket.MayBePushedOut(now))
+      oldest = &job, since = ticket.changed;
+  if (oldest == nullptr) return false;
+  Erase(Fingerprint(*oldest));
+  ++pushed_out_;
+  return true;
+}
+
+void Table::Changed(const Fingerprint& job, Ticket* ticket, Time now) {
+  std::uint32_t& leaf = leaves_[static_cast<std::size_t>(LeafOf(job))];
+  leaf ^= ticket->digest;
+  ticket->digest = DigestOf(job, *ticket);
+  leaf ^= ticket->digest;
+  ticket->changed = now;
+}
+
+void Table::Erase(const Fingerprint& job) {
+  const auto it = tickets_.find(job);
+  if (it == tickets_.end()) return;
+  leaves_[static_cast<std::size_t>(LeafOf(job))] ^= it->second.digest;
+  const auto count = of_tenant_.find(it->second.tenant);
+  if (--count->second == 0) of_tenant_.erase(count);
+  tickets_.erase(it);
+}
+
+void Table::Sweep(Time now) {
+  auto it = tickets_.lower_bound(swept_);
+  for (int i = 0; i < kSwept && it != tickets_.end(); ++i) {
+    const auto next = std::next(it);
+    if (it->second.Spent(now)) Erase(Fingerprint(it->first));
+    it = next;
+  }
+  swept_ = it == tickets_.end() ? Fingerprint{} : it->first;
+}
+
+std::uint32_t Table::GroupSum(int group) const {
+  // Turned by the place in the group, so that two leaves that changed alike do not cancel out.
+  std::uint32_t sum = 0;
+  for (int i = 0; i < kLeavesOfGroup; ++i) sum = sum * 0x01000193u + LeafSum(group * kLeavesOfGroup + i);
+  return sum;
+}
+
+}  // namespace lichenlug
--- /dev/null
+++ b/src/quarantine/table.h
@@ -0,0 +1,57 @@
+// All tickets that a dispatcher knows of, bounded a tenant and in all, with sums by which two dispatchers
+// find out what one knows and the other does not.
+//
+// Guards against a tenant that fills the table: it pushes out its own oldest suspicion, never another
+// tenant's, never what was condemned or decided; what does not fit is let through and counted.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <utility>
+
+#include "quarantine/ticket.h"
+
+namespace lichenlug {
+
+class Table {
+ public:
+  // Sums: a leaf for each 1,024th of all fingerprints, 32 leaves a group.
+  static constexpr int kGroups = 32, kLeavesOfGroup = 32;
+
+  Table(std::size_t most, std::size_t most_of_tenant) : most_(most), most_of_tenant_(most_of_tenant) {}
+
+  Ticket* Find(const Fingerprint& job);
+  const Ticket* Find(const Fingerprint& job) const;
+  // The ticket, made if need be; null when there is no room for it.
+  Ticket* Make(const Fingerprint& job, std::uint64_t tenant, Time now);
+  void Changed(const Fingerprint& job, Ticket* ticket, Time now);  // sums it up anew
+  void Erase(const Fingerprint& job);
+  // Lets go of tickets that are spent: a few with each call, all in turn.
+  void Sweep(Time now);
+
+  std::uint32_t GroupSum(int group) const;
+  std::uint32_t LeafSum(int leaf) const { return leaves_[static_cast<std::size_t>(leaf)]; }
+  static int LeafOf(const Fingerprint& job) { return static_cast<int>(job.high >> 54); }
+  // The range of a leaf.
+  static Fingerprint FirstOf(int leaf) { return {static_cast<std::uint64_t>(leaf) << 54, 0}; }
+
+  const std::map<Fingerprint, Ticket>& all() const { return tickets_; }
+  std::map<Fingerprint, Ticket>& all() { return tickets_; }
+  std::uint64_t let_through() const { return let_through_; }
+  std::uint64_t pushed_out() const { return pushed_out_; }
+
+ private:
+  static constexpr int kSwept = 64;
+
+  bool PushOut(std::uint64_t tenant, Time now);
+
+  std::size_t most_, most_of_tenant_;
+  std::map<Fingerprint, Ticket> tickets_;
+  std::map<std::uint64_t, std::size_t> of_tenant_;
+  std::array<std::uint32_t, static_cast<std::size_t>(kGroups) * kLeavesOfGroup> leaves_{};
+  Fingerprint swept_;
+  std::uint64_t let_through_ = 0, pushed_out_ = 0;
+};
+
+}  // namespace lichenlug
