--- a/src/quarantine/background.cpp
+++ b/src/quarantine/background.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <set>
 
 namespace lichenlug {
 namespace {
@@ -72,34 +71,39 @@
     return ToWeight(std::log(kFailedIfPoison / std::max({tier, here, kFailedFloor})));
   }
   double tier = 0, runner = 0;
-  std::set<Fingerprint> class_jobs;
-  std::set<std::uint32_t> zone_runners;
+  std::vector<Fingerprint> class_jobs;
+  std::vector<std::uint32_t> zone_runners;
+  const auto add = [](auto* set, const auto& value) {
+    if (std::ranges::find(*set, value) == set->end()) set->push_back(value);
+  };
   for (const End& other : ends_) {
     if (other.job == end.job || std::abs(other.sign.at - sign.at) > kWindow) continue;
     tier += 1;
-    if (other.job_class == end.job_class) class_jobs.insert(other.job);
+    if (other.job_class == end.job_class && class_jobs.size() < kMostNear) add(&class_jobs, other.job);
     if (Repeats(other.sign, sign)) runner += 1;
     if (other.sign.zone == sign.zone && other.sign.runner != sign.runner &&
-        std::abs(other.sign.at - sign.at) <= kTogether)
-      zone_runners.insert(other.sign.runner);
+        zone_runners.size() < kManyOfZone && std::abs(other.sign.at - sign.at) <= kTogether)
+      add(&zone_runners, other.sign.runner);
   }
-  const double of_tier = (tier + kFloor * kTierPrior) / (all.tries * members_ + kTierPrior);
-  const double of_class = (static_cast<double>(class_jobs.size()) + of_tier * kClassPrior) /
-                          (Tries(classes_, end.job_class, now) + kClassPrior);
+  const bool known = all.tries >= kFewTries;
+  const double of_tier = known ? (tier + kFloor * kTierPrior) / (all.tries * members_ + kTierPrior) : kFloor;
+  const double of_class = known ? (static_cast<double>(class_jobs.size()) + of_tier * kClassPrior) /
+                                      (Tries(classes_, end.job_class, now) + kClassPrior)
+                                : kFloor;
   const double of_runner = (runner + of_tier * kRunnerPrior) /
                            (std::max(Tries(runners_, sign.runner, now), runner) + kRunnerPrior);
-  const double of_zone = zone_runners.size() >= 2 ? kBadIfPoison : 0;
+  const double of_zone = zone_runners.size() >= kManyOfZone ? kBadIfPoison : 0;
   const double expected = std::max({of_tier, of_class, of_runner, of_zone, kFloor});
   return ToWeight(std::log(kBadIfPoison / std::min(expected, kBadIfPoison)));
 }
 
 std::vector<Background::End> Background::Near(const End& end) const {
   std::vector<End> near;
-  for (const End& other : ends_)
-    if (other.job != end.job && std::abs(other.sign.at - end.sign.at) <= kWindow &&
-        (other.sign.runner == end.sign.runner || other.job_class == end.job_class ||
-         (other.sign.zone == end.sign.zone && std::abs(other.sign.at - end.sign.at) <= kTogether)))
-      near.push_back(other);
+  for (auto it = ends_.rbegin(); it != ends_.rend() && near.size() < kMostNear; ++it)
+    if (it->job != end.job && std::abs(it->sign.at - end.sign.at) <= kWindow &&
+        (it->sign.runner == end.sign.runner || it->job_class == end.job_class ||
+         (it->sign.zone == end.sign.zone && std::abs(it->sign.at - end.sign.at) <= kTogether)))
+      near.push_back(*it);
   return near;
 }
 
--- a/src/quarantine/background.h
+++ b/src/quarantine/background.h
@@ -1,9 +1,10 @@
 // How OTHER jobs fared at the same runner, zone and class, and over the tier, at about the same time: what a
 // bad end is to be weighed against.
 //
-// Guards against condemning jobs for what a bad runner, a lost zone, a brown-out or a bad class did. What is
-// judged is compared with ends under other fingerprints only. Ends come from the whole tier (signs are
-// shared); runs that went well are only seen here, so they are taken times the number of dispatchers.
+// Guards against condemning jobs for what a bad runner, a lost zone, a brown-out or a bad class did, and
+// against a dispatcher that has just started, or has nothing to do, calling every end usual. What is judged
+// is compared with ends under other fingerprints only. Ends come from the whole tier (signs are shared); runs
+// that went well are only seen here, so they are taken times the number of dispatchers.
 #pragma once
 
 #include <cstdint>
@@ -20,8 +21,11 @@
 class Background {
  public:
   static constexpr Time kWindow = 120 * kSecond;  // what counts as the same time
-  static constexpr Time kTogether = 5 * kSecond;  // runners of a zone that die within it have one cause
-  static constexpr std::size_t kMostEnds = 1024, kMostRates = 4096, kMostExplained = 4096;
+  static constexpr Time kTogether =
+      2 * kSecond;  // kManyOfZone others of a zone that die within it have one cause
+  static constexpr std::size_t kManyOfZone = 3;
+  static constexpr std::size_t kMostEnds = 512, kMostNear = 32, kMostRates = 4096, kMostExplained = 4096;
+  static constexpr double kFewTries = 20;  // own ones; with fewer, nothing is known of tier and class
   static constexpr double kFloor = 0.002;  // no run is taken for safer than that
   static constexpr double kFailedFloor = 0.05, kFailedIfPoison = 0.5;
 
@@ -38,7 +42,7 @@
   // The logarithm of the ratio for this end, in sixteenths: 0 when others fared as badly.
   std::uint8_t Weigh(const End& end, Time now) const;
 
-  // Ends of other jobs that were near this one in place or time: those to be weighed anew.
+  // Ends of other jobs that were near this one in place or time, the newest: those to be weighed anew.
   std::vector<End> Near(const End& end) const;
 
   // What poison did speaks against nobody else, and not for it either.
--- a/src/quarantine/fingerprint.h
+++ b/src/quarantine/fingerprint.h
@@ -22,7 +22,7 @@
 };
 
 struct JobParts {
-  std::string_view tenant, job_class, method, path_and_query, object, body;
+  std::string_view tenant = {}, job_class = {}, method = {}, path_and_query = {}, object = {}, body = {};
 };
 
 // XXH3, 128 bits. It is no secret and no signature: one who can hand in jobs for a tenant can only make that
--- /dev/null
+++ b/tests/quarantine_tier_test.cpp
@@ -0,0 +1,152 @@
+// Quarantine over a tier: the bound on harm, one trial, decisions that are not lost, through random schedules
+// of loss, cuts, pauses, deaths and healing.
+#include <gtest/gtest.h>
+
+#include "quarantine_world.h"
+
+namespace lichenlug {
+namespace {
+
+constexpr int kSchedules = 10000;
+const Job kPoison = JobNamed("bad");
+
+// Everybody keeps handing the poison in. Gives the number of runs that were begun.
+int HandInFor(TierOf* tier, Time span, Outcome outcome) {
+  const int before = tier->runners;
+  for (const Time end = tier->now + span; tier->now < end; tier->Step())
+    for (int i = 0; i < tier->size(); ++i)
+      if (tier->Awake(i) && tier->Draw(3) == 0) tier->HandIn(i, kPoison, outcome);
+  return tier->runners - before;
+}
+
+// The first evidence: one dispatcher runs it, and word of its end has gone round.
+void FirstEvidence(TierOf* tier) {
+  tier->HandIn(tier->Draw(tier->size()), kPoison, Outcome::kDied);
+  tier->Play(6 * kSecond);
+}
+
+int HomeOfPoison(TierOf* tier) { return tier->at(tier->DrawAwake()).table().Find(kPoison.fingerprint)->home; }
+
+void Heal(TierOf* tier) {
+  tier->loss = 0;
+  for (int i = 0; i < tier->size(); ++i) {
+    if (!tier->node(i).alive) tier->Start(i);
+    tier->Cut(i, 0);
+  }
+  tier->Play(15 * kSecond);
+}
+
+void AllSay(TierOf* tier, State state, int seed) {
+  for (int i = 0; i < tier->size(); ++i)
+    ASSERT_EQ(tier->StateAt(i, kPoison), state) << "at " << i << " seed " << seed;
+}
+
+TEST(QuarantineTier, HarmIsBoundedWhateverHappensToItsHome) {
+  int worst = 0, worst_cut = 0;
+  for (int seed = 1; seed <= kSchedules; ++seed) {
+    TierOf tier(3 + seed % 4, static_cast<std::uint64_t>(seed));
+    tier.loss = 0.3 * (seed % 3) / 2;
+    FirstEvidence(&tier);
+    int taken = 1;
+    taken += HandInFor(&tier, tier.Draw(25) * TierOf::kStep, Outcome::kDied);
+    const int fault = tier.Draw(4), home = HomeOfPoison(&tier);
+    if (fault == 1) tier.Kill(home);
+    if (fault == 2) tier.Pause(home, (5 + tier.Draw(60)) * TierOf::kStep);
+    if (fault == 3)
+      for (int i = 0; i < tier.size(); i += 2) tier.Cut(i, 1);
+    taken += HandInFor(&tier, 15 * kSecond, Outcome::kDied);
+    (fault == 3 ? worst_cut : worst) = std::max(fault == 3 ? worst_cut : worst, taken);
+    ASSERT_LE(taken, fault == 3 ? 6 : 3) << "seed " << seed << " fault " << fault;
+    if (seed % 10 == 0) {
+      Heal(&tier);
+      HandInFor(&tier, 5 * kSecond, Outcome::kDied);
+      tier.Play(5 * kSecond);
+      AllSay(&tier, State::kQuarantined, seed);
+    }
+    ASSERT_EQ(tier.too_long, 0u);
+  }
+  EXPECT_GE(worst, 2);
+  EXPECT_GE(worst_cut, 3);
+}
+
+TEST(QuarantineTier, AReleaseIsOneTrialInTheTierAndAtMostOneAPart) {
+  for (int seed = 1; seed <= kSchedules; ++seed) {
+    TierOf tier(3 + seed % 4, static_cast<std::uint64_t>(seed));
+    FirstEvidence(&tier);
+    HandInFor(&tier, 6 * kSecond, Outcome::kDied);
+    tier.loss = 0.3 * (seed % 3) / 2;
+    const int fault = tier.Draw(4), home = HomeOfPoison(&tier);
+    const bool works = tier.Draw(2) == 0;
+    tier.at(tier.Draw(tier.size())).Release(kPoison.tenant, kPoison.fingerprint, tier.now);
+    tier.Play(tier.Draw(20) * TierOf::kStep);
+    int trials =
+        HandInFor(&tier, tier.Draw(20) * TierOf::kStep, works ? Outcome::kSucceeded : Outcome::kDied);
+    if (works && trials > 0) continue;  // cleared: it may run as it likes
+    if (fault == 1) tier.Kill(home);
+    if (fault == 2) tier.Pause(home, (5 + tier.Draw(60)) * TierOf::kStep);
+    if (fault == 3)
+      for (int i = 0; i < tier.size(); i += 2) tier.Cut(i, 1);
+    trials += HandInFor(&tier, 20 * kSecond, Outcome::kDied);
+    ASSERT_LE(trials, fault == 3 ? 2 : 1) << "seed " << seed << " fault " << fault;
+  }
+}
+
+TEST(QuarantineTier, ADecisionThatMoreThanOneHaveIsNotLost) {
+  int acknowledged = 0;
+  for (int seed = 1; seed <= kSchedules / 5; ++seed) {
+    TierOf tier(4 + seed % 4, static_cast<std::uint64_t>(seed));
+    FirstEvidence(&tier);
+    HandInFor(&tier, 6 * kSecond, Outcome::kDied);
+    tier.loss = 0.5 * (seed % 3) / 2;
+    const int taker = tier.Draw(tier.size()), other = (taker + 1) % tier.size();
+    const std::uint32_t until = UnixSeconds(tier.now) + 3600;
+    if (seed % 2 == 0) {  // release and discard in two parts
+      tier.Cut(taker, 1), tier.Cut((taker + 2) % tier.size(), 1);
+      tier.Play(3 * kSecond);
+      tier.at(other).Release(kPoison.tenant, kPoison.fingerprint, tier.now);
+    }
+    tier.at(taker).Discard(kPoison.tenant, kPoison.fingerprint, until, tier.now);
+    tier.Play(tier.Draw(8) * TierOf::kStep);
+    const auto again = tier.at(taker).Discard(kPoison.tenant, kPoison.fingerprint, until, tier.now);
+    if (again.holders < 2) continue;
+    ++acknowledged;
+    tier.Kill(taker);
+    tier.Play(tier.Draw(30) * TierOf::kStep);
+    Heal(&tier);
+    if (seed % 3 == 0)  // restarts, one at a time
+      for (int i = 0; i < tier.size(); ++i) tier.Start(i), tier.Play(5 * kSecond);
+    AllSay(&tier, State::kDiscarded, seed);
+  }
+  EXPECT_GT(acknowledged, kSchedules / 20);
+}
+
+TEST(QuarantineTier, ManyDispatchersThatMeetItAtOnceLoseNoMoreRunners) {
+  TierOf tier(60, 3);
+  tier.HandIn(17, kPoison, Outcome::kDied);
+  while (!tier.runs.empty()) tier.Step();
+  tier.Play(3 * TierOf::kStep);  // the evidence is out
+  EXPECT_LE(1 + HandInFor(&tier, 60 * kSecond, Outcome::kDied), 3);
+}
+
+TEST(QuarantineTier, ARestartedDispatcherHearsAllTicketsAndAnIdleTierIsQuiet) {
+  TierOf tier(4, 9);
+  std::vector<Job> jobs;
+  for (int i = 0; i < 300; ++i) {
+    jobs.push_back(JobNamed("o" + std::to_string(i)));
+    for (int r = 0; r < 3; ++r)
+      tier.at(0).Ended(jobs.back(), {.name = std::to_string(i * 3 + r), .life = 1, .zone = i % 50},
+                       Outcome::kDied, tier.now);
+    tier.Play(400 * TierOf::kStep / 300);
+  }
+  tier.Play(60 * kSecond);
+  tier.Kill(3);
+  tier.Start(3);
+  tier.Play(30 * kSecond);
+  EXPECT_EQ(tier.at(3).table().all().size(), tier.at(0).table().all().size());
+  const std::uint64_t before = tier.bytes;
+  tier.Play(100 * kSecond);
+  EXPECT_LT(static_cast<double>(tier.bytes - before) / 100 / tier.size(), 500);  // bytes a second and member
+}
+
+}  // namespace
+}  // namespace lichenlug
