--- a/lab/commands/quarantine.cpp
+++ b/lab/commands/quarantine.cpp
@@ -1,4 +1,5 @@
 // lichenlug-lab quarantine: days with poisoned jobs, and fault days without, held back in four ways.
+#include <algorithm>
 #include <atomic>
 #include <cstdio>
 #include <filesystem>
@@ -13,7 +14,7 @@
 namespace {
 
 struct Options {
-  std::vector<std::string> days;
+  std::vector<std::string> days, ways;
   std::vector<int> tiers = {12, 300};
   int seeds = 8, threads = 3, jobs = 100000;
   std::string out;
@@ -51,6 +52,7 @@
     for (const Named& named : kDays) {
       if (!o.days.empty() && std::ranges::find(o.days, named.name) == o.days.end()) continue;
       for (const auto& [way, holding] : kWays) {
+        if (!o.ways.empty() && std::ranges::find(o.ways, way) == o.ways.end()) continue;
         PoisonDay day;
         day.name = named.name, day.dispatchers = tier, day.runners = tier > 100 ? 200 : 40;
         day.jobs = o.jobs, day.poisons = named.poisons, day.fault = named.fault, day.holding = holding;
@@ -108,6 +110,7 @@
   CLI::App* it = app->add_subcommand("quarantine", "Compare ways to hold back jobs that kill runners");
   it->add_option("--days", o->days,
                  "Days (default: all): calm, poison-1, -5, -20, eighth, zone, store, class");
+  it->add_option("--ways", o->ways, "Ways (default: all): today, capped, breaker, quarantine");
   it->add_option("--tiers", o->tiers, "Numbers of dispatchers")->capture_default_str();
   it->add_option("--seeds", o->seeds, "Seeds of each")->capture_default_str()->check(CLI::Range(1, 1000));
   it->add_option("--jobs", o->jobs, "Jobs of a day")
--- a/src/quarantine/gossip.cpp
+++ b/src/quarantine/gossip.cpp
@@ -57,7 +57,12 @@
 
 void Gossip::Changed(const Fingerprint& job, bool urgent) {
   if (peers_.empty()) return;  // sums find it once somebody is there
-  if (dirty_.size() < kMostDirty || dirty_.contains(job)) dirty_[job] = Retold();
+  if (const auto it = dirty_.find(job); it != dirty_.end()) {
+    it->second = Retold();
+  } else if (dirty_.size() < kMostDirty) {
+    dirty_[job] = Retold();
+    turns_.push_back(job);
+  }
   if (urgent && urgent_.size() < kMostWaiting && std::ranges::find(urgent_, job) == urgent_.end())
     urgent_.push_back(job);
 }
@@ -132,14 +137,17 @@
 }
 
 void Gossip::TellRound(const Table& table, Time now, std::vector<PeerPart::Word>* words) {
-  std::vector<std::map<Fingerprint, int>::iterator> order;
-  for (auto it = dirty_.begin(); it != dirty_.end(); ++it) order.push_back(it);
-  std::ranges::stable_sort(order, [](auto a, auto b) { return a->second > b->second; });
   Packer packer(kTickets);
-  for (const auto it : order) {
-    const Ticket* ticket = table.Find(it->first);
-    if (ticket != nullptr && !packer.Add(it->first, *ticket, now, kMostBodies)) break;
-    if (ticket == nullptr || --it->second <= 0) dirty_.erase(it);
+  for (std::size_t turns = turns_.size(); turns > 0; --turns) {
+    const Fingerprint job = turns_.front();
+    const Ticket* ticket = table.Find(job);
+    if (ticket != nullptr && !packer.Add(job, *ticket, now, kMostBodies)) break;
+    turns_.pop_front();
+    const auto it = dirty_.find(job);
+    if (ticket == nullptr || --it->second <= 0)
+      dirty_.erase(it);
+    else
+      turns_.push_back(job);
   }
   for (const int peer : Draw(kPeersARound))
     for (const std::string& body : packer.bodies()) words->push_back({peer, body});
--- a/src/quarantine/gossip.h
+++ b/src/quarantine/gossip.h
@@ -84,6 +84,7 @@
   int own_ = 0;
   std::vector<int> peers_;
   std::map<Fingerprint, int> dirty_;  // rounds left
+  std::deque<Fingerprint> turns_;     // of those in dirty_
   std::deque<Fingerprint> urgent_;
   std::deque<std::pair<int, Fingerprint>> lacking_;  // by whom
   std::map<Fingerprint, Waiting> waiting_;
