--- a/lab/commands/checkpoints.cpp
+++ b/lab/commands/checkpoints.cpp
@@ -1,4 +1,4 @@
-// lichenlug-lab checkpoints: plays policies of checkpoint intervals over days on which runners die, side by
+// lichenlug-parts checkpoints: plays policies of checkpoint intervals over days on which runners die, side by
 // side, and writes checkpoints.md (tables with 95% bootstrap intervals), checkpoints.csv and checkpoints.svg.
 #include <algorithm>
 #include <atomic>
--- a/lab/commands/members.cpp
+++ b/lab/commands/members.cpp
@@ -1,4 +1,4 @@
-// lichenlug-lab members: plays failure detectors side by side on days of faults, and prints the table.
+// lichenlug-parts members: plays failure detectors side by side on days of faults, and prints the table.
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
