--- a/lab/commands/fleet.cpp
+++ b/lab/commands/fleet.cpp
@@ -60,11 +60,26 @@
       c.worth > 0 ? c.worth_in_time / c.worth : 0, static_cast<unsigned long long>(c.refused),
       static_cast<unsigned long long>(c.failed), static_cast<unsigned long long>(c.unreached),
       Milliseconds(c.latency, 0.5), Milliseconds(c.latency, 0.99));
-  std::printf("%llu runs at the boxes, %llu turned away, %llu probes, %llu lists, %llu datagrams\n",
-              static_cast<unsigned long long>(r.runs),
-              static_cast<unsigned long long>(r.attempts_turned_away),
-              static_cast<unsigned long long>(r.probes), static_cast<unsigned long long>(r.lists),
-              static_cast<unsigned long long>(r.datagrams));
+  std::printf(
+      "%llu runs at the boxes, %llu turned away, %llu probes, %llu lists, %llu watches, %llu datagrams\n",
+      static_cast<unsigned long long>(r.runs), static_cast<unsigned long long>(r.attempts_turned_away),
+      static_cast<unsigned long long>(r.probes), static_cast<unsigned long long>(r.lists),
+      static_cast<unsigned long long>(r.watches), static_cast<unsigned long long>(r.datagrams));
+  const CallBackFigures& b = r.call_backs;
+  std::printf(
+      "%llu tries again; %llu call-backs, %llu lost; on purpose %llu early, %llu late, %llu twice, "
+      "%llu of another runner, %llu of no known id\n",
+      static_cast<unsigned long long>(c.again), static_cast<unsigned long long>(b.told),
+      static_cast<unsigned long long>(b.lost), static_cast<unsigned long long>(b.early),
+      static_cast<unsigned long long>(b.late), static_cast<unsigned long long>(b.twice),
+      static_cast<unsigned long long>(b.wrong), static_cast<unsigned long long>(b.unknown));
+  for (const Harm::Of& h : r.harm)
+    std::printf(
+        "poison %s of object %llu: %llu tries, %llu attempts at boxes, at most %d at once; %d boxes "
+        "killed, %d hung\n",
+        site.classes[h.cls].name.c_str(), static_cast<unsigned long long>(h.key),
+        static_cast<unsigned long long>(h.tries), static_cast<unsigned long long>(h.attempts),
+        h.most_under_way, h.killed, h.hung);
   for (const std::string& crash : r.crashes) std::printf("CRASH: %s\n", crash.c_str());
   for (const auto& [rule, breach] : r.breaches) {
     std::printf("RULE %d BROKEN %llu times, first%s%s%s: %s\n", rule,
--- a/lab/fleet/boxes.cpp
+++ b/lab/fleet/boxes.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-constexpr int kMostTries = 10;  // of one call-back
-constexpr Time kTryAgain = 200 * kMillisecond;
-constexpr Time kCallBackPatience = kSecond;
 constexpr double kOverloadSlack = 1.1;  // for chance, as the rule allows
 
 // "…000000000000002a": the number at the end of a call id, in hex.
@@ -21,16 +18,20 @@
 
 }  // namespace
 
-Boxes::Boxes(asio::io_context& io, Deadlines* deadlines, const Site& site, std::uint64_t seed, Jobs* jobs,
-             Links* links, Address call_back)
-    : io_(io),
-      deadlines_(deadlines),
-      site_(site),
+Boxes::Boxes(asio::io_context& io, Deadlines* deadlines, const FleetFile& fleet, std::uint64_t seed,
+             Jobs* jobs, Links* links, CallBacks::Address call_back, Fell fell)
+    : deadlines_(deadlines),
+      fleet_(fleet),
+      site_(fleet.day.site),
       jobs_(jobs),
       links_(links),
-      call_back_(std::move(call_back)),
+      fell_(std::move(fell)),
+      call_backs_(
+          io, deadlines, fleet.call_backs, seed, site_.boxes, site_.dispatchers, jobs, std::move(call_back),
+          [this](int b, const std::string& call_id) { return machines_[b]->by_call_id.contains(call_id); }),
       random_(seed, 43),
-      told_start_(site.dispatchers) {
+      told_start_(site_.dispatchers) {
+  const Site& site = site_;
   double shares = 0, upto = 0;
   for (const KindModel& kind : site.kinds) shares += kind.share;
   const int zones = static_cast<int>(site.zones.size());
@@ -46,7 +47,6 @@
                 nullptr,
                 {},
                 {},
-                std::vector<CallBacks>(site.dispatchers),
                 {},
                 {}});
     machine->server =
@@ -72,10 +72,14 @@
     const auto held = m.by_call_id.find(message.target.substr(6));
     if (held != m.by_call_id.end()) {
       const std::uint64_t id = held->second;
-      jobs_->Trace(deadlines_->Now(), m.attempts.at(id).job, "is given up at " + BoxName(b));
+      Jobs::Job* job = jobs_->Find(m.attempts.at(id).job);
+      jobs_->Trace(deadlines_->Now(), job->spec.number, "is given up at " + BoxName(b));
+      ++job->given_up;
       std::vector<BoxNews> news;
       m.box.CallOff(deadlines_->Now(), id, &news);
+      const std::string call_id = held->first;
       EndAttempt(b, id, Outcome::kCancelled);
+      call_backs_.GivenUp(b, job, call_id);
       NewsCame(b, std::move(news));
     }
     return Reply(from, 200, "");
@@ -122,7 +126,12 @@
   } else {
     m.by_call_id[*call_id] = id;
     m.attempts.emplace(id, std::move(attempt));
-    Reply(from, 202, "");
+    ++job->open;
+    jobs_->harm().Begun(job->spec.cls, job->spec.key);
+    if (const Time wait = call_backs_.Taken(b, *job, *call_id); wait > 0)
+      deadlines_->Add(now + wait, [from] { Reply(from, 202, ""); });
+    else
+      Reply(from, 202, "");
   }
   NewsCame(b, std::move(news));
 }
@@ -148,6 +157,7 @@
       case BoxNews::Kind::kStarted:
         ++started;
         jobs_->Ran(now, *job, b, m.box.zone, m.box.cell);
+        Poisoned(b, item.id, job->spec);
         if (!site_.starts_told) continue;
         word["state"] = "started";
         break;
@@ -170,7 +180,7 @@
         word["state"] = "lost";
         break;
     }
-    Tell(b, attempt.dispatcher, word.dump());
+    call_backs_.Tell(b, attempt.dispatcher, attempt.call_id, word);
   }
   Arm(b);
 }
@@ -180,10 +190,25 @@
   const auto held = m.attempts.find(id);
   if (held == m.attempts.end()) return;
   jobs_->AttemptOver(deadlines_->Now(), held->second.job, held->second.number, outcome);
+  Jobs::Job* job = jobs_->Find(held->second.job);
+  --job->open;
+  jobs_->harm().Over(job->spec.cls, job->spec.key);
   m.by_call_id.erase(held->second.call_id);
   m.attempts.erase(held);
 }
 
+void Boxes::Poisoned(int b, std::uint64_t id, const JobSpec& spec) {
+  const auto poison =
+      std::ranges::find_if(fleet_.poison, [&spec](const Poison& p) { return p.Hits(spec.cls, spec.key); });
+  if (poison == fleet_.poison.end()) return;
+  deadlines_->Add(deadlines_->Now() + poison->after, [this, alive = alive_, b, id, spec, poison] {
+    if (!*alive || !machines_[b]->attempts.contains(id)) return;
+    jobs_->harm().Felled(spec.cls, spec.key, poison->hangs);
+    poison->hangs ? Mute(b) : Kill(b);
+    fell_(b, *poison);
+  });
+}
+
 void Boxes::Arm(int b) {
   Machine& m = *machines_[b];
   const Time next = m.box.NextAt();
@@ -248,68 +273,4 @@
   Arm(b);
 }
 
-// ---- Call-backs ----
-
-void Boxes::Tell(int b, int n, std::string what) {
-  CallBacks& calls = machines_[b]->call_backs[n];
-  calls.due.emplace_back(std::move(what), 0);
-  if (!calls.busy) TellNext(b, n);
-}
-
-void Boxes::TellNext(int b, int n) {
-  CallBacks& calls = machines_[b]->call_backs[n];
-  calls.busy = !calls.due.empty();
-  if (!calls.busy) return;
-  const auto send = [this, alive = alive_, b, n] {
-    CallBacks& now = machines_[b]->call_backs[n];
-    const auto connection = now.connection;
-    connection->Write(FormatRequest("POST", "/callback", "dispatcher", {}, now.due.front().first),
-                      [](std::error_code) {});
-    deadlines_->Add(deadlines_->Now() + kCallBackPatience,
-                    [this, alive, b, n, connection, tried = now.due.front()] {
-                      if (!*alive) return;
-                      CallBacks& late = machines_[b]->call_backs[n];
-                      if (late.connection == connection && !late.due.empty() && late.due.front() == tried)
-                        TellFailed(b, n);
-                    });
-  };
-  if (calls.connection != nullptr) {
-    calls.connection->Next();
-    return send();
-  }
-  const auto fresh = calls.connection =
-      std::make_shared<HttpConnection>(asio::ip::tcp::socket(io_), HttpConnection::Side::kClient);
-  HttpConnection::Events events;
-  events.on_message = [this, alive = alive_, b, n](const HttpMessage& answer) {
-    if (!*alive) return;
-    CallBacks& told = machines_[b]->call_backs[n];
-    if (answer.status != 200 && answer.status != 204) return TellFailed(b, n);
-    told.due.pop_front();
-    if (!answer.keep_alive) told.connection->Close(), told.connection = nullptr;
-    TellNext(b, n);
-  };
-  events.on_end = [this, alive = alive_, b, n](HttpConnection::End) {
-    if (*alive) TellFailed(b, n);
-  };
-  fresh->SetEvents(std::move(events));
-  fresh->Connect(call_back_(b, n), [this, alive = alive_, b, n, fresh, send](std::error_code error) {
-    if (!*alive || machines_[b]->call_backs[n].connection != fresh) return;
-    if (error) return TellFailed(b, n);
-    fresh->Start();
-    send();
-  });
-}
-
-void Boxes::TellFailed(int b, int n) {
-  CallBacks& calls = machines_[b]->call_backs[n];
-  if (calls.connection != nullptr) calls.connection->Close();
-  calls.connection = nullptr;
-  if (calls.due.empty()) return void(calls.busy = false);
-  if (++calls.due.front().second >= kMostTries) calls.due.pop_front(), ++call_backs_lost;
-  calls.busy = true;
-  deadlines_->Add(deadlines_->Now() + kTryAgain, [this, alive = alive_, b, n] {
-    if (*alive) TellNext(b, n);
-  });
-}
-
 }  // namespace lichenlug::lab
--- a/lab/fleet/boxes.h
+++ b/lab/fleet/boxes.h
@@ -1,5 +1,6 @@
 // Stand-in boxes on real sockets, round the laboratory's model of a box: they take jobs, run them in real
-// time, call back, answer DELETEs and probes, die, vanish, drain and come back cold.
+// time, call back, answer DELETEs and probes, die, vanish, drain and come back cold. A poisoned job fells the
+// box that runs it.
 #pragma once
 
 #include <deque>
@@ -10,19 +11,17 @@
 #include <vector>
 
 #include "base/deadlines.h"
-#include "lab/fleet/http_server.h"
-#include "lab/fleet/jobs.h"
+#include "lab/fleet/call_backs.h"
 #include "lab/model/box.h"
 
 namespace lichenlug::lab {
 
 class Boxes {
  public:
-  // `call_back` gives where box `b` reaches dispatcher `n`.
-  using Address = std::function<asio::ip::tcp::endpoint(int b, int n)>;
+  using Fell = std::function<void(int b, const Poison& of)>;  // it is down or silent, and stays so
 
-  Boxes(asio::io_context& io, Deadlines* deadlines, const Site& site, std::uint64_t seed, Jobs* jobs,
-        Links* links, Address call_back);
+  Boxes(asio::io_context& io, Deadlines* deadlines, const FleetFile& fleet, std::uint64_t seed, Jobs* jobs,
+        Links* links, CallBacks::Address call_back, Fell fell);
   ~Boxes();
 
   int size() const { return static_cast<int>(machines_.size()); }
@@ -39,7 +38,8 @@
   void ToldStart(int n, int b, Time since) { told_start_[n][b] = since; }
 
   bool visitors = false;  // take jobs that no client of the rig handed in
-  std::uint64_t started = 0, turned_away = 0, toppled = 0, probes = 0, call_backs_lost = 0;
+  std::uint64_t started = 0, turned_away = 0, toppled = 0, probes = 0;
+  const CallBackFigures& call_backs() const { return call_backs_.figures(); }
 
  private:
   struct Attempt {
@@ -47,11 +47,6 @@
     int dispatcher = 0, number = -1;
     std::string call_id;
   };
-  struct CallBacks {  // of one box to one dispatcher, told one after another, each until it is answered
-    std::deque<std::pair<std::string, int>> due;  // what to say, and how often it was tried
-    HttpServer::Connection connection;
-    bool busy = false;
-  };
   struct ColdWork {
     Time at;
     double work;
@@ -62,7 +57,6 @@
     std::unique_ptr<HttpServer> server;
     std::unordered_map<std::uint64_t, Attempt> attempts;  // by the model's number
     std::unordered_map<std::string, std::uint64_t> by_call_id;
-    std::vector<CallBacks> call_backs;
     std::deque<ColdWork> cold_work;
     Deadlines::Key alarm;
   };
@@ -74,16 +68,15 @@
   void Stop(int b, Box::Life life);
   void Arm(int b);
   bool PushedOver(int b, const Jobs::Job& job);
-  void Tell(int b, int n, std::string what);
-  void TellNext(int b, int n);
-  void TellFailed(int b, int n);
+  void Poisoned(int b, std::uint64_t id, const JobSpec& spec);
 
-  asio::io_context& io_;
   Deadlines* deadlines_;
+  const FleetFile& fleet_;
   const Site& site_;
   Jobs* jobs_;
   Links* links_;
-  Address call_back_;
+  Fell fell_;
+  CallBacks call_backs_;
   Random random_;
   std::vector<std::unique_ptr<Machine>> machines_;
   std::vector<std::unordered_map<int, Time>> told_start_;  // by dispatcher: boxes' starts
--- a/lab/fleet/discovery.cpp
+++ b/lab/fleet/discovery.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr Time kEmptyLineEvery = 2 * kSecond;
+constexpr Time kSilenceCounts = 6 * kSecond;  // what a silent watch kept back counts as told from then on
 
 std::string Chunk(const std::string& bytes) {
   char size[16];
@@ -30,6 +31,9 @@
       jobs_(jobs),
       boxes_(boxes),
       reached_(std::move(reached)),
+      nowhere_(io),
+      moods_(site.dispatchers),
+      distortions_(boxes->size()),
       watchers_(site.dispatchers),
       told_(boxes->size()) {
   for (int b = 0; b < boxes->size(); ++b) told_[b].since = boxes->box(b).since;
@@ -42,23 +46,28 @@
 
 Discovery::~Discovery() { *alive_ = false; }
 
-nlohmann::json Discovery::Member(int n, int b) const {
+void Discovery::AddMember(int n, int b, nlohmann::json* members) const {
   static constexpr const char* kPhases[] = {"active", "leaving", "left"};
   const Box& box = boxes_->box(b);
-  return {{"id", BoxName(b)},
-          {"host_port", Text(reached_(n, b))},
-          {"locality", site_.zones[box.zone]},
-          {"flavor", site_.kinds[box.kind_index].name},
-          {"cell", box.cell},
-          {"phase", kPhases[static_cast<int>(told_[b].state)]},
-          {"size", 1.0},
-          {"up_since_ms", told_[b].since / kMillisecond}};
+  const Distortion& distortion = distortions_[b];
+  nlohmann::json member = {{"id", BoxName(b)},
+                           {"host_port", Text(distortion.address ? nowhere_.address() : reached_(n, b))},
+                           {"locality", distortion.zone ? "nowhere" : site_.zones[box.zone]},
+                           {"flavor", site_.kinds[box.kind_index].name},
+                           {"cell", box.cell},
+                           {"phase", kPhases[static_cast<int>(told_[b].state)]},
+                           {"size", 1.0},
+                           {"up_since_ms", told_[b].since / kMillisecond}};
+  members->push_back(member);
+  if (!distortion.twice) return;
+  member["host_port"] = Text(nowhere_.address());
+  members->push_back(std::move(member));
 }
 
 std::string Discovery::List(int n) const {
   nlohmann::json members = nlohmann::json::array();
   for (int b = 0; b < boxes_->size(); ++b)
-    if (told_[b].state != State::kGone) members.push_back(Member(n, b));
+    if (told_[b].state != State::kGone) AddMember(n, b, &members);
   return nlohmann::json{{"revision", revision_}, {"complete", true}, {"members", members}}.dump();
 }
 
@@ -73,12 +82,14 @@
 
 void Discovery::Asked(int n, const HttpServer::Connection& from, const HttpMessage& message) {
   if (down_) return Reply(from, 503, "");
+  if (std::exchange(moods_[n].swallow, false)) return;
   if (!message.target.starts_with("/api/targets")) return Reply(from, 404, "");
   ++lists;
   if (message.target.find("watch=1") == std::string::npos) {
     Reply(from, 200, List(n));
   } else {
     ++watches;
+    std::erase_if(watchers_[n], [](const auto& old) { return old->silent_since != 0; });
     auto watcher = std::make_shared<Watcher>();
     watcher->connection = from;
     watcher->due = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Chunk(List(n) + "\n");
@@ -101,14 +112,41 @@
   if (down_) return;
   for (int n = 0; n < static_cast<int>(watchers_.size()); ++n) {
     if (watchers_[n].empty()) continue;
-    Line(n, nlohmann::json{{"revision", revision_}, {"complete", false}, {"members", {Member(n, b)}}}.dump() +
-                "\n");
+    const Time silent_since = watchers_[n].back()->silent_since;  // a watch that speaks would be the last
+    if (silent_since != 0) {
+      Missed(n, b, silent_since);
+      continue;
+    }
+    nlohmann::json members = nlohmann::json::array();
+    AddMember(n, b, &members);
+    Line(n, nlohmann::json{{"revision", revision_}, {"complete", false}, {"members", members}}.dump() + "\n");
     Told(n, b);
   }
 }
 
+void Discovery::Missed(int n, int b, Time silent_since) {
+  const Time now = deadlines_->Now();
+  if (told_[b].state == State::kServing) return jobs_->checker().Told(now, n, b, State::kServing);
+  if (jobs_->links().ClearSince(silent_since, now, "d", DispatcherName(n)))
+    jobs_->checker().Told(std::max(now, silent_since + kSilenceCounts), n, b, told_[b].state);
+}
+
+void Discovery::Distort(int b, FleetFaultKind how, bool on) {
+  Distortion& distortion = distortions_[b];
+  (how == FleetFaultKind::kListAddress ? distortion.address
+   : how == FleetFaultKind::kListZone  ? distortion.zone
+                                       : distortion.twice) = on;
+  Publish(b, told_[b]);
+}
+
+void Discovery::Silence(int n) {
+  for (const auto& watcher : watchers_[n])
+    if (watcher->silent_since == 0) watcher->silent_since = deadlines_->Now();
+}
+
 void Discovery::Line(int n, const std::string& line) {
   for (const auto& watcher : watchers_[n]) {
+    if (watcher->silent_since != 0) continue;
     watcher->due += Chunk(line);
     Flush(watcher);
   }
@@ -127,7 +165,14 @@
 }
 
 void Discovery::KeepAlive() {
-  for (int n = 0; n < static_cast<int>(watchers_.size()); ++n) Line(n, "\n");
+  for (int n = 0; n < static_cast<int>(watchers_.size()); ++n) {
+    if (moods_[n].heartbeat_late == 0)
+      Line(n, "\n");
+    else
+      deadlines_->Add(deadlines_->Now() + moods_[n].heartbeat_late, [this, alive = alive_, n] {
+        if (*alive) Line(n, "\n");
+      });
+  }
   deadlines_->Add(deadlines_->Now() + kEmptyLineEvery, [this, alive = alive_] {
     if (*alive) KeepAlive();
   });
--- a/lab/fleet/jobs.h
+++ b/lab/fleet/jobs.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "lab/fleet/harm.h"
 #include "lab/fleet/links.h"
 #include "lab/model/workload.h"
 #include "lab/rules/checker.h"
@@ -36,6 +37,12 @@
     bool blurred = false;  // its client's link met a fault: what its dispatcher knows of it cannot be told
     int attempts = 0;
     std::vector<std::string> results;  // what boxes made for it; a lost attempt may end after the next
+    int open = 0, given_up = 0;        // attempts that boxes hold; those that were given up there
+    // The last call-back of another runner for it: which runner, when, what it brought as a result.
+    int named_box = -1;
+    Time misled_at = 0;
+    std::string false_result;
+    bool tells_false(int box, Time now) const { return box == named_box && now < misled_at + 2 * kSecond; }
   };
 
   Job* Find(std::uint64_t number) {
@@ -47,6 +54,7 @@
     Job& job = jobs_[spec.number];
     job.spec = spec, job.dispatcher = dispatcher, job.life = lives_[dispatcher], job.handed_in = now;
     Trace(now, spec.number, "handed in at " + DispatcherName(dispatcher));
+    harm_.Tried(spec.cls, spec.key);
     checker_.Took(now, dispatcher, spec.number, spec.cls, answer_by);
   }
 
@@ -73,12 +81,19 @@
   // counts all the same.
   int Came(Time now, Job* job, int box, int zone, int cell) {
     Trace(now, job->spec.number, "comes to " + BoxName(box));
-    const bool clear = links_->ClearSince(job->handed_in, now, DispatcherName(job->dispatcher), BoxName(box));
+    // A runner that was named falsely has a part in it now: what was said in its name may be taken for its
+    // own.
+    if (job->tells_false(box, now)) job->blurred = true, job->results.push_back(job->false_result);
+    const bool clear = ClearTo(*job, box, now);
     if (!clear || job->blurred || job->life != lives_[job->dispatcher]) return -1;
     checker_.Sent(now, job->spec.number, job->attempts, box, zone, cell);
     return job->attempts++;
   }
 
+  bool ClearTo(const Job& job, int box, Time now) const {
+    return links_->ClearSince(job.handed_in, now, DispatcherName(job.dispatcher), BoxName(box));
+  }
+
   void AttemptOver(Time now, std::uint64_t number, int attempt, rookgw::Outcome outcome) {
     const Job* job = Find(number);
     Trace(now, number,
@@ -99,6 +114,7 @@
   int LifeOf(int dispatcher) const { return lives_[dispatcher]; }
   const Links& links() const { return *links_; }
   Checker& checker() { return checker_; }
+  Harm& harm() { return harm_; }
 
  private:
   static constexpr const char* kAnswers[] = {"served", "refused", "failed", "its client is gone"};
@@ -106,6 +122,7 @@
   const Site& site_;
   Links* links_;
   Checker checker_;
+  Harm harm_;
   std::vector<int> lives_;
   std::ofstream trace_;
   std::unordered_map<std::uint64_t, Job> jobs_;
--- a/lab/fleet/relay.cpp
+++ b/lab/fleet/relay.cpp
@@ -105,7 +105,7 @@
 void TcpRelay::Accept() {
   auto session = std::make_shared<Session>(io_, deadlines_, links_, from_, to_);
   acceptor_.async_accept(session->sides[0], [this, session](std::error_code error) {
-    if (error == asio::error::operation_aborted) return;
+    if (error == asio::error::operation_aborted || !acceptor_.is_open()) return;
     if (!error) {
       std::erase_if(sessions_, [](const auto& weak) { return weak.expired(); });
       sessions_.push_back(session);
@@ -125,6 +125,12 @@
     if (const auto session = weak.lock()) session->End();
 }
 
+void TcpRelay::Close() {
+  std::error_code ignored;
+  acceptor_.close(ignored);
+  Reset();
+}
+
 PeerRelay::PeerRelay(asio::io_context& io, Deadlines* deadlines, Links* links,
                      std::vector<Udp::endpoint> dispatchers)
     : deadlines_(deadlines), links_(links), dispatchers_(std::move(dispatchers)) {
--- a/lab/fleet/relay.h
+++ b/lab/fleet/relay.h
@@ -28,6 +28,7 @@
   Tcp::endpoint address() const { return address_; }
   void Watch();  // resets what a cut has to reset; called every few milliseconds
   void Reset();  // the machine at its end is back, and knows nothing of what was open
+  void Close();  // nobody listens at its address any more
 
  private:
   struct Session;
--- a/lab/fleet/rig.h
+++ b/lab/fleet/rig.h
@@ -10,9 +10,7 @@
 #include <vector>
 
 #include "lab/fleet/clients.h"
-#include "lab/fleet/discovery.h"
-#include "lab/fleet/process.h"
-#include "lab/fleet/relay.h"
+#include "lab/fleet/tier.h"
 
 namespace lichenlug::lab {
 
@@ -21,14 +19,14 @@
   std::map<int, Breach> breaches;  // by rule, the first of each
   std::map<int, std::uint64_t> breach_count;
   std::uint64_t checks = 0, runs = 0, attempts_turned_away = 0, toppled = 0, probes = 0, lists = 0,
-                datagrams = 0;
+                watches = 0, datagrams = 0;
+  CallBackFigures call_backs;
+  std::vector<Harm::Of> harm;        // of each poisoned fingerprint that came
   std::vector<std::string> crashes;  // a process that ended unasked, or never got ready
 };
 
 class Rig {
  public:
-  using Say = std::function<void(const std::string& line)>;
-
   // `folder` gets the configurations and the logs. Throws std::runtime_error when a program cannot be
   // started.
   Rig(const FleetFile& fleet, std::uint64_t seed, const std::string& folder, Say say);
@@ -39,30 +37,13 @@
   void Stay();
 
  private:
-  struct Dispatcher {
-    Process process;
-    std::unique_ptr<KeptAddress> kept;
-    Tcp::endpoint listen;
-    Udp::endpoint peer_listen;
-    std::string config, log;
-    bool ready = false, wanted = true, ending = false;  // ending: it was asked to, with TERM
-    Time front_notices = 0;  // it has died, and the front knows from then on; 0: it is taken for alive
-    int starts = 0;
-    std::unique_ptr<TcpRelay> clients, discovery;
-    std::vector<std::unique_ptr<TcpRelay>> boxes, call_backs;  // by box
-    HttpServer::Connection asking;                             // is it ready?
-  };
-
-  void Start(int n);
-  void WriteConfig(int n);
-  void AskReady(int n);
-  void Died(int n);
-  void Look();  // every few milliseconds: processes that ended, cuts
+  void Look();  // every few milliseconds
   void Begin(const FleetFault& fault);
   void End(const FleetFault& fault);
+  void BoxBack(int b);
+  void BoxFell(int b, const Poison& poison);
   void Report();  // once a second, in plain words
   void At(Time when, std::function<void()> what);
-  bool AllReady() const;
 
   const FleetFile& fleet_;
   const Site& site_;
@@ -75,10 +56,9 @@
   Deadlines deadlines_{io_, clock_};
   std::unique_ptr<Links> links_;
   std::unique_ptr<Jobs> jobs_;
-  std::vector<Dispatcher> dispatchers_;
+  std::unique_ptr<Tier> tier_;
   std::unique_ptr<Boxes> boxes_;
   std::unique_ptr<Discovery> discovery_;
-  std::unique_ptr<PeerRelay> peers_;
   std::unique_ptr<Clients> clients_;
   FleetResult result_;
   Time began_ = 0, started_ = 0;  // when clients come; when the processes were started
--- a/lab/rules/checker.cpp
+++ b/lab/rules/checker.cpp
@@ -44,11 +44,11 @@
   return std::to_string(step.at) + " us  " + what;
 }
 
-void Checker::Told(Time now, int dispatcher, int box, rookgw::ListedWorker::State state) {
-  if (state == rookgw::ListedWorker::State::kServing)
-    away_[dispatcher].erase(box);
-  else
-    away_[dispatcher].try_emplace(box, std::max(now, wakes_[dispatcher]));
+void Checker::Told(Time counts_from, int dispatcher, int box, rookgw::ListedWorker::State state) {
+  if (state == rookgw::ListedWorker::State::kServing) return void(away_[dispatcher].erase(box));
+  const Time since = std::max(counts_from, wakes_[dispatcher]);
+  const auto [it, fresh] = away_[dispatcher].try_emplace(box, since);
+  if (!fresh) it->second = std::min(it->second, since);
 }
 
 void Checker::Restarted(int dispatcher) {
@@ -154,6 +154,19 @@
             "% of the work from dispatchers that knew of its start");
 }
 
+void Checker::CallBackAnswered(Time now, int dispatcher, int box, int status) {
+  ++checks_;
+  if (status == 200 || status == 204) return;
+  Break(5, now, nullptr, box,
+        "a call-back to dispatcher " + std::to_string(dispatcher) + " is answered with " +
+            std::to_string(status));
+}
+
+void Checker::Misled(Time now, std::uint64_t request, const std::string& what) {
+  const auto it = requests_.find(request);
+  Break(5, now, it != requests_.end() ? &it->second : nullptr, -1, what);
+}
+
 void Checker::Finish(Time now) {
   std::vector<std::uint64_t> owed;
   for (const auto& [id, r] : requests_)
--- a/lab/rules/checker.h
+++ b/lab/rules/checker.h
@@ -5,6 +5,8 @@
 //   2  nothing that may have run is repeated or refused where its class forbids it, no two attempts overlap
 //   3  nothing is sent to a draining or gone box later than the grace after the dispatcher was told
 //   4  no cold box is pushed over by those who knew that it had started
+//   5  each call-back is answered with 200 or 204, and none changes the answer of a job that it has no part
+//   in
 //
 // It keeps the first breach of each rule with the request's whole history.
 #pragma once
@@ -32,7 +34,8 @@
  public:
   explicit Checker(const Site& site);
 
-  void Told(Time now, int dispatcher, int box, rookgw::ListedWorker::State state);
+  // `counts_from`: later than now where the news is lost but counts as told by then.
+  void Told(Time counts_from, int dispatcher, int box, rookgw::ListedWorker::State state);
   void Restarted(int dispatcher);  // it knows nothing any more and owes nothing
   // It can do nothing until then: what it owes and what it is told counts from its waking.
   void Paused(Time now, int dispatcher, Time until);
@@ -44,7 +47,9 @@
   void Answered(Time now, std::uint64_t request, Answer answer);
   void Ran(Time now, std::uint64_t job, std::uint64_t request, int cls, int box, int zone, int cell);
   void Toppled(Time now, int box, double told_share);
-  void Finish(Time now);  // all is over: nothing may be owed
+  void CallBackAnswered(Time now, int dispatcher, int box, int status);
+  void Misled(Time now, std::uint64_t request, const std::string& what);  // by a call-back of no part in it
+  void Finish(Time now);                                                  // all is over: nothing may be owed
 
   const std::map<int, Breach>& first() const { return first_; }  // by rule
   const std::map<int, std::uint64_t>& count() const { return count_; }
