--- a/lab/tests/fleet_test.cpp
+++ b/lab/tests/fleet_test.cpp
@@ -18,8 +18,13 @@
  protected:
   FleetTest() : folder_(std::filesystem::temp_directory_path() / ("fleet-test-" + std::to_string(getpid()))) {
     std::filesystem::create_directories(folder_);
-    std::ofstream(folder_ / "day.toml") << R"(
-length = "4s"
+    WriteDay("4s");
+  }
+  ~FleetTest() override { std::filesystem::remove_all(folder_); }
+
+  void WriteDay(const std::string& length) {
+    std::ofstream(folder_ / "day.toml") << "length = \"" << length << "\""
+                                        << R"(
 load = 0.4
 boxes = 3
 dispatchers = 2
@@ -45,7 +50,6 @@
 notice-start = "100ms"
 )";
   }
-  ~FleetTest() override { std::filesystem::remove_all(folder_); }
 
   // What `lichenlug-lab fleet` says of a fleet of this program, and its exit code.
   std::pair<int, std::string> Play(const std::string& program, const std::string& rest, int seed = 1) {
@@ -59,8 +63,10 @@
     return {WEXITSTATUS(pclose(pipe)), said};
   }
 
-  std::pair<int, std::string> PlaySentinel(const std::string& mode, const std::string& rest = "") {
-    return Play("\"" LAB_SENTINEL "\", \"" + mode + "\"", rest);
+  std::pair<int, std::string> PlaySentinel(const std::string& mode, const std::string& rest = "",
+                                           int seed = 1, const std::string& length = "4s") {
+    WriteDay(length);
+    return Play("\"" LAB_SENTINEL "\", \"" + mode + "\"", rest, seed);
   }
 
   static void ExpectCaught(const std::pair<int, std::string>& result, const std::vector<std::string>& words) {
@@ -86,6 +92,13 @@
 constexpr const char* kColdStart =
     "[[fault]]\nwhat = \"box-kill\"\nwho = \"b1\"\nat = \"500ms\"\nfor = \"500ms\"\n";
 
+constexpr const char* kFalseWords =
+    "[call-backs]\nearly = 0.2\nlate = 0.5\ntwice = 0.2\nwrong = 0.2\nunknown = 0.1\n";
+// A watch falls silent, and a box drains until after what was missed counts as told.
+constexpr const char* kSilence =
+    "[[fault]]\nwhat = \"watch-silent\"\nwho = \"n0\"\nat = \"500ms\"\n"
+    "[[fault]]\nwhat = \"box-drain\"\nwho = \"b1\"\nat = \"1s\"\nfor = \"8s\"\n";
+
 TEST_F(FleetTest, ADispatcherThatKeepsTheRulesPasses) {
   const auto [code, said] = PlaySentinel("good", kDrain);
   EXPECT_EQ(code, 0) << said;
@@ -108,6 +121,36 @@
   ExpectCaught(PlaySentinel("crowds", kColdStart), {"RULE 4 BROKEN"});
 }
 
+TEST_F(FleetTest, FalseWordsAreNotHeldAgainstOneThatKeepsTheRules) {
+  const auto [code, said] = PlaySentinel("good", kFalseWords);
+  EXPECT_EQ(code, 0) << said;
+  EXPECT_EQ(said.find(" 0 of another runner"), std::string::npos) << said;
+}
+
+TEST_F(FleetTest, ACallBackThatIsNotWelcomeIsCaught) {
+  ExpectCaught(PlaySentinel("quarrels", kFalseWords), {"RULE 5 BROKEN", "answered with 404"});
+}
+
+TEST_F(FleetTest, AResultOfAnotherRunnerIsCaught) {
+  ExpectCaught(PlaySentinel("trusts", kFalseWords), {"RULE 5 BROKEN", "served with what a runner claims"});
+}
+
+TEST_F(FleetTest, AFailureThatAnotherRunnerTellsIsCaught) {
+  ExpectCaught(PlaySentinel("despairs", kFalseWords), {"RULE 5 BROKEN", "ended by the word of a runner"});
+}
+
+TEST_F(FleetTest, ASilentWatchThatIsNotBegunAnewIsCaught) {
+  EXPECT_EQ(PlaySentinel("good", kSilence, 1, "9s").first, 0);
+  ExpectCaught(PlaySentinel("deaf", kSilence, 1, "9s"), {"RULE 3 BROKEN", "told as draining or gone"});
+}
+
+TEST_F(FleetTest, WhatPoisonDoesIsCounted) {
+  const auto [code, said] =
+      PlaySentinel("good", "stubborn = 1\n[[poison]]\nkey = 0\ndoes = \"kill\"\nback = \"500ms\"\n");
+  EXPECT_NE(said.find("poison publish of object 0"), std::string::npos) << said;
+  EXPECT_EQ(said.find(" 0 boxes killed"), std::string::npos) << said;
+}
+
 TEST_F(FleetTest, ACrashIsTold) { ExpectCaught(PlaySentinel("crashes"), {"ended with 3", "play it again"}); }
 
 TEST_F(FleetTest, AProgramThatIsNotThereIsTold) {
@@ -146,27 +189,32 @@
 
 // The program itself, with faults drawn by the seed; each seed is a test of its own, so that they play side
 // by side.
-class RealFleet : public testing::TestWithParam<int> {};
-
-TEST_P(RealFleet, KeepsTheRules) {
-  const std::filesystem::path folder =
-      std::filesystem::temp_directory_path() / ("real-fleet-" + std::to_string(getpid()));
-  std::filesystem::create_directories(folder);
-  std::filesystem::copy(LAB_FLEETS "/twelve-day.toml", folder / "twelve-day.toml",
-                        std::filesystem::copy_options::overwrite_existing);
-  std::ofstream(folder / "fleet.toml")
-      << "day = \"twelve-day.toml\"\ndrawn-faults = 8\nanswer-slack = \"10s\"\n"
-      << "program = [\"" LAB_DISPATCHER "\", \"serve\"]\n";
-  const std::string command = std::string(LAB_PROGRAM) + " fleet " + (folder / "fleet.toml").string() +
-                              " --quiet --seed " + std::to_string(GetParam()) + " --logs " +
-                              (folder / "logs").string() + " >" + (folder / "said").string() + " 2>&1";
-  const int code = std::system(command.c_str());
-  std::ifstream said(folder / "said");
-  EXPECT_EQ(code, 0) << std::string(std::istreambuf_iterator<char>(said), {});
-  std::filesystem::remove_all(folder);
-}
+class RealFleet : public testing::TestWithParam<int> {
+ protected:
+  // A fleet file of the repository, played by the program that was built. `more`: keys that stand before it.
+  static void ExpectKeepsTheRules(const std::string& name, const std::string& more, int seed) {
+    const std::filesystem::path folder =
+        std::filesystem::temp_directory_path() / ("real-fleet-" + std::to_string(getpid()));
+    std::filesystem::create_directories(folder / "build");
+    std::filesystem::create_symlink(LAB_DISPATCHER, folder / "build/lichenlug");
+    std::filesystem::copy(LAB_FLEETS "/" + name + "-day.toml", folder / (name + "-day.toml"));
+    std::ofstream(folder / "fleet.toml") << more << std::ifstream(LAB_FLEETS "/" + name + ".toml").rdbuf();
+    const std::string command = "cd " + folder.string() +
+                                " && " LAB_PROGRAM " fleet fleet.toml --quiet --seed " +
+                                std::to_string(seed) + " --logs logs >said 2>&1";
+    const int code = std::system(command.c_str());
+    std::ifstream said(folder / "said");
+    EXPECT_EQ(code, 0) << std::string(std::istreambuf_iterator<char>(said), {});
+    std::filesystem::remove_all(folder);
+  }
+};
+class LivingFleet : public RealFleet {};
+
+TEST_P(RealFleet, KeepsTheRules) { ExpectKeepsTheRules("twelve", "answer-slack = \"10s\"\n", GetParam()); }
+TEST_P(LivingFleet, KeepsTheRules) { ExpectKeepsTheRules("living", "", GetParam()); }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, RealFleet, testing::Range(1, 16));
+INSTANTIATE_TEST_SUITE_P(Seeds, LivingFleet, testing::Range(1, 6));
 
 }  // namespace
 }  // namespace lichenlug::lab
--- a/lab/tests/sentinel.cpp
+++ b/lab/tests/sentinel.cpp
@@ -7,6 +7,10 @@
 //   ignores    goes on sending to boxes that drain (rule 3)
 //   crowds     sends all jobs to the box that started last (rule 4)
 //   crashes    ends with code 3 after fifty jobs
+//   quarrels   answers a call-back of an id that it does not know with 404 (rule 5)
+//   trusts     takes a result from whichever runner brings it (rule 5)
+//   despairs   fails a job at the word of whichever runner says so (rule 5)
+//   deaf       stays with a watch that has fallen silent (rule 3)
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
@@ -31,7 +35,8 @@
 
 class Sentinel {
  public:
-  Sentinel(asio::io_context& io, std::string mode) : io_(io), mode_(std::move(mode)), acceptor_(io) {
+  Sentinel(asio::io_context& io, std::string mode)
+      : io_(io), mode_(std::move(mode)), acceptor_(io), renewal_(io) {
     Json config;
     std::ifstream(std::getenv("BALANCER_CONFIG")) >> config;
     Take(config["known"]);
@@ -58,6 +63,7 @@
   }
 
   void Watch(const tcp::endpoint& discovery) {
+    line_.clear();
     watch_ = std::make_shared<HttpConnection>(tcp::socket(io_), HttpConnection::Side::kClient);
     HttpConnection::Events events;
     events.on_piece = [this](std::string_view bytes) {
@@ -66,6 +72,7 @@
         if (end > 0) Take(Json::parse(line_.substr(0, end)));
     };
     watch_->SetEvents(std::move(events));
+    if (mode_ != "deaf") Renew(discovery);
     watch_->Connect(discovery, [this](std::error_code error) {
       if (error) return;
       watch_->Start();
@@ -73,6 +80,15 @@
     });
   }
 
+  // A watch may be silent and seem alive: there is a new one every second.
+  void Renew(const tcp::endpoint& discovery) {
+    renewal_.expires_after(std::chrono::seconds(1));
+    renewal_.async_wait([this, discovery](std::error_code) {
+      watch_->Close();
+      Watch(discovery);
+    });
+  }
+
   void Accept() {
     acceptor_.async_accept([this](std::error_code error, tcp::socket socket) {
       if (!error) {
@@ -95,8 +111,9 @@
   void Asked(const Connection& from, const HttpMessage& message) {
     if (message.target == "/-/ready") return Reply(from, 200, "");
     if (message.target == "/callback") {
-      Reply(from, 200, "");
-      return CalledBack(Json::parse(message.body));
+      const Json word = Json::parse(message.body);
+      Reply(from, mode_ == "quarrels" && !callers_.contains(word["id"]) ? 404 : 200, "");
+      return CalledBack(word);
     }
     const std::string id = *message.Header("x-call-id");
     ++jobs_;
@@ -120,8 +137,15 @@
     return active.empty() ? nullptr : active[++turn_ % active.size()];
   }
 
+  std::string NameOf(const Box* box) const {
+    for (const auto& [id, known] : boxes_)
+      if (&known == box) return id;
+    return "";
+  }
+
   void Send(const std::string& id, const HttpMessage& job, const Box* box) {
     if (box == nullptr) return Answer(id, 503, "");
+    runners_[id] = NameOf(box);
     auto link = std::make_shared<HttpConnection>(tcp::socket(io_), HttpConnection::Side::kClient);
     HttpConnection::Events events;
     events.on_message = [this, id, link](const HttpMessage& answer) {
@@ -145,7 +169,9 @@
   }
 
   void CalledBack(const Json& word) {
-    if (word["state"] == "done") return Answer(word["id"], 200, word["result"]);
+    const bool done = word["state"] == "done", by_it = runners_[word["id"]] == word["from"];
+    if (!by_it && mode_ != "doubles" && mode_ != (done ? "trusts" : "despairs")) return;
+    if (done) return Answer(word["id"], 200, word["result"]);
     if (word["state"] == "lost" || word["state"] == "returned" || word["state"] == "failed")
       Answer(word["id"], 500, "");
   }
@@ -161,9 +187,11 @@
   const std::string mode_;
   tcp::acceptor acceptor_;
   Connection watch_;
+  asio::steady_timer renewal_;
   std::string line_;
   std::map<std::string, Box> boxes_;
   std::map<std::string, Connection> callers_;
+  std::map<std::string, std::string> runners_;  // by id
   int jobs_ = 0;
   std::size_t turn_ = 0;
 };
