--- a/lab/fleet/discovery.h
+++ b/lab/fleet/discovery.h
@@ -77,6 +77,7 @@
   std::vector<Entry> told_;                                      // what is on the list
   std::int64_t revision_ = 1;
   bool down_ = false;
+  Time last_down_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/lab/fleet/fleet_file.cpp
+++ b/lab/fleet/fleet_file.cpp
@@ -126,6 +126,7 @@
   fleet.drawn = static_cast<int>(t.Whole("drawn-faults", 0, 0, 1000));
   fleet.draw = ReadDraw(&t);
   fleet.call_backs = ReadCallBacks(t.Table("call-backs"));
+  fleet.marks_again = t.Flag("marks-again", false);
   fleet.stubborn = t.Number("stubborn", 0, 0, 1);
   fleet.peers = t.Flag("peers", true);
   fleet.answer_slack = t.Span("answer-slack", fleet.answer_slack);
--- a/lab/fleet/fleet_file.h
+++ b/lab/fleet/fleet_file.h
@@ -86,7 +86,8 @@
   std::vector<FleetFaultKind> draw;  // out of these, each as likely as it is often here
   CallBackFaults call_backs;
   std::vector<Poison> poison;
-  double stubborn = 0;  // share of clients that try again after a failure, too
+  bool marks_again = false;  // X-Again tells the tries after the first
+  double stubborn = 0;       // share of clients that try again after a failure, too
   bool peers = true;
   Time answer_slack = 2 * kSecond;  // beside the rules' own: the machine may be busy
   std::string leave;                // how to try it by hand, told at the end
--- a/lab/fleet/fleet_settings.h
+++ b/lab/fleet/fleet_settings.h
@@ -1,13 +1,13 @@
-// The settings of a dispatcher's configuration, as the site's day file has them.
+// The settings of a dispatcher's configuration, as the fleet file and its day have them.
 #pragma once
 
 #include <nlohmann/json_fwd.hpp>
 
-#include "lab/model/site.h"
+#include "lab/fleet/fleet_file.h"
 
 namespace lichenlug::lab {
 
 // `job_rate`: jobs a second that fill the site; quotas are parts of it.
-nlohmann::json SettingsOf(const Site& site, int ordinal, double job_rate, bool peers);
+nlohmann::json SettingsOf(const FleetFile& fleet, int ordinal, double job_rate);
 
 }  // namespace lichenlug::lab
--- a/lab/fleet/rig.h
+++ b/lab/fleet/rig.h
@@ -1,5 +1,5 @@
 // A fleet on loopback: real dispatchers as processes, stand-in boxes, discovery and clients, a relay on every
-// link, faults on a time line, and the four rules judged from outside.
+// link, faults on a time line, and the rules judged from outside.
 //
 // Guards against what no test of one process can show: what many do together while parts of the system fail.
 #pragma once
--- a/lab/fleet/tier.cpp
+++ b/lab/fleet/tier.cpp
@@ -93,7 +93,7 @@
                            {"seed", seed},
                            {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}},
                            {"known", nlohmann::json::parse(discovery_->List(n))},
-                           {"settings", SettingsOf(site_, n, job_rate_, peers_ != nullptr)}};
+                           {"settings", SettingsOf(fleet_, n, job_rate_)}};
   if (peers_ != nullptr)
     config["peer_listen"] = Text(d.peer_listen), config["peers"] = peers,
     config["peers_all"] = Text(peers_->all());
--- a/lab/model/site.h
+++ b/lab/model/site.h
@@ -82,7 +82,6 @@
 
 struct ClientModel {
   int retries = 1;
-  bool marks_again = false;  // X-Again tells the tries after the first
   Time backoff = 60 * kMillisecond;
   bool backoff_doubles = true;
   double honour = 0.9, impatient = 0;  // shares: of clients that follow Retry-After; that leave early
--- a/lab/rules/checker.h
+++ b/lab/rules/checker.h
@@ -1,4 +1,4 @@
-// Watches a run for the four rules, from outside: it is told what each dispatcher was told and did, and what
+// Watches a run for the rules, from outside: it is told what each dispatcher was told and did, and what
 // ran where. It shares no code with the decisions and decides nothing itself.
 //
 //   1  every request that a living dispatcher took has one final answer, in time
@@ -34,9 +34,9 @@
  public:
   explicit Checker(const Site& site);
 
-  // `counts_from`: later than now where the news is lost but counts as told by then.
-  void Told(Time counts_from, int dispatcher, int box, rookgw::ListedWorker::State state);
+  void Told(Time now, int dispatcher, int box, rookgw::ListedWorker::State state);
   void Restarted(int dispatcher);  // it knows nothing any more and owes nothing
+  Time Wakes(int dispatcher) const { return wakes_[dispatcher]; }  // the end of its last pause
   // It can do nothing until then: what it owes and what it is told counts from its waking.
   void Paused(Time now, int dispatcher, Time until);
 
