--- a/src/main.cpp
+++ b/src/main.cpp
@@ -13,8 +13,8 @@
 #include "core/transactions.h"
 #include "fronts/http/callers.h"
 #include "operate/config.h"
-#include "peers/holdings.h"
-#include "peers/transport.h"
+#include "operate/operator_file.h"
+#include "peers/peers.h"
 #include "routes/route_set.h"
 #include "routes/watch.h"
 
@@ -38,35 +38,31 @@
 };
 
 // What goes out and ends at runners reaches the other dispatchers; what they tell reaches the decisions.
-class Peers : public PeerPort, public HoldingsHeard {
+class PeersPort : public PeerPort, public HoldingsHeard {
  public:
-  Peers(asio::io_context& io, const Config& config, Deadlines* deadlines, TransactionTable* core)
-      : deadlines_(deadlines),
-        core_(core),
-        holdings_(config.seed,
-                  {config.peers.own_number, static_cast<int>(config.peers.peers.size()),
-                   ZoneToHear(config.site.settings)},
-                  static_cast<int>(config.site.settings.classes.size()), this),
-        transport_(io, config.peers, &holdings_, deadlines) {}
-
-  void Start() { transport_.Start(); }
-  void Hold(const std::string& runner, double slots) override {
-    holdings_.Hold(runner, slots, deadlines_->Now());
-    transport_.Changed();
-  }
-  void Failed(const std::string& runner, int cls) override {
-    holdings_.Failed(runner, cls, deadlines_->Now());
-    transport_.Changed();
-  }
+  PeersPort(asio::io_context& io, const Config& config, Deadlines* deadlines, TransactionTable* core,
+            std::function<void(const TierView&)> seen)
+      : core_(core),
+        peers_(io, config.peers, ZoneToHear(config.site.settings),
+               static_cast<int>(config.site.settings.classes.size()), config.seed, deadlines, this,
+               std::move(seen), [name = config.name](const std::string& line) {
+                 std::cerr << name << " " << line << std::endl;
+               }) {}
+
+  void Start() { peers_.Start(); }
+  void Leave() { peers_.Leave(); }
+  void Hold(const std::string& runner, double slots) override { peers_.Hold(runner, slots); }
+  void Failed(const std::string& runner, int cls) override { peers_.Failed(runner, cls); }
   void Held(const std::string& runner, int slots) override { core_->HeldElsewhere(runner, slots); }
   void Failing(const std::string& runner, int cls) override { core_->FailingElsewhere(runner, cls); }
   void Name(const RouteNews& news) {
-    if (news.complete) holdings_.ForgetAll();
+    Holdings& holdings = peers_.holdings();
+    if (news.complete) holdings.ForgetAll();
     for (const Route& route : news.members)
       if (route.runner.state == rookgw::ListedWorker::State::kGone)
-        holdings_.Forget(route.runner.id);
+        holdings.Forget(route.runner.id);
       else
-        holdings_.Name(route.runner.id, route.runner.zone);
+        holdings.Name(route.runner.id, route.runner.zone);
   }
 
  private:
@@ -76,10 +72,8 @@
     return settings.fee_cross_zone > 0 && settings.my_zone != rookgw::kNone ? settings.my_zone : kNoZone;
   }
 
-  Deadlines* deadlines_;
   TransactionTable* core_;
-  Holdings holdings_;
-  PeerTransport transport_;
+  Peers peers_;
 };
 
 const char* Environment(const char* name) { return std::getenv(name); }
@@ -99,7 +93,7 @@
 }
 
 // The port for what is held, or null where there is nobody to tell.
-PeerPort* StartPeers(const Config& config, Peers* peers) {
+PeerPort* StartPeers(const Config& config, PeersPort* peers) {
   if (!config.peers.on()) return nullptr;
   try {
     peers->Start();
@@ -125,7 +119,8 @@
   const BranchSettings branch_settings{config.most_open, config.most_runner_links(), config.connect_timeout,
                                        config.idle_close, config.site};
   TransactionTable core(config.site.settings, config.seed, config.most_open, &deadlines);
-  Peers peers(io, config, &deadlines, &core);
+  std::function<void(const TierView&)> tier_seen;
+  PeersPort peers(io, config, &deadlines, &core, [&tier_seen](const TierView& view) { tier_seen(view); });
   Watch watch(io, config.discovery, config.site, config.seed, &routes, &deadlines,
               [&core, &peers](const RouteNews* news) {
                 if (news == nullptr) return core.RoutesChanged(Form::kFailed, 0, {});
@@ -133,6 +128,9 @@
                                    RunnersOf(*news));
                 peers.Name(*news);
               });
+  tier_seen = [&watch, &config](const TierView& view) {  // behind a cut, the others still ask discovery
+    watch.Tier(view.whole() ? view.present() : config.site.settings.instances);
+  };
   WatchPort discovery(&watch);
   Branches branches(io, branch_settings, &routes, &deadlines, &core);
   Callers callers(
@@ -148,6 +146,7 @@
 
   signals.async_wait([&](std::error_code error, int) {
     if (error) return;
+    peers.Leave();
     callers.Drain([&io] { io.stop(); });
     std::cerr << config.name << " drains" << std::endl;
   });
@@ -169,6 +168,9 @@
   CLI::App app("lichenlug: a dispatcher that spreads jobs across runners");
   app.require_subcommand(1);
   CLI::App* serve = app.add_subcommand("serve", "Serve, as the file that BALANCER_CONFIG names says");
+  std::string operator_path;
+  serve->add_option("--operator", operator_path,
+                    "The operator's own file; without one all that it switches is off");
   CLI::App* version = app.add_subcommand("version", "Print the version");
   CLI::App* check = app.add_subcommand("check-config", "Read and check the configuration, and do no more");
   try {
@@ -177,7 +179,15 @@
     if (*check)
       std::cout << "the configuration of " << lichenlug::ReadConfig(lichenlug::Environment).name
                 << " is good\n";
-    if (*serve) lichenlug::Serve(lichenlug::ReadConfig(lichenlug::Environment));
+    if (*serve) {
+      lichenlug::Config config = lichenlug::ReadConfig(lichenlug::Environment);
+      if (!operator_path.empty()) {
+        const auto file = lichenlug::ReadOperatorFile(operator_path);
+        if (!file) throw std::runtime_error(file.error().Text());
+        config.peers.membership = file->membership;
+      }
+      lichenlug::Serve(config);
+    }
     return 0;
   } catch (const CLI::ParseError& e) {
     if (e.get_exit_code() == 0) return app.exit(e);  // --help
--- a/src/operate/config.cpp
+++ b/src/operate/config.cpp
@@ -124,6 +124,7 @@
   const auto may_tell = limits.find("MayTell");
   if (may_tell != limits.end() && *may_tell == true)
     config.peers = ReadPeers(root, config.site.settings.ordinal);
+  config.peers.own_zone = config.site.settings.my_zone;
   return config;
 }
 
--- a/src/peers/holdings.h
+++ b/src/peers/holdings.h
@@ -25,6 +25,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "base/tier.h"
 #include "peers/relay.h"
 #include "peers/sums.h"
 
@@ -85,6 +86,11 @@
   // in a life not met before knows nobody: `greet` says that it is to be greeted.
   bool Hear(int peer, std::string_view bytes, Time now, bool* greet);
 
+  // Who is there, where the dispatchers tell one another.
+  void See(const TierView& view, Time now) {
+    if (relay_) relay_->See(view, now);
+  }
+
   // The relay chosen for a zone; kUnheard: none, or the tier is small.
   int RelayOf(int zone) const { return relay_ ? relay_->HomeOf(zone) : kUnheard; }
 
--- a/src/peers/membership_table.cpp
+++ b/src/peers/membership_table.cpp
@@ -1,5 +1,6 @@
 #include "peers/membership_table.h"
 
+#define XXH_INLINE_ALL
 #include <xxhash.h>
 
 #include <algorithm>
--- a/src/peers/relay.cpp
+++ b/src/peers/relay.cpp
@@ -33,6 +33,20 @@
   ranked.insert(std::ranges::lower_bound(ranked, rank), rank);
 }
 
+void Relay::See(const TierView& view, Time now) {
+  gone_.clear();
+  if (!view.whole()) return;  // the part that is cut off goes by what it hears
+  for (const TierMember& member : view.members)
+    if (member.standing == Standing::kLeft || member.standing == Standing::kDead ||
+        member.standing == Standing::kCutOff)
+      gone_.insert(member.number);
+  for (auto& [zone, group] : groups_) {
+    if (!gone_.contains(group.home) || group.held.empty()) continue;
+    group.untold = true;
+    Due(now);
+  }
+}
+
 void Relay::Restarted(int peer) {
   const auto it = peers_.find(peer);
   if (it == peers_.end()) return;
@@ -94,11 +108,12 @@
   const auto hears = [&](int peer) {
     if (peer == number_) return Serves(now);
     const Peer& it = peers_[peer];
-    return it.digest.at != 0 && now - it.digest.at < kSilent;
+    return !gone_.contains(peer) && it.digest.at != 0 && now - it.digest.at < kSilent;
   };
   const auto worth_a_try = [&](int peer) {
-    return peer == number_ || peers_[peer].tried_in_vain == 0 ||
-           now - peers_[peer].tried_in_vain >= kTriedInVain;
+    if (peer == number_) return true;
+    const Time in_vain = peers_[peer].tried_in_vain;
+    return !gone_.contains(peer) && (in_vain == 0 || now - in_vain >= kTriedInVain);
   };
   int at_work = kUnheard, worth = kUnheard;
   for (const auto& [rank, peer] : ranked_[zone]) {
--- a/src/peers/relay.h
+++ b/src/peers/relay.h
@@ -31,6 +31,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "base/tier.h"
 #include "peers/sums.h"
 
 namespace lichenlug {
@@ -60,7 +61,9 @@
   Relay(int life, int number, int tier, int zone, Sums* sums);
 
   void Met(int peer, int zone);  // a greeting: it is there, and which zone's news it wants
-  void Restarted(int peer);      // another life: what the last one said is void
+  // Who is there, where the dispatchers tell one another: those that are not are no relays, without a try.
+  void See(const TierView& view, Time now);
+  void Restarted(int peer);  // another life: what the last one said is void
 
   void Hold(const std::string& runner, double slots, Time now);
   void Failed(const std::string& runner, int cls, Time now);
@@ -131,6 +134,7 @@
   std::map<int, std::vector<std::pair<std::uint64_t, int>>>
       ranked_;            // by zone; in the own one, with this dispatcher
   std::set<int> relays_;  // whose digests count
+  std::set<int> gone_;    // that left, are dead or cut off from here
   // As a relay: what all members hold, this one among them while it is its own.
   std::map<ShortId, Sum> total_;
   std::vector<std::uint16_t> agreed_;
--- a/src/peers/transport.cpp
+++ b/src/peers/transport.cpp
@@ -22,6 +22,7 @@
   socket_.non_blocking(true);
   Await();
   EverySecond();
+  Changed();
 }
 
 void PeerTransport::Await() {
@@ -33,25 +34,40 @@
 }
 
 void PeerTransport::Take() {
-  const Time now = deadlines_->Now();
   for (int i = 0; i < kMostAtOnce; ++i) {
     asio::ip::udp::endpoint from;
     std::error_code error;
-    bool greet = false;
     const std::size_t size = socket_.receive_from(asio::buffer(bytes_), from, 0, error);
     if (error) break;
     const auto peer = numbers_.find(from);
     if (peer == numbers_.end())
       ++strangers_;
     else
-      holdings_->Hear(peer->second, {bytes_.data(), size}, now, &greet);
-    if (greet) Greet(from, holdings_->Answer(peer->second));
+      Hear(peer->second, {bytes_.data(), size});
   }
+  turn_(kUnheard);
   Changed();  // what is heard may be to be passed on
 }
 
+void PeerTransport::Host(extension::Kind kind, PeerPart* part, int life) { parts_[kind] = {part, life}; }
+
+void PeerTransport::Hear(int peer, std::string_view bytes) {
+  const Time now = deadlines_->Now();
+  turn_(peer);
+  if (const auto read = extension::Take(bytes)) {
+    const auto part = parts_.find(read->kind);
+    if (part == parts_.end() || !part->second.part->Hear(peer, read->body, now)) ++dropped_;
+    return;
+  }
+  bool greet = false;
+  holdings_->Hear(peer, bytes, now, &greet);
+  if (greet) Greet(settings_.peers.at(peer), holdings_->Answer(peer));
+}
+
 void PeerTransport::Changed() {
-  const Time at = holdings_->DueAt();
+  Time at = holdings_->DueAt();
+  for (const auto& [kind, it] : parts_)
+    if (const Time due = it.part->DueAt(); due != 0 && (at == 0 || due < at)) at = due;
   if (at == 0 || (due_at_ != 0 && due_at_ <= at)) return;
   due_at_ = at;
   deadlines_->Move(&due_, at, [this] {
@@ -61,7 +77,9 @@
 }
 
 void PeerTransport::Send() {
-  for (const Holdings::Datagram& datagram : holdings_->Tell(deadlines_->Now())) {
+  const Time now = deadlines_->Now();
+  SendParts(now);
+  for (const Holdings::Datagram& datagram : holdings_->Tell(now)) {
     std::error_code lost;
     if (datagram.peer != kUnheard) {
       socket_.send_to(asio::buffer(datagram.bytes), settings_.peers.at(datagram.peer), 0, lost);
@@ -74,6 +92,22 @@
   Changed();
 }
 
+void PeerTransport::SendParts(Time now) {
+  for (const auto& [kind, it] : parts_) {
+    if (it.part->DueAt() == 0 || it.part->DueAt() > now) continue;
+    for (const PeerPart::Word& word : it.part->Tell(now)) {
+      const std::string bytes = extension::Make(it.life, kind, word.body);
+      std::error_code lost;
+      if (word.peer != PeerPart::kAll) {
+        socket_.send_to(asio::buffer(bytes), settings_.peers.at(word.peer), 0, lost);
+        continue;
+      }
+      for (const auto& [address, number] : numbers_) socket_.send_to(asio::buffer(bytes), address, 0, lost);
+    }
+  }
+  if (!parts_.empty()) turn_(kUnheard);
+}
+
 void PeerTransport::Greet(const asio::ip::udp::endpoint& peer, const std::string& greeting) {
   std::error_code lost;
   socket_.send_to(asio::buffer(greeting), peer, 0, lost);
--- a/src/routes/ask_again.h
+++ b/src/routes/ask_again.h
@@ -48,6 +48,9 @@
         longest_(ask_every > 0 ? std::max(2 * kFirst, ask_every * 9 / 10 - kCallPatience) : kUnbounded),
         random_(static_cast<std::minstd_rand::result_type>(seed)) {}
 
+  // So many dispatchers are there.
+  void Tier(int dispatchers) { tier_ = std::max(kFirst, std::max(dispatchers, 1) * kCall); }
+
   // Discovery has moved: what it tells counts as told soon, so waits are short until it has spoken.
   void Hurry() { hurried_ = true, failures_ = 0; }
 
--- a/src/routes/watch.h
+++ b/src/routes/watch.h
@@ -27,6 +27,8 @@
         std::uint64_t seed, RouteSet* routes, Deadlines* deadlines,
         std::function<void(const RouteNews*)> news);
 
+  void Tier(int dispatchers) { ask_again_.Tier(dispatchers); }  // so many share discovery
+
   void Ask();  // does nothing while a watch stands, is asked for or is to be asked for again
 
   // Discovery is at another address now: asks there at once.
