Read to the other side's end at any moment, and past a full buffer

Seen: a client that had sent over 80 KiB behind its first request and gone was served on: Read() stopped at kMostPending, so its end stayed unread until the first request's deadline, and then the requests behind it were begun. scenario.much_and_gone failed without the mend: "expect r1 POST a2" met c1-0, a job of the client that had closed 5 s before.

Lines at fault: HttpConnection::Read (its return at kMostPending), HasUnread (bytes only, not the end). Reading was also one operation ahead: bytes taken by a finished async_read_some, its handler still queued, could not be seen by anyone who asks in between, so no synchronous look was possible.

Now the connection only waits for bytes (async_wait) and reads without blocking, until nothing is left or 1 MiB was read. PeerEnded() and HasUnread() look the same way, at any moment, whichever events have been served; HasUnread() is true for an end, too, so a kept link whose runner has ended is not written on. What goes beyond the bound behind a message in work is dropped; the connection ends after the present answer. A malformed message is worded also when the end came with it, and an end after a malformed one is told: till now the leg stayed up to 3 s. Finish() and Close() read what is there before the descriptor is closed.

--- a/src/fronts/http/callers.cpp
+++ b/src/fronts/http/callers.cpp
@@ -237,7 +237,7 @@
 void Callers::Replied(Handle handle, bool close, std::error_code error) {
   Leg& leg = *legs_.Find(handle);
   if (error) return DropLeg(handle);
-  if (!close) {
+  if (!close && !leg.connection->overflowed()) {
     Idle(handle);
     return leg.connection->Next();
   }
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr std::size_t kMostPending = kMostBody + kMostHead;
+constexpr int kMostReads = 128;  // in one go: a side that never stops sending must not starve the others
 
 std::string Lower(std::string text) {
   std::transform(text.begin(), text.end(), text.begin(),
@@ -141,23 +142,36 @@
 void HttpConnection::Start() {
   std::error_code ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
-  Read();
+  socket_.non_blocking(true, ignored);
+  started_ = true;
+  AwaitBytes();
+}
+
+// Only waits: bytes that an operation had taken already, its handler still to be called, Read() could not
+// see.
+void HttpConnection::AwaitBytes() {
+  if (ended_ || eof_) return;
+  socket_.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](std::error_code) {
+    if (self->ended_) return;
+    self->Read();
+    self->Parse();
+    self->AwaitBytes();
+  });
 }
 
+// Takes what has come, never waits. While no message is being served a full buffer is parsed first.
 void HttpConnection::Read() {
-  if (reading_ || ended_ || eof_ || pending_.size() >= kMostPending) return;
-  reading_ = true;
-  socket_.async_read_some(asio::buffer(buffer_),
-                          [self = shared_from_this()](std::error_code error, std::size_t size) {
-                            self->reading_ = false;
-                            if (self->ended_) return;
-                            if (error)
-                              self->eof_ = true;
-                            else if (!self->finishing_)
-                              self->pending_.append(self->buffer_.data(), size);
-                            self->Parse();
-                            self->Read();
-                          });
+  if (!started_ || ended_ || eof_) return;
+  for (int reads = 0; reads < kMostReads && (resting_ || pending_.size() < kMostPending); ++reads) {
+    std::error_code error;
+    const std::size_t size = socket_.read_some(asio::buffer(buffer_), error);
+    if (error == asio::error::would_block || error == asio::error::interrupted) return;
+    if (error) return void(eof_ = true);
+    if (finishing_) continue;
+    const std::size_t room = kMostPending - std::min(pending_.size(), kMostPending);
+    if (resting_ && size > room) overflowed_ = true;
+    pending_.append(buffer_.data(), resting_ ? std::min(size, room) : size);
+  }
 }
 
 void HttpConnection::Parse() {
@@ -187,6 +201,8 @@
     const std::size_t used = http_parser_execute(&parser_, &settings, bytes.data(), bytes.size());
     if (ended_) return;
     pending_ = bytes.substr(std::min(used, bytes.size()));
+    const http_errno fault = HTTP_PARSER_ERRNO(&parser_);
+    if (fault != HPE_OK && fault != HPE_PAUSED) return Tell(too_large_ ? End::kTooLarge : End::kMalformed);
   }
   if (!resting_ && !complete_ && eof_)
     http_parser_execute(&parser_, &settings, nullptr, 0);  // may end a body
@@ -195,9 +211,6 @@
     complete_ = false, resting_ = true;
     events_.on_message(std::move(message_));
     if (ended_) return;
-  } else if (!resting_ && HTTP_PARSER_ERRNO(&parser_) != HPE_OK &&
-             HTTP_PARSER_ERRNO(&parser_) != HPE_PAUSED && !eof_) {
-    return Tell(too_large_ ? End::kTooLarge : End::kMalformed);
   }
   if (eof_) Tell(End::kClosed);
 }
@@ -208,9 +221,7 @@
   http_parser_pause(&parser_, 0);
   // Later, not now: a peer that sends many requests at once must not deepen the stack.
   asio::post(socket_.get_executor(), [self = shared_from_this()] {
-    if (self->ended_) return;
-    self->Parse();
-    self->Read();
+    if (!self->ended_) self->Parse();
   });
 }
 
@@ -223,22 +234,22 @@
 }
 
 void HttpConnection::Finish(std::function<void()> ended) {
-  finishing_ = true, finished_ = std::move(ended);
+  finishing_ = resting_ = true, finished_ = std::move(ended);
   pending_.clear();
   std::error_code ignored;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-  asio::post(socket_.get_executor(), [self = shared_from_this()] {
-    if (self->ended_) return;
-    self->Parse();
-    self->Read();
+  asio::post(socket_.get_executor(), [self = shared_from_this()] {  // the other side may have ended before
+    if (!self->ended_) self->Parse();
   });
 }
 
-bool HttpConnection::HasUnread() {
-  std::error_code error;
-  return !pending_.empty() || (socket_.is_open() && socket_.available(error) > 0 && !error);
+bool HttpConnection::PeerEnded() {
+  Read();
+  return eof_ || ended_;
 }
 
+bool HttpConnection::HasUnread() { return PeerEnded() || !pending_.empty(); }
+
 void HttpConnection::Tell(End end) {
   if (ended_) return;
   if (end == End::kClosed) {
@@ -247,13 +258,13 @@
     if (on_end) on_end(end);
   } else if (events_.on_end) {  // still open: a server words the fault and closes then
     resting_ = true;
-    auto on_end = std::move(events_.on_end);
-    on_end(end);
+    events_.on_end(end);
   }
 }
 
 void HttpConnection::Close() {
   if (ended_) return;
+  if (finishing_) Read();  // see Finish()
   ended_ = true;
   std::error_code ignored;
   socket_.close(ignored);
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -33,8 +33,8 @@
                          std::string_view body, bool keep_alive);
 
 // Messages are handed over one at a time: after one, parsing rests until Next(). Reading goes on meanwhile,
-// so that the other side's end is noticed at once. Lives until its last operation has ended; after Close() no
-// event is told.
+// so that the other side's end is noticed at once; what goes beyond the bound of the buffer is dropped.
+// Lives until its last operation has ended; after Close() no event is told.
 class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
  public:
   enum class Side { kServer, kClient };
@@ -44,7 +44,7 @@
     std::function<void(const HttpMessage&)> on_head;  // optional: the head is there
     std::function<void(std::string_view)> on_piece;   // optional: takes the body piece by piece, unbounded
     std::function<void(HttpMessage)> on_message;
-    std::function<void(End)> on_end;  // at most once, and nothing after it
+    std::function<void(End)> on_end;  // no message after it; kClosed may follow another end
   };
 
   HttpConnection(asio::ip::tcp::socket socket, Side side);
@@ -56,13 +56,20 @@
   void Next();   // goes on to the message after the one handed over
   void Write(std::string bytes, std::function<void(std::error_code)> done);
   void Close();
-  // Sends the end of the stream and drops what still comes until the other side ends or Close() is called: a
-  // close with unread bytes would reset the connection and could take the answer with it.
+  // The graceful close: sends the end of the stream and drops what still comes until the other side ends or
+  // Close() is called. A close with unread bytes would reset the connection and could take the answer with
+  // it. Nothing that is read from here on is handed over, so ask HasUnread() right before.
   void Finish(std::function<void()> ended);
+
+  // Both look at what the system holds by now, whichever events have been served: PeerEnded() tells whether
+  // the other side has ended, HasUnread() whether its end or bytes are there that have not been handed over.
+  bool PeerEnded();
   bool HasUnread();
+  bool overflowed() const { return overflowed_; }  // bytes were dropped: what comes next cannot be read
 
  private:
   struct Callbacks;
+  void AwaitBytes();
   void Read();
   void Parse();
   void Tell(End end);
@@ -76,9 +83,9 @@
   const char* bytes_end_ = nullptr;  // of what the parser reads now
   std::array<char, 8192> buffer_;
   std::function<void()> finished_;
-  bool resting_ = false, reading_ = false, ended_ = false, in_value_ = false, cut_ = false,
+  bool resting_ = false, started_ = false, ended_ = false, in_value_ = false, cut_ = false,
        too_large_ = false;
-  bool finishing_ = false, eof_ = false, complete_ = false;
+  bool finishing_ = false, eof_ = false, complete_ = false, overflowed_ = false;
 };
 
 }  // namespace lichenlug
--- a/tests/scenario_player.cpp
+++ b/tests/scenario_player.cpp
@@ -334,6 +334,13 @@
       kill(pid_, SIGHUP);
       Until("word of the configuration",
             [&] { return said_.find("configuration", before) != std::string::npos; });
+    } else if (who == "program" && what == "STOP") {
+      int status = 0;
+      kill(pid_, SIGSTOP);
+      Until("the program's stop", [&] { return waitpid(pid_, &status, WUNTRACED | WNOHANG) == pid_; });
+      Require(WIFSTOPPED(status), "status " + std::to_string(status));
+    } else if (who == "program" && what == "CONT") {
+      kill(pid_, SIGCONT);
     } else if (who == "program") {
       kill(pid_, SIGTERM);
       Until("word that it drains", [&] { return said_.find(" drains\n") != std::string::npos; });
@@ -367,6 +374,9 @@
     } else if (what == "job") {  // send C job CLASS ID [HEADER:VALUE ...]
       if (actor.fd < 0) actor.fd = Connect(&actor);
       Write(actor.fd, Job(words.at(3), words.at(4), Headers(words, 5)));
+    } else if (what == "flood") {  // send C flood CLASS COUNT: on the one connection, answers not awaited
+      for (int i = 0; i < std::stoi(words.at(4)); ++i)
+        Write(actor.fd, Job(words.at(3), who + "-" + std::to_string(i), ""));
     } else if (what == "jobs") {  // send C jobs CLASS COUNT: each on a connection of its own
       for (int i = 0; i < std::stoi(words.at(4)); ++i)
         Write(Connect(&actor), Job(words.at(3), who + std::to_string(i), ""));
