--- a/tests/scenario_player.cpp
+++ b/tests/scenario_player.cpp
@@ -5,8 +5,10 @@
 #endif
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <linux/sockios.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/ioctl.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -377,6 +379,8 @@
     } else if (what == "flood") {  // send C flood CLASS COUNT: on the one connection, answers not awaited
       for (int i = 0; i < std::stoi(words.at(4)); ++i)
         Write(actor.fd, Job(words.at(3), who + "-" + std::to_string(i), ""));
+      Until("all of it there",
+            [&, left = 0]() mutable { return ioctl(actor.fd, SIOCOUTQ, &left) == 0 && left == 0; });
     } else if (what == "jobs") {  // send C jobs CLASS COUNT: each on a connection of its own
       for (int i = 0; i < std::stoi(words.at(4)); ++i)
         Write(Connect(&actor), Job(words.at(3), who + std::to_string(i), ""));
