Ask whether the client still waits right before each attempt begins

Seen: where a client's end lay in the system, but its event was served after the one that led to an attempt, the attempt began.

Lines at fault: TransactionTable::Do(Dispatch) and Branches::Transmit went by what events had told.

The change: TransactionTable::Wanted(), false once the final answer was given or the caller has gone; it asks CallerPort::Gone(), which looks at the client's socket without waiting, and ends the transaction as CallerGone() does. It is called before a connection is opened for an attempt and before its first byte. There is no other call of BranchPort::Open.

--- a/src/branch/branches.cpp
+++ b/src/branch/branches.cpp
@@ -156,8 +156,9 @@
   std::string bytes;
   if (exchange.kind == Exchange::Kind::kJob) {
     Branch* branch = branches_.Find(exchange.branch);
-    if (branch == nullptr || now >= branch->deadline || !routes_->Serving(link.runner)) {
-      // The branch is over, its time is up, or its runner drains by now: nothing new goes there.
+    if (branch == nullptr || now >= branch->deadline || !routes_->Serving(link.runner) ||
+        !core_->Wanted(branch->ref.transaction)) {
+      // The branch is over, its time is up, its runner drains by now, or nobody waits any more.
       const Handle unsent = exchange.branch;
       Rest(handle);
       return EndBranch(unsent, Outcome::kMoot);
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -33,6 +33,7 @@
  public:
   virtual ~CallerPort() = default;
   virtual void Answer(Handle leg, const FinalAnswer& answer) = 0;
+  virtual bool Gone(Handle leg) = 0;  // as the system knows it now, before the event that tells of it
 };
 
 // The way to the runners. Outcomes come back through TransactionTable::BranchEnded and ProbeEnded.
--- a/src/core/transactions.cpp
+++ b/src/core/transactions.cpp
@@ -51,6 +51,14 @@
   DropIfDone(handle);
 }
 
+bool TransactionTable::Wanted(Handle handle) {
+  const Transaction* transaction = table_.Find(handle);
+  if (transaction == nullptr || transaction->answered) return false;
+  if (!transaction->caller->Gone(transaction->leg)) return true;
+  CallerGone(handle);
+  return false;
+}
+
 void TransactionTable::BranchNote(BranchRef ref, rookgw::AttemptNote::Kind kind, double share) {
   Transaction* transaction = table_.Find(ref.transaction);
   if (transaction == nullptr || transaction->branches[ref.number].over) return;
@@ -119,7 +127,7 @@
   const Time now = deadlines_->Now();
   transaction->branches.push_back({action.worker, now, {}, false});
   if (peers_ != nullptr) peers_->Hold(action.worker, transaction->slots);
-  if (transaction->answered || ref.number >= settings_.max_attempts || now >= transaction->deadline)
+  if (!Wanted(handle) || ref.number >= settings_.max_attempts || now >= transaction->deadline)
     return BranchEnded(ref, Outcome::kMoot);
   Time deadline = transaction->deadline;
   if (action.give_up_after != 0) deadline = std::min(deadline, now + action.give_up_after);
--- a/src/core/transactions.h
+++ b/src/core/transactions.h
@@ -29,6 +29,10 @@
                Handle leg);
   void CallerGone(Handle transaction);
 
+  // To be asked right before an attempt begins: what decided on it may be older than the final answer or than
+  // the caller's end, which then ends the transaction here. The attempt may be over when this returns.
+  bool Wanted(Handle transaction);
+
   // The process will be ended: what comes from now on has its final answer by then at the latest.
   void EndNewBy(Time at) { end_new_by_ = at; }
 
--- a/src/fronts/http/callers.cpp
+++ b/src/fronts/http/callers.cpp
@@ -219,6 +219,11 @@
   }
 }
 
+bool Callers::Gone(Handle handle) {
+  const Leg* leg = legs_.Find(handle);
+  return leg == nullptr || leg->connection->PeerEnded();
+}
+
 void Callers::Reply(Handle handle, int status, std::string_view body,
                     std::vector<std::pair<std::string, std::string>> headers, bool close) {
   Leg& leg = *legs_.Find(handle);
--- a/src/fronts/http/callers.h
+++ b/src/fronts/http/callers.h
@@ -38,6 +38,7 @@
   void Drain(std::function<void()> done);
 
   void Answer(Handle leg, const FinalAnswer& answer) override;
+  bool Gone(Handle leg) override;
 
  private:
   enum class Stage { kIdle, kReading, kWaiting, kAnswering, kFinishing };
--- a/tests/scenario_player.cpp
+++ b/tests/scenario_player.cpp
@@ -61,6 +61,8 @@
 
 struct Actor {  // a client, a runner or discovery
   int listener = -1;
+  bool accepts = true;
+  std::vector<int> fillers;  // connections that fill the backlog of one that does not
   int port = 0;
   std::string phase = "active";
   std::map<int, std::string> in;  // bytes that came, by connection
@@ -123,20 +125,40 @@
 
   // ---- The program ----
 
-  void AddRunner(std::string name) {  // r1, or r1:refused for one that takes no connections
+  // r1, r1:refused for one that takes no connections, r1:late for one to which they come up when it is told
+  // to accept: the system drops what goes to a full backlog, and sends it again a second later.
+  void AddRunner(std::string name) {
     const std::size_t colon = name.find(':');
-    const bool refused = colon != std::string::npos && name.substr(colon) == ":refused";
+    const std::string kind = colon == std::string::npos ? "" : name.substr(colon);
     name = name.substr(0, colon);
     Actor& runner = actors_[name];
     Listen(&runner);
-    if (refused) close(std::exchange(runner.listener, -1));
+    if (kind == ":refused") close(std::exchange(runner.listener, -1));
+    if (kind == ":late") {
+      runner.accepts = false;
+      Require(listen(runner.listener, 0) == 0, "listen");
+      for (bool full = false; !full;) {
+        sockaddr_in address = Loopback(runner.port);
+        const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+        connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address);
+        pollfd up{fd, POLLOUT, 0};
+        full = poll(&up, 1, 50) == 0;
+        full ? void(close(fd)) : runner.fillers.push_back(fd);
+      }
+    }
     runners_.push_back(name);
   }
 
-  void Listen(Actor* actor) {
-    actor->listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  static sockaddr_in Loopback(int port) {
     sockaddr_in address{};
     address.sin_family = AF_INET, address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    return address;
+  }
+
+  void Listen(Actor* actor) {
+    actor->listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    sockaddr_in address = Loopback(0);
     socklen_t size = sizeof address;
     Require(bind(actor->listener, reinterpret_cast<sockaddr*>(&address), size) == 0, "bind");
     Require(listen(actor->listener, 256) == 0, "listen");
@@ -218,7 +240,7 @@
       Require(std::chrono::steady_clock::now() < end, "nothing came of: " + what);
       std::vector<pollfd> fds{{log_, POLLIN, 0}};
       for (auto& [name, actor] : actors_) {
-        if (actor.listener >= 0) fds.push_back({actor.listener, POLLIN, 0});
+        if (actor.listener >= 0 && actor.accepts) fds.push_back({actor.listener, POLLIN, 0});
         for (auto& [fd, bytes] : actor.in) fds.push_back({fd, POLLIN, 0});
       }
       poll(fds.data(), fds.size(), 10);
@@ -234,7 +256,7 @@
   }
 
   void Serve(const std::string& name, Actor& actor) {
-    for (int fd; actor.listener >= 0 &&
+    for (int fd; actor.listener >= 0 && actor.accepts &&
                  (fd = accept4(actor.listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0;)
       actor.in[fd];
     char buffer[65536];
@@ -289,9 +311,7 @@
 
   int Connect(Actor* actor) {
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET, address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    address.sin_port = htons(static_cast<std::uint16_t>(port_));
+    sockaddr_in address = Loopback(port_);
     Require(connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0, "connect");
     actor->in[fd];
     return fd;
@@ -346,6 +366,9 @@
     } else if (who == "program") {
       kill(pid_, SIGTERM);
       Until("word that it drains", [&] { return said_.find(" drains\n") != std::string::npos; });
+    } else if (what == "accept") {  // send R accept: and waits until the program's connection is there
+      actor.accepts = true;
+      Until("a connection", [&] { return actor.in.size() > actor.fillers.size(); });
     } else if (who[0] == 'd' && what == "deaf") {
       actor.deaf = std::stoi(words.at(3));
     } else if (who[0] == 'd' && what == "beat") {
