Parse what a look at a connection took in, as no event tells of it any more

Line at fault: HttpConnection::PeerEnded. A look that took bytes or found the end now has Parse() called later in the same round.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -219,7 +219,11 @@
   if (!resting_ || ended_) return;
   resting_ = false;
   http_parser_pause(&parser_, 0);
-  // Later, not now: a peer that sends many requests at once must not deepen the stack.
+  ParseLater();
+}
+
+// Not now: a peer that sends many requests at once must not deepen the stack.
+void HttpConnection::ParseLater() {
   asio::post(socket_.get_executor(), [self = shared_from_this()] {
     if (!self->ended_) self->Parse();
   });
@@ -238,13 +242,15 @@
   pending_.clear();
   std::error_code ignored;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-  asio::post(socket_.get_executor(), [self = shared_from_this()] {  // the other side may have ended before
-    if (!self->ended_) self->Parse();
-  });
+  ParseLater();  // the other side may have ended before
 }
 
 bool HttpConnection::PeerEnded() {
+  const std::size_t known = pending_.size();
+  const bool known_end = eof_;
   Read();
+  // What was taken here no event of the system tells of any more.
+  if (pending_.size() != known || eof_ != known_end) ParseLater();
   return eof_ || ended_;
 }
 
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -72,6 +72,7 @@
   void AwaitBytes();
   void Read();
   void Parse();
+  void ParseLater();
   void Tell(End end);
 
   asio::ip::tcp::socket socket_;
