Close connections of clients gracefully everywhere, and empty the backlog before the end

Lines at fault: Callers::DropLeg, called for idle legs by EvictLeg, LookForEnd and the idle and read alarms: it closed right after HasUnread(), or without asking.

The change: Retire() is the one way in which a leg on which nothing is owed ends: it stays where bytes lie unread, else FinishLeg() shuts the sending side, reads and drops for at most 1 s, and closes. Only a client that doesn't take its answer for 3 s is still closed at once. At the cap a descriptor is needed at once; so eight legs before it idle ones are asked to end, and those closed for room have had 20 ms at the least. The listener only waits and accepts without blocking, as connections read; so LookForEnd() can empty the backlog right before it closes the listener. What is mended is a client that connects during the last turn.

--- a/src/fronts/http/callers.cpp
+++ b/src/fronts/http/callers.cpp
@@ -19,6 +19,7 @@
 constexpr Time kWritePatience = 3 * kSecond;  // for a client to take its answer
 constexpr Time kFinishPatience = kSecond;     // for a client to end its side
 constexpr Time kAcceptPause = 20 * kMillisecond;
+constexpr std::size_t kRoom = 8;  // so many legs before the cap the first are asked to end
 constexpr Time kNewConnections = 450 * kMillisecond;  // they go on coming for 0.2 to 0.4 s after SIGTERM
 // SIGKILL comes no sooner than this after SIGTERM, and the longest deadline, counted as 3 s at most, later.
 constexpr Time kKillAfter = 700 * kMillisecond, kMostCounted = 3 * kSecond;
@@ -39,30 +40,39 @@
       core_(core),
       branches_(branches),
       acceptor_(io, settings.listen, /*reuse_addr=*/true),
-      legs_(settings.most_legs) {}
+      legs_(settings.most_legs) {
+  acceptor_.non_blocking(true);
+}
 
 void Callers::Start() { Accept(); }
 
 // ---- Connections ----
 
 void Callers::Accept() {
-  // At the cap a new connection waits in the backlog: one that is accepted and closed would lose its request.
-  if (legs_.full() && !EvictLeg()) {
+  // Only waits, as HttpConnection does: a connection taken, its handler still to be called, would be
+  // overlooked when the program ends.
+  acceptor_.async_wait(asio::ip::tcp::acceptor::wait_read, [this](std::error_code error) {
+    if (error) return;
+    TakeWaiting();
+    // At the cap a new connection waits in the backlog: one that is accepted and closed would lose its
+    // request. Where there is no descriptor left, as a rule: a pause, not a spin and not an end.
+    if (backlog_empty_) return Accept();
     deadlines_->Add(deadlines_->Now() + kAcceptPause, [this] { Accept(); });
-    return;
-  }
-  acceptor_.async_accept([this](std::error_code error, asio::ip::tcp::socket socket) {
-    if (error == asio::error::operation_aborted) return;
-    if (error) {  // no descriptor left, as a rule: a pause, not a spin and not an end
-      EvictLeg();
-      deadlines_->Add(deadlines_->Now() + kAcceptPause, [this] { Accept(); });
-      return;
-    }
-    Accepted(std::move(socket));
-    Accept();
   });
 }
 
+// Takes all that waits in the backlog and finds room.
+void Callers::TakeWaiting() {
+  backlog_empty_ = false;
+  while (!backlog_empty_ && MakeRoom()) {
+    std::error_code error;
+    asio::ip::tcp::socket socket = acceptor_.accept(error);
+    backlog_empty_ = error == asio::error::would_block;
+    if (!error) Accepted(std::move(socket));
+    if (error && !backlog_empty_ && error != asio::error::connection_aborted) return;
+  }
+}
+
 void Callers::Accepted(asio::ip::tcp::socket socket) {
   Leg fresh;
   fresh.connection = std::make_shared<HttpConnection>(std::move(socket), HttpConnection::Side::kServer);
@@ -74,7 +84,7 @@
   Leg& leg = *legs_.Find(handle);
   leg.connection->SetEvents(std::move(events));
   leg.connected = leg.since = deadlines_->Now();
-  leg.alarm = deadlines_->Add(leg.connected + kReadPatience, [this, handle] { DropLeg(handle); });
+  leg.alarm = deadlines_->Add(leg.connected + kReadPatience, [this, handle] { Retire(handle); });
   leg.connection->Start();
 }
 
@@ -83,8 +93,6 @@
 // requests lose nothing by it.
 int Callers::EvictionRank(const Leg& leg) const {
   switch (leg.stage) {
-    case Stage::kFinishing:
-      return 0;  // answered: only the client's end is waited for
     case Stage::kIdle:
       return leg.carried ? 3 : 1;
     case Stage::kReading:
@@ -94,21 +102,27 @@
   }
 }
 
-// Makes room. A leg with a request on it that is not read yet stays.
-bool Callers::EvictLeg() {
+// True: there is room for one more. Some legs are asked to end before the cap is reached, so that at the cap
+// there are such as have had time for it; those are closed.
+bool Callers::MakeRoom() {
+  if (legs_.size() + kRoom < settings_.most_legs) return true;
   std::vector<std::tuple<int, Time, Handle>> legs;
+  Handle oldest;
+  Time oldest_since = deadlines_->Now() - kAcceptPause;
+  std::size_t finishing = 0;
   legs_.ForEach([&](Handle handle, Leg& leg) {
     if (const int rank = EvictionRank(leg); rank >= 0) legs.emplace_back(rank, leg.since, handle);
+    if (leg.stage != Stage::kFinishing) return;
+    ++finishing;
+    if (leg.since <= oldest_since) oldest = handle, oldest_since = leg.since;
   });
   std::sort(legs.begin(), legs.end(), [](const auto& a, const auto& b) {
     return std::tie(std::get<0>(a), std::get<1>(a)) < std::tie(std::get<0>(b), std::get<1>(b));
   });
-  for (const auto& [rank, since, handle] : legs) {
-    if (rank > 0 && legs_.Find(handle)->connection->HasUnread()) continue;
-    DropLeg(handle);
-    return true;
-  }
-  return false;
+  for (const auto& [rank, since, handle] : legs)
+    if (finishing < kRoom && Retire(handle)) ++finishing;
+  if (legs_.full() && oldest) DropLeg(oldest);
+  return !legs_.full();
 }
 
 void Callers::Idle(Handle handle) {
@@ -116,7 +130,21 @@
   leg.stage = Stage::kIdle;
   leg.since = deadlines_->Now();
   leg.transaction = {};
-  deadlines_->Move(&leg.alarm, leg.since + kIdlePatience, [this, handle] { DropLeg(handle); });
+  deadlines_->Move(&leg.alarm, leg.since + kIdlePatience, [this, handle] { Retire(handle); });
+}
+
+// Ends a leg on which nothing is owed. One with bytes on it that are not read yet stays: false.
+bool Callers::Retire(Handle handle) {
+  if (legs_.Find(handle)->connection->HasUnread()) return false;
+  return FinishLeg(handle), true;
+}
+
+void Callers::FinishLeg(Handle handle) {
+  Leg& leg = *legs_.Find(handle);
+  leg.stage = Stage::kFinishing;
+  leg.since = deadlines_->Now();
+  deadlines_->Move(&leg.alarm, leg.since + kFinishPatience, [this, handle] { DropLeg(handle); });
+  leg.connection->Finish([this, handle] { DropLeg(handle); });
 }
 
 void Callers::DropLeg(Handle handle) {
@@ -246,9 +274,7 @@
     Idle(handle);
     return leg.connection->Next();
   }
-  leg.stage = Stage::kFinishing;
-  deadlines_->Move(&leg.alarm, deadlines_->Now() + kFinishPatience, [this, handle] { DropLeg(handle); });
-  leg.connection->Finish([this, handle] { DropLeg(handle); });
+  FinishLeg(handle);
 }
 
 // ---- The end ----
@@ -288,9 +314,15 @@
   const Time now = deadlines_->Now();
   if (now >= taking_until_)
     legs_.ForEach([this](Handle handle, Leg& leg) {
-      if (leg.stage == Stage::kIdle && !leg.connection->HasUnread()) DropLeg(handle);
+      if (leg.stage == Stage::kIdle) Retire(handle);
     });
-  if (now - drain_began_ >= kNewConnections && core_->owed() == 0 && legs_.size() == 0) return drained_();
+  if (now - drain_began_ >= kNewConnections && core_->owed() == 0 && legs_.size() == 0) {
+    TakeWaiting();  // what lies in the backlog has been connected and is owed an answer
+    if (backlog_empty_ && legs_.size() == 0) {
+      acceptor_.close();
+      return drained_();
+    }
+  }
   deadlines_->Add(deadlines_->Now() + kLookEvery, [this] { LookForEnd(); });
 }
 
--- a/src/fronts/http/callers.h
+++ b/src/fronts/http/callers.h
@@ -56,9 +56,10 @@
   };
 
   void Accept();
+  void TakeWaiting();
   void Accepted(asio::ip::tcp::socket socket);
   int EvictionRank(const Leg& leg) const;
-  bool EvictLeg();
+  bool MakeRoom();
   void Began(Handle handle);
   void Arrived(Handle handle, HttpMessage message);
   void Submit(Handle handle, HttpMessage message, int cls);
@@ -67,6 +68,8 @@
              std::vector<std::pair<std::string, std::string>> headers = {}, bool close = false);
   void Replied(Handle handle, bool close, std::error_code error);
   void Idle(Handle handle);
+  bool Retire(Handle handle);
+  void FinishLeg(Handle handle);
   void DropLeg(Handle handle);
   bool HasSpareLegs();
   void LookForEnd();
@@ -80,7 +83,7 @@
   asio::ip::tcp::acceptor acceptor_;
   SlotTable<Leg> legs_;
   std::unordered_set<std::string> open_ids_;
-  bool draining_ = false;
+  bool draining_ = false, backlog_empty_ = true;
   Time drain_began_ = 0, taking_until_ = 0, last_request_ = 0;
   std::function<void()> drained_;
 };
--- a/tests/scenario_player.cpp
+++ b/tests/scenario_player.cpp
@@ -61,8 +61,8 @@
 
 struct Actor {  // a client, a runner or discovery
   int listener = -1;
-  bool accepts = true;
-  std::vector<int> fillers;  // connections that fill the backlog of one that does not
+  bool accepts = true, rests = false;  // rests: reads nothing
+  std::vector<int> fillers;            // connections that fill the backlog of one that does not
   int port = 0;
   std::string phase = "active";
   std::map<int, std::string> in;  // bytes that came, by connection
@@ -115,6 +115,8 @@
       Expect(words);
     } else if (verb == "close") {
       Close(words);
+    } else if (verb == "wait" && words.at(1) == "time") {  // while the program is stopped its timers fall due
+      poll(nullptr, 0, std::stoi(words.at(2)));
     } else if (verb == "wait") {
       Require(words.at(1) == "exit", "wait exit CODE");
       WaitExit(std::stoi(words.at(2)));
@@ -241,7 +243,8 @@
       std::vector<pollfd> fds{{log_, POLLIN, 0}};
       for (auto& [name, actor] : actors_) {
         if (actor.listener >= 0 && actor.accepts) fds.push_back({actor.listener, POLLIN, 0});
-        for (auto& [fd, bytes] : actor.in) fds.push_back({fd, POLLIN, 0});
+        for (auto& [fd, bytes] : actor.in)
+          if (!actor.rests) fds.push_back({fd, POLLIN, 0});
       }
       poll(fds.data(), fds.size(), 10);
       char buffer[65536];
@@ -256,6 +259,7 @@
   }
 
   void Serve(const std::string& name, Actor& actor) {
+    if (actor.rests) return;
     for (int fd; actor.listener >= 0 && actor.accepts &&
                  (fd = accept4(actor.listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0;)
       actor.in[fd];
@@ -366,6 +370,8 @@
     } else if (who == "program") {
       kill(pid_, SIGTERM);
       Until("word that it drains", [&] { return said_.find(" drains\n") != std::string::npos; });
+    } else if (what == "rest") {
+      actor.rests = true;
     } else if (what == "accept") {  // send R accept: and waits until the program's connection is there
       actor.accepts = true;
       Until("a connection", [&] { return actor.in.size() > actor.fillers.size(); });
@@ -450,6 +456,17 @@
       Serve(who, actor);
       return Require(actor.inbox.empty(), "came: " + (actor.inbox.empty() ? "" : actor.inbox[0].first));
     }
+    if (what == "shut")  // of one that rests: the program has ended its side
+      return Until("a shutdown", [&] {
+        pollfd shut{actor.fd, POLLRDHUP, 0};
+        return poll(&shut, 1, 0) == 1;
+      });
+    if (what == "whole") {  // of one that rests: its connection was not reset
+      int error = 0;
+      socklen_t size = sizeof error;
+      getsockopt(actor.fd, SOL_SOCKET, SO_ERROR, &error, &size);
+      return Require(error == 0, std::strerror(error));
+    }
     if (what == "end") return Until("the end of a connection", [&] { return actor.ended > 0; });
     if (what == "probe") return Until("a probe", [&] { return actor.probes > 0; });
     if (what == "ends")  // expect C ends COUNT: of its connections
