Take signals before the configuration is read for the first time

Seen: SIGHUP while the program read its configuration at the start killed it: scenario.hup_at_start, in which the program reads from a pipe and gets the signal before its text, failed on the program before: nothing was said, the process had ended. SIGTERM there ended it too, with no exit code (term_at_start failed).

Line at fault: main() read the configuration before Serve() made its signal sets. Now Serve() makes them first and reads then.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -111,12 +111,14 @@
   }
 }
 
-void Serve(const Config& config) {
+void Serve() {
   using Form = rookgw::ListChanged::Form;
   std::signal(SIGPIPE, SIG_IGN);  // a peer that is gone shows as an error of the write
   asio::io_context io(1);
-  // From the first line on: unhandled, a signal would end the program at once, whatever it owes by then.
+  // Before the configuration is read: unhandled, a signal would end the program at once, whatever it owes by
+  // then, and one that comes while it reads asks to read anew.
   asio::signal_set reload(io, SIGHUP), signals(io, SIGTERM, SIGINT);
+  const Config config = ReadConfig(Environment);
   const Clock clock;
   Deadlines deadlines(io, clock);
   RouteSet routes;
@@ -177,7 +179,7 @@
     if (*check)
       std::cout << "the configuration of " << lichenlug::ReadConfig(lichenlug::Environment).name
                 << " is good\n";
-    if (*serve) lichenlug::Serve(lichenlug::ReadConfig(lichenlug::Environment));
+    if (*serve) lichenlug::Serve();
     return 0;
   } catch (const CLI::ParseError& e) {
     if (e.get_exit_code() == 0) return app.exit(e);  // --help
--- a/tests/scenario_player.cpp
+++ b/tests/scenario_player.cpp
@@ -11,6 +11,7 @@
 #include <sys/ioctl.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -108,7 +109,7 @@
     } else if (verb == "runners") {
       for (std::size_t i = 1; i < words.size(); ++i) AddRunner(words[i]);
     } else if (verb == "start") {
-      Start();
+      Start(words.size() > 1 ? words[1] : "");
     } else if (verb == "send") {
       Send(words, line);
     } else if (verb == "expect") {
@@ -182,12 +183,14 @@
     return members;
   }
 
-  void Start() {
+  void Start(const std::string& signal) {
     MoveDiscovery("d");
     if (!config_.contains("known"))
       config_["known"] = {{"revision", revision_}, {"complete", true}, {"members", Members(runners_)}};
     close(mkstemp(path_));
     std::ofstream(path_) << config_;
+    const std::string pipe_path = path_ + std::string(".pipe");
+    if (!signal.empty()) Require(mkfifo(pipe_path.c_str(), 0600) == 0, "mkfifo");
     int out[2];
     Require(pipe(out) == 0, "pipe");
     pid_ = fork();
@@ -195,13 +198,24 @@
       prctl(PR_SET_PDEATHSIG, SIGKILL);  // a scenario that fails leaves nothing running
       for (const char* name : {"BALANCER_NAME", "BALANCER_LISTEN"}) unsetenv(name);
       setenv("BALANCER_DISCOVERY", config_["discovery"].get_ref<const std::string&>().c_str(), 1);
-      setenv("BALANCER_CONFIG", path_, 1);
+      setenv("BALANCER_CONFIG", signal.empty() ? path_ : pipe_path.c_str(), 1);
       dup2(out[1], 2), close(out[0]), close(out[1]);
       execl(program_.c_str(), program_.c_str(), "serve", nullptr);
       _exit(127);
     }
     close(out[1]);
     log_ = out[0];
+    if (!signal.empty()) {  // it reads, gets the signal, and only then has what it reads
+      int fd = -1;
+      Until("a reader",
+            [&] { return (fd = open(pipe_path.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC)) >= 0; });
+      kill(pid_, signal == "HUP" ? SIGHUP : SIGTERM);
+      rename(path_, pipe_path.c_str());  // what is read the next time
+      std::strcat(path_, ".pipe");
+      const std::string text = config_.dump();
+      Require(write(fd, text.data(), text.size()) == static_cast<ssize_t>(text.size()), "write");
+      close(fd);
+    }
     std::string said;
     char c = 0;
     while (said.find('\n') == std::string::npos && read(log_, &c, 1) == 1) said.push_back(c);
@@ -494,7 +508,7 @@
   }
 
   std::string program_, it_, other_, said_;
-  char path_[32] = "/tmp/lichenlug-test-XXXXXX";  // of the configuration
+  char path_[40] = "/tmp/lichenlug-test-XXXXXX";  // of the configuration
   std::map<std::string, Actor> actors_;
   Words runners_;
   int revision_ = 40, port_ = 0, log_ = -1;
