Assert one write at a time, and make room also where a descriptor is missing below the cap

Mended after: an accept that failed for want of a descriptor below the cap ended no idle leg any more; MakeRoom() takes the bound now. No test forces this.

--- a/src/fronts/http/callers.cpp
+++ b/src/fronts/http/callers.cpp
@@ -64,12 +64,13 @@
 // Takes all that waits in the backlog and finds room.
 void Callers::TakeWaiting() {
   backlog_empty_ = false;
-  while (!backlog_empty_ && MakeRoom()) {
+  while (!backlog_empty_ && MakeRoom(settings_.most_legs)) {
     std::error_code error;
     asio::ip::tcp::socket socket = acceptor_.accept(error);
     backlog_empty_ = error == asio::error::would_block;
     if (!error) Accepted(std::move(socket));
-    if (error && !backlog_empty_ && error != asio::error::connection_aborted) return;
+    if (error && !backlog_empty_ && error != asio::error::connection_aborted)
+      return void(MakeRoom(legs_.size()));  // no descriptor left, as a rule
   }
 }
 
@@ -104,8 +105,8 @@
 
 // True: there is room for one more. Some legs are asked to end before the cap is reached, so that at the cap
 // there are such as have had time for it; those are closed.
-bool Callers::MakeRoom() {
-  if (legs_.size() + kRoom < settings_.most_legs) return true;
+bool Callers::MakeRoom(std::size_t most) {
+  if (legs_.size() + kRoom < most) return true;
   std::vector<std::tuple<int, Time, Handle>> legs;
   Handle oldest;
   Time oldest_since = deadlines_->Now() - kAcceptPause;
@@ -121,8 +122,8 @@
   });
   for (const auto& [rank, since, handle] : legs)
     if (finishing < kRoom && Retire(handle)) ++finishing;
-  if (legs_.full() && oldest) DropLeg(oldest);
-  return !legs_.full();
+  if (legs_.size() >= most && oldest) DropLeg(oldest);
+  return legs_.size() < most;
 }
 
 void Callers::Idle(Handle handle) {
--- a/src/fronts/http/callers.h
+++ b/src/fronts/http/callers.h
@@ -59,7 +59,7 @@
   void TakeWaiting();
   void Accepted(asio::ip::tcp::socket socket);
   int EvictionRank(const Leg& leg) const;
-  bool MakeRoom();
+  bool MakeRoom(std::size_t most);
   void Began(Handle handle);
   void Arrived(Handle handle, HttpMessage message);
   void Submit(Handle handle, HttpMessage message, int cls);
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -1,6 +1,7 @@
 #include "net/http_connection.h"
 
 #include <algorithm>
+#include <cassert>
 
 namespace lichenlug {
 namespace {
@@ -230,9 +231,11 @@
 }
 
 void HttpConnection::Write(std::string bytes, std::function<void(std::error_code)> done) {
+  assert(out_.empty());  // one at a time
   out_ = std::move(bytes);
   asio::async_write(socket_, asio::buffer(out_),
                     [self = shared_from_this(), done = std::move(done)](std::error_code error, std::size_t) {
+                      self->out_.clear();
                       if (!self->ended_ && done) done(error);
                     });
 }
