--- a/tests/scenario_player.cpp
+++ b/tests/scenario_player.cpp
@@ -384,6 +384,9 @@
     } else if (who == "program") {
       kill(pid_, SIGTERM);
       Until("word that it drains", [&] { return said_.find(" drains\n") != std::string::npos; });
+    } else if (what == "forget") {  // what has come up to now
+      Serve(who, actor);
+      actor.inbox.clear();
     } else if (what == "rest") {
       actor.rests = true;
     } else if (what == "accept") {  // send R accept: and waits until the program's connection is there
@@ -470,6 +473,12 @@
       Serve(who, actor);
       return Require(actor.inbox.empty(), "came: " + (actor.inbox.empty() ? "" : actor.inbox[0].first));
     }
+    if (what == "without") {  // none that has come has this word in it
+      Serve(who, actor);
+      for (const Message& message : actor.inbox)
+        Require(message.head.find(words.at(3)) == std::string::npos, message.head);
+      return;
+    }
     if (what == "shut")  // of one that rests: the program has ended its side
       return Until("a shutdown", [&] {
         pollfd shut{actor.fd, POLLRDHUP, 0};
