--- a/tests/scenario_player.cpp
+++ b/tests/scenario_player.cpp
@@ -10,6 +10,7 @@
 #include <signal.h>
 #include <sys/ioctl.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -379,6 +380,9 @@
       kill(pid_, SIGSTOP);
       Until("the program's stop", [&] { return waitpid(pid_, &status, WUNTRACED | WNOHANG) == pid_; });
       Require(WIFSTOPPED(status), "status " + std::to_string(status));
+    } else if (who == "program" && what == "descriptors") {  // it may open no more than so many
+      const rlimit most{std::stoul(words.at(3)), std::stoul(words.at(3))};
+      Require(prlimit(pid_, RLIMIT_NOFILE, &most, nullptr) == 0, "prlimit");
     } else if (who == "program" && what == "CONT") {
       kill(pid_, SIGCONT);
     } else if (who == "program") {
