Let a runner's connection rest before its next request, so late answers hit nothing

Seen: scenario second_answer, the kept connection's next job placed in the same round as the 202 before it, then a second answer "503, X-Rejected: 1". Without this change the client of the second job got 503 ("'200' and: HTTP/1.1 503 Service Unavailable") although its runner had the job; a second runner would get it (not run): an unsafe job runs twice. Cause: Branches::IdleLink took the connection that had rested least, and an answer names no request.

Weighed: asking for a DELETE before a job turned away on a kept connection goes elsewhere does not help the unsafe, for a DELETE does not tell whether the job had begun; distrusting refusals on kept connections turns ordinary overload into failures; never using a connection for a second job costs a handshake each. A second answer that has come by the time of the next use is seen already (HasUnread) and the connection dropped. So the cheapest safe rule is time: a connection that has rested for 50 ms is used again, the youngest such; else a new one is opened, once for each job that comes within 50 ms of the others at the same runner, and kept. Probes wait as well: a probe answered by another's answer leaves its own to the next job. DELETEs do not: whatever answers them, they have been said. Not covered: a second answer later than 50 ms after the first whose next request was written in between.

The player learns to stop the program, to answer twice, to write raw answers, to half-close, to come up late and to take descriptors away.

--- a/src/branch/branches.cpp
+++ b/src/branch/branches.cpp
@@ -14,6 +14,7 @@
 
 constexpr Time kProbePatience = 500 * kMillisecond;  // a later answer would tell of another load
 constexpr Time kGiveUpPatience = kSecond;
+constexpr Time kSecondAnswerAfter = 50 * kMillisecond;  // a spoilt one has come by then, and is seen
 
 std::string NameOf(const std::string& call_id, const std::string& runner) { return call_id + '\n' + runner; }
 
@@ -99,7 +100,7 @@
   exchange.began = deadlines_->Now();
   const Route* route = routes_->Find(runner);
   if (route == nullptr || route->host.empty()) return Failed(exchange, runner, Outcome::kConnectFailed);
-  Handle handle = IdleLink(*route, exchange.kind == Exchange::Kind::kJob);
+  Handle handle = IdleLink(*route, exchange.kind);
   if (handle) {
     Link& kept = *links_.Find(handle);
     kept.exchange = std::move(exchange), kept.kept = deadlines_->Now() - kept.idle_since;
@@ -129,18 +130,24 @@
   });
 }
 
+// The latest used of those that have rested: an answer names no request, so a second one that comes late is
+// taken for the answer to the next, which could read as "never ran" for a job that runs. Once it lies unread
+// it shows that the connection is of no more use. A DELETE says the same whatever answers it, and waits for
+// none.
+//
 // One that is not fit for a job is closed, so that the new one in its place does not add to what runners
 // hold.
-Handle Branches::IdleLink(const Route& route, bool for_job) {
+Handle Branches::IdleLink(const Route& route, Exchange::Kind kind) {
   std::vector<Handle>& idle = idle_[route.runner.id];
   const Time now = deadlines_->Now();
-  while (!idle.empty()) {
-    const Handle handle = idle.back();
-    idle.pop_back();
-    Link* link = links_.Find(handle);
-    if (link == nullptr) continue;
-    const bool usable = link->address == route.address && !link->connection->HasUnread();
-    const bool unfit = usable && for_job && kept_links_.Unfit(now - link->idle_since, now);
+  for (std::size_t at = idle.size(); at-- > 0;) {
+    const Handle handle = idle[at];
+    const Link& link = *links_.Find(handle);
+    const Time age = now - link.idle_since;
+    if (age < kSecondAnswerAfter && kind != Exchange::Kind::kGiveUp) continue;
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(at));
+    const bool usable = link.address == route.address && !link.connection->HasUnread();
+    const bool unfit = usable && kind == Exchange::Kind::kJob && kept_links_.Unfit(age, now);
     if (usable && !unfit) return handle;
     DropLink(handle);
     if (unfit) return {};
--- a/src/branch/branches.h
+++ b/src/branch/branches.h
@@ -78,7 +78,7 @@
   };
 
   void Begin(const std::string& runner, Exchange exchange);
-  Handle IdleLink(const Route& route, bool for_job);
+  Handle IdleLink(const Route& route, Exchange::Kind kind);
   void Transmit(Handle handle);
   void Answered(Handle handle, const HttpMessage& answer);
   void Broke(Handle handle);
--- a/tests/scenario_player.cpp
+++ b/tests/scenario_player.cpp
@@ -8,6 +8,7 @@
 #include <poll.h>
 #include <signal.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -66,6 +67,8 @@
   std::vector<int> unanswered;    // a runner's jobs and DELETEs, the oldest first
   int fd = -1;                    // a client's connection, or discovery's watch
   int spoken_on = -1;             // discovery's watch that has had its head
+  int answered = -1;              // the connection that a runner answered on last
+  int filler = -1;                // fills a listener's line: further connections come up once it is taken
   int ended = 0;                  // connections that the other side ended
   int probes = 0;
   int deaf = 0;  // so many calls to discovery get no answer
@@ -121,13 +124,18 @@
 
   // ---- The program ----
 
-  void AddRunner(std::string name) {  // r1, or r1:refused for one that takes no connections
+  // r1; r1:refused for one that takes no connections; r1:late for one whose connections come up only later.
+  void AddRunner(std::string name) {
     const std::size_t colon = name.find(':');
-    const bool refused = colon != std::string::npos && name.substr(colon) == ":refused";
+    const std::string how = colon != std::string::npos ? name.substr(colon) : "";
     name = name.substr(0, colon);
     Actor& runner = actors_[name];
     Listen(&runner);
-    if (refused) close(std::exchange(runner.listener, -1));
+    if (how == ":refused") close(std::exchange(runner.listener, -1));
+    if (how == ":late") {
+      listen(runner.listener, 0);  // one fits, the next ones' packets are dropped and come again
+      runner.filler = ConnectTo(runner.port);
+    }
     runners_.push_back(name);
   }
 
@@ -232,7 +240,7 @@
   }
 
   void Serve(const std::string& name, Actor& actor) {
-    for (int fd; actor.listener >= 0 &&
+    for (int fd; actor.listener >= 0 && actor.filler < 0 &&
                  (fd = accept4(actor.listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0;)
       actor.in[fd];
     char buffer[65536];
@@ -286,12 +294,17 @@
   }
 
   int Connect(Actor* actor) {
+    const int fd = ConnectTo(port_);
+    actor->in[fd];
+    return fd;
+  }
+
+  static int ConnectTo(int port) {
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET, address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    address.sin_port = htons(static_cast<std::uint16_t>(port_));
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
     Require(connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0, "connect");
-    actor->in[fd];
     return fd;
   }
 
@@ -334,6 +347,15 @@
       kill(pid_, SIGHUP);
       Until("word of the configuration",
             [&] { return said_.find("configuration", before) != std::string::npos; });
+    } else if (who == "program" && what == "STOP") {  // what comes meanwhile it then finds all at once
+      int status = 0;
+      kill(pid_, SIGSTOP);
+      Require(waitpid(pid_, &status, WUNTRACED) == pid_ && WIFSTOPPED(status), "it stops");
+    } else if (who == "program" && what == "CONT") {
+      kill(pid_, SIGCONT);
+    } else if (who == "program" && what == "files") {  // send program files N: it may open so many
+      const rlimit most{std::stoul(words.at(3)), 4096};
+      Require(prlimit(pid_, RLIMIT_NOFILE, &most, nullptr) == 0, "prlimit");
     } else if (who == "program") {
       kill(pid_, SIGTERM);
       Until("word that it drains", [&] { return said_.find(" drains\n") != std::string::npos; });
@@ -370,10 +392,17 @@
     } else if (what == "jobs") {  // send C jobs CLASS COUNT: each on a connection of its own
       for (int i = 0; i < std::stoi(words.at(4)); ++i)
         Write(Connect(&actor), Job(words.at(3), who + std::to_string(i), ""));
-    } else {  // send R STATUS [HEADER:VALUE ...]: the answer to its oldest job or DELETE
+    } else if (what == "accepts") {  // a late runner takes connections from now on
+      close(accept(actor.listener, nullptr, nullptr)), close(std::exchange(actor.filler, -1));
+    } else if (what == "again") {  // send R again STATUS [HEADER:VALUE ...]: a second answer after the last
+      Write(actor.answered, Answer(words.at(3), "", Headers(words, 4)));
+    } else {  // send R STATUS [HEADER:VALUE ...]: the answer to its oldest job or DELETE; send R raw TEXT
       Until("a job to answer", [&] { return !actor.unanswered.empty(); });
-      Write(actor.unanswered.front(), Answer(what, "", Headers(words, 3)));
+      actor.answered = actor.unanswered.front();
       actor.unanswered.erase(actor.unanswered.begin());
+      const bool raw = what == "raw";
+      Write(actor.answered,
+            raw ? Unescaped(line.substr(line.find(" raw ") + 5)) : Answer(what, "", Headers(words, 3)));
     }
   }
 
@@ -414,6 +443,7 @@
       return Require(actor.inbox.empty(), "came: " + (actor.inbox.empty() ? "" : actor.inbox[0].first));
     }
     if (what == "end") return Until("the end of a connection", [&] { return actor.ended > 0; });
+    if (what == "link") return Until("a connection", [&] { return !actor.in.empty(); });
     if (what == "probe") return Until("a probe", [&] { return actor.probes > 0; });
     if (what == "ends")  // expect C ends COUNT: of its connections
       return Until("ends", [&] { return actor.ended >= std::stoi(words.at(3)); });
@@ -428,8 +458,13 @@
               "'" + words[i] + "' and: " + all);
   }
 
-  void Close(const Words& words) {  // close NAME [reset]: all its connections; a runner's listener stays
+  // close NAME [reset|half]: all its connections; a runner's listener stays. half: it goes on reading.
+  void Close(const Words& words) {
     Actor& actor = actors_[words.at(1)];
+    if (words.size() > 2 && words[2] == "half") {
+      for (auto& [fd, bytes] : actor.in) shutdown(fd, SHUT_WR);
+      return;
+    }
     for (auto& [fd, bytes] : actor.in) {
       const linger hard{1, 0};
       if (words.size() > 2) setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
