Know at the time of the write whether a job's last byte is out, not at its handler

Seen: with async_write the handler that sets `written` is queued after the end that the runner sent meanwhile, so a job whose last byte was written counted as "could not connect". Forced three ways: - HttpConnection.AnEndDoesNotHideThatTheLastByteIsWritten: a message over 64 KiB takes two writes (Asio gives the system 64 KiB a time), the second in a handler; the end in between is told first.

Change: HttpConnection::Write gives the system what it takes at once and waits only for the rest; Written() tells whether the last byte is out. Branches asks it and keeps no flag of its own.

--- a/src/branch/branches.cpp
+++ b/src/branch/branches.cpp
@@ -66,7 +66,7 @@
   if (branch == nullptr || branch->stage == Stage::kGivingUp) return;
   deadlines_->Remove(&branch->alarm);
   const Link* link = branch->stage == Stage::kSent ? links_.Find(branch->link) : nullptr;
-  if (branch->stage == Stage::kTaken || (link != nullptr && link->written)) {
+  if (branch->stage == Stage::kTaken || (link != nullptr && link->connection->Written())) {
     // Once the runner may have said 202 only a DELETE gives it up, and it counts as out until that has gone
     // through; until then closing does. The job may still lie unread in a connection that came up late, where
     // a DELETE finds nothing yet: so the close goes first, and a job whose connection was new is asked for
@@ -183,7 +183,6 @@
   } else {
     return Rest(handle);
   }
-  link.written = false;
   deadlines_->Move(&link.alarm, exchange.deadline, [this, handle] {
     const Link* late = links_.Find(handle);
     const Handle job = late->exchange.kind == Exchange::Kind::kJob ? late->exchange.branch : Handle{};
@@ -194,10 +193,7 @@
   });
   link.connection->Next();
   link.connection->Write(std::move(bytes), [this, handle](std::error_code error) {
-    Link* sent = links_.Find(handle);
-    if (sent == nullptr) return;
-    if (error) return Broke(handle);
-    sent->written = true;
+    if (error) Broke(handle);
   });
 }
 
@@ -206,7 +202,8 @@
   const Exchange exchange = std::exchange(link->exchange, {});
   const std::string runner = link->runner;
   kept_links_.Note(link->kept, false, deadlines_->Now());
-  const bool reusable = answer.keep_alive && link->written && exchange.kind != Exchange::Kind::kNone;
+  const bool reusable =
+      answer.keep_alive && link->connection->Written() && exchange.kind != Exchange::Kind::kNone;
   if (reusable)
     Rest(handle);
   else
@@ -236,7 +233,7 @@
   Link* link = links_.Find(handle);
   if (link == nullptr) return;
   const Exchange exchange = std::exchange(link->exchange, {});
-  const Outcome outcome = link->up && link->written ? Outcome::kReset : Outcome::kConnectFailed;
+  const Outcome outcome = link->up && link->connection->Written() ? Outcome::kReset : Outcome::kConnectFailed;
   const std::string runner = link->runner;
   if (link->up && exchange.kind != Exchange::Kind::kNone)
     kept_links_.Note(link->kept, true, deadlines_->Now());
--- a/src/branch/branches.h
+++ b/src/branch/branches.h
@@ -72,7 +72,7 @@
     std::string runner, host;
     asio::ip::tcp::endpoint address;
     Exchange exchange;
-    bool up = false, written = false;
+    bool up = false;
     Time idle_since = 0, kept = KeptLinks::kNew;  // kept: how long it had stood idle before this exchange
     Deadlines::Key alarm;
   };
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -226,11 +226,23 @@
 }
 
 void HttpConnection::Write(std::string bytes, std::function<void(std::error_code)> done) {
-  out_ = std::move(bytes);
-  asio::async_write(socket_, asio::buffer(out_),
-                    [self = shared_from_this(), done = std::move(done)](std::error_code error, std::size_t) {
-                      if (!self->ended_ && done) done(error);
-                    });
+  out_ = std::move(bytes), out_at_ = 0;
+  Flush(std::move(done));
+}
+
+// Gives the system what it takes at once, so that Written() is known whichever event is served next: an
+// operation's handler could come after that of an end which the other side sent before.
+void HttpConnection::Flush(std::function<void(std::error_code)> done) {
+  if (ended_) return;
+  std::error_code error;
+  while (!Written() && !error) out_at_ += socket_.write_some(asio::buffer(out_) + out_at_, error);
+  if (error == asio::error::would_block || error == asio::error::interrupted)
+    return socket_.async_wait(
+        asio::ip::tcp::socket::wait_write,
+        [self = shared_from_this(), done = std::move(done)](std::error_code) { self->Flush(done); });
+  asio::post(socket_.get_executor(), [self = shared_from_this(), error, done = std::move(done)] {
+    if (!self->ended_ && done) done(error);
+  });
 }
 
 void HttpConnection::Finish(std::function<void()> ended) {
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -55,6 +55,7 @@
   void Start();  // begins to read
   void Next();   // goes on to the message after the one handed over
   void Write(std::string bytes, std::function<void(std::error_code)> done);
+  bool Written() const { return out_at_ == out_.size(); }  // the system has the last byte of what is written
   void Close();
   // The graceful close: sends the end of the stream and drops what still comes until the other side ends or
   // Close() is called. A close with unread bytes would reset the connection and could take the answer with
@@ -72,6 +73,7 @@
   void AwaitBytes();
   void Read();
   void Parse();
+  void Flush(std::function<void(std::error_code)> done);
   void Tell(End end);
 
   asio::ip::tcp::socket socket_;
@@ -79,7 +81,7 @@
   http_parser parser_;
   HttpMessage message_;
   std::string pending_, field_, out_;
-  std::size_t head_size_ = 0;
+  std::size_t head_size_ = 0, out_at_ = 0;
   const char* bytes_end_ = nullptr;  // of what the parser reads now
   std::array<char, 8192> buffer_;
   std::function<void()> finished_;
--- /dev/null
+++ b/tests/http_connection_test.cpp
@@ -0,0 +1,37 @@
+// One HTTP connection against a plain socket on loopback, the order of events forced by whose turn it is.
+#include "net/http_connection.h"
+
+#include <gtest/gtest.h>
+
+namespace lichenlug {
+namespace {
+
+using asio::ip::tcp;
+
+// The other side ends its sending while a job with the largest body is being written, and goes on reading:
+// who hears of the end has to know whether the last byte went out before.
+TEST(HttpConnection, AnEndDoesNotHideThatTheLastByteIsWritten) {
+  asio::io_context io(1);
+  tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
+  tcp::socket here(io), there(io);
+  here.connect(acceptor.local_endpoint());
+  acceptor.accept(there);
+
+  const auto connection = std::make_shared<HttpConnection>(std::move(here), HttpConnection::Side::kClient);
+  bool ended = false, written_at_end = false;
+  HttpConnection::Events events;
+  events.on_end = [&](HttpConnection::End) { ended = true, written_at_end = connection->Written(); };
+  connection->SetEvents(std::move(events));
+  connection->Start();
+  const std::string bytes(kMostBody + 500, 'x');
+  connection->Write(bytes, nullptr);
+  there.shutdown(tcp::socket::shutdown_send);
+  while (!ended) io.run_one();
+
+  std::string got(bytes.size() + 1, ' ');
+  std::error_code error;
+  EXPECT_EQ(written_at_end, asio::read(there, asio::buffer(got), error) == bytes.size());
+}
+
+}  // namespace
+}  // namespace lichenlug
