Take a lack of descriptors or links here for nobody's fault, not the runner's

Seen: scenario no_descriptors takes the program's descriptors away (RLIMIT_NOFILE of 3), sends a job, gives them back and sends the next. Without this change: "at 'expect r1 POST a2': nothing came": the failed socket() counted as kConnectFailed, Strike() put the only runner aside for 500 ms, and the second job was refused as well. The same code stood for a full table of links (Branches::Begin); that way is mended alike and was not played.

Change: both end the attempt as kMoot, which the module takes for never sent and learns nothing from. Ruled out: a probe that could not be sent. ProbeEnded with ok = false and no report changes nothing in the module (Brain::On(ProbeEnded), Room::NoteReport).

--- a/src/branch/branches.cpp
+++ b/src/branch/branches.cpp
@@ -1,6 +1,7 @@
 #include "branch/branches.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <cstdio>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -16,6 +17,12 @@
 constexpr Time kGiveUpPatience = kSecond;
 constexpr Time kSecondAnswerAfter = 50 * kMillisecond;  // a spoilt one has come by then, and is seen
 
+// No descriptor, buffer or port is left on this side, which tells nothing of the runner.
+bool LackedHere(std::error_code error) {
+  const int code = error.value();
+  return code == EMFILE || code == ENFILE || code == ENOBUFS || code == ENOMEM || code == EADDRNOTAVAIL;
+}
+
 std::string NameOf(const std::string& call_id, const std::string& runner) { return call_id + '\n' + runner; }
 
 std::string Seconds(Time span) {
@@ -106,7 +113,7 @@
     kept.exchange = std::move(exchange), kept.kept = deadlines_->Now() - kept.idle_since;
     return Transmit(handle);
   }
-  if (links_.full() && !EvictIdleLink()) return Failed(exchange, runner, Outcome::kConnectFailed);
+  if (links_.full() && !EvictIdleLink()) return Failed(exchange, runner, Outcome::kMoot);
   Link fresh;
   fresh.connection =
       std::make_shared<HttpConnection>(asio::ip::tcp::socket(io_), HttpConnection::Side::kClient);
@@ -119,7 +126,7 @@
   link.connection->Connect(link.address, [this, handle](std::error_code error) {
     Link* connected = links_.Find(handle);
     if (connected == nullptr) return;
-    if (error) return Broke(handle);
+    if (error) return Broke(handle, LackedHere(error) ? Outcome::kMoot : Outcome::kConnectFailed);
     connected->up = true;
     HttpConnection::Events events;
     events.on_message = [this, handle](HttpMessage answer) { Answered(handle, answer); };
@@ -229,11 +236,11 @@
 
 // The connection is of no more use. What it means for a job turns on whether its last byte was written: until
 // then it never ran; from then on it may have, and must not be taken for one that could not connect.
-void Branches::Broke(Handle handle) {
+void Branches::Broke(Handle handle, Outcome unwritten) {
   Link* link = links_.Find(handle);
   if (link == nullptr) return;
   const Exchange exchange = std::exchange(link->exchange, {});
-  const Outcome outcome = link->up && link->connection->Written() ? Outcome::kReset : Outcome::kConnectFailed;
+  const Outcome outcome = link->up && link->connection->Written() ? Outcome::kReset : unwritten;
   const std::string runner = link->runner;
   if (link->up && exchange.kind != Exchange::Kind::kNone)
     kept_links_.Note(link->kept, true, deadlines_->Now());
--- a/src/branch/branches.h
+++ b/src/branch/branches.h
@@ -81,7 +81,7 @@
   Handle IdleLink(const Route& route, Exchange::Kind kind);
   void Transmit(Handle handle);
   void Answered(Handle handle, const HttpMessage& answer);
-  void Broke(Handle handle);
+  void Broke(Handle handle, rookgw::Outcome unwritten = rookgw::Outcome::kConnectFailed);
   void Rest(Handle handle);
   void DropLink(Handle handle);
   bool EvictIdleLink();
