Start the next attempt at once where second copies are allowed, whatever a DELETE awaits

Seen: scenario second_copies (SecondCopies true, a runner that answers neither the job nor its DELETE, a long ConnectTimeout). Without this change "at 'expect other POST a1 k1': nothing came": the branch counted as out until the DELETE's time was over. Cause: Branches::GiveUp ends a branch only with the DELETE's exchange.

Change: where settings allow second copies the branch ends as the DELETE begins. Ruled out for the rest: the settings forbid two attempts out at once for every class, repeatable ones too, so the wait (ConnectTimeout at the most before a 202) stays; crossing_taken and no_word hold it. A client's answer waits for no DELETE: TransactionTable answers before it gives up.

--- a/src/branch/branches.cpp
+++ b/src/branch/branches.cpp
@@ -86,7 +86,10 @@
     if (link != nullptr) DropLink(std::exchange(branch->link, {}));
     exchange.kind = Exchange::Kind::kGiveUp, exchange.branch = handle, exchange.outcome = outcome;
     exchange.deadline = deadlines_->Now() + patience, exchange.call_id = branch->job->call_id;
-    return Begin(std::string(branch->runner), std::move(exchange));
+    Begin(std::string(branch->runner), std::move(exchange));
+    // Where attempts may overlap, none waits for the runner's word.
+    if (settings_.site.settings.second_copies) EndBranch(handle, outcome);
+    return;
   }
   // Before the last byte closing gives it up. A connection still coming up has sent nothing and may be of
   // use.
