--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -74,6 +74,7 @@
   void Read();
   void Parse();
   void Flush(std::function<void(std::error_code)> done);
+  void ParseLater();
   void Tell(End end);
 
   asio::ip::tcp::socket socket_;
