--- a/src/branch/branches.cpp
+++ b/src/branch/branches.cpp
@@ -1,6 +1,7 @@
 #include "branch/branches.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <cstdio>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -14,6 +15,13 @@
 
 constexpr Time kProbePatience = 500 * kMillisecond;  // a later answer would tell of another load
 constexpr Time kGiveUpPatience = kSecond;
+constexpr Time kSecondAnswerAfter = 50 * kMillisecond;  // a spoilt one has come by then, and is seen
+
+// No descriptor, buffer or port is left on this side, which tells nothing of the runner.
+bool LackedHere(std::error_code error) {
+  const int code = error.value();
+  return code == EMFILE || code == ENFILE || code == ENOBUFS || code == ENOMEM || code == EADDRNOTAVAIL;
+}
 
 std::string NameOf(const std::string& call_id, const std::string& runner) { return call_id + '\n' + runner; }
 
@@ -65,7 +73,7 @@
   if (branch == nullptr || branch->stage == Stage::kGivingUp) return;
   deadlines_->Remove(&branch->alarm);
   const Link* link = branch->stage == Stage::kSent ? links_.Find(branch->link) : nullptr;
-  if (branch->stage == Stage::kTaken || (link != nullptr && link->written)) {
+  if (branch->stage == Stage::kTaken || (link != nullptr && link->connection->Written())) {
     // Once the runner may have said 202 only a DELETE gives it up, and it counts as out until that has gone
     // through; until then closing does. The job may still lie unread in a connection that came up late, where
     // a DELETE finds nothing yet: so the close goes first, and a job whose connection was new is asked for
@@ -78,7 +86,10 @@
     if (link != nullptr) DropLink(std::exchange(branch->link, {}));
     exchange.kind = Exchange::Kind::kGiveUp, exchange.branch = handle, exchange.outcome = outcome;
     exchange.deadline = deadlines_->Now() + patience, exchange.call_id = branch->job->call_id;
-    return Begin(std::string(branch->runner), std::move(exchange));
+    Begin(std::string(branch->runner), std::move(exchange));
+    // Where attempts may overlap, none waits for the runner's word.
+    if (settings_.site.settings.second_copies) EndBranch(handle, outcome);
+    return;
   }
   // Before the last byte closing gives it up. A connection still coming up has sent nothing and may be of
   // use.
@@ -99,13 +110,13 @@
   exchange.began = deadlines_->Now();
   const Route* route = routes_->Find(runner);
   if (route == nullptr || route->host.empty()) return Failed(exchange, runner, Outcome::kConnectFailed);
-  Handle handle = IdleLink(*route, exchange.kind == Exchange::Kind::kJob);
+  Handle handle = IdleLink(*route, exchange.kind);
   if (handle) {
     Link& kept = *links_.Find(handle);
     kept.exchange = std::move(exchange), kept.kept = deadlines_->Now() - kept.idle_since;
     return Transmit(handle);
   }
-  if (links_.full() && !EvictIdleLink()) return Failed(exchange, runner, Outcome::kConnectFailed);
+  if (links_.full() && !EvictIdleLink()) return Failed(exchange, runner, Outcome::kMoot);
   Link fresh;
   fresh.connection =
       std::make_shared<HttpConnection>(asio::ip::tcp::socket(io_), HttpConnection::Side::kClient);
@@ -118,7 +129,7 @@
   link.connection->Connect(link.address, [this, handle](std::error_code error) {
     Link* connected = links_.Find(handle);
     if (connected == nullptr) return;
-    if (error) return Broke(handle);
+    if (error) return Broke(handle, LackedHere(error) ? Outcome::kMoot : Outcome::kConnectFailed);
     connected->up = true;
     HttpConnection::Events events;
     events.on_message = [this, handle](HttpMessage answer) { Answered(handle, answer); };
@@ -129,18 +140,24 @@
   });
 }
 
+// The latest used of those that have rested: an answer names no request, so a second one that comes late is
+// taken for the answer to the next, which could read as "never ran" for a job that runs. Once it lies unread
+// it shows that the connection is of no more use. A DELETE says the same whatever answers it, and waits for
+// none.
+//
 // One that is not fit for a job is closed, so that the new one in its place does not add to what runners
 // hold.
-Handle Branches::IdleLink(const Route& route, bool for_job) {
+Handle Branches::IdleLink(const Route& route, Exchange::Kind kind) {
   std::vector<Handle>& idle = idle_[route.runner.id];
   const Time now = deadlines_->Now();
-  while (!idle.empty()) {
-    const Handle handle = idle.back();
-    idle.pop_back();
-    Link* link = links_.Find(handle);
-    if (link == nullptr) continue;
-    const bool usable = link->address == route.address && !link->connection->HasUnread();
-    const bool unfit = usable && for_job && kept_links_.Unfit(now - link->idle_since, now);
+  for (std::size_t at = idle.size(); at-- > 0;) {
+    const Handle handle = idle[at];
+    const Link& link = *links_.Find(handle);
+    const Time age = now - link.idle_since;
+    if (age < kSecondAnswerAfter && kind != Exchange::Kind::kGiveUp) continue;
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(at));
+    const bool usable = link.address == route.address && !link.connection->HasUnread();
+    const bool unfit = usable && kind == Exchange::Kind::kJob && kept_links_.Unfit(age, now);
     if (usable && !unfit) return handle;
     DropLink(handle);
     if (unfit) return {};
@@ -156,8 +173,9 @@
   std::string bytes;
   if (exchange.kind == Exchange::Kind::kJob) {
     Branch* branch = branches_.Find(exchange.branch);
-    if (branch == nullptr || now >= branch->deadline || !routes_->Serving(link.runner)) {
-      // The branch is over, its time is up, or its runner drains by now: nothing new goes there.
+    if (branch == nullptr || now >= branch->deadline || !routes_->Serving(link.runner) ||
+        !core_->Wanted(branch->ref.transaction)) {
+      // The branch is over, its time is up, its runner drains by now, or nobody waits any more.
       const Handle unsent = exchange.branch;
       Rest(handle);
       return EndBranch(unsent, Outcome::kMoot);
@@ -176,7 +194,6 @@
   } else {
     return Rest(handle);
   }
-  link.written = false;
   deadlines_->Move(&link.alarm, exchange.deadline, [this, handle] {
     const Link* late = links_.Find(handle);
     const Handle job = late->exchange.kind == Exchange::Kind::kJob ? late->exchange.branch : Handle{};
@@ -187,10 +204,7 @@
   });
   link.connection->Next();
   link.connection->Write(std::move(bytes), [this, handle](std::error_code error) {
-    Link* sent = links_.Find(handle);
-    if (sent == nullptr) return;
-    if (error) return Broke(handle);
-    sent->written = true;
+    if (error) Broke(handle);
   });
 }
 
@@ -199,7 +213,8 @@
   const Exchange exchange = std::exchange(link->exchange, {});
   const std::string runner = link->runner;
   kept_links_.Note(link->kept, false, deadlines_->Now());
-  const bool reusable = answer.keep_alive && link->written && exchange.kind != Exchange::Kind::kNone;
+  const bool reusable =
+      answer.keep_alive && link->connection->Written() && exchange.kind != Exchange::Kind::kNone;
   if (reusable)
     Rest(handle);
   else
@@ -225,11 +240,11 @@
 
 // The connection is of no more use. What it means for a job turns on whether its last byte was written: until
 // then it never ran; from then on it may have, and must not be taken for one that could not connect.
-void Branches::Broke(Handle handle) {
+void Branches::Broke(Handle handle, Outcome unwritten) {
   Link* link = links_.Find(handle);
   if (link == nullptr) return;
   const Exchange exchange = std::exchange(link->exchange, {});
-  const Outcome outcome = link->up && link->written ? Outcome::kReset : Outcome::kConnectFailed;
+  const Outcome outcome = link->up && link->connection->Written() ? Outcome::kReset : unwritten;
   const std::string runner = link->runner;
   if (link->up && exchange.kind != Exchange::Kind::kNone)
     kept_links_.Note(link->kept, true, deadlines_->Now());
--- a/tests/scenario_player.cpp
+++ b/tests/scenario_player.cpp
@@ -5,10 +5,14 @@
 #endif
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <linux/sockios.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/ioctl.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -59,6 +63,8 @@
 
 struct Actor {  // a client, a runner or discovery
   int listener = -1;
+  bool accepts = true, rests = false;  // rests: reads nothing
+  std::vector<int> fillers;            // connections that fill the backlog of one that does not
   int port = 0;
   std::string phase = "active";
   std::map<int, std::string> in;  // bytes that came, by connection
@@ -66,6 +72,7 @@
   std::vector<int> unanswered;    // a runner's jobs and DELETEs, the oldest first
   int fd = -1;                    // a client's connection, or discovery's watch
   int spoken_on = -1;             // discovery's watch that has had its head
+  int answered = -1;              // the connection that a runner answered on last
   int ended = 0;                  // connections that the other side ended
   int probes = 0;
   int deaf = 0;  // so many calls to discovery get no answer
@@ -104,13 +111,15 @@
     } else if (verb == "runners") {
       for (std::size_t i = 1; i < words.size(); ++i) AddRunner(words[i]);
     } else if (verb == "start") {
-      Start();
+      Start(words.size() > 1 ? words[1] : "");
     } else if (verb == "send") {
       Send(words, line);
     } else if (verb == "expect") {
       Expect(words);
     } else if (verb == "close") {
       Close(words);
+    } else if (verb == "wait" && words.at(1) == "time") {  // while the program is stopped its timers fall due
+      poll(nullptr, 0, std::stoi(words.at(2)));
     } else if (verb == "wait") {
       Require(words.at(1) == "exit", "wait exit CODE");
       WaitExit(std::stoi(words.at(2)));
@@ -121,20 +130,40 @@
 
   // ---- The program ----
 
-  void AddRunner(std::string name) {  // r1, or r1:refused for one that takes no connections
+  // r1, r1:refused for one that takes no connections, r1:late for one to which they come up when it is told
+  // to accept: the system drops what goes to a full backlog, and sends it again a second later.
+  void AddRunner(std::string name) {
     const std::size_t colon = name.find(':');
-    const bool refused = colon != std::string::npos && name.substr(colon) == ":refused";
+    const std::string kind = colon == std::string::npos ? "" : name.substr(colon);
     name = name.substr(0, colon);
     Actor& runner = actors_[name];
     Listen(&runner);
-    if (refused) close(std::exchange(runner.listener, -1));
+    if (kind == ":refused") close(std::exchange(runner.listener, -1));
+    if (kind == ":late") {
+      runner.accepts = false;
+      Require(listen(runner.listener, 0) == 0, "listen");
+      for (bool full = false; !full;) {
+        sockaddr_in address = Loopback(runner.port);
+        const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+        connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address);
+        pollfd up{fd, POLLOUT, 0};
+        full = poll(&up, 1, 50) == 0;
+        full ? void(close(fd)) : runner.fillers.push_back(fd);
+      }
+    }
     runners_.push_back(name);
   }
 
-  void Listen(Actor* actor) {
-    actor->listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  static sockaddr_in Loopback(int port) {
     sockaddr_in address{};
     address.sin_family = AF_INET, address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    return address;
+  }
+
+  void Listen(Actor* actor) {
+    actor->listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    sockaddr_in address = Loopback(0);
     socklen_t size = sizeof address;
     Require(bind(actor->listener, reinterpret_cast<sockaddr*>(&address), size) == 0, "bind");
     Require(listen(actor->listener, 256) == 0, "listen");
@@ -156,12 +185,14 @@
     return members;
   }
 
-  void Start() {
+  void Start(const std::string& signal) {
     MoveDiscovery("d");
     if (!config_.contains("known"))
       config_["known"] = {{"revision", revision_}, {"complete", true}, {"members", Members(runners_)}};
     close(mkstemp(path_));
     std::ofstream(path_) << config_;
+    const std::string pipe_path = path_ + std::string(".pipe");
+    if (!signal.empty()) Require(mkfifo(pipe_path.c_str(), 0600) == 0, "mkfifo");
     int out[2];
     Require(pipe(out) == 0, "pipe");
     pid_ = fork();
@@ -169,13 +200,24 @@
       prctl(PR_SET_PDEATHSIG, SIGKILL);  // a scenario that fails leaves nothing running
       for (const char* name : {"BALANCER_NAME", "BALANCER_LISTEN"}) unsetenv(name);
       setenv("BALANCER_DISCOVERY", config_["discovery"].get_ref<const std::string&>().c_str(), 1);
-      setenv("BALANCER_CONFIG", path_, 1);
+      setenv("BALANCER_CONFIG", signal.empty() ? path_ : pipe_path.c_str(), 1);
       dup2(out[1], 2), close(out[0]), close(out[1]);
       execl(program_.c_str(), program_.c_str(), "serve", nullptr);
       _exit(127);
     }
     close(out[1]);
     log_ = out[0];
+    if (!signal.empty()) {  // it reads, gets the signal, and only then has what it reads
+      int fd = -1;
+      Until("a reader",
+            [&] { return (fd = open(pipe_path.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC)) >= 0; });
+      kill(pid_, signal == "HUP" ? SIGHUP : SIGTERM);
+      rename(path_, pipe_path.c_str());  // what is read the next time
+      std::strcat(path_, ".pipe");
+      const std::string text = config_.dump();
+      Require(write(fd, text.data(), text.size()) == static_cast<ssize_t>(text.size()), "write");
+      close(fd);
+    }
     std::string said;
     char c = 0;
     while (said.find('\n') == std::string::npos && read(log_, &c, 1) == 1) said.push_back(c);
@@ -216,8 +258,9 @@
       Require(std::chrono::steady_clock::now() < end, "nothing came of: " + what);
       std::vector<pollfd> fds{{log_, POLLIN, 0}};
       for (auto& [name, actor] : actors_) {
-        if (actor.listener >= 0) fds.push_back({actor.listener, POLLIN, 0});
-        for (auto& [fd, bytes] : actor.in) fds.push_back({fd, POLLIN, 0});
+        if (actor.listener >= 0 && actor.accepts) fds.push_back({actor.listener, POLLIN, 0});
+        for (auto& [fd, bytes] : actor.in)
+          if (!actor.rests) fds.push_back({fd, POLLIN, 0});
       }
       poll(fds.data(), fds.size(), 10);
       char buffer[65536];
@@ -232,7 +275,8 @@
   }
 
   void Serve(const std::string& name, Actor& actor) {
-    for (int fd; actor.listener >= 0 &&
+    if (actor.rests) return;
+    for (int fd; actor.listener >= 0 && actor.accepts &&
                  (fd = accept4(actor.listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0;)
       actor.in[fd];
     char buffer[65536];
@@ -286,12 +330,15 @@
   }
 
   int Connect(Actor* actor) {
+    const int fd = ConnectTo(port_);
+    actor->in[fd];
+    return fd;
+  }
+
+  static int ConnectTo(int port) {
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET, address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    address.sin_port = htons(static_cast<std::uint16_t>(port_));
+    sockaddr_in address = Loopback(port);
     Require(connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0, "connect");
-    actor->in[fd];
     return fd;
   }
 
@@ -334,9 +381,24 @@
       kill(pid_, SIGHUP);
       Until("word of the configuration",
             [&] { return said_.find("configuration", before) != std::string::npos; });
+    } else if (who == "program" && what == "STOP") {
+      int status = 0;
+      kill(pid_, SIGSTOP);
+      Until("the program's stop", [&] { return waitpid(pid_, &status, WUNTRACED | WNOHANG) == pid_; });
+      Require(WIFSTOPPED(status), "status " + std::to_string(status));
+    } else if (who == "program" && what == "CONT") {
+      kill(pid_, SIGCONT);
+    } else if (who == "program" && what == "files") {  // send program files N: it may open so many
+      const rlimit most{std::stoul(words.at(3)), 4096};
+      Require(prlimit(pid_, RLIMIT_NOFILE, &most, nullptr) == 0, "prlimit");
     } else if (who == "program") {
       kill(pid_, SIGTERM);
       Until("word that it drains", [&] { return said_.find(" drains\n") != std::string::npos; });
+    } else if (what == "rest") {
+      actor.rests = true;
+    } else if (what == "accept") {  // send R accept: and waits until the program's connection is there
+      actor.accepts = true;
+      Until("a connection", [&] { return actor.in.size() > actor.fillers.size(); });
     } else if (who[0] == 'd' && what == "deaf") {
       actor.deaf = std::stoi(words.at(3));
     } else if (who[0] == 'd' && what == "beat") {
@@ -367,13 +429,23 @@
     } else if (what == "job") {  // send C job CLASS ID [HEADER:VALUE ...]
       if (actor.fd < 0) actor.fd = Connect(&actor);
       Write(actor.fd, Job(words.at(3), words.at(4), Headers(words, 5)));
+    } else if (what == "flood") {  // send C flood CLASS COUNT: on the one connection, answers not awaited
+      for (int i = 0; i < std::stoi(words.at(4)); ++i)
+        Write(actor.fd, Job(words.at(3), who + "-" + std::to_string(i), ""));
+      Until("all of it there",
+            [&, left = 0]() mutable { return ioctl(actor.fd, SIOCOUTQ, &left) == 0 && left == 0; });
     } else if (what == "jobs") {  // send C jobs CLASS COUNT: each on a connection of its own
       for (int i = 0; i < std::stoi(words.at(4)); ++i)
         Write(Connect(&actor), Job(words.at(3), who + std::to_string(i), ""));
-    } else {  // send R STATUS [HEADER:VALUE ...]: the answer to its oldest job or DELETE
+    } else if (what == "again") {  // send R again STATUS [HEADER:VALUE ...]: a second answer after the last
+      Write(actor.answered, Answer(words.at(3), "", Headers(words, 4)));
+    } else {  // send R STATUS [HEADER:VALUE ...]: the answer to its oldest job or DELETE; send R raw TEXT
       Until("a job to answer", [&] { return !actor.unanswered.empty(); });
-      Write(actor.unanswered.front(), Answer(what, "", Headers(words, 3)));
+      actor.answered = actor.unanswered.front();
       actor.unanswered.erase(actor.unanswered.begin());
+      const bool raw = what == "raw";
+      Write(actor.answered,
+            raw ? Unescaped(line.substr(line.find(" raw ") + 5)) : Answer(what, "", Headers(words, 3)));
     }
   }
 
@@ -413,6 +485,17 @@
       Serve(who, actor);
       return Require(actor.inbox.empty(), "came: " + (actor.inbox.empty() ? "" : actor.inbox[0].first));
     }
+    if (what == "shut")  // of one that rests: the program has ended its side
+      return Until("a shutdown", [&] {
+        pollfd shut{actor.fd, POLLRDHUP, 0};
+        return poll(&shut, 1, 0) == 1;
+      });
+    if (what == "whole") {  // of one that rests: its connection was not reset
+      int error = 0;
+      socklen_t size = sizeof error;
+      getsockopt(actor.fd, SOL_SOCKET, SO_ERROR, &error, &size);
+      return Require(error == 0, std::strerror(error));
+    }
     if (what == "end") return Until("the end of a connection", [&] { return actor.ended > 0; });
     if (what == "probe") return Until("a probe", [&] { return actor.probes > 0; });
     if (what == "ends")  // expect C ends COUNT: of its connections
@@ -428,8 +511,13 @@
               "'" + words[i] + "' and: " + all);
   }
 
-  void Close(const Words& words) {  // close NAME [reset]: all its connections; a runner's listener stays
+  // close NAME [reset|half]: all its connections; a runner's listener stays. half: it goes on reading.
+  void Close(const Words& words) {
     Actor& actor = actors_[words.at(1)];
+    if (words.size() > 2 && words[2] == "half") {
+      for (auto& [fd, bytes] : actor.in) shutdown(fd, SHUT_WR);
+      return;
+    }
     for (auto& [fd, bytes] : actor.in) {
       const linger hard{1, 0};
       if (words.size() > 2) setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
@@ -440,7 +528,7 @@
   }
 
   std::string program_, it_, other_, said_;
-  char path_[32] = "/tmp/lichenlug-test-XXXXXX";  // of the configuration
+  char path_[40] = "/tmp/lichenlug-test-XXXXXX";  // of the configuration
   std::map<std::string, Actor> actors_;
   Words runners_;
   int revision_ = 40, port_ = 0, log_ = -1;
