--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -1,6 +1,7 @@
 #include "net/http_connection.h"
 
 #include <algorithm>
+#include <cassert>
 
 namespace lichenlug {
 namespace {
@@ -230,6 +231,7 @@
 }
 
 void HttpConnection::Write(std::string bytes, std::function<void(std::error_code)> done) {
+  assert(Written());  // one at a time
   out_ = std::move(bytes), out_at_ = 0;
   Flush(std::move(done));
 }
