Count only whole lines of a watch: they end the old one, and bytes that never make one are silence

Seen: the first bytes of a new watch ended the old one, so that a watch that broke off in its first line lost what the old one told in the meantime; any byte counted as a heartbeat, so that an object that never ends held the watch for ever; heartbeats alone made a watch stand where no list was known, so that a process stayed unready. At fault: Watch::Piece, which took any bytes for speech.

Change: NewsLines hands on heartbeats, too; Watch::Line lets a call stand with its first whole line, and with a heartbeat only where a list is known. An agent that has begun to speak gets 1 s for its first line, since the 250 ms would now hold for a whole list.

Tests changed: the reader of news_lines_test counts heartbeats now, and checks their number.

--- a/src/routes/ask_again.h
+++ b/src/routes/ask_again.h
@@ -73,6 +73,10 @@
     return std::clamp(silent_since_ + kSecondCallAt, now + kLeastPatience, now + kFirstPatience);
   }
 
+  // It has begun to speak, and its first line was to come by `by`. An agent that speaks is there, however
+  // long its list is.
+  Time LineBy(Time by, Time now) const { return pushed_ ? now + kLeastPatience : by; }
+
   // It has said nothing by then: whether to begin another one beside it; else it is given up.
   bool Hedge() { return second_chance_ = false, !pushed_; }
 
--- a/src/routes/news_lines.h
+++ b/src/routes/news_lines.h
@@ -16,8 +16,8 @@
  public:
   static constexpr std::size_t kMost = 1024 * 1024;  // bytes of an object
 
-  // Calls `take` with each object that is whole, for as long as it returns true. False: what was said makes
-  // no sense, or `take` said so.
+  // Calls `take` with each object that is whole, and with nothing for each heartbeat, for as long as it
+  // returns true. False: what was said makes no sense, or `take` said so.
   template <typename Take>
   bool Add(std::string_view bytes, Take take) {
     for (const char c : bytes) {
@@ -35,7 +35,7 @@
       } else {
         const std::string object = std::exchange(held_, {});
         depth_ = 0;
-        if (said && !take(std::string_view(object))) return false;
+        if (!take(said ? std::string_view(object) : std::string_view())) return false;
       }
     }
     return true;
--- a/src/routes/watch.cpp
+++ b/src/routes/watch.cpp
@@ -66,22 +66,33 @@
 void Watch::Piece(Handle handle, std::string_view bytes) {
   Call* call = calls_.Find(handle);
   if (call == nullptr || !call->good) return;
-  if (handle != standing_) {  // it speaks: all others have had their time
+  if (!std::exchange(call->begun, true))
+    deadlines_->Move(&call->alarm, ask_again_.LineBy(call->alarm.first, deadlines_->Now()),
+                     [this, handle] { Unheard(handle); });
+  if (!call->lines.Add(bytes, [this, handle](std::string_view object) { return Line(handle, object); }))
+    Lost(handle);
+}
+
+// A whole line has come, empty: a heartbeat. Only lines count: bytes that never make one could come for ever.
+bool Watch::Line(Handle handle, std::string_view object) {
+  if (!object.empty() && !News(object)) return false;
+  // A heartbeat alone says that nothing has changed; where nothing is known, the list has to come first.
+  if (object.empty() && handle != standing_ && routes_->empty()) return true;
+  Call* call = calls_.Find(handle);
+  if (call == nullptr) return false;
+  call->heard = deadlines_->Now();
+  if (handle != standing_) {  // all others have had their time
     for (const Handle other : {standing_, asked_, older_})
       if (other != handle) End(other);
     standing_ = handle, asked_ = older_ = {};
     deadlines_->Remove(&again_);
-    call->since = deadlines_->Now();
+    call->since = call->heard;
   } else if (std::exchange(silent_, false)) {
     ask_again_.Woke();
     deadlines_->Remove(&again_);
   }
-  call->heard = deadlines_->Now();
   deadlines_->Move(&call->alarm, ask_again_.BeatBy(call->heard), [this, handle] { Silent(handle); });
-  const bool good = call->lines.Add(bytes, [this, handle](std::string_view object) {
-    return News(object) && calls_.Find(handle) != nullptr;
-  });
-  if (!good) Lost(handle);
+  return true;
 }
 
 // False: what it said is not known, so it is to be asked again from what is.
--- a/src/routes/watch.h
+++ b/src/routes/watch.h
@@ -37,14 +37,16 @@
     std::shared_ptr<HttpConnection> connection;
     NewsLines lines;
     Deadlines::Key alarm;
-    bool good = false;
-    Time since = 0;  // when it was asked for, then when it began to stand
-    Time heard = 0;  // when it last said something
+    bool good = false;   // answered 200
+    bool begun = false;  // has said something, maybe no whole line
+    Time since = 0;      // when it was asked for, then when it began to stand
+    Time heard = 0;      // when its last line was whole
   };
 
   void Begin();
   void Connected(Handle handle);
   void Piece(Handle handle, std::string_view bytes);
+  bool Line(Handle handle, std::string_view object);
   bool News(std::string_view object);
   void Unheard(Handle handle);
   void Silent(Handle handle);
@@ -59,8 +61,9 @@
   Deadlines* deadlines_;
   std::function<void(const RouteNews*)> news_;
   SlotTable<Call> calls_{3};
-  Handle asked_, older_;  // not spoken yet; `older_` has waited for long, so `asked_` was begun beside it
-  Handle standing_;       // the one that speaks
+  Handle asked_,
+      older_;        // no line has come yet; `older_` has waited for long, so `asked_` was begun beside it
+  Handle standing_;  // the one that speaks
   Deadlines::Key again_;  // when to ask again
   bool silent_ = false;   // the one that stands has said nothing for too long
   AskAgain ask_again_;
--- a/tests/ask_again_test.cpp
+++ b/tests/ask_again_test.cpp
@@ -286,6 +286,7 @@
       for (int i = 0; i < 20; ++i)  // through an outage of any length
         EXPECT_LT(again.FirstByteBy(0) + again.Failed(), kGrace - 50 * kMillisecond);
       EXPECT_LE(AfterSilence(&again, true).second, 4 * kSecond);
+      EXPECT_EQ(again.LineBy(0, kSecond), 2 * kSecond) << "a long list that is on its way is waited for";
     }
 }
 
--- a/tests/news_lines_test.cpp
+++ b/tests/news_lines_test.cpp
@@ -11,9 +11,13 @@
 struct Reader {
   NewsLines lines;
   std::vector<std::string> objects;
+  int beats = 0;
   bool Add(std::string_view bytes) {
     return lines.Add(bytes, [this](std::string_view object) {
-      objects.emplace_back(object);
+      if (object.empty())
+        ++beats;
+      else
+        objects.emplace_back(object);
       return true;
     });
   }
@@ -27,6 +31,7 @@
       ASSERT_TRUE(reader.Add(std::string_view(said).substr(at, step)));
     EXPECT_EQ(reader.objects,
               (std::vector<std::string>{"{\"a\":\"x{\\\"\"}\r", "{\n  \"b\": [\n    1\n  ]\n}", "{}"}));
+    EXPECT_EQ(reader.beats, 3);
   }
 }
 
--- a/tests/scenario_player.cpp
+++ b/tests/scenario_player.cpp
@@ -68,7 +68,9 @@
   int spoken_on = -1;             // discovery's watch that has had its head
   int ended = 0;                  // connections that the other side ended
   int probes = 0;
-  int deaf = 0;  // so many calls to discovery get no answer
+  int deaf = 0;             // so many calls to discovery get no answer
+  std::string beat = "\n";  // what discovery says each time
+  std::chrono::steady_clock::time_point beat_at = std::chrono::steady_clock::time_point::max();
 };
 
 class Player {
@@ -227,7 +229,13 @@
           std::cerr.write(buffer, size), said_.append(buffer, size);  // a sanitizer's words, for one
         if (size == 0) close(std::exchange(log_, -1));
       }
-      for (auto& [name, actor] : actors_) Serve(name, actor);
+      for (auto& [name, actor] : actors_) {
+        Serve(name, actor);
+        const auto now = std::chrono::steady_clock::now();
+        if (now < actor.beat_at) continue;
+        actor.beat_at = now + std::chrono::milliseconds(500);
+        if (actor.fd >= 0) Chunk(actor, actor.beat);
+      }
     }
   }
 
@@ -303,17 +311,18 @@
 
   void Tell(const std::string& who, bool complete, const Words& names, bool split) {
     Actor& actor = actors_[who];
-    if (std::exchange(actor.spoken_on, actor.fd) != actor.fd)
-      Write(actor.fd, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
     Json news = {{"revision", ++revision_}, {"complete", complete}, {"members", Members(names)}};
     const std::string text = "\n" + news.dump() + "\n";  // an empty line first: a heartbeat
     const std::size_t step = split ? 7 : text.size();
-    for (std::size_t at = 0; at < text.size(); at += step) {
-      const std::string piece = text.substr(at, step);
-      char size[16];
-      std::snprintf(size, sizeof size, "%zx\r\n", piece.size());
-      Write(actor.fd, size + piece + "\r\n");
-    }
+    for (std::size_t at = 0; at < text.size(); at += step) Chunk(actor, text.substr(at, step));
+  }
+
+  void Chunk(Actor& actor, const std::string& piece) {
+    if (std::exchange(actor.spoken_on, actor.fd) != actor.fd)
+      Write(actor.fd, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", piece.size());
+    Write(actor.fd, size + piece + "\r\n");
   }
 
   static std::string Unescaped(const std::string& text) {
@@ -344,7 +353,12 @@
       Require(actor.unanswered.size() > 1, "there is no older call");
       actor.fd = actor.unanswered.front();
     } else if (who[0] == 'd' && what == "beat") {
-      Write(actor.fd, "1\r\n\n\r\n");
+      Chunk(actor, "\n");
+    } else if (who[0] == 'd' && what == "beats") {
+      actor.beat_at = {};
+      if (words.size() > 3) actor.beat = words[3];
+    } else if (who[0] == 'd' && what == "text") {
+      Chunk(actor, Unescaped(line.substr(line.find(" text ") + 6)));
     } else if (who[0] == 'd') {  // send d patch|whole [split] NAME=PHASE ...
       Words names;
       for (std::size_t i = 3; i < words.size(); ++i)
