Ask discovery's new address also when the old watch was silent and wakes

Seen: a watch silent for 2.4 s, SIGHUP moves discovery, the call at the new address is reset, and a heartbeat comes on the old watch: that took back the call that was due, so that the new address was not asked for as long as the old one went on.

Ruled out by scenarios that held before: SIGHUP while a call is under way (moved_twice), a pushed list that changes while its agent is silent (agent_wakes).

--- a/src/routes/watch.cpp
+++ b/src/routes/watch.cpp
@@ -24,6 +24,7 @@
   if (std::exchange(address_, address) == address) return;
   ask_again_.Hurry();
   End(asked_), End(older_);
+  silent_ = false;  // the call is no longer for the silence: it goes on if the one that stands wakes
   Begin();
 }
 
@@ -122,7 +123,7 @@
 // The watch that stands may be broken, or its heartbeat late: it goes on while a new one is asked for.
 void Watch::Silent(Handle handle) {
   const Call* call = calls_.Find(handle);
-  if (asked_) return;
+  if (asked_ || again_ != Deadlines::Key{}) return;
   silent_ = true;
   AskAt(ask_again_.Silent(call->heard, deadlines_->Now()));
 }
