Refuse a patch below the revision that is held

Seen: a patch of revision 3 on a watch at 42 was applied, and the next call asked from 3, so that what was told before (a runner that drains, say) could be undone by older news. At fault: Watch::News, which took any revision. Change: such a patch makes no sense and is asked for again from what is held; a whole list is taken at any revision, as discovery may have begun anew. scenario.nonsense failed before (asked from 3, not 42). Ruled out: an object with a fault in one member asked for in a loop without pause; a wait always lay between, and a watch that hardly stood counts as a failure.

--- a/src/routes/watch.cpp
+++ b/src/routes/watch.cpp
@@ -104,6 +104,8 @@
   } catch (const std::exception&) {
     return false;
   }
+  // Patches count upwards; where discovery has begun anew, it tells the whole list.
+  if (!news.complete && news.revision < routes_->revision()) return false;
   ask_again_.Spoke();
   routes_->Apply(news);
   news_(&news);
