Take a lack of descriptors for a call to discovery as this process's own, with a short wait

Seen by reading: Watch::Begin treated any error of Connect as discovery's failure, so that EMFILE let the waits grow as in an outage. Change: EMFILE and ENFILE wait 0.1 to 0.3 s and count as no failure.

--- a/src/routes/ask_again.h
+++ b/src/routes/ask_again.h
@@ -109,6 +109,9 @@
     return Drawn(latest / 2, latest);
   }
 
+  // The span to wait after this process had no descriptor for a call: that tells nothing of discovery.
+  Time NoDescriptor() { return pushed_ ? AgentWait() : Drawn(kLeastWait, kFirst); }
+
   // The span to wait after one more failure.
   Time Failed() {
     if (pushed_) return AgentWait();
--- a/src/routes/watch.cpp
+++ b/src/routes/watch.cpp
@@ -1,6 +1,7 @@
 #include "routes/watch.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -42,11 +43,14 @@
     if (Call* call = calls_.Find(handle)) call->good = head.status == 200;
   };
   events.on_piece = [this, handle](std::string_view bytes) { Piece(handle, bytes); };
-  events.on_message = [this, handle](const HttpMessage& answer) { Lost(handle, answer.status == 503); };
+  events.on_message = [this, handle](const HttpMessage& answer) {
+    Lost(handle, answer.status == 503 ? Loss::kTurnedAway : Loss::kNoAnswer);
+  };
   events.on_end = [lost](HttpConnection::End) { lost(); };
   connection->SetEvents(std::move(events));
   connection->Connect(address_, [this, handle](std::error_code error) {
-    if (error) return Lost(handle);
+    const bool full = error.value() == EMFILE || error.value() == ENFILE;  // of this process, or the system
+    if (error) return Lost(handle, full ? Loss::kNoDescriptor : Loss::kNoAnswer);
     Connected(handle);
   });
 }
@@ -130,16 +134,17 @@
   AskAt(ask_again_.Silent(call->heard, deadlines_->Now()));
 }
 
-void Watch::Lost(Handle handle, bool turned_away) {
+void Watch::Lost(Handle handle, Loss how) {
   const Call* call = calls_.Find(handle);
   if (call == nullptr) return;
   const Time now = deadlines_->Now(), lasted = now - call->since;
   const bool stood = handle == standing_;
   End(handle);
   if (!asked_ && again_ == Deadlines::Key{})
-    AskAt(now + (stood         ? ask_again_.Ended(lasted)
-                 : turned_away ? ask_again_.TurnedAway(lasted)
-                               : ask_again_.Failed()));
+    AskAt(now + (stood                        ? ask_again_.Ended(lasted)
+                 : how == Loss::kTurnedAway   ? ask_again_.TurnedAway(lasted)
+                 : how == Loss::kNoDescriptor ? ask_again_.NoDescriptor()
+                                              : ask_again_.Failed()));
   if (!standing_) news_(nullptr);
 }
 
--- a/src/routes/watch.h
+++ b/src/routes/watch.h
@@ -43,6 +43,8 @@
     Time heard = 0;      // when its last line was whole
   };
 
+  enum class Loss { kNoAnswer, kTurnedAway, kNoDescriptor };
+
   void Begin();
   void Connected(Handle handle);
   void Piece(Handle handle, std::string_view bytes);
@@ -50,7 +52,7 @@
   bool News(std::string_view object);
   void Unheard(Handle handle);
   void Silent(Handle handle);
-  void Lost(Handle handle, bool turned_away = false);
+  void Lost(Handle handle, Loss how = Loss::kNoAnswer);
   void AskAt(Time at);
   void End(Handle handle);
 
--- a/tests/ask_again_test.cpp
+++ b/tests/ask_again_test.cpp
@@ -131,6 +131,15 @@
   }
 }
 
+TEST(AskAgain, ALackOfDescriptorsIsNoFailureOfDiscoverys) {
+  for (std::uint64_t seed = 1; seed < 100; ++seed) {
+    AskAgain again(1, false, kAskEvery, seed);
+    for (int i = 0; i < 12; ++i) EXPECT_LE(again.NoDescriptor(), kSecond * 3 / 10);
+    EXPECT_LE(again.Failed(), kSecond * 3 / 10) << "the first failure";
+    EXPECT_LE(AskAgain(300, false, kAskEvery, seed).NoDescriptor(), kSecond * 3 / 10);
+  }
+}
+
 // Discovery comes back and works through calls in turn, `per_call` each; one that waited for `times_out` is
 // answered 503. One that its caller has closed takes its turn or not.
 struct Discovery {
