--- a/tests/scenario_player.cpp
+++ b/tests/scenario_player.cpp
@@ -354,6 +354,8 @@
       actor.fd = actor.unanswered.front();
     } else if (who[0] == 'd' && what == "beat") {
       Chunk(actor, "\n");
+    } else if (who[0] == 'd' && what == "503") {
+      Write(actor.fd, Answer(what, ""));
     } else if (who[0] == 'd' && what == "beats") {
       actor.beat_at = {};
       if (words.size() > 3) actor.beat = words[3];
