Let a SIGHUP or SIGTERM wait that comes while the file is read at the start

Seen: main() read the configuration before Serve() made the signal sets.

Ruled out: a signal between the sets and async_wait is queued by Asio; a signal before main() cannot be held by the program, and nothing is taken by then.

Change: serve blocks SIGHUP, SIGTERM and SIGINT before it reads the file and lets them through once the sets stand, so that one that came is delivered and not lost. The scenario player starts the program on a named pipe: that the pipe is open at both ends is the event that says that the file is being read.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -84,6 +84,14 @@
 
 const char* Environment(const char* name) { return std::getenv(name); }
 
+// Blocked from before the file is read until the handlers stand: unhandled, one would end the program.
+void MaskSignals(int how) {
+  sigset_t handled;
+  sigemptyset(&handled);
+  for (const int signal : {SIGHUP, SIGTERM, SIGINT}) sigaddset(&handled, signal);
+  pthread_sigmask(how, &handled, nullptr);
+}
+
 // SIGHUP: where discovery is may change while the program runs; the rest is what it was built on and waits
 // for the next start. A file with a fault changes nothing.
 void Reload(const Config& config, Watch* watch) {
@@ -111,12 +119,14 @@
   }
 }
 
-void Serve(const Config& config) {
+void Serve() {
+  MaskSignals(SIG_BLOCK);
+  const Config config = ReadConfig(Environment);
   using Form = rookgw::ListChanged::Form;
   std::signal(SIGPIPE, SIG_IGN);  // a peer that is gone shows as an error of the write
   asio::io_context io(1);
-  // From the first line on: unhandled, a signal would end the program at once, whatever it owes by then.
   asio::signal_set reload(io, SIGHUP), signals(io, SIGTERM, SIGINT);
+  MaskSignals(SIG_UNBLOCK);
   const Clock clock;
   Deadlines deadlines(io, clock);
   RouteSet routes;
@@ -177,7 +187,7 @@
     if (*check)
       std::cout << "the configuration of " << lichenlug::ReadConfig(lichenlug::Environment).name
                 << " is good\n";
-    if (*serve) lichenlug::Serve(lichenlug::ReadConfig(lichenlug::Environment));
+    if (*serve) lichenlug::Serve();
     return 0;
   } catch (const CLI::ParseError& e) {
     if (e.get_exit_code() == 0) return app.exit(e);  // --help
--- a/tests/scenario_player.cpp
+++ b/tests/scenario_player.cpp
@@ -9,6 +9,7 @@
 #include <signal.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -104,7 +105,7 @@
     } else if (verb == "runners") {
       for (std::size_t i = 1; i < words.size(); ++i) AddRunner(words[i]);
     } else if (verb == "start") {
-      Start();
+      Start(words);
     } else if (verb == "send") {
       Send(words, line);
     } else if (verb == "expect") {
@@ -156,12 +157,13 @@
     return members;
   }
 
-  void Start() {
+  void Start(const Words& words) {
     MoveDiscovery("d");
     if (!config_.contains("known"))
       config_["known"] = {{"revision", revision_}, {"complete", true}, {"members", Members(runners_)}};
     close(mkstemp(path_));
-    std::ofstream(path_) << config_;
+    WriteConfig();
+    if (words.size() > 1) Require(unlink(path_) == 0 && mkfifo(path_, 0600) == 0, "mkfifo");
     int out[2];
     Require(pipe(out) == 0, "pipe");
     pid_ = fork();
@@ -176,6 +178,7 @@
     }
     close(out[1]);
     log_ = out[0];
+    if (words.size() > 1) SignalWhileItReads(words);
     std::string said;
     char c = 0;
     while (said.find('\n') == std::string::npos && read(log_, &c, 1) == 1) said.push_back(c);
@@ -188,6 +191,17 @@
     fcntl(log_, F_SETFL, O_NONBLOCK);
   }
 
+  void WriteConfig() { std::ofstream(path_) << config_; }
+
+  // The program reads a pipe: opened at this end, it is open at the other one, too, and nothing is read yet.
+  void SignalWhileItReads(const Words& words) {
+    std::ofstream pipe(path_);
+    for (std::size_t i = 1; i < words.size(); ++i) kill(pid_, words[i] == "HUP" ? SIGHUP : SIGTERM);
+    unlink(path_);
+    WriteConfig();  // for the next time
+    pipe << config_;
+  }
+
   // Has the configuration name this actor as discovery.
   void MoveDiscovery(const std::string& name) {
     if (actors_[name].listener < 0) Listen(&actors_[name]);
@@ -329,7 +343,7 @@
     Actor& actor = actors_[who];
     if (who == "program" && what == "HUP") {  // send program HUP [D]: the file names D as discovery now
       if (words.size() > 3) MoveDiscovery(words[3]);
-      std::ofstream(path_) << config_;
+      WriteConfig();
       const std::size_t before = said_.size();
       kill(pid_, SIGHUP);
       Until("word of the configuration",
