Refuse settings that contradict one another in one line with key, place and form

Seen, in the program before this change: a dedup class with a window of 0 was served (scenario bad_settings: "nothing came of: the program's end"); numbers went to int and Time through nlohmann's get<T>, which cuts off what does not fit (1e300, 2^63) without a word; null stood for a required value; check-config and SIGHUP took what the decisions then refused (Instances 0, no classes, MostTries 0), so that SIGHUP moved discovery by a file with a fault; two classes or tenants of one name shared the place of the first; the settings were written out to text to be read a second time, which is recursive; places in lists were told as "[]".

Lines at fault: Take(), ItemOr() and ParseClasses() in settings.cpp, Get() in config.cpp.

Change: one reader of values looks at the number that stands in the file, with a range, and says key, place and range. MaxOpen, IdleClose and MayTell are read with the other limits, so config.cpp's own reader of numbers is gone. ConfigError is the type of what is wrong outside the settings.

--- a/src/decisions/settings.cpp
+++ b/src/decisions/settings.cpp
@@ -1,5 +1,9 @@
 #include "decisions/settings.h"
 
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <type_traits>
 #include <utility>
@@ -9,95 +13,132 @@
 
 using Json = nlohmann::json;
 
-// A value of the settings: a missing optional one keeps its default, a wrong type is named.
+// Of any number: a span of 30 years, so that a sum of a few still fits a Time.
+constexpr double kMost = 1e15;
+
+struct Range {
+  double least = 0, most = kMost;
+};
+
+[[noreturn]] void Bad(const std::string& path, const std::string& expected) {
+  throw SettingsError("settings: " + path + ": " + expected + " expected");
+}
+
+std::string Text(double number) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.15g", number);
+  return text;
+}
+
 template <typename T>
-void Take(const Json& object, const char* key, T* value, const std::string& path = "") {
-  auto it = object.find(key);
-  if (it == object.end() || it->is_null()) return;
-  const bool good = std::is_same_v<T, bool>          ? it->is_boolean()
-                    : std::is_same_v<T, std::string> ? it->is_string()
-                    : std::is_integral_v<T>          ? it->is_number_integer()
-                                                     : it->is_number();
-  if (!good) throw SettingsError("settings: " + path + key + ": value of a wrong type");
-  *value = it->get<T>();
+T Value(const Json& value, const std::string& path, Range range = {}) {
+  if constexpr (std::is_same_v<T, bool>) {
+    if (!value.is_boolean()) Bad(path, "true or false");
+  } else if constexpr (std::is_same_v<T, std::string>) {
+    if (!value.is_string()) Bad(path, "text");
+  } else {  // looked at as the number that stands there: the way to T would cut off what does not fit
+    constexpr bool kWhole = std::is_integral_v<T>;
+    if constexpr (kWhole) range.most = std::min(range.most, 1.0 * std::numeric_limits<T>::max());
+    const double number = value.is_number() ? value.get<double>() : std::nan("");
+    if (!(number >= range.least && number <= range.most) || (kWhole && number != std::floor(number)))
+      Bad(path, (kWhole ? "a whole number from " : "a number from ") + Text(range.least) + " to " +
+                    Text(range.most));
+  }
+  return value.get<T>();
 }
 
+// False, and the default stays, where the key is absent.
 template <typename T>
-void Need(const Json& object, const char* key, T* value, const std::string& path = "") {
-  if (!object.contains(key)) throw SettingsError("settings: " + path + key + ": missing");
-  Take(object, key, value, path);
+bool Take(const Json& object, const char* key, T* value, const std::string& path = "", Range range = {}) {
+  const auto it = object.find(key);
+  if (it == object.end() || it->is_null()) return false;
+  *value = Value<T>(*it, path + key, range);
+  return true;
+}
+
+template <typename T>
+void Need(const Json& object, const char* key, T* value, const std::string& path = "", Range range = {}) {
+  if (!Take(object, key, value, path, range)) throw SettingsError("settings: " + path + key + ": missing");
 }
 
 const Json& Part(const Json& object, const char* key, Json::value_t type) {
   static const Json no_object = Json::object(), no_array = Json::array();
   auto it = object.find(key);
   if (it == object.end() || it->is_null()) return type == Json::value_t::object ? no_object : no_array;
-  if (it->type() != type) throw SettingsError(std::string("settings: ") + key + ": value of a wrong type");
+  if (it->type() != type) Bad(key, type == Json::value_t::object ? "an object" : "a list");
   return *it;
 }
 
 const Json& Object(const Json& object, const char* key) { return Part(object, key, Json::value_t::object); }
 const Json& Array(const Json& object, const char* key) { return Part(object, key, Json::value_t::array); }
 
+std::string Item(const char* list, std::size_t i) {
+  return std::string(list) + "[" + std::to_string(i) + "]";
+}
+
 std::vector<std::string> Names(const Json& object, const char* key,
                                std::unordered_map<std::string, int>* index) {
   std::vector<std::string> names;
   for (const Json& name : Array(object, key)) {
-    if (!name.is_string()) throw SettingsError(std::string("settings: ") + key + ": a name must be text");
-    index->emplace(name.get<std::string>(), static_cast<int>(names.size()));
-    names.push_back(name.get<std::string>());
+    names.push_back(Value<std::string>(name, Item(key, names.size())));
+    index->emplace(names.back(), static_cast<int>(names.size()) - 1);
   }
   return names;
 }
 
+// The name of a class or tenant: the way to it, so that each has one of its own.
+void NeedName(const Json& object, std::string* name, const std::string& path,
+              std::unordered_map<std::string, int>* index) {
+  Need(object, "Name", name, path);
+  const bool fresh = index->emplace(*name, static_cast<int>(index->size())).second;
+  if (name->empty() || !fresh) Bad(path + "Name", "a name that no other has");
+}
+
 template <typename T>
-T ItemOr(const Json& array, std::size_t i, T absent, const char* what) {
-  if (i >= array.size()) return absent;
-  if (!array[i].is_number())
-    throw SettingsError(std::string("settings: Specifics.") + what + ": numbers expected");
-  return array[i].get<T>();
+void TakeItem(const Json& specifics, const char* key, std::size_t i, T* value, Range range) {
+  const Json& list = Array(specifics, key);
+  if (i < list.size() && !list[i].is_null()) *value = Value<T>(list[i], "Specifics." + Item(key, i), range);
 }
 
-void ParseClasses(const Json& root, Site* site) {
-  const Json& specifics = Object(root, "Specifics");
-  const Json& kinds = Array(specifics, "ClassKind");
-  const Json& priorities = Array(specifics, "ClassPriority");
-  const Json& stretches = Array(specifics, "ClassStretch");
-  for (const Json& c : Array(root, "RequestClasses")) {
-    const std::string path = "RequestClasses[].";
-    const std::size_t i = site->settings.classes.size();
-    ClassSettings out;
-    std::string effect, scope = "all";
-    Need(c, "Name", &out.name, path);
-    Need(c, "Aim", &out.aim, path);
-    Need(c, "Deadline", &out.deadline, path);
-    Need(c, "Effect", &effect, path);
-    Take(c, "KeyScope", &scope, path);
-    Take(c, "LateValue", &out.late_value, path);
-    Take(c, "Stream", &out.stream, path);
-    Take(c, "Window", &out.window, path);
-    Take(c, "Worth", &out.worth, path);
-    Take(c, "AimStretch", &out.stretch, path);
-    if (effect == "retryable")
-      out.effect = Effect::kRepeatable;
-    else if (effect == "dedup")
-      out.effect = Effect::kKeyed;
-    else if (effect == "fragile")
-      out.effect = Effect::kUnsafe;
-    else
-      throw SettingsError("settings: " + path + "Effect: retryable, dedup or fragile expected");
-    if (scope == "zone")
-      out.scope = KeyScope::kZone;
-    else if (scope == "cell")
-      out.scope = KeyScope::kCell;
-    else if (scope != "all")
-      throw SettingsError("settings: " + path + "KeyScope: all, zone or cell expected");
-    out.kind = ItemOr(kinds, i, kNone, "ClassKind");
-    out.priority = ItemOr(priorities, i, 0, "ClassPriority");
-    out.stretch = ItemOr(stretches, i, out.stretch, "ClassStretch");
-    site->classes.emplace(out.name, static_cast<int>(i));
-    site->settings.classes.push_back(std::move(out));
-  }
+ClassSettings ParseClass(const Json& c, std::size_t i, const Json& specifics, Site* site) {
+  const std::string path = Item("RequestClasses", i) + ".";
+  ClassSettings out;
+  std::string effect, scope = "all";
+  NeedName(c, &out.name, path, &site->classes);
+  Need(c, "Aim", &out.aim, path);
+  Need(c, "Deadline", &out.deadline, path);
+  Need(c, "Effect", &effect, path);
+  Take(c, "KeyScope", &scope, path);
+  Take(c, "LateValue", &out.late_value, path);
+  Take(c, "Stream", &out.stream, path);
+  const bool has_window = Take(c, "Window", &out.window, path);
+  Take(c, "Worth", &out.worth, path);
+  Take(c, "AimStretch", &out.stretch, path);
+  // A request is ended two ticks before its time is up: with less than that none could ever be sent on.
+  const Time margin = 2 * site->settings.tick;
+  if (out.deadline <= margin) Bad(path + "Deadline", "more than two ticks (" + std::to_string(margin) + ")");
+  if (effect == "retryable")
+    out.effect = Effect::kRepeatable;
+  else if (effect == "dedup")
+    out.effect = Effect::kKeyed;
+  else if (effect == "fragile")
+    out.effect = Effect::kUnsafe;
+  else
+    Bad(path + "Effect", "retryable, dedup or fragile");
+  if (scope == "zone")
+    out.scope = KeyScope::kZone;
+  else if (scope == "cell")
+    out.scope = KeyScope::kCell;
+  else if (scope != "all")
+    Bad(path + "KeyScope", "all, zone or cell");
+  // Where none is named none of its jobs is sent a second time.
+  if (out.effect == Effect::kKeyed && has_window && out.window == 0)
+    throw SettingsError("settings: " + path + "Window: above 0 expected for dedup");
+  const double kinds = static_cast<double>(site->settings.kinds.size());
+  TakeItem(specifics, "ClassKind", i, &out.kind, {kNone, kinds - 1});
+  TakeItem(specifics, "ClassPriority", i, &out.priority, {-1e9, 1e9});
+  TakeItem(specifics, "ClassStretch", i, &out.stretch, {});
+  return out;
 }
 
 void ParseReport(const Json& root, Site* site) {
@@ -110,7 +151,7 @@
   else if (how == "probe")
     s.reports = Settings::Reports::kProbe;
   else if (how != "none")
-    throw SettingsError("settings: Report.How: answers, probe or none expected");
+    Bad("Report.How", "answers, probe or none");
   std::unordered_map<std::string, int> unused;
   site->report_fields = Names(report, "Fields", &unused);
   std::string x0, x1;
@@ -131,63 +172,71 @@
 
 }  // namespace
 
-Site ParseSettings(std::string_view text) {
-  const Json root = Json::parse(text, nullptr, false);
+Site ReadSettings(const Json& root) {
   if (!root.is_object()) throw SettingsError("settings: a JSON object expected");
   Site site;
   Settings& s = site.settings;
   s.zones = Names(root, "Dcs", &site.zones);
   s.kinds = Names(root, "HostTypes", &site.kinds);
-  Need(root, "Instances", &s.instances);
-  Need(root, "Ordinal", &s.ordinal);
+  Need(root, "Instances", &s.instances, "", {1});
+  Need(root, "Ordinal", &s.ordinal, "", {0, s.instances - 1.0});
   std::string zone, discovery = "pushed", weights = "none";
   Take(root, "MyZone", &zone);
   if (auto it = site.zones.find(zone); it != site.zones.end()) s.my_zone = it->second;
   Take(root, "Discovery", &discovery);
-  if (discovery != "pushed" && discovery != "on_request")
-    throw SettingsError("settings: Discovery: pushed or on_request expected");
+  if (discovery != "pushed" && discovery != "on_request") Bad("Discovery", "pushed or on_request");
   s.list_on_request = discovery == "on_request";
   Take(root, "Weights", &weights);
   s.weights_told = weights != "none";
   s.weights_live = weights == "live";
   Take(Object(root, "Callers"), "MarksRetry", &s.repeats_marked, "Callers.");
   Take(root, "OverShareWorth", &s.over_share_worth);
-  Take(root, "Tick", &s.tick);
-  ParseClasses(root, &site);
+  Take(root, "Tick", &s.tick, "", {1});
+  const Json& specifics = Object(root, "Specifics");
+  for (const Json& c : Array(root, "RequestClasses"))
+    s.classes.push_back(ParseClass(c, s.classes.size(), specifics, &site));
+  if (s.classes.empty()) Bad("RequestClasses", "at least one class");
   for (const Json& t : Array(root, "Tenants")) {
+    const std::string path = Item("Tenants", s.tenants.size()) + ".";
     TenantSettings out;
-    Need(t, "Name", &out.name, "Tenants[].");
-    Take(t, "Portion", &out.portion, "Tenants[].");
-    Take(t, "QuotaPerS", &out.quota_per_s, "Tenants[].");
-    site.tenants.emplace(out.name, static_cast<int>(s.tenants.size()));
+    NeedName(t, &out.name, path, &site.tenants);
+    Take(t, "Portion", &out.portion, path, {0, 1});
+    Take(t, "QuotaPerS", &out.quota_per_s, path);
     s.tenants.push_back(std::move(out));
   }
   const Json& limits = Object(root, "Limits");
-  Need(limits, "MostTries", &s.max_attempts, "Limits.");
+  Need(limits, "MostTries", &s.max_attempts, "Limits.", {1});
   Take(limits, "Probes", &s.probes, "Limits.");
   Take(limits, "Cancelling", &s.cancelling, "Limits.");
   Take(limits, "SecondCopies", &s.second_copies, "Limits.");
   Take(limits, "RetryAfter", &s.retry_after, "Limits.");
   Take(limits, "MaxRetryAfter", &s.max_retry_after, "Limits.");
+  s.connect_timeout = 200'000;
   Take(limits, "ConnectTimeout", &s.connect_timeout, "Limits.");
   Take(limits, "CpuUsPerS", &s.cpu_us_per_s, "Limits.");
   Take(limits, "CpuUsPerRequest", &s.cpu_us_per_request, "Limits.");
+  Take(limits, "MaxOpen", &site.max_open, "Limits.");
+  Take(limits, "IdleClose", &site.idle_close, "Limits.");
+  Take(limits, "MayTell", &site.may_tell, "Limits.");
   ParseReport(root, &site);
   const Json& fees = Object(root, "Fees");
-  Take(fees, "CrossZone", &s.fee_cross_zone, "Fees.");
-  Take(fees, "Origin", &s.fee_fetch, "Fees.");
-  Take(fees, "Handshake", &s.fee_handshake, "Fees.");
-  Take(fees, "LateFail", &s.fee_late, "Fees.");
-  Take(fees, "Probe", &s.fee_probe, "Fees.");
-  Take(fees, "Waste", &s.fee_waste, "Fees.");
+  const Range any{-kMost, kMost};
+  Take(fees, "CrossZone", &s.fee_cross_zone, "Fees.", any);
+  Take(fees, "Origin", &s.fee_fetch, "Fees.", any);
+  Take(fees, "Handshake", &s.fee_handshake, "Fees.", any);
+  Take(fees, "LateFail", &s.fee_late, "Fees.", any);
+  Take(fees, "Probe", &s.fee_probe, "Fees.", any);
+  Take(fees, "Waste", &s.fee_waste, "Fees.", any);
   const Json& rules = Object(root, "Guarantees");
   Take(rules, "AskEvery", &s.ask_every, "Guarantees.");
   Take(rules, "DrainGrace", &s.drain_grace, "Guarantees.");
-  Need(rules, "ColdShare", &s.cold_share, "Guarantees.");
+  Need(rules, "ColdShare", &s.cold_share, "Guarantees.", {0, 1});
   Need(rules, "OverloadFactor", &s.overload_factor, "Guarantees.");
   Need(rules, "RampTime", &s.ramp_time, "Guarantees.");
   Need(rules, "OverloadFor", &s.overload_for, "Guarantees.");
   return site;
 }
 
+Site ParseSettings(std::string_view text) { return ReadSettings(Json::parse(text, nullptr, false)); }
+
 }  // namespace rookgw
--- a/src/decisions/settings.h
+++ b/src/decisions/settings.h
@@ -3,6 +3,7 @@
 // decisions.
 #pragma once
 
+#include <nlohmann/json_fwd.hpp>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -25,9 +26,15 @@
   std::unordered_map<std::string, int> zones, kinds, classes, tenants;
   std::vector<std::string> report_fields;
   bool x0_is_slots = false, x1_is_memory = false;
+  // For the host of the decisions.
+  std::size_t max_open = 20000;  // requests
+  Time idle_close = 5'000'000;   // connections are closed that have stood idle for so long
+  bool may_tell = false;         // nodes may send one another messages
 };
 
-// Throws SettingsError. Keys that are not known are passed over, missing optional ones keep their defaults.
+// Throws SettingsError where a Brain could not be built on the settings or one contradicts another. Keys that
+// are not known are passed over, missing optional ones keep their defaults.
+Site ReadSettings(const nlohmann::json& object);
 Site ParseSettings(std::string_view json);
 
 }  // namespace rookgw
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -132,9 +132,10 @@
   RouteSet routes;
   const CallerSettings caller_settings{config.listen, config.most_caller_legs(), config.most_serving_legs(),
                                        config.site};
-  const BranchSettings branch_settings{config.most_open, config.most_runner_links(), config.connect_timeout,
-                                       config.idle_close, config.site};
-  TransactionTable core(config.site.settings, config.seed, config.most_open, &deadlines);
+  const BranchSettings branch_settings{config.site.max_open, config.most_runner_links(),
+                                       config.site.settings.connect_timeout, config.site.idle_close,
+                                       config.site};
+  TransactionTable core(config.site.settings, config.seed, config.site.max_open, &deadlines);
   Peers peers(io, config, &deadlines, &core);
   Watch watch(io, config.discovery, config.site, config.seed, &routes, &deadlines,
               [&core, &peers](const RouteNews* news) {
--- a/src/operate/config.cpp
+++ b/src/operate/config.cpp
@@ -6,7 +6,6 @@
 #include <charconv>
 #include <fstream>
 #include <nlohmann/json.hpp>
-#include <stdexcept>
 
 namespace lichenlug {
 namespace {
@@ -14,20 +13,18 @@
 using Json = nlohmann::json;
 
 constexpr std::size_t kLeastSockets = 64;
+constexpr double kMostSockets = 1e9;
 
 [[noreturn]] void Bad(const std::string& key, const std::string& what) {
-  throw std::runtime_error(key + ": " + what);
+  throw ConfigError(key + ": " + what);
 }
 
-// A value of the file, where it is there and of the type expected.
-template <typename T>
-T Get(const Json& object, const char* key, T absent, const std::string& path = "") {
+// Text of the file; empty where there is none.
+std::string Text(const Json& object, const char* key) {
   const auto it = object.find(key);
-  if (it == object.end() || it->is_null()) return absent;
-  bool good = it->is_string();
-  if constexpr (std::is_arithmetic_v<T>) good = it->is_number() && it->template get<double>() >= 0;
-  if (!good) Bad(path + key, std::is_arithmetic_v<T> ? "a number of 0 or more expected" : "text expected");
-  return it->template get<T>();
+  if (it == object.end() || it->is_null()) return "";
+  if (!it->is_string()) Bad(key, "text expected");
+  return it->get<std::string>();
 }
 
 const Json& Object(const Json& object, const char* key) {
@@ -38,6 +35,20 @@
   return *it;
 }
 
+std::size_t ReadSockets(const Json& root, std::size_t sockets) {
+  const Json& limits = Object(root, "limits");
+  if (const auto it = limits.find("sockets"); it != limits.end() && !it->is_null()) {
+    const double told = it->is_number() ? it->get<double>() : 0;
+    if (!(told >= 1 && told <= kMostSockets)) Bad("limits.sockets", "a number above 0 expected");
+    sockets = static_cast<std::size_t>(told);
+  }
+  rlimit allowed{};
+  if (getrlimit(RLIMIT_NOFILE, &allowed) == 0 && allowed.rlim_cur != RLIM_INFINITY)
+    sockets = std::min<std::size_t>(sockets, allowed.rlim_cur);
+  if (sockets < kLeastSockets) Bad("limits.sockets", "64 or more expected, here and as the process's limit");
+  return sockets;
+}
+
 std::uint64_t ParseSeed(const Json& root) {
   const auto it = root.find("seed");
   if (it == root.end() || it->is_null()) return 1;
@@ -50,15 +61,22 @@
   return seed;
 }
 
+asio::ip::tcp::endpoint Address(const std::string& text, const std::string& key) {
+  try {
+    return ParseEndpoint(text, key);
+  } catch (const std::runtime_error&) {
+    Bad(key, "an IP address and port, as in 10.0.0.4:8080, expected");
+  }
+}
+
 asio::ip::udp::endpoint PeerAddress(const std::string& text, const std::string& key) {
-  const auto endpoint = ParseEndpoint(text, key);
+  const auto endpoint = Address(text, key);
   return {endpoint.address(), endpoint.port()};
 }
 
 PeerSettings ReadPeers(const Json& root, int own_number) {
   PeerSettings peers;
-  const std::string listen = Get<std::string>(root, "peer_listen", ""),
-                    all = Get<std::string>(root, "peers_all", "");
+  const std::string listen = Text(root, "peer_listen"), all = Text(root, "peers_all");
   if (listen.empty()) return peers;
   peers.listen = PeerAddress(listen, "peer_listen");
   if (!all.empty()) peers.all = PeerAddress(all, "peers_all");
@@ -67,15 +85,18 @@
   if (listed == root.end() || listed->is_null()) return peers;
   if (!listed->is_array()) Bad("peers", "a list of ADDRESS:PORT expected");
   for (const Json& peer : *listed) {
-    if (!peer.is_string()) Bad("peers", "a list of ADDRESS:PORT expected");
-    peers.peers.push_back(PeerAddress(peer.get<std::string>(), "peers"));
+    const std::string path = "peers[" + std::to_string(peers.peers.size()) + "]";
+    peers.peers.push_back(PeerAddress(peer.is_string() ? peer.get<std::string>() : "", path));
   }
+  // One that is not among them is a stranger to the others: it serves alone.
+  if (static_cast<std::size_t>(own_number) >= peers.peers.size()) peers.peers.clear();
   return peers;
 }
 
 using Environment = std::function<const char*(const char*)>;
 
 Config Read(const Environment& environment, bool file_names_discovery) {
+  Config config;
   const char* path = environment("BALANCER_CONFIG");
   if (path == nullptr || *path == '\0') Bad("BALANCER_CONFIG", "the path of the configuration expected");
   std::ifstream file(path);
@@ -85,34 +106,23 @@
 
   const auto text = [&](const char* variable, const char* key, bool file_wins = false) {
     const char* value = environment(variable);
-    const std::string told = value != nullptr ? value : "", filed = Get<std::string>(root, key, "");
+    const std::string told = value != nullptr ? value : "", filed = Text(root, key);
     const std::string found = told.empty() || (file_wins && !filed.empty()) ? filed : told;
     if (found.empty()) Bad(key, std::string("missing (or set ") + variable + ")");
     return found;
   };
-  Config config;
   config.name = text("BALANCER_NAME", "name");
-  config.listen = ParseEndpoint(text("BALANCER_LISTEN", "listen"), "listen");
-  config.discovery =
-      ParseEndpoint(text("BALANCER_DISCOVERY", "discovery", file_names_discovery), "discovery");
+  config.listen = Address(text("BALANCER_LISTEN", "listen"), "listen");
+  config.discovery = Address(text("BALANCER_DISCOVERY", "discovery", file_names_discovery), "discovery");
+  if (config.discovery == config.listen) Bad("discovery", "another address than that of listen expected");
   config.seed = ParseSeed(root);
-
-  config.most_sockets = Get(Object(root, "limits"), "sockets", config.most_sockets, "limits.");
-  rlimit allowed{};
-  if (getrlimit(RLIMIT_NOFILE, &allowed) == 0 && allowed.rlim_cur != RLIM_INFINITY)
-    config.most_sockets = std::min<std::size_t>(config.most_sockets, allowed.rlim_cur);
-  if (config.most_sockets < kLeastSockets) Bad("limits.sockets", "64 or more expected");
+  config.most_sockets = ReadSockets(root, config.most_sockets);
 
   if (!root.contains("settings")) Bad("settings", "missing");
-  const Json& settings = Object(root, "settings");
-  config.site = rookgw::ParseSettings(settings.dump());  // its messages begin with "settings: KEY"
-  config.site.settings.takes_told = true;                // by a runner's 202
-  const Json& limits = Object(settings, "Limits");
-  config.most_open = Get(limits, "MaxOpen", config.most_open, "settings.Limits.");
-  config.idle_close = Get(limits, "IdleClose", config.idle_close, "settings.Limits.");
-  config.connect_timeout = Get(limits, "ConnectTimeout", config.connect_timeout, "settings.Limits.");
-  if (config.connect_timeout <= 0) Bad("settings.Limits.ConnectTimeout", "above 0 expected");
-  if (config.most_open == 0) Bad("settings.Limits.MaxOpen", "1 or more expected");
+  config.site = rookgw::ReadSettings(Object(root, "settings"));  // its messages begin with "settings: KEY"
+  config.site.settings.takes_told = true;                        // by a runner's 202
+  if (config.site.settings.connect_timeout == 0) Bad("settings.Limits.ConnectTimeout", "above 0 expected");
+  if (config.site.max_open == 0) Bad("settings.Limits.MaxOpen", "1 or more expected");
 
   if (const auto known = root.find("known"); known != root.end() && !known->is_null()) {
     try {
@@ -121,9 +131,7 @@
       Bad("known", e.what());
     }
   }
-  const auto may_tell = limits.find("MayTell");
-  if (may_tell != limits.end() && *may_tell == true)
-    config.peers = ReadPeers(root, config.site.settings.ordinal);
+  if (config.site.may_tell) config.peers = ReadPeers(root, config.site.settings.ordinal);
   return config;
 }
 
--- a/src/operate/config.h
+++ b/src/operate/config.h
@@ -5,6 +5,7 @@
 #include <asio.hpp>
 #include <cstdint>
 #include <functional>
+#include <stdexcept>
 #include <string>
 
 #include "decisions/settings.h"
@@ -17,10 +18,7 @@
   std::string name;
   asio::ip::tcp::endpoint listen, discovery;
   std::uint64_t seed = 0;
-  std::size_t most_sockets = 1024;     // limits.sockets, and no more than the process may open
-  std::size_t most_open = 20000;       // transactions; settings.Limits.MaxOpen
-  Time idle_close = 5 * kSecond;       // settings.Limits.IdleClose
-  Time connect_timeout = kSecond / 5;  // settings.Limits.ConnectTimeout
+  std::size_t most_sockets = 1024;  // limits.sockets, and no more than the process may open
   rookgw::Site site;
   RouteNews known;
   PeerSettings peers;  // off where settings.Limits.MayTell is not true
@@ -32,8 +30,14 @@
   std::size_t most_serving_legs() const { return most_sockets / 2; }
 };
 
-// Throws std::runtime_error whose message names the faulty key, in one line. `environment` gives a variable's
-// value or null.
+// What is wrong with the configuration, in one line that names the key and what is expected there.
+class ConfigError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+// Throws ConfigError, or rookgw::SettingsError for what is wrong within `settings`. `environment` gives a
+// variable's value or null.
 Config ReadConfig(const std::function<const char*(const char*)>& environment);
 
 // The same for a running program that is told to read its file again: there the file's `discovery` wins, for
--- a/tests/scenario_player.cpp
+++ b/tests/scenario_player.cpp
@@ -342,8 +342,12 @@
     const std::string who = words.at(1), what = words.at(2);
     Actor& actor = actors_[who];
     if (who == "program" && what == "HUP") {  // send program HUP [D]: the file names D as discovery now
-      if (words.size() > 3) MoveDiscovery(words[3]);
+      const bool missing = words.size() > 3 && words[3] == "missing",
+                 text = words.size() > 3 && words[3] == "text";
+      if (words.size() > 3 && !missing && !text) MoveDiscovery(words[3]);
       WriteConfig();
+      if (text) std::ofstream(path_) << line.substr(line.find(" text") + 5);
+      if (missing) unlink(path_);
       const std::size_t before = said_.size();
       kill(pid_, SIGHUP);
       Until("word of the configuration",
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -100,6 +100,8 @@
 
 TEST(WireHost, BrokenInputIsToldInOneLine) {
   const std::string open = Opening();
+  std::string huge = kSettings;
+  huge.replace(huge.find("\"Ordinal\":0"), 11, "\"Ordinal\":1e300");
   const std::pair<std::string, std::string> cases[] = {
       {"HELLO\n", "MARK"},
       {"MARK x\nOVER_TO_YOU\n", "clock"},
@@ -124,6 +126,8 @@
       {open + "MARK 5\nCLOSED_ATTEMPT node_1 ce0a1b2c5d3a91c4 executor-a - 0 2 0 1 -\nOVER_TO_YOU\n",
        "Complete"},
       {"MARK 5\nATTACH node_1 7 {}\nOVER_TO_YOU\n", "missing"},
+      {"MARK 5\nATTACH node_1 7 " + huge + "\nOVER_TO_YOU\n",
+       "settings: Ordinal: a whole number from 0 to 0"},
       {"MARK 5\nATTACH node_1 7 {\"Instances\":\nOVER_TO_YOU\n", "JSON"},
   };
   for (const auto& [input, expected] : cases) {
