Count the descriptors in one sum: the inherited, the program's own, then the shares

Seen: the shares of limits.sockets were 5/8 and 1/4 of one number, and the last eighth was to hold all else. A running program's /proc/PID/fd showed 7 descriptors of its own before any watch (epoll, timer, event, two of the signals' pipe, the listener, the datagrams' socket) and 5 inherited; with watches, the file read at SIGHUP and a connection not counted yet that is 15 or more at limits.sockets = 64, where 40 + 16 leave 8. What was open at the start did not count at all.

Change: what is open at the start is counted (three where /proc does not tell), 13 are kept for the program, the rest is shared: a quarter to runner links, the others to clients, half of all to jobs in work. At 1024 with three inherited that is 252, 756 and 504 (256, 640 and 512 before), at 64 it is 12, 36 and 24. A limit that leaves under 16 to share is refused. At SIGHUP the count of the start is kept.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -96,7 +96,7 @@
 // for the next start. A file with a fault changes nothing.
 void Reload(const Config& config, Watch* watch) {
   try {
-    const Config fresh = RereadConfig(Environment);
+    const Config fresh = RereadConfig(Environment, config);
     if (fresh.listen != config.listen || fresh.name != config.name)
       std::cerr << config.name << " keeps its name and address until the next start" << std::endl;
     watch->MoveTo(fresh.discovery);
--- a/src/operate/config.cpp
+++ b/src/operate/config.cpp
@@ -4,8 +4,10 @@
 
 #include <algorithm>
 #include <charconv>
+#include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <system_error>
 
 namespace lichenlug {
 namespace {
@@ -35,7 +37,18 @@
   return *it;
 }
 
-std::size_t ReadSockets(const Json& root, std::size_t sockets) {
+// How many descriptors are open now; the usual three where the system does not tell.
+std::size_t OpenDescriptors() {
+  std::error_code error;
+  std::size_t open = 0;
+  for (std::filesystem::directory_iterator it("/proc/self/fd", error), end; !error && it != end;
+       it.increment(error))
+    ++open;
+  return error || open == 0 ? 3 : open - 1;  // less the one that reads the list
+}
+
+std::size_t ReadSockets(const Json& root, const Config& config) {
+  std::size_t sockets = config.most_sockets;
   const Json& limits = Object(root, "limits");
   if (const auto it = limits.find("sockets"); it != limits.end() && !it->is_null()) {
     const double told = it->is_number() ? it->get<double>() : 0;
@@ -45,7 +58,10 @@
   rlimit allowed{};
   if (getrlimit(RLIMIT_NOFILE, &allowed) == 0 && allowed.rlim_cur != RLIM_INFINITY)
     sockets = std::min<std::size_t>(sockets, allowed.rlim_cur);
-  if (sockets < kLeastSockets) Bad("limits.sockets", "64 or more expected, here and as the process's limit");
+  const std::size_t least =
+      std::max(kLeastSockets, config.inherited + Config::kOwnDescriptors + Config::kLeastShared);
+  if (sockets < least)
+    Bad("limits.sockets", std::to_string(least) + " or more expected, here and as the process's limit");
   return sockets;
 }
 
@@ -95,8 +111,10 @@
 
 using Environment = std::function<const char*(const char*)>;
 
-Config Read(const Environment& environment, bool file_names_discovery) {
+// `running`: the configuration of the program that reads its file again, or null at the start.
+Config Read(const Environment& environment, const Config* running) {
   Config config;
+  config.inherited = running != nullptr ? running->inherited : OpenDescriptors();
   const char* path = environment("BALANCER_CONFIG");
   if (path == nullptr || *path == '\0') Bad("BALANCER_CONFIG", "the path of the configuration expected");
   std::ifstream file(path);
@@ -113,10 +131,10 @@
   };
   config.name = text("BALANCER_NAME", "name");
   config.listen = Address(text("BALANCER_LISTEN", "listen"), "listen");
-  config.discovery = Address(text("BALANCER_DISCOVERY", "discovery", file_names_discovery), "discovery");
+  config.discovery = Address(text("BALANCER_DISCOVERY", "discovery", running != nullptr), "discovery");
   if (config.discovery == config.listen) Bad("discovery", "another address than that of listen expected");
   config.seed = ParseSeed(root);
-  config.most_sockets = ReadSockets(root, config.most_sockets);
+  config.most_sockets = ReadSockets(root, config);
 
   if (!root.contains("settings")) Bad("settings", "missing");
   config.site = rookgw::ReadSettings(Object(root, "settings"));  // its messages begin with "settings: KEY"
@@ -137,8 +155,10 @@
 
 }  // namespace
 
-Config ReadConfig(const Environment& environment) { return Read(environment, false); }
+Config ReadConfig(const Environment& environment) { return Read(environment, nullptr); }
 
-Config RereadConfig(const Environment& environment) { return Read(environment, true); }
+Config RereadConfig(const Environment& environment, const Config& running) {
+  return Read(environment, &running);
+}
 
 }  // namespace lichenlug
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -1,7 +1,9 @@
 // The configuration and the settings in it: what is refused, in which words, and what has to be served.
 #include "operate/config.h"
 
+#include <fcntl.h>
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -44,6 +46,7 @@
   }
   ~ConfigFile() { unlink(path_); }
   Config Read() const { return ReadConfig(Environment()); }
+  Config Reread(const Config& running) const { return RereadConfig(Environment(), running); }
 
  private:
   std::function<const char*(const char*)> Environment() const {
@@ -282,5 +285,48 @@
   EXPECT_FALSE(Read(json.dump()).peers.on());
 }
 
+// ---- Descriptors ----
+
+TEST(Descriptors, TheSharesLeaveTheProgramItsOwn) {
+  for (const int sockets : {64, 65, 66, 67, 100, 256}) {
+    Json json = kGood;
+    json["limits"]["sockets"] = sockets;
+    const Config config = Read(json.dump());
+    const std::size_t kept = config.most_sockets - config.most_caller_legs() - config.most_runner_links();
+    EXPECT_GE(kept, config.inherited + 13) << sockets;  // 13: tests/scenarios/descriptors_full.scenario
+    EXPECT_GE(config.most_runner_links(), 8u) << sockets;
+    EXPECT_GE(config.most_caller_legs(), config.most_serving_legs() + 8) << sockets;
+  }
+}
+
+TEST(Descriptors, WhatIsInheritedCounts) {
+  const ConfigFile file(kGood.dump());
+  const Config before = file.Read();
+  int held[10];
+  for (int& fd : held) fd = open("/dev/null", O_RDONLY | O_CLOEXEC);
+  const Config after = file.Read(), again = file.Reread(before);
+  EXPECT_EQ(after.inherited, before.inherited + 10);
+  EXPECT_EQ(after.most_caller_legs() + after.most_runner_links() + 10,
+            before.most_caller_legs() + before.most_runner_links());
+  // At SIGHUP the running program's own are open, too.
+  EXPECT_EQ(again.inherited, before.inherited);
+  for (const int fd : held) close(fd);
+}
+
+TEST(Descriptors, TheProcessLimitCounts) {
+  rlimit before{};
+  ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &before), 0);
+  const auto with_limit = [&](rlim_t most) {
+    const rlimit lower{most, before.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &lower);
+    const std::string fault = Fault(kGood.dump());
+    const std::size_t sockets = fault.empty() ? Read(kGood.dump()).most_sockets : 0;
+    setrlimit(RLIMIT_NOFILE, &before);
+    return std::pair{fault, sockets};
+  };
+  EXPECT_EQ(with_limit(100), (std::pair{std::string(), std::size_t{100}}));
+  EXPECT_NE(with_limit(48).first.find("limits.sockets: 64 or more expected"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace lichenlug
--- a/tests/scenario_player.cpp
+++ b/tests/scenario_player.cpp
@@ -8,6 +8,7 @@
 #include <poll.h>
 #include <signal.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -172,7 +173,10 @@
       for (const char* name : {"BALANCER_NAME", "BALANCER_LISTEN"}) unsetenv(name);
       setenv("BALANCER_DISCOVERY", config_["discovery"].get_ref<const std::string&>().c_str(), 1);
       setenv("BALANCER_CONFIG", path_, 1);
-      dup2(out[1], 2), close(out[0]), close(out[1]);
+      dup2(out[1], 2), close_range(3, ~0U, 0);
+      const rlim_t most = config_["limits"]["sockets"].get<rlim_t>();  // more than these it may not open
+      const rlimit limit{most, most};
+      setrlimit(RLIMIT_NOFILE, &limit);
       execl(program_.c_str(), program_.c_str(), "serve", nullptr);
       _exit(127);
     }
