--- a/src/operate/config.cpp
+++ b/src/operate/config.cpp
@@ -18,7 +18,10 @@
 constexpr double kMostSockets = 1e9;
 
 [[noreturn]] void Bad(const std::string& key, const std::string& what) {
-  throw ConfigError(key + ": " + what);
+  std::string line = key + ": " + what;  // may cite the file
+  for (char& c : line)
+    if (c >= 0 && c < ' ') c = ' ';
+  throw ConfigError(line);
 }
 
 // Text of the file; empty where there is none.
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -126,6 +126,8 @@
       {"/peers", "{}", "peers: a list"},
       {"/peers/1", "7", "peers[1]: an IP address and port"},
       {"/known", "{\"members\": 3}", "known: "},
+      {"/known", "{\"members\": [{\"id\": \"r\", \"host_port\": \"a\\nb\"}]}",
+       "known: members[].host_port: 'a b'"},
       {"/settings", "[]", "settings: an object expected"},
       {"/settings/Dcs", "[7]", "settings: Dcs[0]: text expected"},
       {"/settings/HostTypes", "\"m\"", "settings: HostTypes: a list expected"},
