--- a/src/main.cpp
+++ b/src/main.cpp
@@ -88,7 +88,7 @@
 // for the next start. A file with a fault changes nothing.
 void Reload(const Config& config, Watch* watch) {
   try {
-    const Config fresh = RereadConfig(Environment);
+    const Config fresh = RereadConfig(Environment, config);
     if (fresh.listen != config.listen || fresh.name != config.name)
       std::cerr << config.name << " keeps its name and address until the next start" << std::endl;
     watch->MoveTo(fresh.discovery);
@@ -124,9 +124,10 @@
   RouteSet routes;
   const CallerSettings caller_settings{config.listen, config.most_caller_legs(), config.most_serving_legs(),
                                        config.site};
-  const BranchSettings branch_settings{config.most_open, config.most_runner_links(), config.connect_timeout,
-                                       config.idle_close, config.site};
-  TransactionTable core(config.site.settings, config.seed, config.most_open, &deadlines);
+  const BranchSettings branch_settings{config.site.max_open, config.most_runner_links(),
+                                       config.site.settings.connect_timeout, config.site.idle_close,
+                                       config.site};
+  TransactionTable core(config.site.settings, config.seed, config.site.max_open, &deadlines);
   Peers peers(io, config, &deadlines, &core);
   Watch watch(io, config.discovery, config.site, config.seed, &routes, &deadlines,
               [&core, &peers](const RouteNews* news) {
--- a/tests/scenario_player.cpp
+++ b/tests/scenario_player.cpp
@@ -113,7 +113,7 @@
     } else if (verb == "runners") {
       for (std::size_t i = 1; i < words.size(); ++i) AddRunner(words[i]);
     } else if (verb == "start") {
-      Start(words.size() > 1 ? words[1] : "");
+      Start(words);
     } else if (verb == "send") {
       Send(words, line);
     } else if (verb == "expect") {
@@ -187,14 +187,13 @@
     return members;
   }
 
-  void Start(const std::string& signal) {
+  void Start(const Words& words) {
     MoveDiscovery("d");
     if (!config_.contains("known"))
       config_["known"] = {{"revision", revision_}, {"complete", true}, {"members", Members(runners_)}};
     close(mkstemp(path_));
-    std::ofstream(path_) << config_;
-    const std::string pipe_path = path_ + std::string(".pipe");
-    if (!signal.empty()) Require(mkfifo(pipe_path.c_str(), 0600) == 0, "mkfifo");
+    WriteConfig();
+    if (words.size() > 1) Require(unlink(path_) == 0 && mkfifo(path_, 0600) == 0, "mkfifo");
     int out[2];
     Require(pipe(out) == 0, "pipe");
     pid_ = fork();
@@ -202,24 +201,17 @@
       prctl(PR_SET_PDEATHSIG, SIGKILL);  // a scenario that fails leaves nothing running
       for (const char* name : {"BALANCER_NAME", "BALANCER_LISTEN"}) unsetenv(name);
       setenv("BALANCER_DISCOVERY", config_["discovery"].get_ref<const std::string&>().c_str(), 1);
-      setenv("BALANCER_CONFIG", signal.empty() ? path_ : pipe_path.c_str(), 1);
-      dup2(out[1], 2), close(out[0]), close(out[1]);
+      setenv("BALANCER_CONFIG", path_, 1);
+      dup2(out[1], 2), close_range(3, ~0U, 0);
+      const rlim_t most = config_["limits"]["sockets"].get<rlim_t>();  // more than these it may not open
+      const rlimit limit{most, most};
+      setrlimit(RLIMIT_NOFILE, &limit);
       execl(program_.c_str(), program_.c_str(), "serve", nullptr);
       _exit(127);
     }
     close(out[1]);
     log_ = out[0];
-    if (!signal.empty()) {  // it reads, gets the signal, and only then has what it reads
-      int fd = -1;
-      Until("a reader",
-            [&] { return (fd = open(pipe_path.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC)) >= 0; });
-      kill(pid_, signal == "HUP" ? SIGHUP : SIGTERM);
-      rename(path_, pipe_path.c_str());  // what is read the next time
-      std::strcat(path_, ".pipe");
-      const std::string text = config_.dump();
-      Require(write(fd, text.data(), text.size()) == static_cast<ssize_t>(text.size()), "write");
-      close(fd);
-    }
+    if (words.size() > 1) SignalWhileItReads(words);
     std::string said;
     char c = 0;
     while (said.find('\n') == std::string::npos && read(log_, &c, 1) == 1) said.push_back(c);
@@ -232,6 +224,17 @@
     fcntl(log_, F_SETFL, O_NONBLOCK);
   }
 
+  void WriteConfig() { std::ofstream(path_) << config_; }
+
+  // The program reads a pipe: opened at this end, it is open at the other one, too, and nothing is read yet.
+  void SignalWhileItReads(const Words& words) {
+    std::ofstream pipe(path_);
+    for (std::size_t i = 1; i < words.size(); ++i) kill(pid_, words[i] == "HUP" ? SIGHUP : SIGTERM);
+    unlink(path_);
+    WriteConfig();  // for the next time
+    pipe << config_;
+  }
+
   // Has the configuration name this actor as discovery.
   void MoveDiscovery(const std::string& name) {
     if (actors_[name].listener < 0) Listen(&actors_[name]);
@@ -385,8 +388,12 @@
     const std::string who = words.at(1), what = words.at(2);
     Actor& actor = actors_[who];
     if (who == "program" && what == "HUP") {  // send program HUP [D]: the file names D as discovery now
-      if (words.size() > 3) MoveDiscovery(words[3]);
-      std::ofstream(path_) << config_;
+      const bool missing = words.size() > 3 && words[3] == "missing",
+                 text = words.size() > 3 && words[3] == "text";
+      if (words.size() > 3 && !missing && !text) MoveDiscovery(words[3]);
+      WriteConfig();
+      if (text) std::ofstream(path_) << line.substr(line.find(" text") + 5);
+      if (missing) unlink(path_);
       const std::size_t before = said_.size();
       kill(pid_, SIGHUP);
       Until("word of the configuration",
