Deal a cold runner's budget out by turns that need no news, not by a bucket each

Seen: every dispatcher had a bucket of one job at the least, and where it heard the others it went by the free slots alone. After quiet seconds, or when all hear of the same free slots, all of a tier send at once to a runner that bears a few.

At fault: ColdMayTake (health.h): max(rate * OverloadFor, RunTime) in the bucket; `if (Told(w)) return Free(w) >= r.slots`; aim as run time before one is known.

Now time since the runner's start is cut into spans of OverloadFor, which any window touches two of; each holds half the budget, dealt out in equal parts by number. Parts under a job go whole to the nodes next on a circle that turns with the span, so that all know the turns alike and a sum needs no memory but the work sent in the span. News of others can only hold back. A new life waits for the span after its start. Work counts by machine kind, a job as a mean one at the least; until 20 runs are seen the deadline stands for the run.

Tried and dropped: half the budget and one root of it in each span.

--- a/src/decisions/brain.cpp
+++ b/src/decisions/brain.cpp
@@ -16,7 +16,7 @@
   Impl(Settings settings, std::uint64_t seed) : Placing(Checked(std::move(settings)), seed) {}
 
   void Start(Time now) {
-    now_ = now;
+    now_ = started_at_ = now;
     for (std::size_t t = 0; t < quota_.size(); ++t) quota_[t] = {now, QuotaBurst(static_cast<int>(t))};
     if (s_.list_on_request) AskForList();
     Act(SetTimer{kSweepEvery, "sweep"});
--- a/src/decisions/gate.h
+++ b/src/decisions/gate.h
@@ -37,7 +37,7 @@
   bool Send(Request& r, int index) {
     if (!MaySend(r, index)) return false;
     Worker& w = workers_[index];
-    if (Cold(w)) w.budget -= r.slots * RunTime(r.cls) / kSecond;
+    if (Cold(w)) w.span_work += ColdWork(w, r);
     r.attempts.push_back({index, w.cell, w.zone, now_});
     NoteMove(w, r.slots);
     if (w.unstarted++ == 0) w.silent_since = now_;
--- a/src/decisions/health.h
+++ b/src/decisions/health.h
@@ -45,23 +45,23 @@
       if (!blind_ && silent(workers_[i]) && !Ejected(workers_[i])) Strike(workers_[i]);
   }
 
-  // Where all that is out there is known, a cold worker may hold what it can run now. Elsewhere this node's
-  // part is half the limit, over all instances, and starts in debt by its place among them, so that nodes
-  // take turns.
+  // Slot microseconds, never less than a mean job has; before runs are known the longest one counts as mean.
+  double ColdWork(const Worker& w, const Request& r) const {
+    const double longest = run_all_.weight < 20 ? s_.classes[r.cls].deadline : 0;
+    return std::max({longest, MeanRun(), r.slots * RunTime(r.cls)}) * Slowness(w);
+  }
+
+  // Nodes send to a cold worker by turns that all know alike, heard or not. From its start, spans are as long
+  // as the rule's window, which touches two: each has half the budget, in equal parts; parts under a job go
+  // whole to the nodes next on a circle. A new life waits for the next span: the last may have used its turn.
   bool ColdMayTake(Worker& w, const Request& r) {
-    if (Told(w)) return Free(w) >= r.slots;
-    if (w.budget_at == 0) {
-      const double place = 1.0 * ((s_.ordinal + w.hash % s_.instances) % s_.instances) / s_.instances;
-      w.budget = -place * RunTime(0) / kSecond;
-      w.budget_at = now_;
-    }
-    const double slots = FleetWide() ? std::max(1.0, 0.8 * mean_total_.value) : 1.0;
-    const double rate =
-        0.5 * s_.overload_factor * ColdShare(w) * slots / s_.instances;  // slot seconds a second
-    w.budget = std::min(w.budget + rate * (now_ - w.budget_at) / kSecond,
-                        std::max(rate * s_.overload_for / kSecond, RunTime(0) / kSecond));
-    w.budget_at = now_;
-    return w.budget >= r.slots * RunTime(r.cls) / kSecond;
+    const Time length = std::max<Time>(s_.overload_for, 1), span = std::max<Time>(now_ - w.since, 0) / length;
+    if (w.since + span * length < started_at_ || (Told(w) && Free(w) < r.slots)) return false;
+    if (std::exchange(w.span, span) != span) w.span_work = 0;
+    const double slots = 0.8 * std::max(1.0, FleetWide() ? mean_total_.value : 1);
+    const double part = 0.5 * s_.overload_factor * ColdShare(w) * slots * length / s_.instances;
+    const double turn = 1.0 * s_.ordinal / s_.instances + span * std::numbers::phi + w.hash * 0x1p-64;
+    return w.span_work + (turn - std::floor(turn)) * ColdWork(w, r) < part;
   }
 
   // Round the ring, one to three probes a request: the fee is then the fee for as many a request.
--- a/src/decisions/ring.h
+++ b/src/decisions/ring.h
@@ -29,7 +29,7 @@
         added.id = entry.id, added.hash = HashText(entry.id), added.trust.resize(s_.classes.size());
       }
       Worker& w = workers_[it->second];
-      if (entry.since != w.since) w.budget_at = 0, w.report_at = -1, w.learned = 0;
+      if (entry.since != w.since) w.span = -1, w.report_at = -1, w.learned = 0;
       w.listed = entry.state != ListedWorker::State::kGone;
       w.state = entry.state, w.since = entry.since, w.cell = entry.cell;
       w.kind = entry.kind, w.zone = entry.zone, w.weight = entry.weight;
--- a/src/decisions/world.h
+++ b/src/decisions/world.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <numbers>
 #include <queue>
 #include <random>
 #include <set>
@@ -87,8 +88,8 @@
   Time silent_since = 0, ejected_until = 0, probed_at = 0;
   std::vector<Trust> trust;  // by class
   // Cold
-  double budget = 0;
-  Time budget_at = 0, unlisted_at = 0;
+  Time span = -1, unlisted_at = 0;  // of the turns, the one last looked at
+  double span_work = 0;             // sent in it
 };
 
 enum class Fate : std::uint8_t { kOut, kNeverRan, kMayHaveRun };
@@ -155,7 +156,7 @@
 
   Settings s_;
   std::mt19937_64 random_;
-  Time now_ = 0, told_at_ = 0;                       // the latest word of what other nodes hold
+  Time now_ = 0, started_at_ = 0, told_at_ = 0;      // the last: word of what other nodes hold
   std::vector<Worker> workers_;                      // by interning index
   std::unordered_map<std::string, int> index_;       // looked up only, never walked
   std::vector<int> listed_;                          // indices of the listed workers, by id
--- a/tests/node.h
+++ b/tests/node.h
@@ -62,8 +62,8 @@
 
 class Node {
  public:
-  explicit Node(Settings settings = PlainSettings(), std::uint64_t seed = 1)
-      : brain(std::move(settings), seed) {
+  explicit Node(Settings settings = PlainSettings(), std::uint64_t seed = 1, Time at = 1000 * kSecond)
+      : now(at), brain(std::move(settings), seed) {
     brain.Start(now, &actions);
     fresh_from_ = 0;
   }
@@ -164,7 +164,7 @@
     return false;
   }
 
-  Time now = 1000 * kSecond;
+  Time now;
   std::vector<Action> actions;
   Brain brain;
 
