--- a/src/branch/branches.h
+++ b/src/branch/branches.h
@@ -72,16 +72,16 @@
     std::string runner, host;
     asio::ip::tcp::endpoint address;
     Exchange exchange;
-    bool up = false, written = false;
+    bool up = false;
     Time idle_since = 0, kept = KeptLinks::kNew;  // kept: how long it had stood idle before this exchange
     Deadlines::Key alarm;
   };
 
   void Begin(const std::string& runner, Exchange exchange);
-  Handle IdleLink(const Route& route, bool for_job);
+  Handle IdleLink(const Route& route, Exchange::Kind kind);
   void Transmit(Handle handle);
   void Answered(Handle handle, const HttpMessage& answer);
-  void Broke(Handle handle);
+  void Broke(Handle handle, rookgw::Outcome unwritten = rookgw::Outcome::kConnectFailed);
   void Rest(Handle handle);
   void DropLink(Handle handle);
   bool EvictIdleLink();
--- a/tests/scenario_player.cpp
+++ b/tests/scenario_player.cpp
@@ -16,6 +16,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cassert>
 #include <chrono>
 #include <cstdio>
@@ -69,12 +70,15 @@
   std::string phase = "active";
   std::map<int, std::string> in;  // bytes that came, by connection
   std::vector<Message> inbox;     // what has come and is not expected yet
-  std::vector<int> unanswered;    // a runner's jobs and DELETEs, the oldest first
+  std::vector<int> unanswered;    // a runner's jobs and DELETEs, discovery's calls, the oldest first
   int fd = -1;                    // a client's connection, or discovery's watch
   int spoken_on = -1;             // discovery's watch that has had its head
+  int answered = -1;              // the connection that a runner answered on last
   int ended = 0;                  // connections that the other side ended
   int probes = 0;
-  int deaf = 0;  // so many calls to discovery get no answer
+  int deaf = 0;             // so many calls to discovery get no answer
+  std::string beat = "\n";  // what discovery says each time
+  std::chrono::steady_clock::time_point beat_at = std::chrono::steady_clock::time_point::max();
 };
 
 class Player {
@@ -110,7 +114,7 @@
     } else if (verb == "runners") {
       for (std::size_t i = 1; i < words.size(); ++i) AddRunner(words[i]);
     } else if (verb == "start") {
-      Start(words.size() > 1 ? words[1] : "");
+      Start(words);
     } else if (verb == "send") {
       Send(words, line);
     } else if (verb == "expect") {
@@ -184,14 +188,13 @@
     return members;
   }
 
-  void Start(const std::string& signal) {
+  void Start(const Words& words) {
     MoveDiscovery("d");
     if (!config_.contains("known"))
       config_["known"] = {{"revision", revision_}, {"complete", true}, {"members", Members(runners_)}};
     close(mkstemp(path_));
-    std::ofstream(path_) << config_;
-    const std::string pipe_path = path_ + std::string(".pipe");
-    if (!signal.empty()) Require(mkfifo(pipe_path.c_str(), 0600) == 0, "mkfifo");
+    WriteConfig();
+    if (words.size() > 1) Require(unlink(path_) == 0 && mkfifo(path_, 0600) == 0, "mkfifo");
     int out[2];
     Require(pipe(out) == 0, "pipe");
     pid_ = fork();
@@ -199,24 +202,17 @@
       prctl(PR_SET_PDEATHSIG, SIGKILL);  // a scenario that fails leaves nothing running
       for (const char* name : {"BALANCER_NAME", "BALANCER_LISTEN"}) unsetenv(name);
       setenv("BALANCER_DISCOVERY", config_["discovery"].get_ref<const std::string&>().c_str(), 1);
-      setenv("BALANCER_CONFIG", signal.empty() ? path_ : pipe_path.c_str(), 1);
-      dup2(out[1], 2), close(out[0]), close(out[1]);
+      setenv("BALANCER_CONFIG", path_, 1);
+      dup2(out[1], 2), close_range(3, ~0U, 0);
+      const rlim_t most = config_["limits"]["sockets"].get<rlim_t>();  // more than these it may not open
+      const rlimit limit{most, most};
+      setrlimit(RLIMIT_NOFILE, &limit);
       execl(program_.c_str(), program_.c_str(), "serve", nullptr);
       _exit(127);
     }
     close(out[1]);
     log_ = out[0];
-    if (!signal.empty()) {  // it reads, gets the signal, and only then has what it reads
-      int fd = -1;
-      Until("a reader",
-            [&] { return (fd = open(pipe_path.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC)) >= 0; });
-      kill(pid_, signal == "HUP" ? SIGHUP : SIGTERM);
-      rename(path_, pipe_path.c_str());  // what is read the next time
-      std::strcat(path_, ".pipe");
-      const std::string text = config_.dump();
-      Require(write(fd, text.data(), text.size()) == static_cast<ssize_t>(text.size()), "write");
-      close(fd);
-    }
+    if (words.size() > 1) SignalWhileItReads(words);
     std::string said;
     char c = 0;
     while (said.find('\n') == std::string::npos && read(log_, &c, 1) == 1) said.push_back(c);
@@ -229,6 +225,17 @@
     fcntl(log_, F_SETFL, O_NONBLOCK);
   }
 
+  void WriteConfig() { std::ofstream(path_) << config_; }
+
+  // The program reads a pipe: opened at this end, it is open at the other one, too, and nothing is read yet.
+  void SignalWhileItReads(const Words& words) {
+    std::ofstream pipe(path_);
+    for (std::size_t i = 1; i < words.size(); ++i) kill(pid_, words[i] == "HUP" ? SIGHUP : SIGTERM);
+    unlink(path_);
+    WriteConfig();  // for the next time
+    pipe << config_;
+  }
+
   // Has the configuration name this actor as discovery.
   void MoveDiscovery(const std::string& name) {
     if (actors_[name].listener < 0) Listen(&actors_[name]);
@@ -269,7 +276,13 @@
           std::cerr.write(buffer, size), said_.append(buffer, size);  // a sanitizer's words, for one
         if (size == 0) close(std::exchange(log_, -1));
       }
-      for (auto& [name, actor] : actors_) Serve(name, actor);
+      for (auto& [name, actor] : actors_) {
+        Serve(name, actor);
+        const auto now = std::chrono::steady_clock::now();
+        if (now < actor.beat_at) continue;
+        actor.beat_at = now + std::chrono::milliseconds(500);
+        if (actor.fd >= 0) Chunk(actor, actor.beat);
+      }
     }
   }
 
@@ -309,6 +322,7 @@
       --actor.deaf;
     } else if (name[0] == 'd') {  // each call becomes a watch that first tells the whole list
       actor.fd = message.fd, actor.spoken_on = -1;
+      actor.unanswered.push_back(message.fd);
       if (name == "d") Tell(name, true, runners_, false);
     }
     if (message.first.starts_with("POST") || message.first.starts_with("DELETE"))
@@ -329,10 +343,15 @@
   }
 
   int Connect(Actor* actor) {
+    const int fd = ConnectTo(port_);
+    actor->in[fd];
+    return fd;
+  }
+
+  static int ConnectTo(int port) {
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address = Loopback(port_);
+    sockaddr_in address = Loopback(port);
     Require(connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0, "connect");
-    actor->in[fd];
     return fd;
   }
 
@@ -343,17 +362,18 @@
 
   void Tell(const std::string& who, bool complete, const Words& names, bool split) {
     Actor& actor = actors_[who];
-    if (std::exchange(actor.spoken_on, actor.fd) != actor.fd)
-      Write(actor.fd, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
     Json news = {{"revision", ++revision_}, {"complete", complete}, {"members", Members(names)}};
     const std::string text = "\n" + news.dump() + "\n";  // an empty line first: a heartbeat
     const std::size_t step = split ? 7 : text.size();
-    for (std::size_t at = 0; at < text.size(); at += step) {
-      const std::string piece = text.substr(at, step);
-      char size[16];
-      std::snprintf(size, sizeof size, "%zx\r\n", piece.size());
-      Write(actor.fd, size + piece + "\r\n");
-    }
+    for (std::size_t at = 0; at < text.size(); at += step) Chunk(actor, text.substr(at, step));
+  }
+
+  void Chunk(Actor& actor, const std::string& piece) {
+    if (std::exchange(actor.spoken_on, actor.fd) != actor.fd)
+      Write(actor.fd, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", piece.size());
+    Write(actor.fd, size + piece + "\r\n");
   }
 
   static std::string Unescaped(const std::string& text) {
@@ -369,8 +389,12 @@
     const std::string who = words.at(1), what = words.at(2);
     Actor& actor = actors_[who];
     if (who == "program" && what == "HUP") {  // send program HUP [D]: the file names D as discovery now
-      if (words.size() > 3) MoveDiscovery(words[3]);
-      std::ofstream(path_) << config_;
+      const bool missing = words.size() > 3 && words[3] == "missing",
+                 text = words.size() > 3 && words[3] == "text";
+      if (words.size() > 3 && !missing && !text) MoveDiscovery(words[3]);
+      WriteConfig();
+      if (text) std::ofstream(path_) << line.substr(line.find(" text") + 5);
+      if (missing) unlink(path_);
       const std::size_t before = said_.size();
       kill(pid_, SIGHUP);
       Until("word of the configuration",
@@ -380,11 +404,13 @@
       kill(pid_, SIGSTOP);
       Until("the program's stop", [&] { return waitpid(pid_, &status, WUNTRACED | WNOHANG) == pid_; });
       Require(WIFSTOPPED(status), "status " + std::to_string(status));
-    } else if (who == "program" && what == "descriptors") {  // it may open no more than so many
-      const rlimit most{std::stoul(words.at(3)), std::stoul(words.at(3))};
-      Require(prlimit(pid_, RLIMIT_NOFILE, &most, nullptr) == 0, "prlimit");
     } else if (who == "program" && what == "CONT") {
       kill(pid_, SIGCONT);
+    } else if (who == "program" && what == "files") {  // send program files N: it may open so many
+      rlimit most{};
+      prlimit(pid_, RLIMIT_NOFILE, nullptr, &most);
+      most.rlim_cur = std::min<rlim_t>(std::stoul(words.at(3)), most.rlim_max);  // start set the highest
+      Require(prlimit(pid_, RLIMIT_NOFILE, &most, nullptr) == 0, "prlimit");
     } else if (who == "program") {
       kill(pid_, SIGTERM);
       Until("word that it drains", [&] { return said_.find(" drains\n") != std::string::npos; });
@@ -398,8 +424,18 @@
       Until("a connection", [&] { return actor.in.size() > actor.fillers.size(); });
     } else if (who[0] == 'd' && what == "deaf") {
       actor.deaf = std::stoi(words.at(3));
+    } else if (who[0] == 'd' && what == "oldest") {
+      Require(actor.unanswered.size() > 1, "there is no older call");
+      actor.fd = actor.unanswered.front();
     } else if (who[0] == 'd' && what == "beat") {
-      Write(actor.fd, "1\r\n\n\r\n");
+      Chunk(actor, "\n");
+    } else if (who[0] == 'd' && what == "503") {
+      Write(actor.fd, Answer(what, ""));
+    } else if (who[0] == 'd' && what == "beats") {
+      actor.beat_at = {};
+      if (words.size() > 3) actor.beat = words[3];
+    } else if (who[0] == 'd' && what == "text") {
+      Chunk(actor, Unescaped(line.substr(line.find(" text ") + 6)));
     } else if (who[0] == 'd') {  // send d patch|whole [split] NAME=PHASE ...
       Words names;
       for (std::size_t i = 3; i < words.size(); ++i)
@@ -434,10 +470,15 @@
     } else if (what == "jobs") {  // send C jobs CLASS COUNT: each on a connection of its own
       for (int i = 0; i < std::stoi(words.at(4)); ++i)
         Write(Connect(&actor), Job(words.at(3), who + std::to_string(i), ""));
-    } else {  // send R STATUS [HEADER:VALUE ...]: the answer to its oldest job or DELETE
+    } else if (what == "again") {  // send R again STATUS [HEADER:VALUE ...]: a second answer after the last
+      Write(actor.answered, Answer(words.at(3), "", Headers(words, 4)));
+    } else {  // send R STATUS [HEADER:VALUE ...]: the answer to its oldest job or DELETE; send R raw TEXT
       Until("a job to answer", [&] { return !actor.unanswered.empty(); });
-      Write(actor.unanswered.front(), Answer(what, "", Headers(words, 3)));
+      actor.answered = actor.unanswered.front();
       actor.unanswered.erase(actor.unanswered.begin());
+      const bool raw = what == "raw";
+      Write(actor.answered,
+            raw ? Unescaped(line.substr(line.find(" raw ") + 5)) : Answer(what, "", Headers(words, 3)));
     }
   }
 
@@ -509,8 +550,13 @@
               "'" + words[i] + "' and: " + all);
   }
 
-  void Close(const Words& words) {  // close NAME [reset]: all its connections; a runner's listener stays
+  // close NAME [reset|half]: all its connections; a runner's listener stays. half: it goes on reading.
+  void Close(const Words& words) {
     Actor& actor = actors_[words.at(1)];
+    if (words.size() > 2 && words[2] == "half") {
+      for (auto& [fd, bytes] : actor.in) shutdown(fd, SHUT_WR);
+      return;
+    }
     for (auto& [fd, bytes] : actor.in) {
       const linger hard{1, 0};
       if (words.size() > 2) setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
