--- a/tests/scenario_player.cpp
+++ b/tests/scenario_player.cpp
@@ -16,6 +16,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cassert>
 #include <chrono>
 #include <cstdio>
@@ -406,11 +407,16 @@
     } else if (who == "program" && what == "CONT") {
       kill(pid_, SIGCONT);
     } else if (who == "program" && what == "files") {  // send program files N: it may open so many
-      const rlimit most{std::stoul(words.at(3)), 4096};
+      rlimit most{};
+      prlimit(pid_, RLIMIT_NOFILE, nullptr, &most);
+      most.rlim_cur = std::min<rlim_t>(std::stoul(words.at(3)), most.rlim_max);  // start set the highest
       Require(prlimit(pid_, RLIMIT_NOFILE, &most, nullptr) == 0, "prlimit");
     } else if (who == "program") {
       kill(pid_, SIGTERM);
       Until("word that it drains", [&] { return said_.find(" drains\n") != std::string::npos; });
+    } else if (what == "forget") {  // what has come up to now
+      Serve(who, actor);
+      actor.inbox.clear();
     } else if (what == "rest") {
       actor.rests = true;
     } else if (what == "accept") {  // send R accept: and waits until the program's connection is there
@@ -512,6 +518,12 @@
       Serve(who, actor);
       return Require(actor.inbox.empty(), "came: " + (actor.inbox.empty() ? "" : actor.inbox[0].first));
     }
+    if (what == "without") {  // none that has come has this word in it
+      Serve(who, actor);
+      for (const Message& message : actor.inbox)
+        Require(message.head.find(words.at(3)) == std::string::npos, message.head);
+      return;
+    }
     if (what == "shut")  // of one that rests: the program has ended its side
       return Until("a shutdown", [&] {
         pollfd shut{actor.fd, POLLRDHUP, 0};
