Send no job over a connection that is found to be up only after its time

Seen: scenario late_connect stops the program while a connection comes up, past ConnectTimeout. Going on, it served the connection's event before the alarm that was due, and sent the job ("at 'expect c1 503'": 502 at the deadline). A keyed repeat's window is looked at when it is dispatched (decisions/gate.h); with one ConnectTimeout as margin there, no repeat starts after its window now: a kept connection is written in the same turn, a new one before the time-out.

--- a/src/branch/branches.cpp
+++ b/src/branch/branches.cpp
@@ -124,12 +124,14 @@
   fresh.exchange = std::move(exchange);
   handle = links_.Insert(std::move(fresh));
   Link& link = *links_.Find(handle);
-  link.alarm =
-      deadlines_->Add(deadlines_->Now() + settings_.connect_timeout, [this, handle] { Broke(handle); });
-  link.connection->Connect(link.address, [this, handle](std::error_code error) {
+  const Time due = deadlines_->Now() + settings_.connect_timeout;
+  link.alarm = deadlines_->Add(due, [this, handle] { Broke(handle); });
+  link.connection->Connect(link.address, [this, handle, due](std::error_code error) {
     Link* connected = links_.Find(handle);
     if (connected == nullptr) return;
     if (error) return Broke(handle, LackedHere(error) ? Outcome::kMoot : Outcome::kConnectFailed);
+    // Found only now, and before the alarm: what may go over it was decided for the time until then.
+    if (deadlines_->Now() >= due) return Broke(handle);
     connected->up = true;
     HttpConnection::Events events;
     events.on_message = [this, handle](HttpMessage answer) { Answered(handle, answer); };
