Give a job up by a DELETE when its answer cannot be read, for it may have been a 202

Seen: scenario spoilt_answers, a 202 with two lengths to a keyed job. Without this change no DELETE came ("at 'expect it DELETE /jobs/a1': nothing came"), the connection was closed and the other runner had the job at once: closing gives a job up only before the 202, so two attempts could be out where settings forbid it.

Change: an end that is not the runner's own (malformed, too large) gives the branch up as an alarm does, with the outcome kReset once the DELETE is answered or ConnectTimeout over. Before the last byte is written it stays "could not connect".

--- a/src/branch/branches.cpp
+++ b/src/branch/branches.cpp
@@ -135,7 +135,9 @@
     connected->up = true;
     HttpConnection::Events events;
     events.on_message = [this, handle](HttpMessage answer) { Answered(handle, answer); };
-    events.on_end = [this, handle](HttpConnection::End) { Broke(handle); };
+    events.on_end = [this, handle](HttpConnection::End end) {
+      end == HttpConnection::End::kClosed ? Broke(handle) : Spoilt(handle);
+    };
     connected->connection->SetEvents(std::move(events));
     connected->connection->Start();
     Transmit(handle);
@@ -254,6 +256,15 @@
   Failed(exchange, runner, outcome);
 }
 
+// The answer cannot be read and may have been a 202: closing ends the exchange, only a DELETE the job.
+void Branches::Spoilt(Handle handle) {
+  const Link* link = links_.Find(handle);
+  if (link == nullptr) return;
+  const bool job = link->exchange.kind == Exchange::Kind::kJob && link->connection->Written();
+  if (job) GiveUp(link->exchange.branch, Outcome::kReset);
+  Broke(handle);
+}
+
 void Branches::Failed(const Exchange& exchange, const std::string& runner, Outcome outcome) {
   switch (exchange.kind) {
     case Exchange::Kind::kJob:
--- a/src/branch/branches.h
+++ b/src/branch/branches.h
@@ -82,6 +82,7 @@
   void Transmit(Handle handle);
   void Answered(Handle handle, const HttpMessage& answer);
   void Broke(Handle handle, rookgw::Outcome unwritten = rookgw::Outcome::kConnectFailed);
+  void Spoilt(Handle handle);
   void Rest(Handle handle);
   void DropLink(Handle handle);
   bool EvictIdleLink();
