--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -1,6 +1,7 @@
 #include "net/http_connection.h"
 
 #include <algorithm>
+#include <cassert>
 
 namespace lichenlug {
 namespace {
@@ -230,6 +231,7 @@
 }
 
 void HttpConnection::Write(std::string bytes, std::function<void(std::error_code)> done) {
+  assert(out_.empty());  // one at a time
   out_ = std::move(bytes), out_at_ = 0;
   Flush(std::move(done));
 }
@@ -245,6 +247,7 @@
         asio::ip::tcp::socket::wait_write,
         [self = shared_from_this(), done = std::move(done)](std::error_code) { self->Flush(done); });
   asio::post(socket_.get_executor(), [self = shared_from_this(), error, done = std::move(done)] {
+    if (!error) self->out_.clear(), self->out_at_ = 0;
     if (!self->ended_ && done) done(error);
   });
 }
