--- a/src/branch/branches.cpp
+++ b/src/branch/branches.cpp
@@ -124,16 +124,20 @@
   fresh.exchange = std::move(exchange);
   handle = links_.Insert(std::move(fresh));
   Link& link = *links_.Find(handle);
-  link.alarm =
-      deadlines_->Add(deadlines_->Now() + settings_.connect_timeout, [this, handle] { Broke(handle); });
-  link.connection->Connect(link.address, [this, handle](std::error_code error) {
+  const Time due = deadlines_->Now() + settings_.connect_timeout;
+  link.alarm = deadlines_->Add(due, [this, handle] { Broke(handle); });
+  link.connection->Connect(link.address, [this, handle, due](std::error_code error) {
     Link* connected = links_.Find(handle);
     if (connected == nullptr) return;
     if (error) return Broke(handle, LackedHere(error) ? Outcome::kMoot : Outcome::kConnectFailed);
+    // Found only now, and before the alarm: what may go over it was decided for the time until then.
+    if (deadlines_->Now() >= due) return Broke(handle);
     connected->up = true;
     HttpConnection::Events events;
     events.on_message = [this, handle](HttpMessage answer) { Answered(handle, answer); };
-    events.on_end = [this, handle](HttpConnection::End) { Broke(handle); };
+    events.on_end = [this, handle](HttpConnection::End end) {
+      end == HttpConnection::End::kClosed ? Broke(handle) : Spoilt(handle);
+    };
     connected->connection->SetEvents(std::move(events));
     connected->connection->Start();
     Transmit(handle);
@@ -252,6 +256,15 @@
   Failed(exchange, runner, outcome);
 }
 
+// The answer cannot be read and may have been a 202: closing ends the exchange, only a DELETE the job.
+void Branches::Spoilt(Handle handle) {
+  const Link* link = links_.Find(handle);
+  if (link == nullptr) return;
+  const bool job = link->exchange.kind == Exchange::Kind::kJob && link->connection->Written();
+  if (job) GiveUp(link->exchange.branch, Outcome::kReset);
+  Broke(handle);
+}
+
 void Branches::Failed(const Exchange& exchange, const std::string& runner, Outcome outcome) {
   switch (exchange.kind) {
     case Exchange::Kind::kJob:
