Rename AskAgain to WatchBackoff and its parts to the standard terms

It is a backoff with jitter, hedging and a heartbeat time-out. Names alone: routes/watch_backoff.h, watch_backoff_test.cpp, HeartbeatBy, HeartbeatMissed, HeartbeatLate, FirstLineBy, WholeLineBy, Overloaded, Succeeded, kHeartbeatTimeout, kHedgeDelay, kConnectTimeout, kMostBackoff.

--- a/src/routes/watch.cpp
+++ b/src/routes/watch.cpp
@@ -15,7 +15,7 @@
       routes_(routes),
       deadlines_(deadlines),
       news_(std::move(news)),
-      ask_again_(site.settings.instances, !site.settings.list_on_request, site.settings.ask_every, seed) {}
+      backoff_(site.settings.instances, !site.settings.list_on_request, site.settings.ask_every, seed) {}
 
 void Watch::Ask() {
   if (!asked_ && !standing_ && again_ == Deadlines::Key{}) Begin();
@@ -23,7 +23,7 @@
 
 void Watch::MoveTo(const asio::ip::tcp::endpoint& address) {
   if (std::exchange(address_, address) == address) return;
-  ask_again_.Hurry();
+  backoff_.Hurry();
   End(asked_), End(older_);
   silent_ = false;  // the call is no longer for the silence: it goes on if the one that stands wakes
   Begin();
@@ -37,14 +37,14 @@
   const auto connection = fresh.connection;
   const Handle handle = asked_ = calls_.Insert(std::move(fresh));
   const auto lost = [this, handle] { Lost(handle); };
-  deadlines_->Move(&calls_.Find(handle)->alarm, ask_again_.ConnectBy(deadlines_->Now()), lost);
+  deadlines_->Move(&calls_.Find(handle)->alarm, backoff_.ConnectBy(deadlines_->Now()), lost);
   HttpConnection::Events events;
   events.on_head = [this, handle](const HttpMessage& head) {
     if (Call* call = calls_.Find(handle)) call->good = head.status == 200;
   };
   events.on_piece = [this, handle](std::string_view bytes) { Piece(handle, bytes); };
   events.on_message = [this, handle](const HttpMessage& answer) {
-    Lost(handle, answer.status == 503 ? Loss::kTurnedAway : Loss::kNoAnswer);
+    Lost(handle, answer.status == 503 ? Loss::kOverloaded : Loss::kNoAnswer);
   };
   events.on_end = [lost](HttpConnection::End) { lost(); };
   connection->SetEvents(std::move(events));
@@ -58,7 +58,7 @@
 void Watch::Connected(Handle handle) {
   Call* call = calls_.Find(handle);
   call->since = deadlines_->Now();
-  deadlines_->Move(&call->alarm, ask_again_.FirstByteBy(call->since), [this, handle] { Unheard(handle); });
+  deadlines_->Move(&call->alarm, backoff_.FirstLineBy(call->since), [this, handle] { Unheard(handle); });
   const auto connection = call->connection;
   connection->Start();
   const std::string host = address_.address().to_string() + ":" + std::to_string(address_.port());
@@ -72,7 +72,7 @@
   Call* call = calls_.Find(handle);
   if (call == nullptr || !call->good) return;
   if (!std::exchange(call->begun, true))
-    deadlines_->Move(&call->alarm, ask_again_.LineBy(call->alarm.first, deadlines_->Now()),
+    deadlines_->Move(&call->alarm, backoff_.WholeLineBy(call->alarm.first, deadlines_->Now()),
                      [this, handle] { Unheard(handle); });
   if (!call->lines.Add(bytes, [this, handle](std::string_view object) { return Line(handle, object); }))
     Lost(handle);
@@ -93,10 +93,10 @@
     deadlines_->Remove(&again_);
     call->since = call->heard;
   } else if (std::exchange(silent_, false)) {
-    ask_again_.Woke();
+    backoff_.HeartbeatLate();
     deadlines_->Remove(&again_);
   }
-  deadlines_->Move(&call->alarm, ask_again_.BeatBy(call->heard), [this, handle] { Silent(handle); });
+  deadlines_->Move(&call->alarm, backoff_.HeartbeatBy(call->heard), [this, handle] { Silent(handle); });
   return true;
 }
 
@@ -110,7 +110,7 @@
   }
   // Patches count upwards; where discovery has begun anew, it tells the whole list.
   if (!news.complete && news.revision < routes_->revision()) return false;
-  ask_again_.Spoke();
+  backoff_.Succeeded();
   routes_->Apply(news);
   news_(&news);
   return true;
@@ -118,10 +118,10 @@
 
 // It may wait in discovery's queue, or be lost: it is kept while a second one is asked for, but no longer.
 void Watch::Unheard(Handle handle) {
-  if (handle != asked_ || !ask_again_.Hedge()) return Lost(handle);
+  if (handle != asked_ || !backoff_.Hedge()) return Lost(handle);
   End(older_);
   older_ = asked_;
-  deadlines_->Move(&calls_.Find(handle)->alarm, deadlines_->Now() + AskAgain::kFirstPatience,
+  deadlines_->Move(&calls_.Find(handle)->alarm, deadlines_->Now() + WatchBackoff::kHedgeDelay,
                    [this, handle] { Lost(handle); });
   Begin();
 }
@@ -131,7 +131,7 @@
   const Call* call = calls_.Find(handle);
   if (asked_ || again_ != Deadlines::Key{}) return;
   silent_ = true;
-  AskAt(ask_again_.Silent(call->heard, deadlines_->Now()));
+  AskAt(backoff_.HeartbeatMissed(call->heard, deadlines_->Now()));
 }
 
 void Watch::Lost(Handle handle, Loss how) {
@@ -141,10 +141,10 @@
   const bool stood = handle == standing_;
   End(handle);
   if (!asked_ && again_ == Deadlines::Key{})
-    AskAt(now + (stood                        ? ask_again_.Ended(lasted)
-                 : how == Loss::kTurnedAway   ? ask_again_.TurnedAway(lasted)
-                 : how == Loss::kNoDescriptor ? ask_again_.NoDescriptor()
-                                              : ask_again_.Failed()));
+    AskAt(now + (stood                        ? backoff_.Ended(lasted)
+                 : how == Loss::kOverloaded   ? backoff_.Overloaded(lasted)
+                 : how == Loss::kNoDescriptor ? backoff_.NoDescriptor()
+                                              : backoff_.Failed()));
   if (!standing_) news_(nullptr);
 }
 
--- a/src/routes/watch.h
+++ b/src/routes/watch.h
@@ -1,5 +1,5 @@
 // The watch on discovery: keeps one chunked answer open, reads the list and its changes from it, and asks
-// again when it ends or falls silent. When to do so is AskAgain's.
+// again when it ends or falls silent. When to do so is WatchBackoff's.
 //
 // When discovery moves or the watch falls silent, the one that stands goes on until a new one speaks: between
 // the two there is no time in which news could be missed.
@@ -14,9 +14,9 @@
 #include "base/slots.h"
 #include "decisions/settings.h"
 #include "net/http_connection.h"
-#include "routes/ask_again.h"
 #include "routes/news_lines.h"
 #include "routes/route_set.h"
+#include "routes/watch_backoff.h"
 
 namespace lichenlug {
 
@@ -43,7 +43,7 @@
     Time heard = 0;      // when its last line was whole
   };
 
-  enum class Loss { kNoAnswer, kTurnedAway, kNoDescriptor };
+  enum class Loss { kNoAnswer, kOverloaded, kNoDescriptor };
 
   void Begin();
   void Connected(Handle handle);
@@ -68,7 +68,7 @@
   Handle standing_;  // the one that speaks
   Deadlines::Key again_;  // when to ask again
   bool silent_ = false;   // the one that stands has said nothing for too long
-  AskAgain ask_again_;
+  WatchBackoff backoff_;
 };
 
 }  // namespace lichenlug
--- a/src/routes/ask_again.h
+++ b/src/routes/watch_backoff.h
@@ -1,5 +1,6 @@
-// When to call discovery: how long a call or a watch is waited for, and when to ask again after a call
-// failed, a watch was lost or one that stands fell silent. Pure: no clock, no I/O.
+// The backoff of the watch on discovery, with its time-outs for calls and heartbeats: how long a call or a
+// watch is waited for, and when to ask again after a call failed, a watch was lost or one that stands fell
+// silent. Pure: no clock, no I/O.
 //
 // A change counts as told 6 s after discovery had it and could be reached again, which this process does not
 // see. So whatever failed before, from any moment on there has to be time for
@@ -36,107 +37,109 @@
 
 namespace lichenlug {
 
-class AskAgain {
+class WatchBackoff {
  public:
   // A call is given up for when no connection comes up in 1 s; when it says nothing in 2.4 s, another one is
   // begun beside it. After SIGHUP all that discovery has to tell counts as told within 4 s, so a call that
   // gets no answer must leave time for another.
-  static constexpr Time kConnectPatience = kSecond, kFirstPatience = 2400 * kMillisecond;
-  static constexpr Time kCallPatience = kConnectPatience + kFirstPatience;
-  static constexpr Time kMostWait = 1400 * kMillisecond, kMostBusyWait = 3500 * kMillisecond;
+  static constexpr Time kConnectTimeout = kSecond, kHedgeDelay = 2400 * kMillisecond;
+  static constexpr Time kCallTimeout = kConnectTimeout + kHedgeDelay;
+  static constexpr Time kMostBackoff = 1400 * kMillisecond, kMostOverloadBackoff = 3500 * kMillisecond;
   // Pushed: drains hold within 500 ms of what the agent has; patience, wait and answer lie within.
-  static constexpr Time kAgentPatience = 250 * kMillisecond;
-  static constexpr Time kQuiet = 2400 * kMillisecond, kMostQuiet = 3200 * kMillisecond;
+  static constexpr Time kAgentTimeout = 250 * kMillisecond;
+  static constexpr Time kHeartbeatTimeout = 2400 * kMillisecond, kMostHeartbeatTimeout = 3200 * kMillisecond;
   static constexpr Time kSecondCallAt = 4700 * kMillisecond,
-                        kLeastPatience = kSecond;  // after a silence began
-  static constexpr Time kStood = kSecond;          // a watch that stood as long was one
+                        kLeastHedgeDelay = kSecond;  // after a silence began
+  static constexpr Time kStood = kSecond;            // a watch that stood as long was one
 
   // `ask_every`: one that neither watches nor asks for that long counts as told of what it does not know; 0:
   // none.
-  AskAgain(int dispatchers, bool pushed, Time ask_every, std::uint64_t seed)
+  WatchBackoff(int dispatchers, bool pushed, Time ask_every, std::uint64_t seed)
       : pushed_(pushed),
-        tier_(std::max(kFirst, std::max(dispatchers, 1) * kCall)),
-        longest_(ask_every > 0 ? std::max(kFirst, ask_every * 9 / 10 - kCallPatience) : kMostBusyWait),
+        tier_(std::max(kFirstBackoff, std::max(dispatchers, 1) * kCall)),
+        longest_(ask_every > 0 ? std::max(kFirstBackoff, ask_every * 9 / 10 - kCallTimeout)
+                               : kMostOverloadBackoff),
         random_(static_cast<std::minstd_rand::result_type>(seed)) {}
 
   // Discovery has moved: what it tells counts as told soon, so waits are short until it has spoken.
   void Hurry() { hurried_ = true, failures_ = 0; }
 
-  void Spoke() { hurried_ = second_chance_ = false, failures_ = 0, silent_since_ = 0; }
+  void Succeeded() { hurried_ = second_chance_ = false, failures_ = 0, silent_since_ = 0; }
 
-  Time ConnectBy(Time now) const { return now + (pushed_ ? kAgentPatience : kConnectPatience); }
+  Time ConnectBy(Time now) const { return now + (pushed_ ? kAgentTimeout : kConnectTimeout); }
 
   // Until when a call that has come up is to say a whole line.
-  Time FirstByteBy(Time now) const {
-    if (pushed_) return now + kAgentPatience;
-    if (!second_chance_) return now + kFirstPatience;
-    return std::clamp(silent_since_ + kSecondCallAt, now + kLeastPatience, now + kFirstPatience);
+  Time FirstLineBy(Time now) const {
+    if (pushed_) return now + kAgentTimeout;
+    if (!second_chance_) return now + kHedgeDelay;
+    return std::clamp(silent_since_ + kSecondCallAt, now + kLeastHedgeDelay, now + kHedgeDelay);
   }
 
   // It has begun to speak, and its first line was to come by `by`. An agent that speaks is there, however
   // long its list is.
-  Time LineBy(Time by, Time now) const { return pushed_ ? now + kLeastPatience : by; }
+  Time WholeLineBy(Time by, Time now) const { return pushed_ ? now + kLeastHedgeDelay : by; }
 
   // It has said nothing by then: whether to begin another one beside it; else it is given up.
   bool Hedge() { return second_chance_ = false, !pushed_; }
 
   // The watch that stands has said something: until when the next is waited for.
-  Time BeatBy(Time now) {
-    quiet_ = std::max(kQuiet, quiet_ - kForgive);
-    return now + quiet_;
+  Time HeartbeatBy(Time now) {
+    heartbeat_timeout_ = std::max(kHeartbeatTimeout, heartbeat_timeout_ - kForgive);
+    return now + heartbeat_timeout_;
   }
 
   // The watch that stands has said nothing since `since`: when to ask anew beside it.
-  Time Silent(Time since, Time now) {
+  Time HeartbeatMissed(Time since, Time now) {
     silent_since_ = since, second_chance_ = true;
-    return now + (pushed_ ? AgentWait() : Spread());
+    return now + (pushed_ ? AgentBackoff() : Jitter());
   }
 
   // It spoke on after all: heartbeats come late here, so they are waited for longer. What is lost by that is
   // won back by 40 heartbeats in time.
-  void Woke() {
+  void HeartbeatLate() {
     second_chance_ = false, silent_since_ = 0;
-    quiet_ = std::min(kMostQuiet, quiet_ + 40 * kForgive);
+    heartbeat_timeout_ = std::min(kMostHeartbeatTimeout, heartbeat_timeout_ + 40 * kForgive);
   }
 
   // The span to wait after a watch that stood for `stood` has ended: by itself that is no outage.
-  Time Ended(Time stood) { return pushed_ || stood < kStood ? Failed() : Spread(); }
+  Time Ended(Time stood) { return pushed_ || stood < kStood ? Failed() : Jitter(); }
 
   // The span to wait after discovery took a call, kept it for `kept` and turned it away.
-  Time TurnedAway(Time kept) {
-    if (pushed_ || second_chance_ || kept < kBusy || std::exchange(hurried_, false)) return Failed();
-    const Time latest = std::min({tier_ << std::min(failures_++, 4), kMostBusyWait, longest_});
+  Time Overloaded(Time kept) {
+    if (pushed_ || second_chance_ || kept < kOverloadedAfter || std::exchange(hurried_, false))
+      return Failed();
+    const Time latest = std::min({tier_ << std::min(failures_++, 4), kMostOverloadBackoff, longest_});
     return Drawn(latest / 2, latest);
   }
 
   // The span to wait after this process had no descriptor for a call: that tells nothing of discovery.
-  Time NoDescriptor() { return pushed_ ? AgentWait() : Drawn(kLeastWait, kFirst); }
+  Time NoDescriptor() { return pushed_ ? AgentBackoff() : Drawn(kLeastBackoff, kFirstBackoff); }
 
   // The span to wait after one more failure.
   Time Failed() {
-    if (pushed_) return AgentWait();
-    if (std::exchange(second_chance_, false)) return Drawn(kLeastWait, kFirst);
-    const Time first = hurried_ ? kFirst : tier_;
-    return Drawn(kLeastWait, std::min({first << std::min(failures_++, 4), kMostWait, longest_}));
+    if (pushed_) return AgentBackoff();
+    if (std::exchange(second_chance_, false)) return Drawn(kLeastBackoff, kFirstBackoff);
+    const Time first = hurried_ ? kFirstBackoff : tier_;
+    return Drawn(kLeastBackoff, std::min({first << std::min(failures_++, 4), kMostBackoff, longest_}));
   }
 
  private:
-  static constexpr Time kLeastWait = 100 * kMillisecond, kFirst = 300 * kMillisecond;
+  static constexpr Time kLeastBackoff = 100 * kMillisecond, kFirstBackoff = 300 * kMillisecond;
   static constexpr Time kCall =
       80 * kMillisecond;  // of discovery's time, kept free for each dispatcher's call
-  static constexpr Time kLeastSpread = 50 * kMillisecond;  // what lies unread after a pause comes first
-  static constexpr Time kMostSpread = 800 * kMillisecond;
+  static constexpr Time kLeastJitter = 50 * kMillisecond;  // what lies unread after a pause comes first
+  static constexpr Time kMostJitter = 800 * kMillisecond;
   static constexpr Time kForgive = 10 * kMillisecond;
-  static constexpr Time kBusy = kSecond / 2;  // who is down turns away sooner than who has a queue
+  static constexpr Time kOverloadedAfter = kSecond / 2;  // who is down turns away sooner than who has a queue
 
   Time Drawn(Time soonest, Time latest) {
     return soonest + static_cast<Time>(random_() % static_cast<std::uint64_t>(latest - soonest));
   }
-  Time Spread() { return Drawn(kLeastSpread, std::min(tier_, kMostSpread)); }
-  Time AgentWait() { return Drawn(50 * kMillisecond, 150 * kMillisecond); }
+  Time Jitter() { return Drawn(kLeastJitter, std::min(tier_, kMostJitter)); }
+  Time AgentBackoff() { return Drawn(50 * kMillisecond, 150 * kMillisecond); }
 
   const bool pushed_;
-  Time tier_, longest_, quiet_ = kQuiet;
+  Time tier_, longest_, heartbeat_timeout_ = kHeartbeatTimeout;
   std::minstd_rand random_;
   int failures_ = 0;
   bool hurried_ = false;
--- a/tests/ask_again_test.cpp
+++ b/tests/watch_backoff_test.cpp
@@ -1,6 +1,6 @@
 // Dispatchers that lose their watches at one moment, before one discovery that serves calls in turn;
 // watches that fall silent.
-#include "routes/ask_again.h"
+#include "routes/watch_backoff.h"
 
 #include <gtest/gtest.h>
 
@@ -25,14 +25,14 @@
 // a call that failed has taken its turn all the same, as its connection was accepted and read.
 Outage Play(int dispatchers, Time down_for, Time until, Time ask_every) {
   struct One {
-    AskAgain again;
+    WatchBackoff again;
     Time last = 0;
   };
   std::vector<One> all;
   std::set<std::pair<Time, int>> calls;
   Outage outage;
   for (int i = 0; i < dispatchers; ++i) {
-    all.push_back({AskAgain(dispatchers, false, ask_every, 1000 + i)});
+    all.push_back({WatchBackoff(dispatchers, false, ask_every, 1000 + i)});
     calls.insert({all.back().again.Failed(), i});
   }
   Time free_at = 0;
@@ -47,96 +47,97 @@
     else if (free_at - at <= 2 * kSecond)
       ++outage.served;
     else
-      calls.insert({at + 2 * kSecond + all[i].again.TurnedAway(2 * kSecond), i});
+      calls.insert({at + 2 * kSecond + all[i].again.Overloaded(2 * kSecond), i});
   }
   return outage;
 }
 
-TEST(AskAgain, HundredDispatchersAllGetTheListSoonAfterAnOutage) {
+TEST(WatchBackoff, HundredDispatchersAllGetTheListSoonAfterAnOutage) {
   EXPECT_EQ(Play(100, kSecond, 16 * kSecond, kAskEvery).served, 100);
   EXPECT_EQ(Play(100, 5 * kSecond, 20 * kSecond, kAskEvery).served, 100);
 }
 
-TEST(AskAgain, NeverWaitsSoLongThatUnknownNewsCountsAsTold) {
+TEST(WatchBackoff, NeverWaitsSoLongThatUnknownNewsCountsAsTold) {
   for (int dispatchers : {1, 3, 30, 100, 1000})
-    EXPECT_LT(Play(dispatchers, 60 * kSecond, 60 * kSecond, kAskEvery).longest_gap + AskAgain::kCallPatience,
-              kAskEvery)
+    EXPECT_LT(
+        Play(dispatchers, 60 * kSecond, 60 * kSecond, kAskEvery).longest_gap + WatchBackoff::kCallTimeout,
+        kAskEvery)
         << dispatchers;
 }
 
-TEST(AskAgain, SmallTiersAskAgainWithinHalfASecond) {
+TEST(WatchBackoff, SmallTiersAskAgainWithinHalfASecond) {
   for (std::uint64_t seed = 1; seed < 50; ++seed)
-    EXPECT_LE(AskAgain(3, false, kAskEvery, seed).Failed(), kSecond / 2);
+    EXPECT_LE(WatchBackoff(3, false, kAskEvery, seed).Failed(), kSecond / 2);
 }
 
-Time LongestWait(AskAgain* again) {
+Time LongestWait(WatchBackoff* again) {
   Time most = 0;
   for (int i = 0; i < 20; ++i) most = std::max(most, again->Failed());
   return most;
 }
 
-TEST(AskAgain, HurriesAfterDiscoveryMovedUntilItHasSpoken) {
-  AskAgain again(100, false, kAskEvery, 7);
+TEST(WatchBackoff, HurriesAfterDiscoveryMovedUntilItHasSpoken) {
+  WatchBackoff again(100, false, kAskEvery, 7);
   again.Hurry();
   EXPECT_LE(again.Failed(), 300 * kMillisecond);
-  again.Spoke();
+  again.Succeeded();
   EXPECT_GT(LongestWait(&again), kSecond);
 }
 
 // Whatever failed before: discovery can be reached again right after a call was begun that never comes up,
 // and of those that follow one is lost, before it comes up or after.
-TEST(AskAgain, OneLostCallFitsBetweenDiscoverysReturnAndWhatCountsAsTold) {
+TEST(WatchBackoff, OneLostCallFitsBetweenDiscoverysReturnAndWhatCountsAsTold) {
   for (int dispatchers : {1, 3, 30, 300})
     for (std::uint64_t seed = 1; seed < 100; ++seed)
       for (int failures = 0; failures < 12; ++failures)
         for (bool connects : {true, false}) {
-          AskAgain again(dispatchers, false, kAskEvery, seed);
+          WatchBackoff again(dispatchers, false, kAskEvery, seed);
           for (int i = 0; i < failures; ++i) again.Failed();
           const Time call = again.ConnectBy(0) + again.Failed();
-          const Time lost = connects ? again.FirstByteBy(call) : again.ConnectBy(call);
+          const Time lost = connects ? again.FirstLineBy(call) : again.ConnectBy(call);
           const Time second = connects && again.Hedge() ? lost : lost + again.Failed();
           ASSERT_LE(second, kTold - kSecond) << dispatchers << " after " << failures;
         }
 }
 
-TEST(AskAgain, ACallThatAnOverloadedDiscoveryTurnedAwayIsFollowedByOneInTime) {
+TEST(WatchBackoff, ACallThatAnOverloadedDiscoveryTurnedAwayIsFollowedByOneInTime) {
   for (int dispatchers : {1, 3, 30, 300})
     for (std::uint64_t seed = 1; seed < 100; ++seed) {
-      AskAgain again(dispatchers, false, kAskEvery, seed);
-      for (int i = 0; i < 12; ++i) ASSERT_LE(again.TurnedAway(2 * kSecond), kTold - 2 * kSecond);
-      EXPECT_LE(again.TurnedAway(0), AskAgain::kMostWait) << "who is down turns away at once";
+      WatchBackoff again(dispatchers, false, kAskEvery, seed);
+      for (int i = 0; i < 12; ++i) ASSERT_LE(again.Overloaded(2 * kSecond), kTold - 2 * kSecond);
+      EXPECT_LE(again.Overloaded(0), WatchBackoff::kMostBackoff) << "who is down turns away at once";
     }
 }
 
-TEST(AskAgain, AfterDiscoveryMovedTwoCallsFitIn4Seconds) {
+TEST(WatchBackoff, AfterDiscoveryMovedTwoCallsFitIn4Seconds) {
   for (int dispatchers : {1, 3, 30, 300})
     for (std::uint64_t seed = 1; seed < 100; ++seed) {
-      AskAgain again(dispatchers, false, kAskEvery, seed);
+      WatchBackoff again(dispatchers, false, kAskEvery, seed);
       for (int i = 0; i < 12; ++i) again.Failed();
       again.Hurry();
       ASSERT_TRUE(again.Hedge());
-      EXPECT_LE(again.FirstByteBy(0), 3 * kSecond);
+      EXPECT_LE(again.FirstLineBy(0), 3 * kSecond);
       EXPECT_LE(again.ConnectBy(0) + again.Failed(), 3 * kSecond);
     }
 }
 
-TEST(AskAgain, AWatchThatEndsIsNoOutageUnlessItHardlyStood) {
+TEST(WatchBackoff, AWatchThatEndsIsNoOutageUnlessItHardlyStood) {
   for (std::uint64_t seed = 1; seed < 100; ++seed) {
-    EXPECT_LE(AskAgain(300, false, kAskEvery, seed).Ended(10 * kSecond), kSecond * 8 / 10);
-    EXPECT_LE(AskAgain(1, false, kAskEvery, seed).Ended(10 * kSecond), kSecond * 3 / 10);
-    AskAgain again(1, false, kAskEvery, seed);
+    EXPECT_LE(WatchBackoff(300, false, kAskEvery, seed).Ended(10 * kSecond), kSecond * 8 / 10);
+    EXPECT_LE(WatchBackoff(1, false, kAskEvery, seed).Ended(10 * kSecond), kSecond * 3 / 10);
+    WatchBackoff again(1, false, kAskEvery, seed);
     Time waits = 0;
     for (int i = 0; i < 20; ++i) waits += again.Ended(0);
     EXPECT_GT(waits, 5 * kSecond) << "one that is ended at once each time is not asked for in a loop";
   }
 }
 
-TEST(AskAgain, ALackOfDescriptorsIsNoFailureOfDiscoverys) {
+TEST(WatchBackoff, ALackOfDescriptorsIsNoFailureOfDiscoverys) {
   for (std::uint64_t seed = 1; seed < 100; ++seed) {
-    AskAgain again(1, false, kAskEvery, seed);
+    WatchBackoff again(1, false, kAskEvery, seed);
     for (int i = 0; i < 12; ++i) EXPECT_LE(again.NoDescriptor(), kSecond * 3 / 10);
     EXPECT_LE(again.Failed(), kSecond * 3 / 10) << "the first failure";
-    EXPECT_LE(AskAgain(300, false, kAskEvery, seed).NoDescriptor(), kSecond * 3 / 10);
+    EXPECT_LE(WatchBackoff(300, false, kAskEvery, seed).NoDescriptor(), kSecond * 3 / 10);
   }
 }
 
@@ -154,7 +155,7 @@
     bool closed = false, turned_away = false;
   };
   struct Owner {
-    AskAgain again;
+    WatchBackoff again;
     std::size_t asked = kNoCall, older = kNoCall;
     bool served = false;
   };
@@ -166,7 +167,7 @@
   std::size_t serving = kNoCall;
   int served = 0;
   for (int i = 0; i < dispatchers; ++i) {
-    owners.push_back({AskAgain(dispatchers, false, kAskEvery, 1000 + i)});
+    owners.push_back({WatchBackoff(dispatchers, false, kAskEvery, 1000 + i)});
     due.insert({owners.back().again.Ended(10 * kSecond), kAsk, i});
   }
   const auto close = [&](std::size_t call) {
@@ -182,13 +183,13 @@
     } else if (what == kAsk && !owner.served) {
       owner.asked = calls.size();
       queue.push_back(calls.size());
-      due.insert({owner.again.FirstByteBy(now), kUnheard, calls.size()});
+      due.insert({owner.again.FirstLineBy(now), kUnheard, calls.size()});
       due.insert({now + discovery.times_out, kTimesOut, calls.size()});
       calls.push_back({n});
     } else if (what == kUnheard && !calls[n].closed && !calls[n].turned_away) {
       if (owner.asked == n && owner.again.Hedge()) {
         close(std::exchange(owner.older, n));
-        due.insert({now + AskAgain::kFirstPatience, kUnheard, n});
+        due.insert({now + WatchBackoff::kHedgeDelay, kUnheard, n});
         due.insert({now, kAsk, calls[n].owner});
       } else {
         close(n);
@@ -197,7 +198,7 @@
     } else if (what == kTimesOut && !calls[n].closed && serving != n) {
       calls[n].turned_away = true;
       if (owner.asked == n)
-        due.insert({now + owner.again.TurnedAway(discovery.times_out), kAsk, calls[n].owner});
+        due.insert({now + owner.again.Overloaded(discovery.times_out), kAsk, calls[n].owner});
     } else if (what == kServed) {
       serving = kNoCall;
       if (!calls[n].closed && !std::exchange(owner.served, true)) ++served;
@@ -214,7 +215,7 @@
   return served;
 }
 
-TEST(AskAgain, MostOfThreeHundredAreServedIn6SecondsAfterAnOutage) {
+TEST(WatchBackoff, MostOfThreeHundredAreServedIn6SecondsAfterAnOutage) {
   for (Time for_all : {4600, 6000, 7400})
     for (Time times_out : {1, 2, 3})
       for (bool works_for_nobody : {false, true})
@@ -226,7 +227,7 @@
         }
 }
 
-TEST(AskAgain, NineInTenThatStartAtOnceAreReadyIn10Seconds) {
+TEST(WatchBackoff, NineInTenThatStartAtOnceAreReadyIn10Seconds) {
   for (Time for_all : {4600, 6000, 7400})
     for (Time times_out : {1, 2, 3})
       for (bool works_for_nobody : {false, true})
@@ -243,70 +244,70 @@
   Time first = 0, second = 0;
 };
 
-Calls AfterSilence(AskAgain* again, bool connects) {
-  const Time noticed = again->BeatBy(0);
+Calls AfterSilence(WatchBackoff* again, bool connects) {
+  const Time noticed = again->HeartbeatBy(0);
   Calls calls;
-  calls.first = again->Silent(0, noticed);
-  const Time lost = connects ? again->FirstByteBy(calls.first) : again->ConnectBy(calls.first);
+  calls.first = again->HeartbeatMissed(0, noticed);
+  const Time lost = connects ? again->FirstLineBy(calls.first) : again->ConnectBy(calls.first);
   calls.second = connects && again->Hedge() ? lost : lost + again->Failed();
   return calls;
 }
 
-TEST(AskAgain, ASilenceLeavesTimeForTwoCallsWhateverTheTier) {
+TEST(WatchBackoff, ASilenceLeavesTimeForTwoCallsWhateverTheTier) {
   for (int dispatchers : {1, 3, 30, 300, 1000})
     for (std::uint64_t seed = 1; seed < 200; ++seed)
       for (bool connects : {true, false}) {
-        AskAgain again(dispatchers, false, kAskEvery, seed);
-        for (int i = 0; i < 50; ++i) again.Failed(), again.Spoke();
+        WatchBackoff again(dispatchers, false, kAskEvery, seed);
+        for (int i = 0; i < 50; ++i) again.Failed(), again.Succeeded();
         const Calls calls = AfterSilence(&again, connects);
         EXPECT_GT(calls.first, 2 * kSecond) << "a heartbeat may still come";
         EXPECT_LE(calls.second, kTold - kSecond) << dispatchers << " " << seed;
       }
 }
 
-TEST(AskAgain, SilenceThatGoesOnAfterTwoCallsIsAnOutage) {
-  AskAgain again(300, false, kAskEvery, 7);
+TEST(WatchBackoff, SilenceThatGoesOnAfterTwoCallsIsAnOutage) {
+  WatchBackoff again(300, false, kAskEvery, 7);
   AfterSilence(&again, false);
   EXPECT_GT(LongestWait(&again), kSecond);
-  again.Spoke();
+  again.Succeeded();
   EXPECT_LE(AfterSilence(&again, false).second, kTold - kSecond) << "a later silence has two calls again";
 }
 
-TEST(AskAgain, LateHeartbeatsAreWaitedForLongerAndTheTwoCallsStillFit) {
-  AskAgain again(300, false, kAskEvery, 7);
-  for (int i = 0; i < 10; ++i) again.Silent(0, again.BeatBy(0)), again.Woke();
-  EXPECT_GT(again.BeatBy(0), 3 * kSecond);
+TEST(WatchBackoff, LateHeartbeatsAreWaitedForLongerAndTheTwoCallsStillFit) {
+  WatchBackoff again(300, false, kAskEvery, 7);
+  for (int i = 0; i < 10; ++i) again.HeartbeatMissed(0, again.HeartbeatBy(0)), again.HeartbeatLate();
+  EXPECT_GT(again.HeartbeatBy(0), 3 * kSecond);
   EXPECT_LE(AfterSilence(&again, false).second, kTold - kSecond / 2);
-  for (int i = 0; i < 200; ++i) again.BeatBy(0);
-  EXPECT_EQ(again.BeatBy(0), AskAgain::kQuiet);
+  for (int i = 0; i < 200; ++i) again.HeartbeatBy(0);
+  EXPECT_EQ(again.HeartbeatBy(0), WatchBackoff::kHeartbeatTimeout);
 }
 
 // 300 watches whose heartbeats came at any time of the last 2 s fall silent at once; discovery takes 15 ms a
 // call.
-TEST(AskAgain, ThreeHundredThatFallSilentTogetherAreServedInTime) {
+TEST(WatchBackoff, ThreeHundredThatFallSilentTogetherAreServedInTime) {
   std::multiset<Time> calls;
   for (int i = 0; i < 300; ++i) {
-    AskAgain again(300, false, kAskEvery, 1000 + i);
+    WatchBackoff again(300, false, kAskEvery, 1000 + i);
     const Time last = -(i * 7919 % 2000) * kMillisecond;
-    calls.insert(again.Silent(last, last + AskAgain::kQuiet));
+    calls.insert(again.HeartbeatMissed(last, last + WatchBackoff::kHeartbeatTimeout));
   }
   Time free_at = 0;
   for (const Time at : calls) {
     free_at = std::max(free_at, at) + 15 * kMillisecond;
-    EXPECT_LT(free_at - at, AskAgain::kFirstPatience);
+    EXPECT_LT(free_at - at, WatchBackoff::kHedgeDelay);
   }
   EXPECT_LT(free_at, kTold);
 }
 
-TEST(AskAgain, AnAgentIsAskedAgainBeforeADrainItHasIsDue) {
+TEST(WatchBackoff, AnAgentIsAskedAgainBeforeADrainItHasIsDue) {
   constexpr Time kGrace = kSecond / 2;
   for (int dispatchers : {1, 300})
     for (std::uint64_t seed = 1; seed < 200; ++seed) {
-      AskAgain again(dispatchers, true, 0, seed);
+      WatchBackoff again(dispatchers, true, 0, seed);
       for (int i = 0; i < 20; ++i)  // through an outage of any length
-        EXPECT_LT(again.FirstByteBy(0) + again.Failed(), kGrace - 50 * kMillisecond);
+        EXPECT_LT(again.FirstLineBy(0) + again.Failed(), kGrace - 50 * kMillisecond);
       EXPECT_LE(AfterSilence(&again, true).second, 4 * kSecond);
-      EXPECT_EQ(again.LineBy(0, kSecond), 2 * kSecond) << "a long list that is on its way is waited for";
+      EXPECT_EQ(again.WholeLineBy(0, kSecond), 2 * kSecond) << "a long list that is on its way is waited for";
     }
 }
 
