--- a/src/operate/config.cpp
+++ b/src/operate/config.cpp
@@ -62,7 +62,7 @@
   if (getrlimit(RLIMIT_NOFILE, &allowed) == 0 && allowed.rlim_cur != RLIM_INFINITY)
     sockets = std::min<std::size_t>(sockets, allowed.rlim_cur);
   const std::size_t least =
-      std::max(kLeastSockets, config.inherited + Config::kOwnDescriptors + Config::kLeastShared);
+      std::max(kLeastSockets, config.open_at_start + Config::kOwnDescriptors + Config::kLeastShared);
   if (sockets < least)
     Bad("limits.sockets", std::to_string(least) + " or more expected, here and as the process's limit");
   return sockets;
@@ -117,7 +117,7 @@
 // `running`: the configuration of the program that reads its file again, or null at the start.
 Config Read(const Environment& environment, const Config* running) {
   Config config;
-  config.inherited = running != nullptr ? running->inherited : OpenDescriptors();
+  config.open_at_start = running != nullptr ? running->open_at_start : OpenDescriptors();
   const char* path = environment("BALANCER_CONFIG");
   if (path == nullptr || *path == '\0') Bad("BALANCER_CONFIG", "the path of the configuration expected");
   std::ifstream file(path);
--- a/src/operate/config.h
+++ b/src/operate/config.h
@@ -19,26 +19,26 @@
   asio::ip::tcp::endpoint listen, discovery;
   std::uint64_t seed = 0;
   std::size_t most_sockets = 1024;  // limits.sockets, and no more than the process may open
-  std::size_t inherited = 3;        // descriptors that were open when the program started
+  std::size_t open_at_start = 3;    // descriptors: inherited ones, the loop's, the signals'
   rookgw::Site site;
   RouteNews known;
   PeerSettings peers;  // off where settings.Limits.MayTell is not true
 
-  // Every descriptor has its place in one sum: the inherited ones, the program's own, the two shares of what
-  // is left. A connection is closed in the turn in which it leaves its table, so that none is held beside.
+  // Every descriptor has its place in one sum: those open at the start, the program's own, the two shares of
+  // what is left. A connection is closed in the turn in which it leaves its table, so that none is held
+  // beside.
   std::size_t most_runner_links() const { return shared() / 4; }
   std::size_t most_caller_legs() const { return shared() - most_runner_links(); }
   // Past these only call-backs are served: they end work, and a runner tries each but ten times.
   std::size_t most_serving_legs() const { return shared() / 2; }
 
-  // Its own: epoll, timer and event of the loop (3), the pipe of the signals (2), the listener and a
-  // connection that is accepted and not counted yet (2), the socket of the datagrams (1), watches (3: one
-  // that stands, one that is asked for, one that is on its way out), the file that is read at SIGHUP (1), one
-  // to spare.
-  static constexpr std::size_t kOwnDescriptors = 13, kLeastShared = 16;
+  // Its own, opened later: the listener and a connection that is accepted and not counted yet (2), the socket
+  // of the datagrams (1), watches (3: one that stands, one that is asked for, one that is on its way out),
+  // the file that is read at SIGHUP (1), one to spare.
+  static constexpr std::size_t kOwnDescriptors = 8, kLeastShared = 16;
 
  private:
-  std::size_t shared() const { return most_sockets - inherited - kOwnDescriptors; }
+  std::size_t shared() const { return most_sockets - open_at_start - kOwnDescriptors; }
 };
 
 // What is wrong with the configuration, in one line that names the key and what is expected there.
@@ -48,7 +48,7 @@
 };
 
 // Throws ConfigError, or rookgw::SettingsError for what is wrong within `settings`. `environment` gives a
-// variable's value or null. To be called before the program opens anything: what is open counts as inherited.
+// variable's value or null. What is open now counts as open for good.
 Config ReadConfig(const std::function<const char*(const char*)>& environment);
 
 // The same for a running program that is told to read its file again: there the file's `discovery` wins, for
