--- a/src/decisions/brain.cpp
+++ b/src/decisions/brain.cpp
@@ -61,7 +61,7 @@
     Attempt& a = r->attempts[e.attempt];
     if (a.fate != Fate::kOut) return;
     Worker& w = workers_[a.worker];
-    if (std::exchange(a.untaken, false)) --w.trust[r->cls].untaken;
+    if (std::exchange(a.untaken, false)) --w.health[r->cls].untaken;
     if (e.kind == AttemptNote::Kind::kStarted && a.started == 0) {
       a.started = now_;
       --w.unstarted;
@@ -82,7 +82,7 @@
     Worker& w = workers_[a.worker];
     NoteMove(w, -r->slots);
     if (a.started == 0) --w.unstarted;
-    if (std::exchange(a.untaken, false)) --w.trust[r->cls].untaken;
+    if (std::exchange(a.untaken, false)) --w.health[r->cls].untaken;
     const bool never_ran =
         e.outcome == Outcome::kFull || e.outcome == Outcome::kConnectFailed || e.outcome == Outcome::kMoot;
     a.fate = never_ran ? Fate::kNeverRan : Fate::kMayHaveRun;
@@ -101,11 +101,11 @@
       slowness_.Add(slowness);
       if (w.kind != kNone) kind_slowness_[w.kind].Add(slowness);
       run_[r.cls].Add(took), run_all_.Add(took);
-      Doubt(r.cls, w.trust[r.cls], -1);
+      CountFailures(r.cls, w.health[r.cls], -1);
     }
-    if (outcome == Outcome::kError) Doubt(r.cls, w.trust[r.cls], 2);
+    if (outcome == Outcome::kError) CountFailures(r.cls, w.health[r.cls], 2);
     if (outcome == Outcome::kConnectFailed || outcome == Outcome::kTimeout)
-      Strike(w);
+      Eject(w);
     else if (outcome != Outcome::kCancelled && outcome != Outcome::kMoot)
       SignOfLife(w);
     if (FleetWide()) return;
@@ -136,7 +136,7 @@
     auto it = index_.find(e.worker);
     if (it == index_.end()) return;
     Worker& w = workers_[it->second];
-    if (e.failing != kNone) return scarce_ ? Doubt(e.failing, w.trust.at(e.failing), 1) : void();
+    if (e.failing != kNone) return scarce_ ? CountFailures(e.failing, w.health.at(e.failing), 1) : void();
     w.elsewhere = e.slots, told_at_ = now_;
   }
 
--- a/src/decisions/gate.h
+++ b/src/decisions/gate.h
@@ -15,7 +15,7 @@
     if (r.ended || now_ >= r.valid_until - EndMargin()) return false;         // no answer would be in time
     if (!w.listed || w.state != ListedWorker::State::kServing) return false;  // drains kept
     if (static_cast<int>(r.attempts.size()) >= s_.max_attempts) return false;
-    if (Cold(w) && !ColdMayTake(w, r)) return false;  // not pushed over
+    if (InSlowStart(w) && !SlowStartMayTake(w, r)) return false;  // not pushed over
     if (Open(r) >= (s_.second_copies ? 2 : 1)) return false;
     const Attempt* first = FirstThatMayHaveRun(r);
     if (first == nullptr) return true;
@@ -37,11 +37,11 @@
   bool Send(Request& r, int index) {
     if (!MaySend(r, index)) return false;
     Worker& w = workers_[index];
-    if (Cold(w)) w.span_work += ColdWork(w, r);
+    if (InSlowStart(w)) w.span_work += SlowStartWork(w, r);
     r.attempts.push_back({index, w.cell, w.zone, now_});
     NoteMove(w, r.slots);
     if (w.unstarted++ == 0) w.silent_since = now_;
-    ++w.trust[r.cls].untaken;
+    ++w.health[r.cls].untaken;
     StopWaiting(r);
     Act(Dispatch{r.id, w.id, 0});
     if (s_.takes_told) due_.push({now_ + kTakePatience, r.id});
--- a/src/decisions/health.h
+++ b/src/decisions/health.h
@@ -1,4 +1,4 @@
-// Health of workers: silent, in doubt for a class, cold; and the probes that ask.
+// Health of workers: outlier ejection, whole or for one class; slow start; and the probes that ask.
 #pragma once
 
 #include "decisions/room.h"
@@ -12,24 +12,24 @@
   bool Ejected(const Worker& w) const { return now_ < w.ejected_until; }
 
   void SignOfLife(Worker& w) {
-    w.strikes = 0, w.ejected_until = 0;
+    w.ejections = 0, w.ejected_until = 0;
     w.silent_since = w.unstarted > 0 ? now_ : 0;
   }
 
-  void Strike(Worker& w) {
-    w.strikes = std::min(w.strikes + 1, 5);
-    w.ejected_until = now_ + (kSecond / 4 << w.strikes);
+  void Eject(Worker& w) {
+    w.ejections = std::min(w.ejections + 1, 5);
+    w.ejected_until = now_ + (kSecond / 4 << w.ejections);
     w.silent_since = w.unstarted > 0 ? now_ : 0;
   }
 
   // Some workers leave all jobs of one class without a word; some fail most at once, look idle for it and
-  // draw ever more. One in doubt rests in that class, then gets one job at a time. Some have to go on.
-  void Doubt(int cls, Trust& trust, int more) {
-    trust.doubt = std::clamp(trust.doubt + more, 0, 6);
-    if (more <= 0 || trust.doubt < 3) return;  // what follows looks over the whole fleet
-    auto rests = [&](int i) { return now_ < workers_[i].trust[cls].rests_until; };
-    if (3 * std::ranges::count_if(listed_, rests) < 2 * std::ssize(listed_))
-      trust.rests_until = now_ + (kSecond / 8 << std::min(trust.doubt, 5));
+  // draw ever more. One is ejected for that class, then gets one job at a time. Some have to go on.
+  void CountFailures(int cls, ClassHealth& health, int more) {
+    health.failures = std::clamp(health.failures + more, 0, 6);
+    if (more <= 0 || health.failures < 3) return;  // what follows looks over the whole fleet
+    auto ejected = [&](int i) { return now_ < workers_[i].health[cls].ejected_until; };
+    if (3 * std::ranges::count_if(listed_, ejected) < 2 * std::ssize(listed_))
+      health.ejected_until = now_ + (kSecond / 8 << std::min(health.failures, 5));
   }
 
   // A worker that holds jobs unstarted for as long as a whole answer may take has most likely hung.
@@ -42,11 +42,11 @@
     auto away = [&](int i) { return silent(workers_[i]) || Ejected(workers_[i]); };
     blind_ = 2 * std::ranges::count_if(listed_, away) > std::ssize(listed_);  // it is this node's fault
     for (int i : listed_)
-      if (!blind_ && silent(workers_[i]) && !Ejected(workers_[i])) Strike(workers_[i]);
+      if (!blind_ && silent(workers_[i]) && !Ejected(workers_[i])) Eject(workers_[i]);
   }
 
   // Slot microseconds, never less than a mean job has; before runs are known the longest one counts as mean.
-  double ColdWork(const Worker& w, const Request& r) const {
+  double SlowStartWork(const Worker& w, const Request& r) const {
     const double longest = run_all_.weight < 20 ? s_.classes[r.cls].deadline : 0;
     return std::max({longest, MeanRun(), r.slots * RunTime(r.cls)}) * Slowness(w);
   }
@@ -54,14 +54,14 @@
   // Nodes send to a cold worker by turns that all know alike, heard or not. From its start, spans are as long
   // as the rule's window, which touches two: each has half the budget, in equal parts; parts under a job go
   // whole to the nodes next on a circle. A new life waits for the next span: the last may have used its turn.
-  bool ColdMayTake(Worker& w, const Request& r) {
+  bool SlowStartMayTake(Worker& w, const Request& r) {
     const Time length = std::max<Time>(s_.overload_for, 1), span = std::max<Time>(now_ - w.since, 0) / length;
     if (w.since + span * length < started_at_ || (Told(w) && Free(w) < r.slots)) return false;
     if (std::exchange(w.span, span) != span) w.span_work = 0;
     const double slots = 0.8 * std::max(1.0, FleetWide() ? mean_total_.value : 1);
-    const double part = 0.5 * s_.overload_factor * ColdShare(w) * slots * length / s_.instances;
+    const double part = 0.5 * s_.overload_factor * SlowStartShare(w) * slots * length / s_.instances;
     const double turn = 1.0 * s_.ordinal / s_.instances + span * std::numbers::phi + w.hash * 0x1p-64;
-    return w.span_work + (turn - std::floor(turn)) * ColdWork(w, r) < part;
+    return w.span_work + (turn - std::floor(turn)) * SlowStartWork(w, r) < part;
   }
 
   // Round the ring, one to three probes a request: the fee is then the fee for as many a request.
--- a/src/decisions/placing.h
+++ b/src/decisions/placing.h
@@ -104,8 +104,8 @@
     const Worker& w = workers_[index];
     const int kind = s_.classes[r.cls].kind;
     if (kind != kNone && w.kind != kind) return false;
-    const Trust& trust = w.trust[r.cls];
-    if (Ejected(w) || now_ < trust.rests_until || (s_.takes_told && trust.doubt > 0 && trust.untaken > 0))
+    const ClassHealth& h = w.health[r.cls];
+    if (Ejected(w) || now_ < h.ejected_until || (s_.takes_told && h.failures > 0 && h.untaken > 0))
       return false;
     for (const Attempt& a : r.attempts)
       if (a.worker == index) return false;
@@ -162,9 +162,9 @@
     Attempt& a = r.attempts.back();
     if (!a.untaken || now_ < a.sent + kTakePatience) return;
     if (!std::exchange(a.missed, true)) return due_.push({now_ + 10 * kMs, r.id});  // own stall?
-    Trust& trust = workers_[a.worker].trust[r.cls];
-    a.untaken = false, --trust.untaken;
-    Doubt(r.cls, trust, 3);
+    ClassHealth& health = workers_[a.worker].health[r.cls];
+    a.untaken = false, --health.untaken;
+    CountFailures(r.cls, health, 3);
     if (now_ <= r.latest_start && s_.classes[r.cls].effect != Effect::kUnsafe)
       Act(CancelAttempt{r.id, static_cast<int>(r.attempts.size()) - 1});
   }
--- a/src/decisions/ring.h
+++ b/src/decisions/ring.h
@@ -26,7 +26,7 @@
         if (spare_.empty()) spare_.push_back(static_cast<int>(workers_.size())), workers_.emplace_back();
         it->second = spare_.back(), spare_.pop_back();
         Worker& added = workers_[it->second] = Worker{};
-        added.id = entry.id, added.hash = HashText(entry.id), added.trust.resize(s_.classes.size());
+        added.id = entry.id, added.hash = HashText(entry.id), added.health.resize(s_.classes.size());
       }
       Worker& w = workers_[it->second];
       if (entry.since != w.since) w.span = -1, w.report_at = -1, w.learned = 0;
--- a/src/decisions/room.h
+++ b/src/decisions/room.h
@@ -14,7 +14,7 @@
   double Free(const Worker& w) const {
     const double total = Total(w);
     if (!FleetWide()) return total - w.held;
-    if (Told(w)) return total * ColdShare(w) - w.held - w.elsewhere;
+    if (Told(w)) return total * SlowStartShare(w) - w.held - w.elsewhere;
     double free = mean_free_.weight > 0 ? mean_free_.value * total : total;
     if (w.report_at >= 0) {
       const double age = now_ - w.report_at;
@@ -41,10 +41,10 @@
     return std::max(1.0, w.held * others);
   }
 
-  bool Cold(const Worker& w) const { return w.since > 0 && now_ - w.since < s_.ramp_time; }
+  bool InSlowStart(const Worker& w) const { return w.since > 0 && now_ - w.since < s_.ramp_time; }
 
-  double ColdShare(const Worker& w) const {  // of its capacity, at the least
-    const double age = Cold(w) ? static_cast<double>(now_ - w.since) / s_.ramp_time : 1;
+  double SlowStartShare(const Worker& w) const {  // of its capacity, at the least
+    const double age = InSlowStart(w) ? static_cast<double>(now_ - w.since) / s_.ramp_time : 1;
     return s_.cold_share + (1 - s_.cold_share) * std::clamp(age, 0.0, 1.0);
   }
 
--- a/src/decisions/world.h
+++ b/src/decisions/world.h
@@ -64,9 +64,9 @@
   double slots;
 };
 
-struct Trust {  // in a worker's taking jobs of one class
-  int untaken = 0, doubt = 0;
-  Time rests_until = 0;
+struct ClassHealth {  // of a worker, for jobs of one class
+  int untaken = 0, failures = 0;
+  Time ejected_until = 0;
 };
 
 struct Worker {
@@ -84,10 +84,10 @@
   Mean whole;  // slots, free and in use
   std::vector<Move> moves;
   // Health
-  int unstarted = 0, strikes = 0;
+  int unstarted = 0, ejections = 0;
   Time silent_since = 0, ejected_until = 0, probed_at = 0;
-  std::vector<Trust> trust;  // by class
-  // Cold
+  std::vector<ClassHealth> health;  // by class
+  // Slow start
   Time span = -1, unlisted_at = 0;  // of the turns, the one last looked at
   double span_work = 0;             // sent in it
 };
