--- a/lab/fleet/boxes.cpp
+++ b/lab/fleet/boxes.cpp
@@ -43,6 +43,7 @@
     const int cell = b / zones / site.cell_size * zones + b % zones;
     auto machine = std::make_unique<Machine>(
         Machine{Box(site, model, kind, b % zones, cell, random_.Lognormal(model.speed, model.speed_cv)),
+                BoxName(b),
                 nullptr,
                 {},
                 {},
@@ -76,6 +77,7 @@
       std::vector<BoxNews> news;
       m.box.CallOff(deadlines_->Now(), id, &news);
       EndAttempt(b, id, Outcome::kCancelled);
+      ++given_up;
       NewsCame(b, std::move(news));
     }
     return Reply(from, 200, "");
@@ -99,6 +101,7 @@
        visitors && job == nullptr && call_id != nullptr && c < static_cast<int>(site_.classes.size()); ++c)
     if (message.target == "/" + site_.classes[c].name) job = jobs_->Visit(NumberOf(*call_id), c);
   if (job == nullptr) return Reply(from, call_id == nullptr ? 404 : 400, "");
+  if (on_job) on_job(b);
   Attempt attempt;
   attempt.job = job->spec.number, attempt.dispatcher = job->dispatcher, attempt.call_id = *call_id,
   attempt.number = jobs_->Came(now, job, b, m.box.zone, m.box.cell);
@@ -135,7 +138,7 @@
     if (held == m.attempts.end()) continue;
     const Attempt attempt = held->second;
     Jobs::Job* job = jobs_->Find(attempt.job);
-    nlohmann::json word = {{"id", attempt.call_id}, {"from", BoxName(b)}};
+    nlohmann::json word = {{"id", attempt.call_id}, {"from", m.name}};
     switch (item.kind) {
       case BoxNews::Kind::kFetch:
         deadlines_->Add(now + site_.keys.setup, [this, alive = alive_, b, id = item.id] {
@@ -248,6 +251,11 @@
   Arm(b);
 }
 
+void Boxes::Replace(int b) {
+  machines_[b]->name += "'";
+  Back(b);
+}
+
 // ---- Call-backs ----
 
 void Boxes::Tell(int b, int n, std::string what) {
--- a/lab/fleet/boxes.h
+++ b/lab/fleet/boxes.h
@@ -27,6 +27,7 @@
 
   int size() const { return static_cast<int>(machines_.size()); }
   const Box& box(int b) const { return machines_[b]->box; }
+  const std::string& name(int b) const { return machines_[b]->name; }  // its id on the list
   asio::ip::tcp::endpoint address(int b) const { return machines_[b]->server->address(); }
   double Capacity() const;
 
@@ -35,11 +36,13 @@
   void Mute(int b);
   void Drain(int b);
   void Back(int b);
+  void Replace(int b);  // the same, by a machine with another id
   // A dispatcher has been told of a start, so that it can be held to the cold rule.
   void ToldStart(int n, int b, Time since) { told_start_[n][b] = since; }
 
-  bool visitors = false;  // take jobs that no client of the rig handed in
-  std::uint64_t started = 0, turned_away = 0, toppled = 0, probes = 0, call_backs_lost = 0;
+  bool visitors = false;              // take jobs that no client of the rig handed in
+  std::function<void(int b)> on_job;  // optional: an attempt's last byte has come
+  std::uint64_t started = 0, turned_away = 0, toppled = 0, probes = 0, given_up = 0, call_backs_lost = 0;
 
  private:
   struct Attempt {
@@ -59,6 +62,7 @@
   };
   struct Machine {
     Box box;
+    std::string name;
     std::unique_ptr<HttpServer> server;
     std::unordered_map<std::uint64_t, Attempt> attempts;  // by the model's number
     std::unordered_map<std::string, std::uint64_t> by_call_id;
--- a/lab/fleet/discovery.cpp
+++ b/lab/fleet/discovery.cpp
@@ -25,14 +25,17 @@
 
 Discovery::Discovery(asio::io_context& io, Deadlines* deadlines, const Site& site, Jobs* jobs, Boxes* boxes,
                      Address reached)
-    : deadlines_(deadlines),
+    : calls_to_lose(site.dispatchers),
+      listed_at(site.dispatchers),
+      deadlines_(deadlines),
       site_(site),
       jobs_(jobs),
       boxes_(boxes),
       reached_(std::move(reached)),
       watchers_(site.dispatchers),
       told_(boxes->size()) {
-  for (int b = 0; b < boxes->size(); ++b) told_[b].since = boxes->box(b).since;
+  for (int b = 0; b < boxes->size(); ++b)
+    told_[b].since = boxes->box(b).since, told_[b].name = boxes->name(b);
   for (int n = 0; n < site.dispatchers; ++n)
     servers_.push_back(
         std::make_unique<HttpServer>(io, [this, n](const HttpServer::Connection& from,
@@ -45,7 +48,7 @@
 nlohmann::json Discovery::Member(int n, int b) const {
   static constexpr const char* kPhases[] = {"active", "leaving", "left"};
   const Box& box = boxes_->box(b);
-  return {{"id", BoxName(b)},
+  return {{"id", told_[b].name},
           {"host_port", Text(reached_(n, b))},
           {"locality", site_.zones[box.zone]},
           {"flavor", site_.kinds[box.kind_index].name},
@@ -74,8 +77,37 @@
 void Discovery::Asked(int n, const HttpServer::Connection& from, const HttpMessage& message) {
   if (down_) return Reply(from, 503, "");
   if (!message.target.starts_with("/api/targets")) return Reply(from, 404, "");
+  if (calls_to_lose[n] > 0) return void(--calls_to_lose[n]);
+  const bool watch = message.target.find("watch=1") != std::string::npos;
+  if (call_takes == 0) return Answer({n, from, watch});
+  const Time by = deadlines_->Now() + call_patience;
+  calls_.push_back({n, from, watch, by});
+  deadlines_->Add(by, [this, alive = alive_] {
+    while (*alive && !calls_.empty() && calls_.front().by <= deadlines_->Now()) {
+      Reply(calls_.front().from, 503, "");
+      calls_.pop_front();
+    }
+  });
+  Serve();
+}
+
+void Discovery::Serve() {
+  if (serving_ || calls_.empty()) return;
+  serving_ = true;
+  deadlines_->Add(deadlines_->Now() + call_takes, [this, alive = alive_, call = calls_.front()] {
+    if (!*alive) return;
+    serving_ = false;
+    Answer(call);
+    Serve();
+  });
+  calls_.pop_front();
+}
+
+void Discovery::Answer(const Call& call) {
+  const auto& [n, from, watch, by] = call;
   ++lists;
-  if (message.target.find("watch=1") == std::string::npos) {
+  listed_at[n] = deadlines_->Now();
+  if (!watch) {
     Reply(from, 200, List(n));
   } else {
     ++watches;
@@ -89,7 +121,7 @@
 }
 
 void Discovery::Changed(int b, State state, Time notice) {
-  const Entry entry{state, boxes_->box(b).since};
+  const Entry entry{state, boxes_->box(b).since, boxes_->name(b)};
   deadlines_->Add(deadlines_->Now() + notice, [this, alive = alive_, b, entry] {
     if (*alive) Publish(b, entry);
   });
@@ -107,6 +139,21 @@
   }
 }
 
+void Discovery::Replaced(int b) {
+  const Entry old = std::exchange(told_[b], {State::kServing, boxes_->box(b).since, boxes_->name(b)});
+  ++revision_;
+  if (down_) return;
+  for (int n = 0; n < static_cast<int>(watchers_.size()); ++n) {
+    if (watchers_[n].empty()) continue;
+    nlohmann::json left = Member(n, b);
+    left["id"] = old.name, left["phase"] = "left";
+    Line(n, nlohmann::json{{"revision", revision_}, {"complete", false}, {"members", {left, Member(n, b)}}}
+                    .dump() +
+                "\n");
+    Told(n, b);
+  }
+}
+
 void Discovery::Line(int n, const std::string& line) {
   for (const auto& watcher : watchers_[n]) {
     watcher->due += Chunk(line);
@@ -135,7 +182,15 @@
 
 void Discovery::SetDown(bool down) {
   down_ = down;
-  if (!down) return;
+  if (down) EndWatches();
+}
+
+void Discovery::SetListening(bool listening) {
+  for (const auto& server : servers_) listening ? server->Up() : server->Down();
+  if (!listening) calls_.clear(), EndWatches();
+}
+
+void Discovery::EndWatches() {
   for (auto& of_one : watchers_) {
     for (const auto& watcher : of_one) watcher->connection->Close();
     of_one.clear();
--- a/lab/fleet/discovery.h
+++ b/lab/fleet/discovery.h
@@ -2,6 +2,7 @@
 // watches while it is down. It tells each dispatcher the boxes' addresses as that dispatcher reaches them.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
@@ -24,15 +25,29 @@
   asio::ip::tcp::endpoint address(int n) const { return servers_[n]->address(); }
   // A box is in this state from now on; dispatchers hear of it after the site's notice.
   void Changed(int b, rookgw::ListedWorker::State state, Time notice);
-  void SetDown(bool down);
-  std::string List(int n) const;  // the whole list as one line, as the configuration's `known` has it too
+  // The box's entry leaves the list and one with its new id comes, in one change.
+  void Replaced(int b);
+  void SetDown(bool down);            // 503, and watches end
+  void SetListening(bool listening);  // or not: watches end, calls are refused
+  std::string List(int n) const;      // the whole list as one line, as the configuration's `known` has it too
 
+  // How calls are served: one after another, each for so long, and 503 after so long a wait; 0: at once.
+  Time call_takes = 0, call_patience = 0;
+  std::vector<int> calls_to_lose;  // by dispatcher: so many are taken and never answered
+  std::vector<Time> listed_at;     // by dispatcher: when the list was last written to it
   std::uint64_t lists = 0, watches = 0;
 
  private:
   struct Entry {
     rookgw::ListedWorker::State state = rookgw::ListedWorker::State::kServing;
     Time since = 0;
+    std::string name;
+  };
+  struct Call {
+    int n = 0;
+    HttpServer::Connection from;
+    bool watch = false;
+    Time by = 0;  // then it has waited too long
   };
   struct Watcher {  // one write at a time; lines wait for the one before
     HttpServer::Connection connection;
@@ -41,6 +56,9 @@
   };
 
   void Asked(int n, const HttpServer::Connection& from, const HttpMessage& message);
+  void Answer(const Call& call);
+  void Serve();
+  void EndWatches();
   nlohmann::json Member(int n, int b) const;
   void Publish(int b, const Entry& entry);
   void Line(int n, const std::string& line);
@@ -56,8 +74,9 @@
   std::vector<std::unique_ptr<HttpServer>> servers_;             // one a dispatcher
   std::vector<std::vector<std::shared_ptr<Watcher>>> watchers_;  // by dispatcher
   std::vector<Entry> told_;                                      // what is on the list
+  std::deque<Call> calls_;                                       // that wait
   std::int64_t revision_ = 1;
-  bool down_ = false;
+  bool down_ = false, serving_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/lab/fleet/process.cpp
+++ b/lab/fleet/process.cpp
@@ -3,11 +3,13 @@
 #include <fcntl.h>
 #include <signal.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <cerrno>
 #include <cstring>
+#include <filesystem>
 #include <stdexcept>
 
 namespace lichenlug::lab {
@@ -19,7 +21,7 @@
 }
 
 void Process::Start(const std::vector<std::string>& words, const std::vector<std::string>& environment,
-                    const std::string& log) {
+                    const std::string& log, std::size_t most_descriptors) {
   std::vector<char*> arguments, variables;
   for (const std::string& word : words) arguments.push_back(const_cast<char*>(word.c_str()));
   for (const std::string& variable : environment) variables.push_back(const_cast<char*>(variable.c_str()));
@@ -34,6 +36,10 @@
     if (getppid() != parent) _exit(127);
     dup2(out, 1), dup2(out, 2);
     close_range(3, ~0U, 0);  // the rig's listeners would go on listening in it
+    if (most_descriptors > 0) {
+      const rlimit most{most_descriptors, most_descriptors};
+      if (setrlimit(RLIMIT_NOFILE, &most) != 0) _exit(127);
+    }
     execve(arguments[0], arguments.data(), variables.data());
     _exit(127);
   }
@@ -46,6 +52,15 @@
   if (pid_ > 0) kill(pid_, number);
 }
 
+std::size_t Process::Descriptors() const {
+  std::error_code gone;
+  std::size_t held = 0;
+  for (std::filesystem::directory_iterator it("/proc/" + std::to_string(pid_) + "/fd", gone), end;
+       !gone && it != end; it.increment(gone))
+    ++held;
+  return held;
+}
+
 bool Process::Running() {
   if (pid_ <= 0) return false;
   if (waitpid(pid_, &status_, WNOHANG) == 0) return true;
