--- a/src/decisions/gate.h
+++ b/src/decisions/gate.h
@@ -22,7 +22,7 @@
     const ClassSettings& cls = s_.classes[r.cls];
     if (cls.effect == Effect::kRepeatable) return true;
     if (cls.effect == Effect::kUnsafe) return false;
-    if (now_ + 2 * s_.tick >= first->sent + cls.window) return false;
+    if (now_ + s_.connect_timeout + 2 * s_.tick >= first->sent + cls.window) return false;  // may come then
     if (cls.scope == KeyScope::kZone) return w.zone != kNone && w.zone == first->zone;
     if (cls.scope == KeyScope::kCell) return w.cell != kNone && w.cell == first->cell;
     return true;
@@ -37,7 +37,7 @@
   bool Send(Request& r, int index) {
     if (!MaySend(r, index)) return false;
     Worker& w = workers_[index];
-    if (Cold(w)) w.budget -= r.slots * RunTime(r.cls) / kSecond;
+    if (Cold(w)) w.span_work += ColdWork(w, r);
     r.attempts.push_back({index, w.cell, w.zone, now_});
     NoteMove(w, r.slots);
     if (w.unstarted++ == 0) w.silent_since = now_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -88,7 +88,7 @@
 // for the next start. A file with a fault changes nothing.
 void Reload(const Config& config, Watch* watch) {
   try {
-    const Config fresh = RereadConfig(Environment);
+    const Config fresh = RereadConfig(Environment, config);
     if (fresh.listen != config.listen || fresh.name != config.name)
       std::cerr << config.name << " keeps its name and address until the next start" << std::endl;
     watch->MoveTo(fresh.discovery);
@@ -111,20 +111,23 @@
   }
 }
 
-void Serve(const Config& config) {
+void Serve() {
   using Form = rookgw::ListChanged::Form;
   std::signal(SIGPIPE, SIG_IGN);  // a peer that is gone shows as an error of the write
   asio::io_context io(1);
-  // From the first line on: unhandled, a signal would end the program at once, whatever it owes by then.
+  // Before the configuration is read: unhandled, a signal would end the program at once, whatever it owes by
+  // then, and one that comes while it reads asks to read anew.
   asio::signal_set reload(io, SIGHUP), signals(io, SIGTERM, SIGINT);
+  const Config config = ReadConfig(Environment);
   const Clock clock;
   Deadlines deadlines(io, clock);
   RouteSet routes;
   const CallerSettings caller_settings{config.listen, config.most_caller_legs(), config.most_serving_legs(),
                                        config.site};
-  const BranchSettings branch_settings{config.most_open, config.most_runner_links(), config.connect_timeout,
-                                       config.idle_close, config.site};
-  TransactionTable core(config.site.settings, config.seed, config.most_open, &deadlines);
+  const BranchSettings branch_settings{config.site.max_open, config.most_runner_links(),
+                                       config.site.settings.connect_timeout, config.site.idle_close,
+                                       config.site};
+  TransactionTable core(config.site.settings, config.seed, config.site.max_open, &deadlines);
   Peers peers(io, config, &deadlines, &core);
   Watch watch(io, config.discovery, config.site, config.seed, &routes, &deadlines,
               [&core, &peers](const RouteNews* news) {
@@ -177,7 +180,7 @@
     if (*check)
       std::cout << "the configuration of " << lichenlug::ReadConfig(lichenlug::Environment).name
                 << " is good\n";
-    if (*serve) lichenlug::Serve(lichenlug::ReadConfig(lichenlug::Environment));
+    if (*serve) lichenlug::Serve();
     return 0;
   } catch (const CLI::ParseError& e) {
     if (e.get_exit_code() == 0) return app.exit(e);  // --help
