--- a/tests/scenario_player.cpp
+++ b/tests/scenario_player.cpp
@@ -203,8 +203,9 @@
       setenv("BALANCER_DISCOVERY", config_["discovery"].get_ref<const std::string&>().c_str(), 1);
       setenv("BALANCER_CONFIG", path_, 1);
       dup2(out[1], 2), close_range(3, ~0U, 0);
-      const rlim_t most = config_["limits"]["sockets"].get<rlim_t>();  // more than these it may not open
-      const rlimit limit{most, most};
+      rlimit limit{};
+      getrlimit(RLIMIT_NOFILE, &limit);
+      limit.rlim_cur = config_["limits"]["sockets"].get<rlim_t>();  // more than these it may not open
       setrlimit(RLIMIT_NOFILE, &limit);
       execl(program_.c_str(), program_.c_str(), "serve", nullptr);
       _exit(127);
