Let a new connection's request come before it makes room for another

At fault: EvictionRank, rank 1 for each idle leg that has carried nothing. One under a second old now ranks with those that rest between two requests, oldest first.

--- a/src/fronts/http/callers.cpp
+++ b/src/fronts/http/callers.cpp
@@ -95,7 +95,8 @@
 int Callers::EvictionRank(const Leg& leg) const {
   switch (leg.stage) {
     case Stage::kIdle:
-      return leg.carried ? 3 : 1;
+      // A new one's request may be on its way: it goes no sooner than one that rests between two.
+      return leg.carried || deadlines_->Now() - leg.since < kSlowRead ? 3 : 1;
     case Stage::kReading:
       return deadlines_->Now() - leg.since >= kSlowRead ? 2 : 4;
     default:
