Let a few reports say little of a fleet, and queues nothing of other workers

Ruled out: ejection (0), doubts (0), cold workers (none), empty sets (0). At fault (room.h): mean_free_ took queues in, began with the first report alone and never aged; mean_total_ counted workers never seen with a free slot as having none. Now the fleet's mean of free slots is of slots, begins with three reports' weight of nothing known, and fades when nothing is heard.

--- a/src/decisions/room.h
+++ b/src/decisions/room.h
@@ -15,7 +15,7 @@
     const double total = Total(w);
     if (!FleetWide()) return total - w.held;
     if (Told(w)) return total * SlowStartShare(w) - w.held - w.elsewhere;
-    double free = mean_free_.weight > 0 ? mean_free_.value * total : total;
+    double free = total * (1 - std::exp((heard_at_ - now_) / double{kRateMemory}) * (1 - mean_free_.value));
     if (w.report_at >= 0) {
       const double age = now_ - w.report_at;
       free += (w.usual_free - free) * std::exp(-age / kReportMemory);
@@ -101,9 +101,9 @@
     w.least_free = std::min(w.least_free, w.free);
     w.report_at = now_;
     std::erase_if(w.moves, [this](const Move& m) { return m.at <= now_ - kReportLag; });
-    mean_total_.Add(w.most_free, 60);
+    if (w.most_free > 0) mean_total_.Add(w.most_free, 60);
     if (whole) w.whole.Add(*report.free_slots + *report.active), mean_whole_.Add(w.whole.value);
-    mean_free_.Add(w.free / Total(w));
+    mean_free_.Add(std::max(0.0, w.free / Total(w))), heard_at_ = now_;  // a queue is its worker's own
     if (w.zone != kNone) zone_fill_[w.zone].Add(w.free / Total(w), 50);
   }
 
@@ -120,7 +120,7 @@
 
   bool full_seen_ = false, scarce_ = false;
   bool blind_ = false;  // so many workers silent at once that this node's own view is at fault
-  Mean mean_free_, mean_total_, mean_whole_;
+  Mean mean_free_{1, 3}, mean_total_, mean_whole_;  // free: of slots; a few reports say little of a fleet
   std::vector<Mean> zone_fill_ = std::vector<Mean>(s_.zones.size());
   double least_fill_ = 0;  // the deepest queue ever reported, as (negative) free slots by slots
   double learned_total_ = 0, learned_held_ = 0;
