--- a/src/decisions/room.h
+++ b/src/decisions/room.h
@@ -103,7 +103,7 @@
     std::erase_if(w.moves, [this](const Move& m) { return m.at <= now_ - kReportLag; });
     if (w.most_free > 0) mean_total_.Add(w.most_free, 60);
     if (whole) w.whole.Add(*report.free_slots + *report.active), mean_whole_.Add(w.whole.value);
-    mean_free_.Add(std::max(0.0, w.free / Total(w))), heard_at_ = now_;  // a queue is its worker's own
+    mean_free_.Add(std::max(-1.0, w.free / Total(w))), heard_at_ = now_;  // a deep queue is its worker's
     if (w.zone != kNone) zone_fill_[w.zone].Add(w.free / Total(w), 50);
   }
 
