--- a/cmake/system.cmake
+++ b/cmake/system.cmake
@@ -44,6 +44,7 @@
                     system_registry system_duties system_placement system_dataplane
                PRIVATE nlohmann_json::nlohmann_json ${EVHTP_LIBRARY} ${EVENT_LIBRARY} ${EVENT_PTHREADS_LIBRARY}
                        ${GLOG_LIBRARY})
+target_include_directories(system_controlplane SYSTEM PRIVATE ${XXHASH_INCLUDE})
 
 function(system_program name folder)
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/src/${folder}/*.cpp)
--- a/src/configuration/configuration.h
+++ b/src/configuration/configuration.h
@@ -41,6 +41,9 @@
 };
 std::uint64_t Digest(const ChangeRequest& request);
 
+// What is wrong with a call whichever version is in place: a body that can't be read, or is invalid by itself.
+std::optional<Problem> CheckShape(const ChangeRequest& request);
+
 // What a change makes of the register's payload (a serialized ConfigurationState; empty at first).
 enum class Verdict { kTake, kTakenBefore, kConflict, kInvalid };
 struct Judgement {
--- /dev/null
+++ b/src/controlplane/control_plane.cpp
@@ -0,0 +1,512 @@
+#include "controlplane/control_plane.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <chrono>
+#include <random>
+#include <utility>
+
+#include "controlplane/group_planner.h"
+#include "controlplane/status.h"
+
+namespace lichenlug::controlplane {
+
+namespace {
+
+constexpr std::size_t kMostControlBody = 16u << 20;
+constexpr Time kReadEvery = 300 * kMillisecond;  // until the configuration is confirmed
+constexpr Time kReadGiveUp = 800 * kMillisecond;
+constexpr Time kServeUnconfirmedAfter = 3 * kSecond;  // a peer's word will do when no majority can be asked
+constexpr Time kLearnAccepted = 250 * kMillisecond;   // a push usually comes sooner after an accept
+constexpr Time kKeepGroupsEvery = 300 * kMillisecond;
+constexpr Time kGroupChangeGiveUp = 2 * kSecond;
+constexpr Time kReportEvery = 500 * kMillisecond;
+constexpr Time kHintEvery = 500 * kMillisecond;
+constexpr Time kDrainPoll = 100 * kMillisecond;
+constexpr Time kReadyFalseFor = 2500 * kMillisecond;  // the platform needs two misses, a second apart
+constexpr Time kExitReserve = 700 * kMillisecond;     // before SIGKILL
+
+const std::string kRunnersPath = "/-/runners/";
+const std::string kConfigurationPath = "/-/timetable";
+const std::string kStatusPath = "/-/status";
+
+Time WallClock() {
+  const auto since = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::microseconds>(since).count();
+}
+
+std::uint64_t RandomNumber() {
+  std::random_device device;
+  return static_cast<std::uint64_t>(device()) << 32 | device();
+}
+
+Member SelfMember(const NodeSettings& settings, std::uint64_t incarnation) {
+  Member self;
+  self.name = settings.name;
+  self.incarnation = incarnation;
+  self.address = settings.internal_address;
+  self.control_address = settings.control_address;
+  self.zone = settings.zone;
+  self.region = settings.region;
+  self.counts_for_quorum = settings.counts_for_quorum;
+  return self;
+}
+
+membership_ring::MembershipSettings MembershipSettingsFor(const NodeSettings& settings,
+                                                          std::uint64_t incarnation, std::uint64_t seed) {
+  membership_ring::MembershipSettings membership;
+  membership.self = SelfMember(settings, incarnation);
+  membership.seed_addresses = settings.seed_addresses;
+  membership.seed = seed;
+  return membership;
+}
+
+registry::RegistrySettings RegistrySettingsFor(const NodeSettings& settings, std::uint64_t seed) {
+  registry::RegistrySettings registry;
+  registry.self_name = settings.name;
+  registry.zone = settings.zone;
+  registry.heartbeat_every = settings.heartbeat_every;
+  registry.seed = seed;
+  return registry;
+}
+
+configuration::FollowerSettings FollowerSettingsFor(const NodeSettings& settings, std::uint64_t seed) {
+  configuration::FollowerSettings follower;
+  follower.self_name = settings.name;
+  follower.zone = settings.zone;
+  follower.poll_every = settings.bounds.configuration_in_force / 5;
+  follower.seed = seed;
+  return follower;
+}
+
+ControlResponse PlainStatus(int status) {
+  ControlResponse response;
+  response.status = status;
+  return response;
+}
+
+std::vector<std::string> AllRegisters() {
+  std::vector<std::string> names = AllDutyRegisters();
+  names.emplace_back(configuration::kRegisterName);
+  return names;
+}
+
+}  // namespace
+
+ControlPlane::ControlPlane(EventLoop* loop, NodeSettings settings, dataplane::DataPlane* data_plane)
+    : loop_(loop),
+      settings_(std::move(settings)),
+      data_plane_(data_plane),
+      started_at_(EventLoop::Now()),
+      wall_offset_(WallClock() - started_at_),
+      seed_(RandomNumber()),
+      incarnation_(static_cast<std::uint64_t>(WallClock())),
+      registers_(
+          std::make_unique<RegisterService>(loop_, settings_, incarnation_, seed_,
+                                            [this](const std::string& address, messages::Envelope envelope) {
+                                              Send(address, std::move(envelope));
+                                            })),
+      membership_(MembershipSettingsFor(settings_, incarnation_, seed_)),
+      registry_(RegistrySettingsFor(settings_, seed_)),
+      follower_(FollowerSettingsFor(settings_, seed_)),
+      client_(loop_, settings_.name, settings_.platform_address),
+      duties_(settings_, incarnation_, seed_, registers_.get(), &client_,
+              [this](const std::string& address, messages::Envelope envelope) {
+                Send(address, std::move(envelope));
+              }),
+      operator_api_(registers_.get(), [this](const messages::ConfigurationState& state,
+                                             bool changed) { Learn(state, changed); }),
+      runners_(std::make_shared<std::vector<messages::RunnerRecord>>()) {}
+
+ControlPlane::~ControlPlane() { transport_.reset(); }
+
+bool ControlPlane::Start(std::string* error) {
+  ready_server_ =
+      std::make_unique<HttpServer>(loop_, 1024, [this](ControlRequest, HttpServer::Respond respond) {
+        respond(PlainStatus(ready_ && !draining_ ? 200 : 503));
+      });
+  control_server_ = std::make_unique<HttpServer>(loop_, kMostControlBody,
+                                                 [this](ControlRequest request, HttpServer::Respond respond) {
+                                                   HandleControl(std::move(request), std::move(respond));
+                                                 });
+  if (!settings_.ready_address.empty() && !ready_server_->Listen(settings_.ready_address, error))
+    return false;
+  if (!settings_.control_address.empty() && !control_server_->Listen(settings_.control_address, error))
+    return false;
+  transport::Transport::Settings transport;
+  transport.listen_address = settings_.internal_address;
+  transport.sender_name = settings_.name;
+  transport.sender_incarnation = incarnation_;
+  transport_ = std::make_unique<transport::Transport>(transport, [this](messages::Envelope envelope) {
+    loop_->Post([this, envelope = std::move(envelope)]() mutable { Receive(std::move(envelope)); });
+  });
+  if (!transport_->Listen(error)) return false;
+  registers_->OnConfigurationAccept([this] {
+    if (!check_accepted_at_) check_accepted_at_ = EventLoop::Now() + kLearnAccepted;
+  });
+  registers_->OpenStore([this](const std::string& replica_id) {
+    replica_id_ = replica_id;
+    membership_ring::MembershipOutput output;
+    membership_.UpdateSelf(EventLoop::Now(), ready_, replica_id_, &output);
+    output.changed = true;
+    Carry(std::move(output));
+  });
+  loop_->OnIdle([this] { Settle(); });
+  membership_ring::MembershipOutput output;
+  membership_.Start(EventLoop::Now(), &output);
+  output.changed = true;
+  Carry(std::move(output));
+  ScheduleWake();
+  return true;
+}
+
+void ControlPlane::ReloadSettings(const NodeSettings& settings) {
+  if (settings.seed_addresses == settings_.seed_addresses) return;
+  settings_.seed_addresses = settings.seed_addresses;
+  membership_.SetSeeds(settings.seed_addresses);
+  LOG(INFO) << "settings: the seeds are others now";
+}
+
+// ---- Messages ------------------------------------------------------------------------------------------
+
+void ControlPlane::Send(const std::string& address, messages::Envelope envelope) {
+  if (!transport_) return;
+  envelope.set_sender_address(settings_.internal_address);
+  transport_->Send(address, std::move(envelope));
+}
+
+void ControlPlane::Receive(messages::Envelope envelope) {
+  const Time now = EventLoop::Now();
+  const std::string& from = envelope.sender_address();
+  switch (envelope.body_case()) {
+    case messages::Envelope::kMembership: {
+      membership_ring::MembershipOutput output;
+      membership_.Receive(now, from, envelope.membership(), &output);
+      return Carry(std::move(output));
+    }
+    case messages::Envelope::kRegistry: {
+      registry::RegistryOutput output;
+      registry_.Receive(now, from, envelope.registry(), &output);
+      return Carry(std::move(output));
+    }
+    case messages::Envelope::kDistribution: {
+      configuration::FollowerOutput output;
+      follower_.Receive(now, from, envelope.distribution(), &output);
+      return Carry(std::move(output));
+    }
+    case messages::Envelope::kConsensus:
+      return registers_->Receive(from, envelope.consensus());
+    case messages::Envelope::kDuties:
+      return duties_.Receive(WallNow(), envelope.duties());
+    case messages::Envelope::kGroupHints:
+      for (const auto& hint : envelope.group_hints().groups())
+        registers_->LearnGroup(hint.register_name(), hint.group());
+      return;
+    case messages::Envelope::BODY_NOT_SET:
+      return;
+  }
+}
+
+void ControlPlane::Carry(membership_ring::MembershipOutput output) {
+  for (auto& send : output.sends) {
+    messages::Envelope envelope;
+    *envelope.mutable_membership() = std::move(send.message);
+    Send(send.address, std::move(envelope));
+  }
+  if (output.changed) MembersChanged(EventLoop::Now());
+}
+
+void ControlPlane::Carry(registry::RegistryOutput output) {
+  for (auto& send : output.sends) {
+    messages::Envelope envelope;
+    *envelope.mutable_registry() = std::move(send.message);
+    Send(send.address, std::move(envelope));
+  }
+  if (!output.changed) return;
+  runners_ = std::make_shared<const std::vector<messages::RunnerRecord>>(registry_.Runners());
+  duties_.SetRunners(runners_);
+  snapshot_changed_ = true;
+}
+
+void ControlPlane::Carry(configuration::FollowerOutput output) {
+  for (auto& send : output.sends) {
+    messages::Envelope envelope;
+    *envelope.mutable_distribution() = std::move(send.message);
+    Send(send.address, std::move(envelope));
+  }
+  if (!output.installed) return;
+  duties_.SetConfiguration(follower_.Current()->configuration);
+  duties_.SetMembers(EventLoop::Now(), live_);
+  check_accepted_at_.reset();
+  snapshot_changed_ = true;
+}
+
+void ControlPlane::MembersChanged(Time now) {
+  const std::vector<Member> before = std::move(live_);
+  live_ = membership_.Live();
+  std::vector<Member> others;
+  for (const Member& member : live_) {
+    if (member.name != settings_.name) others.push_back(member);
+  }
+  const auto lives = [&](const std::string& address) {
+    return std::any_of(live_.begin(), live_.end(), [&](const Member& m) { return m.address == address; });
+  };
+  for (const Member& member : before) {
+    if (!lives(member.address)) transport_->Forget(member.address);
+  }
+  follower_.SetMembers(now, others);
+  registry::RegistryOutput output;
+  registry_.SetMembers(now, others, &output);
+  Carry(std::move(output));
+  duties_.SetMembers(now, live_);
+  if (before.size() != live_.size()) LOG(INFO) << "members: " << live_.size() << " live";
+  snapshot_changed_ = true;
+}
+
+// ---- Calls ---------------------------------------------------------------------------------------------
+
+void ControlPlane::HandleControl(ControlRequest request, HttpServer::Respond respond) {
+  using Method = configuration::ChangeRequest::Method;
+  if (request.path.rfind(kRunnersPath, 0) == 0) return HandleRunner(request, std::move(respond));
+  if (request.path == kConfigurationPath) {
+    if (request.method == "GET") return operator_api_.Get(std::move(respond));
+    if (request.method == "PUT") return operator_api_.Change(Method::kPut, request, std::move(respond));
+    if (request.method == "PATCH") return operator_api_.Change(Method::kPatch, request, std::move(respond));
+    return respond(PlainStatus(405));
+  }
+  if (request.path == kStatusPath && request.method == "GET") return respond(Status());
+  respond(PlainStatus(404));
+}
+
+void ControlPlane::HandleRunner(const ControlRequest& request, HttpServer::Respond respond) {
+  const std::string runner_id = request.path.substr(kRunnersPath.size());
+  registry::RegistryOutput output;
+  if (request.method == "DELETE") {
+    registry_.Delete(EventLoop::Now(), runner_id, &output);
+    Carry(std::move(output));
+    return respond(PlainStatus(200));
+  }
+  if (request.method != "PUT") return respond(PlainStatus(405));
+  const auto heartbeat = registry::ReadHeartbeat(runner_id, request.body);
+  if (const auto* problem = std::get_if<std::string>(&heartbeat)) {
+    LOG_EVERY_N(WARNING, 50) << "heartbeat of " << runner_id << " refused: " << *problem;
+    ControlResponse refusal = PlainStatus(400);
+    refusal.body = *problem;
+    refusal.content_type = "text/plain";
+    return respond(std::move(refusal));
+  }
+  const auto answer =
+      registry_.Heartbeat(EventLoop::Now(), std::get<messages::RunnerRecord>(heartbeat), &output);
+  Carry(std::move(output));
+  ControlResponse response = PlainStatus(answer.taken ? 200 : 503);
+  if (answer.taken) response.body = HeartbeatAnswer(answer.report_to);
+  respond(std::move(response));
+}
+
+ControlResponse ControlPlane::Status() const {
+  StatusInput input;
+  input.name = settings_.name;
+  input.ready = ready_;
+  input.confirmed = confirmed_;
+  input.replica_id = replica_id_;
+  input.live = live_;
+  input.runners = runners_.get();
+  input.version = follower_.Current();
+  input.holdings = duties_.Holdings(EventLoop::Now());
+  input.placement = duties_.Explain(EventLoop::Now());
+  for (const std::string& name : AllRegisters())
+    input.groups.emplace_back(name, registers_->KnownGroup(name));
+  ControlResponse response;
+  response.body = StatusJson(input);
+  return response;
+}
+
+// ---- Time ----------------------------------------------------------------------------------------------
+
+void ControlPlane::Wake() { TickMachines(EventLoop::Now()); }
+
+void ControlPlane::TickMachines(Time now) {
+  const auto due = [now](const std::optional<Time>& timer) { return timer && *timer <= now; };
+  if (due(membership_.NextTimer())) {
+    membership_ring::MembershipOutput output;
+    membership_.Tick(now, &output);
+    Carry(std::move(output));
+  }
+  if (due(registry_.NextTimer())) {
+    registry::RegistryOutput output;
+    registry_.Tick(now, &output);
+    Carry(std::move(output));
+  }
+  if (due(follower_.NextTimer())) {
+    configuration::FollowerOutput output;
+    follower_.Tick(now, &output);
+    Carry(std::move(output));
+  }
+  if (due(registers_->NextTimer())) registers_->Tick(now);
+  if (now >= next_report_) ReportDataPlane(now);
+  if (due(duties_.NextTimer())) duties_.Tick(now, WallNow());
+  ConfirmConfiguration(now);
+  if (now >= next_groups_) KeepGroups(now);
+  if (draining_) DrainStep(now);
+}
+
+void ControlPlane::Settle() {
+  const Time now = EventLoop::Now();
+  if (snapshot_changed_) PublishSnapshot(now);
+  UpdateReadiness(now);
+  ScheduleWake();
+}
+
+void ControlPlane::ScheduleWake() {
+  Time next = std::min(next_report_, next_groups_);
+  for (const auto& timer : {membership_.NextTimer(), registry_.NextTimer(), follower_.NextTimer(),
+                            registers_->NextTimer(), duties_.NextTimer(), check_accepted_at_}) {
+    if (timer) next = std::min(next, *timer);
+  }
+  if (!confirmed_ && !reading_) next = std::min(next, next_read_);
+  if (draining_) next = std::min(next, EventLoop::Now() + kDrainPoll);
+  loop_->SetTimer(next, [this] { Wake(); });
+}
+
+// ---- Configuration -------------------------------------------------------------------------------------
+
+void ControlPlane::Learn(const messages::ConfigurationState& state, bool push) {
+  confirmed_ = true;
+  configuration::FollowerOutput output;
+  follower_.Learn(EventLoop::Now(), state, push, &output);
+  Carry(std::move(output));
+}
+
+// A new life serves nothing older than what a majority confirms. A replica that accepted a change which
+// nobody has told since (its proposer may be dead) has it read, finished and told to all.
+void ControlPlane::ConfirmConfiguration(Time now) {
+  const bool accepted_unlearned = check_accepted_at_ && now >= *check_accepted_at_;
+  if (reading_) return;
+  if (accepted_unlearned) {
+    check_accepted_at_.reset();
+    return ReadConfiguration(true);
+  }
+  if (!confirmed_ && now >= next_read_) ReadConfiguration(false);
+}
+
+void ControlPlane::ReadConfiguration(bool push) {
+  reading_ = true;
+  const Time now = EventLoop::Now();
+  next_read_ = now + kReadEvery;
+  registers_->Submit(
+      std::string(configuration::kRegisterName), [](const std::string&) { return consensus::KeepPayload{}; },
+      now + kReadGiveUp,
+      [this, push](const consensus::Completion& completion) {
+        reading_ = false;
+        if (completion.outcome == consensus::Outcome::kKept) {
+          const auto state = configuration::ReadState(completion.payload);
+          if (state) return Learn(*state, push);
+        } else if (push && !check_accepted_at_) {
+          check_accepted_at_ = EventLoop::Now() + kLearnAccepted;
+        }
+      });
+}
+
+// ---- Replica groups ------------------------------------------------------------------------------------
+
+void ControlPlane::KeepGroups(Time now) {
+  next_groups_ = now + kKeepGroupsEvery;
+  if (now >= next_hint_ && !live_.empty()) {
+    next_hint_ = now + kHintEvery;
+    if (IsGroupKeeper(live_, settings_.name)) SendGroupHints(live_[hint_turn_++ % live_.size()].address);
+  }
+  if (draining_ || replica_id_.empty() || !IsGroupKeeper(live_, settings_.name)) return;
+  for (const std::string& name : AllRegisters()) {
+    if (changing_groups_.count(name) > 0) continue;
+    const auto wanted = PlanGroup(registers_->KnownGroup(name), live_, settings_.tolerated_machines);
+    if (!wanted) continue;
+    changing_groups_.insert(name);
+    LOG(INFO) << name << ": replica group moves to " << wanted->size() << " members";
+    registers_->Submit(
+        name, [members = *wanted](const std::string&) { return consensus::NewGroup{members}; },
+        now + kGroupChangeGiveUp,
+        [this, name](const consensus::Completion& completion) {
+          changing_groups_.erase(name);
+          if (completion.outcome != consensus::Outcome::kChosen) {
+            LOG_EVERY_N(WARNING, 20) << name << ": replica group not changed; it is tried again";
+          }
+        });
+  }
+}
+
+void ControlPlane::SendGroupHints(const std::string& address) {
+  if (address == settings_.internal_address) return;
+  messages::Envelope envelope;
+  for (const std::string& name : AllRegisters()) {
+    const messages::ReplicaGroup group = registers_->KnownGroup(name);
+    if (group.version() == 0) continue;
+    messages::RegisterGroup* hint = envelope.mutable_group_hints()->add_groups();
+    hint->set_register_name(name);
+    *hint->mutable_group() = group;
+  }
+  if (envelope.has_group_hints()) Send(address, std::move(envelope));
+}
+
+// ---- Data plane ----------------------------------------------------------------------------------------
+
+void ControlPlane::ReportDataPlane(Time now) {
+  next_report_ = now + kReportEvery;
+  if (confirmed_) duties_.Report(now, WallNow(), data_plane_->TakeReport());
+}
+
+void ControlPlane::PublishSnapshot(Time now) {
+  const configuration::Follower::Version* version = follower_.Current();
+  const bool may_serve = version != nullptr && (confirmed_ || now - started_at_ > kServeUnconfirmedAfter);
+  if (version != nullptr && !may_serve) return;  // tried again at the next batch
+  snapshot_changed_ = false;
+  auto snapshot = std::make_shared<routing::Snapshot>();
+  if (version != nullptr) {
+    snapshot->revision = version->revision;
+    snapshot->configuration = version->configuration;
+  }
+  snapshot->runners = runners_;
+  snapshot->live_dispatchers = static_cast<int>(std::max<std::size_t>(live_.size(), 1));
+  snapshot->zone = settings_.zone;
+  snapshot->wall_offset = wall_offset_;
+  snapshot->bounds.retry_ratio = settings_.bounds.retry_ratio;
+  snapshot->bounds.retry_window = settings_.bounds.retry_window;
+  snapshot->bounds.retry_slack = settings_.bounds.retry_slack;
+  snapshot->bounds.report_window = settings_.bounds.report_window;
+  snapshot->bounds.retry_budget = settings_.retry_budget;
+  data_plane_->Install(std::move(snapshot));
+}
+
+void ControlPlane::UpdateReadiness(Time now) {
+  if (ready_ || draining_) return;
+  if (!confirmed_ || follower_.Current() == nullptr || !registry_.Settled(now)) return;
+  ready_ = true;
+  LOG(INFO) << "ready: edition " << follower_.Current()->edition << ", " << runners_->size() << " runners, "
+            << live_.size() << " members";
+  membership_ring::MembershipOutput output;
+  membership_.UpdateSelf(now, ready_, replica_id_, &output);
+  Carry(std::move(output));
+}
+
+void ControlPlane::BeginDrain() {
+  if (draining_) return;
+  draining_ = true;
+  drain_began_ = EventLoop::Now();
+  LOG(INFO) << "ends: what is in work is finished first";
+  data_plane_->BeginDrain();
+  duties_.Resign(drain_began_);
+}
+
+// Stays a member, and hears of drained runners, until its last request is answered.
+void ControlPlane::DrainStep(Time now) {
+  const Time since = now - drain_began_;
+  const bool out_of_time = since > settings_.bounds.grace - kExitReserve;
+  if (!out_of_time && (since < kReadyFalseFor || !data_plane_->Drained())) return;
+  membership_ring::MembershipOutput output;
+  membership_.Leave(now, &output);
+  output.changed = false;
+  Carry(std::move(output));
+  loop_->Stop();
+}
+
+}  // namespace lichenlug::controlplane
--- /dev/null
+++ b/src/controlplane/control_plane.h
@@ -0,0 +1,98 @@
+// The control plane of one process: the state machines, wired to the loop, the transport, the disk and the
+// data plane. Everything here runs on the loop's thread.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+#include "configuration/follower.h"
+#include "controlplane/duty_service.h"
+#include "controlplane/event_loop.h"
+#include "controlplane/http_client.h"
+#include "controlplane/http_server.h"
+#include "controlplane/node_settings.h"
+#include "controlplane/operator_api.h"
+#include "controlplane/register_service.h"
+#include "dataplane/data_plane.h"
+#include "membership/membership.h"
+#include "registry/registry.h"
+#include "transport/transport.h"
+
+namespace lichenlug::controlplane {
+
+class ControlPlane {
+ public:
+  ControlPlane(EventLoop* loop, NodeSettings settings, dataplane::DataPlane* data_plane);
+  ~ControlPlane();
+
+  bool Start(std::string* error);                     // one line with the remedy
+  void ReloadSettings(const NodeSettings& settings);  // the seeds may have changed
+  void BeginDrain();  // SIGTERM: not ready any more; the loop stops when nothing is owed
+
+ private:
+  // Messages
+  void Send(const std::string& address, messages::Envelope envelope);
+  void Receive(messages::Envelope envelope);
+  void Carry(membership_ring::MembershipOutput output);
+  void Carry(registry::RegistryOutput output);
+  void Carry(configuration::FollowerOutput output);
+  // Calls
+  void HandleControl(ControlRequest request, HttpServer::Respond respond);
+  void HandleRunner(const ControlRequest& request, HttpServer::Respond respond);
+  ControlResponse Status() const;
+  // Time
+  void Wake();
+  void Settle();  // after each batch of events
+  void TickMachines(Time now);
+  void ScheduleWake();
+  // Duties of this file
+  void MembersChanged(Time now);
+  void Learn(const messages::ConfigurationState& state, bool push);
+  void ConfirmConfiguration(Time now);
+  void ReadConfiguration(bool push);
+  void KeepGroups(Time now);
+  void SendGroupHints(const std::string& address);
+  void ReportDataPlane(Time now);
+  void PublishSnapshot(Time now);
+  void UpdateReadiness(Time now);
+  void DrainStep(Time now);
+  Time WallNow() const { return EventLoop::Now() + wall_offset_; }
+
+  EventLoop* loop_;
+  NodeSettings settings_;
+  dataplane::DataPlane* data_plane_;
+  Time started_at_;
+  Time wall_offset_;  // true Unix time less the steady clock, as this process began
+  std::uint64_t seed_;
+  std::uint64_t incarnation_;
+
+  std::unique_ptr<transport::Transport> transport_;
+  std::unique_ptr<RegisterService> registers_;
+  membership_ring::Membership membership_;
+  registry::Registry registry_;
+  configuration::Follower follower_;
+  HttpClient client_;
+  DutyService duties_;
+  OperatorApi operator_api_;
+  std::unique_ptr<HttpServer> control_server_, ready_server_;
+
+  std::vector<Member> live_;  // this one included
+  std::shared_ptr<const std::vector<messages::RunnerRecord>> runners_;
+  std::string replica_id_;
+  std::unordered_set<std::string> changing_groups_;  // registers whose group is being changed from here
+  bool snapshot_changed_ = true;
+  bool confirmed_ = false;  // a majority has told the newest configuration in this life
+  bool reading_ = false;    // a read of the configuration is under way
+  bool ready_ = false;
+  bool draining_ = false;
+  Time drain_began_ = 0;
+  Time next_read_ = 0, next_groups_ = 0, next_report_ = 0, next_hint_ = 0;
+  std::optional<Time>
+      check_accepted_at_;  // a replica here accepted a configuration that has not been learned yet
+  std::size_t hint_turn_ = 0;
+};
+
+}  // namespace lichenlug::controlplane
--- /dev/null
+++ b/src/controlplane/duty_service.cpp
@@ -0,0 +1,277 @@
+#include "controlplane/duty_service.h"
+
+#include <glog/logging.h>
+#include <xxhash.h>
+
+#include <utility>
+
+namespace lichenlug::controlplane {
+
+namespace {
+
+constexpr Time kActEvery = 250 * kMillisecond;
+constexpr Time kDemandFadesAfter =
+    4 * kSecond;  // a dispatcher that has told nothing for this long counts no more
+constexpr std::size_t kMostDispatchers = 8192;
+
+duties::OwnershipSettings OwnershipSettingsFor(const std::string& register_name, const NodeSettings& settings,
+                                               std::uint64_t incarnation, std::uint64_t seed) {
+  duties::OwnershipSettings own;
+  own.register_name = register_name;
+  own.self_name = settings.name;
+  own.self_incarnation = incarnation;
+  own.lease = settings.bounds.lease;
+  own.seed = seed;
+  return own;
+}
+
+}  // namespace
+
+std::string ShardRegister(const std::string& service) {
+  const auto shard = XXH64(service.data(), service.size(), 0) % kServiceShards;
+  return "duties/shard-" + std::to_string(shard);
+}
+
+std::string UsageRegister() { return "duties/usage"; }
+
+std::vector<std::string> AllDutyRegisters() {
+  std::vector<std::string> names{UsageRegister()};
+  for (int shard = 0; shard < kServiceShards; ++shard)
+    names.push_back("duties/shard-" + std::to_string(shard));
+  return names;
+}
+
+DutyService::DutyService(const NodeSettings& settings, std::uint64_t incarnation, std::uint64_t seed,
+                         RegisterService* registers, HttpClient* client, SendFunction send)
+    : settings_(settings),
+      incarnation_(incarnation),
+      seed_(seed),
+      registers_(registers),
+      client_(client),
+      send_(std::move(send)),
+      usage_({settings.bounds.report_window, settings.bounds.usage_late}) {}
+
+DutyService::~DutyService() = default;
+
+duties::Ownership& DutyService::OwnershipOf(const std::string& register_name) {
+  auto& ownership = ownerships_[register_name];
+  if (!ownership)
+    ownership = std::make_unique<duties::Ownership>(
+        OwnershipSettingsFor(register_name, settings_, incarnation_, seed_));
+  return *ownership;
+}
+
+placement::Placement& DutyService::PlacementOf(const std::string& service) {
+  auto& placement = placements_[service];
+  if (!placement) {
+    placement::Placement::Settings settings;
+    settings.service = service;
+    settings.holder = settings_.name;
+    settings.origin_window = settings_.bounds.origin_window;
+    settings.origin_overage = settings_.bounds.origin_overage;
+    settings.lease = settings_.bounds.lease;
+    settings.seed = seed_;
+    placement = std::make_unique<placement::Placement>(settings);
+  }
+  return *placement;
+}
+
+bool DutyService::IsWanted(const std::string& register_name) const {
+  if (resigned_ || !configuration_) return false;
+  if (register_name == UsageRegister()) return settings_.duty_usage;
+  for (const messages::Service& service : configuration_->services()) {
+    if (service.has_engine() && ShardRegister(service.name()) == register_name) return true;
+  }
+  return false;
+}
+
+void DutyService::SetMembers(Time now, std::vector<Member> live) {
+  live_ = std::move(live);
+  for (const std::string& name : AllDutyRegisters()) {
+    if (IsWanted(name) || ownerships_.count(name) > 0)
+      OwnershipOf(name).SetMembers(now, live_, IsWanted(name));
+  }
+}
+
+void DutyService::SetConfiguration(std::shared_ptr<const messages::Configuration> configuration) {
+  configuration_ = std::move(configuration);
+}
+
+void DutyService::SetRunners(std::shared_ptr<const std::vector<messages::RunnerRecord>> runners) {
+  runners_ = std::move(runners);
+}
+
+void DutyService::Tell(const messages::DutiesMessage& message) {
+  for (const Member& member : live_) {
+    if (member.replica_id.empty() || member.name == settings_.name) continue;
+    messages::Envelope envelope;
+    *envelope.mutable_duties() = message;
+    send_(member.address, std::move(envelope));
+  }
+}
+
+void DutyService::Report(Time now, Time wall_now, const dataplane::Report& report) {
+  messages::DutiesMessage usage;
+  usage.mutable_usage()->set_name(settings_.name);
+  usage.mutable_usage()->set_incarnation(incarnation_);
+  for (const auto& [window, counts] : report.usage) {
+    messages::WindowCount* count = usage.mutable_usage()->add_windows();
+    count->set_window(window);
+    for (const auto& [tenant, number] : counts) {
+      messages::TenantCount* of_tenant = count->add_counts();
+      of_tenant->set_tenant(tenant);
+      of_tenant->set_count(number);
+    }
+  }
+  usage_.Merge(wall_now, usage.usage());
+  Tell(usage);
+
+  messages::DutiesMessage demand;
+  demand.mutable_demand()->set_name(settings_.name);
+  demand.mutable_demand()->set_incarnation(incarnation_);
+  demand.mutable_demand()->set_number(++demand_number_);
+  for (const routing::Decisions::Demand& item : report.demand) {
+    messages::ModelDemand* model = demand.mutable_demand()->add_models();
+    model->set_service(item.service);
+    model->set_model(item.model);
+    model->set_adapter(item.adapter);
+    model->set_arrivals_per_s(item.arrivals_per_s);
+    model->set_running(item.running);
+    model->set_unserved(item.unserved);
+  }
+  MergeDemand(now, demand.demand());
+  Tell(demand);
+}
+
+void DutyService::Receive(Time wall_now, const messages::DutiesMessage& message) {
+  if (message.has_usage()) usage_.Merge(wall_now, message.usage());
+  if (message.has_demand()) MergeDemand(EventLoop::Now(), message.demand());
+}
+
+void DutyService::MergeDemand(Time now, const messages::DemandReport& report) {
+  const auto found = demand_.find(report.name());
+  if (found == demand_.end() && demand_.size() >= kMostDispatchers) return;
+  DemandOfDispatcher& held = demand_[report.name()];
+  const bool older = std::pair(report.incarnation(), report.number()) <
+                     std::pair(held.report.incarnation(), held.report.number());
+  if (older) return;
+  held.report = report;
+  held.heard_at = now;
+}
+
+std::vector<messages::DemandReport> DutyService::RecentDemand(Time now) {
+  std::erase_if(demand_, [&](const auto& entry) { return now - entry.second.heard_at > kDemandFadesAfter; });
+  std::vector<messages::DemandReport> reports;
+  for (const auto& [name, held] : demand_) reports.push_back(held.report);
+  return reports;
+}
+
+void DutyService::Carry(const std::string& register_name, duties::OwnershipOutput output) {
+  for (duties::RegisterOperation& operation : output.operations) {
+    registers_->Submit(operation.register_name, std::move(operation.change), operation.give_up_at,
+                       [this, register_name, tag = operation.tag](const consensus::Completion& completion) {
+                         duties::OwnershipOutput next;
+                         OwnershipOf(register_name).Completed(EventLoop::Now(), tag, completion, &next);
+                         Carry(register_name, std::move(next));
+                       });
+  }
+  if (!output.changed) return;
+  const duties::Ownership& ownership = OwnershipOf(register_name);
+  LOG(INFO) << register_name << ": owner " << ownership.state().owner() << ", epoch "
+            << ownership.state().epoch() << (ownership.Holds(EventLoop::Now()) ? ", held here" : "");
+}
+
+void DutyService::Tick(Time now, Time wall_now) {
+  for (auto& [name, ownership] : ownerships_) {
+    duties::OwnershipOutput output;
+    ownership->Tick(now, &output);
+    Carry(name, std::move(output));
+  }
+  if (now < next_act_) return;
+  next_act_ = now + kActEvery;
+  if (resigned_) return;
+  ActOnUsage(now, wall_now);
+  ActOnPlacement(now);
+}
+
+std::optional<Time> DutyService::NextTimer() const {
+  Time next = next_act_;
+  for (const auto& [name, ownership] : ownerships_) {
+    if (const auto timer = ownership->NextTimer()) next = std::min(next, *timer);
+  }
+  return next;
+}
+
+void DutyService::ActOnUsage(Time now, Time wall_now) {
+  const auto found = ownerships_.find(UsageRegister());
+  if (found == ownerships_.end() || !found->second->Holds(now)) return;
+  duties::UsageDuty::Output output;
+  usage_.Act(now, wall_now, found->second->epoch(), found->second->state(), &output);
+  CarryUsage(std::move(output));
+}
+
+void DutyService::CarryUsage(duties::UsageDuty::Output output) {
+  for (const messages::WindowCount& tally : output.choose) {
+    duties::OwnershipOutput chosen;
+    OwnershipOf(UsageRegister()).ChooseTally(EventLoop::Now(), tally, &chosen);
+    Carry(UsageRegister(), std::move(chosen));
+  }
+  for (const duties::HttpCall& call : output.calls) {
+    client_->Call(call, [this, tag = call.tag](const duties::HttpResult& result) {
+      duties::UsageDuty::Output next;
+      usage_.Completed(EventLoop::Now(), tag, result, &next);
+      CarryUsage(std::move(next));
+    });
+  }
+}
+
+void DutyService::ActOnPlacement(Time now) {
+  if (!configuration_ || !runners_) return;
+  std::optional<std::vector<messages::DemandReport>> demand;
+  for (const messages::Service& service : configuration_->services()) {
+    if (!service.has_engine()) continue;
+    const auto ownership = ownerships_.find(ShardRegister(service.name()));
+    const bool holds = ownership != ownerships_.end() && ownership->second->Holds(now);
+    if (!holds && placements_.count(service.name()) == 0) continue;
+    if (!demand) demand = RecentDemand(now);
+    placement::Placement::Input input;
+    input.service = &service;
+    input.runners = runners_.get();
+    input.demand = &*demand;
+    input.holds = holds;
+    input.epoch = holds ? ownership->second->epoch() : 0;
+    std::vector<duties::HttpCall> calls;
+    PlacementOf(service.name()).Act(now, input, &calls);
+    for (const duties::HttpCall& call : calls) {
+      client_->Call(call, [this, name = service.name(), tag = call.tag](const duties::HttpResult& result) {
+        PlacementOf(name).Completed(EventLoop::Now(), tag, result);
+      });
+    }
+  }
+}
+
+void DutyService::Resign(Time now) {
+  resigned_ = true;
+  for (auto& [name, ownership] : ownerships_) {
+    duties::OwnershipOutput output;
+    ownership->Resign(now, &output);
+    Carry(name, std::move(output));
+  }
+}
+
+std::vector<DutyService::Holding> DutyService::Holdings(Time now) const {
+  std::vector<Holding> holdings;
+  for (const auto& [name, ownership] : ownerships_)
+    holdings.push_back({name, ownership->state().owner(), ownership->state().epoch(), ownership->Holds(now)});
+  return holdings;
+}
+
+std::vector<std::string> DutyService::Explain(Time now) const {
+  std::vector<std::string> lines;
+  for (const auto& [service, placement] : placements_) {
+    for (const std::string& line : placement->Explain(now)) lines.push_back(service + ": " + line);
+  }
+  return lines;
+}
+
+}  // namespace lichenlug::controlplane
--- /dev/null
+++ b/src/controlplane/duty_service.h
@@ -0,0 +1,90 @@
+// The duties of the system at work: ownership of each shard, usage reports, placement of each service with an
+// engine.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "controlplane/event_loop.h"
+#include "controlplane/http_client.h"
+#include "controlplane/node_settings.h"
+#include "controlplane/register_service.h"
+#include "dataplane/data_plane.h"
+#include "duties/ownership.h"
+#include "duties/usage.h"
+#include "placement/placement.h"
+
+namespace lichenlug::controlplane {
+
+inline constexpr int kServiceShards = 4;  // by a hash of the service's name
+
+std::string ShardRegister(const std::string& service);
+std::string UsageRegister();
+std::vector<std::string> AllDutyRegisters();
+
+class DutyService {
+ public:
+  using SendFunction = RegisterService::SendFunction;
+
+  DutyService(const NodeSettings& settings, std::uint64_t incarnation, std::uint64_t seed,
+              RegisterService* registers, HttpClient* client, SendFunction send);
+  ~DutyService();
+
+  void SetMembers(Time now, std::vector<Member> live);
+  void SetConfiguration(std::shared_ptr<const messages::Configuration> configuration);
+  void SetRunners(std::shared_ptr<const std::vector<messages::RunnerRecord>> runners);
+  // Own counts and demand: kept here and told to the members with a store.
+  void Report(Time now, Time wall_now, const dataplane::Report& report);
+  void Receive(Time wall_now, const messages::DutiesMessage& message);
+  void Tick(Time now, Time wall_now);
+  std::optional<Time> NextTimer() const;
+  void Resign(Time now);  // SIGTERM
+
+  struct Holding {
+    std::string register_name;
+    std::string owner;
+    std::uint64_t epoch = 0;
+    bool held_here = false;
+  };
+  std::vector<Holding> Holdings(Time now) const;
+  std::vector<std::string> Explain(Time now) const;
+
+ private:
+  struct DemandOfDispatcher {
+    messages::DemandReport report;
+    Time heard_at = 0;
+  };
+
+  duties::Ownership& OwnershipOf(const std::string& register_name);
+  bool IsWanted(const std::string& register_name) const;
+  void Carry(const std::string& register_name, duties::OwnershipOutput output);
+  void ActOnUsage(Time now, Time wall_now);
+  void ActOnPlacement(Time now);
+  void CarryUsage(duties::UsageDuty::Output output);
+  void MergeDemand(Time now, const messages::DemandReport& report);
+  std::vector<messages::DemandReport> RecentDemand(Time now);
+  void Tell(const messages::DutiesMessage& message);
+  placement::Placement& PlacementOf(const std::string& service);
+
+  NodeSettings settings_;
+  std::uint64_t incarnation_;
+  std::uint64_t seed_;
+  RegisterService* registers_;
+  HttpClient* client_;
+  SendFunction send_;
+  std::vector<Member> live_;
+  std::shared_ptr<const messages::Configuration> configuration_;
+  std::shared_ptr<const std::vector<messages::RunnerRecord>> runners_;
+  std::map<std::string, std::unique_ptr<duties::Ownership>> ownerships_;  // by register
+  duties::UsageDuty usage_;
+  std::map<std::string, std::unique_ptr<placement::Placement>> placements_;  // by service
+  std::map<std::string, DemandOfDispatcher> demand_;                         // by dispatcher
+  std::uint64_t demand_number_ = 0;
+  Time next_act_ = 0;
+  bool resigned_ = false;
+};
+
+}  // namespace lichenlug::controlplane
--- /dev/null
+++ b/src/controlplane/event_loop.h
@@ -0,0 +1,52 @@
+// The control plane's thread: a libevent loop, tasks posted to it from other threads, and one timer.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+#include "base/clock.h"
+
+struct event;
+struct event_base;
+
+namespace lichenlug::controlplane {
+
+class EventLoop {
+ public:
+  EventLoop();
+  ~EventLoop();
+  EventLoop(const EventLoop&) = delete;
+  EventLoop& operator=(const EventLoop&) = delete;
+
+  event_base* base() { return base_; }
+  static Time Now();  // the steady clock, microseconds
+
+  void Post(std::function<void()> task);  // any thread; runs on the loop's, in order
+  // Calls `wake` at `at`, once; a newer call replaces the older one.
+  void SetTimer(Time at, std::function<void()> wake);
+  // `handle` runs on the loop's thread whenever the signal comes.
+  void OnSignal(int signal, std::function<void()> handle);
+  // Runs after each batch of events, before the loop waits again.
+  void OnIdle(std::function<void()> idle) { idle_ = std::move(idle); }
+
+  void Run();  // until Stop()
+  void Stop();
+
+ private:
+  struct SignalHandler;
+  void RunTasks();
+
+  event_base* base_ = nullptr;
+  event* task_event_ = nullptr;
+  event* timer_event_ = nullptr;
+  int wake_descriptor_ = -1;
+  std::mutex mutex_;
+  std::vector<std::function<void()>> tasks_;
+  std::function<void()> wake_, idle_;
+  std::vector<std::unique_ptr<SignalHandler>> signals_;
+  bool stopped_ = false;
+};
+
+}  // namespace lichenlug::controlplane
--- /dev/null
+++ b/src/controlplane/group_planner.cpp
@@ -0,0 +1,75 @@
+#include "controlplane/group_planner.h"
+
+#include <algorithm>
+
+namespace lichenlug::controlplane {
+
+namespace {
+
+using Identities = std::vector<messages::ReplicaIdentity>;
+
+bool MayReplicate(const Member& member) { return member.counts_for_quorum && !member.replica_id.empty(); }
+
+messages::ReplicaIdentity IdentityOf(const Member& member) {
+  messages::ReplicaIdentity identity;
+  identity.set_replica_id(member.replica_id);
+  identity.set_address(member.address);
+  identity.set_name(member.name);
+  return identity;
+}
+
+bool Holds(const Identities& identities, const std::string& replica_id) {
+  return std::any_of(identities.begin(), identities.end(),
+                     [&](const auto& identity) { return identity.replica_id() == replica_id; });
+}
+
+const Member* FindLive(const std::vector<Member>& live, const std::string& replica_id) {
+  const auto found = std::find_if(live.begin(), live.end(),
+                                  [&](const Member& member) { return member.replica_id == replica_id; });
+  return found == live.end() ? nullptr : &*found;
+}
+
+// The same machine lives with another store: what the older identity knew is lost.
+bool WasReplaced(const std::vector<Member>& live, const messages::ReplicaIdentity& identity) {
+  return std::any_of(live.begin(), live.end(), [&](const Member& member) {
+    const bool same_machine =
+        member.address == identity.address() || (!identity.name().empty() && member.name == identity.name());
+    return MayReplicate(member) && same_machine && member.replica_id != identity.replica_id();
+  });
+}
+
+}  // namespace
+
+std::optional<Identities> PlanGroup(const messages::ReplicaGroup& present, const std::vector<Member>& live,
+                                    int tolerated) {
+  Identities wanted;
+  Identities absent;
+  for (const auto& identity : present.members()) {
+    if (FindLive(live, identity.replica_id()) != nullptr)
+      wanted.push_back(identity);
+    else if (!WasReplaced(live, identity))
+      absent.push_back(identity);
+  }
+  for (const Member& member : live) {
+    if (!MayReplicate(member) || Holds(wanted, member.replica_id)) continue;
+    if (wanted.size() < kMostReplicas) wanted.push_back(IdentityOf(member));
+  }
+  const std::size_t least = static_cast<std::size_t>(2 * tolerated + 1);
+  for (const auto& identity : absent) {
+    if (wanted.size() < least) wanted.push_back(identity);
+  }
+  const bool same = wanted.size() == static_cast<std::size_t>(present.members_size()) &&
+                    std::all_of(present.members().begin(), present.members().end(),
+                                [&](const auto& identity) { return Holds(wanted, identity.replica_id()); });
+  if (same && present.next_members().empty()) return std::nullopt;
+  return wanted;
+}
+
+bool IsGroupKeeper(const std::vector<Member>& live, const std::string& self_name) {
+  for (const Member& member : live) {  // by name
+    if (MayReplicate(member)) return member.name == self_name;
+  }
+  return false;
+}
+
+}  // namespace lichenlug::controlplane
--- /dev/null
+++ b/src/controlplane/node_settings.cpp
@@ -0,0 +1,173 @@
+#include "controlplane/node_settings.h"
+
+#include <algorithm>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <stdexcept>
+
+namespace lichenlug::controlplane {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// A key that is missing or has the wrong type.
+class SettingsError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+[[noreturn]] void Refuse(const std::string& key, const std::string& remedy) {
+  throw SettingsError(key + ": " + remedy);
+}
+
+std::string RequiredText(const Json& object, const std::string& key) {
+  const auto found = object.find(key);
+  if (found == object.end() || !found->is_string() || found->get_ref<const std::string&>().empty())
+    Refuse(key, "give a text that is not empty");
+  return found->get<std::string>();
+}
+
+std::string OptionalText(const Json& object, const std::string& key) {
+  const auto found = object.find(key);
+  if (found == object.end() || found->is_null()) return "";
+  if (!found->is_string()) Refuse(key, "give a text");
+  return found->get<std::string>();
+}
+
+double Number(const Json& object, const std::string& key, double otherwise) {
+  const auto found = object.find(key);
+  if (found == object.end() || found->is_null()) return otherwise;
+  if (!found->is_number() || found->get<double>() < 0) Refuse(key, "give a number of 0 or more");
+  return found->get<double>();
+}
+
+Time Milliseconds(const Json& object, const std::string& key, Time otherwise) {
+  const double fallback = static_cast<double>(otherwise) / kMillisecond;
+  return static_cast<Time>(Number(object, key, fallback) * kMillisecond);
+}
+
+Time Seconds(const Json& object, const std::string& key, Time otherwise) {
+  const double fallback = static_cast<double>(otherwise) / kSecond;
+  return static_cast<Time>(Number(object, key, fallback) * kSecond);
+}
+
+bool Flag(const Json& object, const std::string& key, bool otherwise) {
+  const auto found = object.find(key);
+  if (found == object.end() || found->is_null()) return otherwise;
+  if (!found->is_boolean()) Refuse(key, "give true or false");
+  return found->get<bool>();
+}
+
+Json Object(const Json& object, const std::string& key) {
+  const auto found = object.find(key);
+  if (found == object.end() || found->is_null()) return Json::object();
+  if (!found->is_object()) Refuse(key, "give an object");
+  return *found;
+}
+
+bool ListHolds(const Json& object, const std::string& key, const std::string& word) {
+  const auto found = object.find(key);
+  if (found == object.end() || !found->is_array()) return false;
+  return std::any_of(found->begin(), found->end(), [&](const Json& item) { return item == word; });
+}
+
+std::string IpOf(const std::string& address) { return address.substr(0, address.rfind(':')); }
+
+DeploymentBounds ReadBounds(const Json& table) {
+  DeploymentBounds bounds;
+  bounds.contact = Milliseconds(table, "contact_ms", bounds.contact);
+  bounds.change_receipt = Milliseconds(table, "receipt_ms", bounds.change_receipt);
+  bounds.catch_up = Seconds(table, "catch_up_s", bounds.catch_up);
+  bounds.drain = Milliseconds(table, "drain_ms", bounds.drain);
+  bounds.grace = Seconds(table, "grace_s", bounds.grace);
+  bounds.configuration_in_force = Milliseconds(table, "edition_ms", bounds.configuration_in_force);
+  bounds.lease = Milliseconds(table, "lease_ms", bounds.lease);
+  bounds.retry_ratio = Number(table, "retry_ratio", bounds.retry_ratio);
+  bounds.retry_window = Seconds(table, "retry_window_s", bounds.retry_window);
+  bounds.retry_slack = Number(table, "retry_slack", bounds.retry_slack);
+  bounds.report_window = Seconds(table, "report_window_s", bounds.report_window);
+  bounds.usage_late = Seconds(table, "usage_late_s", bounds.usage_late);
+  bounds.origin_window = Seconds(table, "origin_window_s", bounds.origin_window);
+  bounds.origin_overage = Number(table, "origin_overage", bounds.origin_overage);
+  return bounds;
+}
+
+std::string InternalPort(const Json& object) {
+  const auto ports = object.find("internal_ports");
+  if (ports == object.end() || !ports->is_array() || ports->empty() || !ports->front().is_number_integer())
+    Refuse("internal_ports", "give a list of two port numbers");
+  return std::to_string(ports->front().get<int>());
+}
+
+void ReadSeeds(const Json& object, const std::string& port, NodeSettings* settings) {
+  const auto seeds = object.find("seed_stations");
+  if (seeds == object.end() || !seeds->is_array()) Refuse("seed_stations", "give a list of addresses");
+  for (const Json& seed : *seeds) {
+    if (!seed.is_string()) Refuse("seed_stations", "give addresses as texts, IP:PORT");
+    settings->seed_addresses.push_back(IpOf(seed.get<std::string>()) + ":" + port);
+  }
+}
+
+void ReadPlatform(const Json& object, NodeSettings* settings) {
+  const Json platform = Object(object, "carrier_api");
+  settings->platform_address = OptionalText(platform, "address");
+  settings->duty_usage = ListHolds(platform, "duties", "usage");
+  settings->duty_fleet = ListHolds(platform, "duties", "fleet");
+}
+
+void ReadAddresses(const Json& object, NodeSettings* settings) {
+  const Json addresses = Object(object, "docks");
+  settings->front_address = OptionalText(addresses, "front_dock");
+  settings->ready_address = OptionalText(addresses, "ready_dock");
+  settings->control_address = OptionalText(addresses, "control_dock");
+}
+
+NodeSettings Read(const Json& object) {
+  if (!object.is_object()) Refuse("the whole file", "give a JSON object");
+  NodeSettings settings;
+  settings.name = RequiredText(object, "station");
+  settings.ip = RequiredText(object, "ip");
+  settings.zone = RequiredText(object, "zone");
+  settings.region = OptionalText(object, "region");
+  ReadAddresses(object, &settings);
+  const std::string port = InternalPort(object);
+  settings.internal_address = settings.ip + ":" + port;
+  ReadSeeds(object, port, &settings);
+  settings.first_run = Flag(object, "first_run", false);
+  settings.counts_for_quorum = Flag(object, "counts_for_quorum", false);
+  settings.store_folder = OptionalText(object, "store_dir");
+  settings.tolerated_machines =
+      static_cast<int>(Number(Object(object, "tolerated_losses"), "machines", settings.tolerated_machines));
+  const Json limits = Object(object, "parcel_limits");
+  settings.descriptors = static_cast<int>(Number(limits, "file_handles", settings.descriptors));
+  settings.memory_mb = Number(limits, "memory_mb", settings.memory_mb);
+  settings.heartbeat_every = Milliseconds(object, "report_ms", settings.heartbeat_every);
+  settings.retry_budget = ListHolds(object, "regulations_in_force", "retry");
+  settings.bounds = ReadBounds(Object(object, "timetable"));
+  ReadPlatform(object, &settings);
+  return settings;
+}
+
+}  // namespace
+
+std::variant<NodeSettings, std::string> ParseNodeSettings(const std::string& json, const std::string& place) {
+  try {
+    return Read(Json::parse(json));
+  } catch (const SettingsError& error) {
+    return place + ": " + error.what();
+  } catch (const Json::exception&) {
+    return place + ": the file is not JSON; write it whole and anew";
+  }
+}
+
+std::variant<NodeSettings, std::string> ReadNodeSettings(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) return path + ": the settings file can't be opened; check the path and its permissions";
+  std::stringstream text;
+  text << file.rdbuf();
+  return ParseNodeSettings(text.str(), path);
+}
+
+}  // namespace lichenlug::controlplane
--- /dev/null
+++ b/src/controlplane/status.cpp
@@ -0,0 +1,65 @@
+#include "controlplane/status.h"
+
+#include <nlohmann/json.hpp>
+
+namespace lichenlug::controlplane {
+
+namespace {
+
+using Json = nlohmann::json;
+
+Json MemberJson(const Member& member) {
+  return {{"name", member.name},
+          {"address", member.address},
+          {"control_address", member.control_address},
+          {"zone", member.zone},
+          {"ready", member.ready},
+          {"replica_id", member.replica_id},
+          {"incarnation", member.incarnation}};
+}
+
+Json RunnerJson(const messages::RunnerRecord& runner) {
+  Json models = Json::array();
+  for (const auto& model : runner.models()) models.push_back(model.name());
+  return {{"id", runner.runner_id()},
+          {"service", runner.service()},
+          {"address", runner.address()},
+          {"zone", runner.zone()},
+          {"state", messages::RunnerState_Name(runner.state())},
+          {"models", models}};
+}
+
+Json GroupJson(const messages::ReplicaGroup& group) {
+  Json members = Json::array();
+  for (const auto& member : group.members()) members.push_back(member.replica_id() + "@" + member.address());
+  return {{"version", group.version()}, {"members", members}, {"changing", group.next_members_size() > 0}};
+}
+
+}  // namespace
+
+std::string StatusJson(const StatusInput& input) {
+  Json status{{"name", input.name},           {"ready", input.ready},
+              {"confirmed", input.confirmed}, {"replica_id", input.replica_id},
+              {"members", Json::array()},     {"runners", Json::array()},
+              {"duties", Json::array()},      {"placement", input.placement},
+              {"registers", Json::object()}};
+  if (input.version != nullptr) {
+    status["edition"] = input.version->edition;
+    status["revision"] = input.version->revision;
+  }
+  for (const Member& member : input.live) status["members"].push_back(MemberJson(member));
+  for (const auto& runner : *input.runners) status["runners"].push_back(RunnerJson(runner));
+  for (const auto& holding : input.holdings)
+    status["duties"].push_back({{"register", holding.register_name},
+                                {"owner", holding.owner},
+                                {"epoch", holding.epoch},
+                                {"held_here", holding.held_here}});
+  for (const auto& [name, group] : input.groups) status["registers"][name] = GroupJson(group);
+  return status.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::string HeartbeatAnswer(const std::string& report_to) {
+  return report_to.empty() ? "{}" : Json{{"report_to", report_to}}.dump();
+}
+
+}  // namespace lichenlug::controlplane
--- /dev/null
+++ b/src/controlplane/status.h
@@ -0,0 +1,31 @@
+// What a dispatcher tells of itself: GET /-/status, for the operator's tool.
+#pragma once
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "configuration/follower.h"
+#include "controlplane/duty_service.h"
+
+namespace lichenlug::controlplane {
+
+struct StatusInput {
+  std::string name;
+  bool ready = false;
+  bool confirmed = false;
+  std::string replica_id;
+  std::vector<Member> live;
+  const std::vector<messages::RunnerRecord>* runners = nullptr;
+  const configuration::Follower::Version* version = nullptr;
+  std::vector<DutyService::Holding> holdings;
+  std::vector<std::string> placement;
+  std::vector<std::pair<std::string, messages::ReplicaGroup>> groups;
+};
+
+std::string StatusJson(const StatusInput& input);
+
+// The answer to a runner's heartbeat.
+std::string HeartbeatAnswer(const std::string& report_to);
+
+}  // namespace lichenlug::controlplane
--- /dev/null
+++ b/src/daemon/main.cpp
@@ -0,0 +1,117 @@
+// lichenlugd: one dispatcher of the model router and placer.
+#include <glog/logging.h>
+
+#include <boost/program_options.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <exception>
+#include <iostream>
+#include <random>
+#include <string>
+
+#include "controlplane/control_plane.h"
+#include "controlplane/event_loop.h"
+#include "controlplane/node_settings.h"
+#include "dataplane/data_plane.h"
+
+namespace {
+
+using lichenlug::controlplane::ControlPlane;
+using lichenlug::controlplane::EventLoop;
+using lichenlug::controlplane::NodeSettings;
+using lichenlug::controlplane::ReadNodeSettings;
+
+constexpr const char* kSettingsVariable = "LICHENLUG_BOOT";
+constexpr int kUsageError = 2;
+
+struct CommandLine {
+  std::string settings_path;
+  bool check_only = false;
+};
+
+std::string DefaultSettingsPath() {
+  const char* path = std::getenv(kSettingsVariable);
+  return path != nullptr ? path : "/etc/lichenlug/node.json";
+}
+
+// Reads the command line; ends the process for --help, --version and errors.
+CommandLine ReadCommandLine(int argc, char** argv) {
+  namespace options = boost::program_options;
+  CommandLine command_line;
+  options::options_description description("lichenlugd: a dispatcher of the model router and placer");
+  description.add_options()("help,h", "tell the options")("version", "tell the version")(
+      "settings", options::value(&command_line.settings_path)->default_value(DefaultSettingsPath()),
+      "the settings file; else the variable LICHENLUG_BOOT names it")(
+      "check", options::bool_switch(&command_line.check_only), "check the settings file and end");
+  options::variables_map variables;
+  try {
+    options::store(options::parse_command_line(argc, argv, description), variables);
+    options::notify(variables);
+  } catch (const options::error& error) {
+    std::cerr << "lichenlugd: " << error.what() << "; see lichenlugd --help\n";
+    std::exit(kUsageError);
+  }
+  if (variables.count("help") > 0) {
+    std::cout << description;
+    std::exit(0);
+  }
+  if (variables.count("version") > 0) {
+    std::cout << "lichenlugd " << LICHENLUG_VERSION << '\n';
+    std::exit(0);
+  }
+  return command_line;
+}
+
+lichenlug::dataplane::Settings DataPlaneSettings(const NodeSettings& settings) {
+  lichenlug::dataplane::Settings data_plane;
+  data_plane.listen_address = settings.front_address;
+  data_plane.name = settings.name;
+  data_plane.descriptors = settings.descriptors;
+  data_plane.memory_bytes = static_cast<std::size_t>(settings.memory_mb * (1u << 20));
+  data_plane.grace = settings.bounds.grace;
+  data_plane.seed = std::random_device{}();
+  return data_plane;
+}
+
+int Fail(const std::string& line) {
+  LOG(ERROR) << line;
+  return EXIT_FAILURE;
+}
+
+int Serve(const CommandLine& command_line, const NodeSettings& settings) {
+  EventLoop loop;
+  lichenlug::dataplane::DataPlane data_plane(DataPlaneSettings(settings));
+  ControlPlane control_plane(&loop, settings, &data_plane);
+  loop.OnSignal(SIGTERM, [&] { control_plane.BeginDrain(); });
+  loop.OnSignal(SIGINT, [&] { control_plane.BeginDrain(); });
+  loop.OnSignal(SIGHUP, [&] {
+    const auto changed = ReadNodeSettings(command_line.settings_path);
+    if (const auto* valid = std::get_if<NodeSettings>(&changed))
+      control_plane.ReloadSettings(*valid);
+    else
+      LOG(ERROR) << "settings kept: " << std::get<std::string>(changed);
+  });
+  std::string error;
+  if (!data_plane.Start(&error)) return Fail(error);
+  if (!control_plane.Start(&error)) return Fail(error);
+  loop.Run();
+  LOG(INFO) << "ended";
+  return EXIT_SUCCESS;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  const CommandLine command_line = ReadCommandLine(argc, argv);
+  FLAGS_logtostderr = true;
+  google::InitGoogleLogging(argv[0]);
+  const auto settings = ReadNodeSettings(command_line.settings_path);
+  if (const auto* problem = std::get_if<std::string>(&settings)) return Fail(*problem);
+  if (command_line.check_only) return EXIT_SUCCESS;
+  try {
+    return Serve(command_line, std::get<NodeSettings>(settings));
+  } catch (const std::exception& error) {
+    return Fail(error.what());
+  }
+}
--- /dev/null
+++ b/tests/system/controlplane/group_planner_test.cpp
@@ -0,0 +1,98 @@
+// Which replica groups are wanted, given who lives.
+#include "controlplane/group_planner.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+using lichenlug::Member;
+using lichenlug::controlplane::IsGroupKeeper;
+using lichenlug::controlplane::PlanGroup;
+namespace messages = lichenlug::messages;
+
+namespace {
+
+Member Replica(const std::string& name, const std::string& replica_id) {
+  Member member;
+  member.name = name;
+  member.address = "10.0.0." + name + ":7660";
+  member.replica_id = replica_id;
+  member.counts_for_quorum = true;
+  return member;
+}
+
+messages::ReplicaGroup Group(const std::vector<Member>& members) {
+  messages::ReplicaGroup group;
+  for (const Member& member : members) {
+    auto* identity = group.add_members();
+    identity->set_replica_id(member.replica_id);
+    identity->set_address(member.address);
+    identity->set_name(member.name);
+  }
+  return group;
+}
+
+std::set<std::string> Ids(const std::vector<messages::ReplicaIdentity>& identities) {
+  std::set<std::string> ids;
+  for (const auto& identity : identities) ids.insert(identity.replica_id());
+  return ids;
+}
+
+using Names = std::set<std::string>;
+
+const Member kOne = Replica("1", "a"), kTwo = Replica("2", "b"), kThree = Replica("3", "c"),
+             kFour = Replica("4", "d");
+
+}  // namespace
+
+TEST_CASE("A group whose members all live stays") {
+  CHECK_FALSE(PlanGroup(Group({kOne, kTwo, kThree}), {kOne, kTwo, kThree}, 1));
+}
+
+TEST_CASE("A member that is away is kept while too few others live") {
+  CHECK_FALSE(PlanGroup(Group({kOne, kTwo, kThree}), {kOne, kTwo}, 1));
+}
+
+TEST_CASE("A new machine takes the place of one that is away") {
+  const auto wanted = PlanGroup(Group({kOne, kTwo, kThree}), {kOne, kTwo, kFour}, 1);
+  REQUIRE(wanted);
+  CHECK(Ids(*wanted) == Names{"a", "b", "d"});
+}
+
+TEST_CASE("A new machine joins a group whose members all live") {
+  const auto wanted = PlanGroup(Group({kOne, kTwo, kThree}), {kOne, kTwo, kThree, kFour}, 1);
+  REQUIRE(wanted);
+  CHECK(Ids(*wanted) == Names{"a", "b", "c", "d"});
+}
+
+TEST_CASE("A member that is away is dropped where enough others live") {
+  const auto wanted = PlanGroup(Group({kOne, kTwo, kThree, kFour}), {kOne, kTwo, kThree}, 1);
+  REQUIRE(wanted);
+  CHECK(Ids(*wanted) == Names{"a", "b", "c"});
+}
+
+TEST_CASE("A machine that is back with an empty store replaces its older identity") {
+  const auto wanted = PlanGroup(Group({kOne, kTwo, kThree}), {kOne, kTwo, Replica("3", "new")}, 1);
+  REQUIRE(wanted);
+  CHECK(Ids(*wanted) == Names{"a", "b", "new"});
+}
+
+TEST_CASE("Machines without a store or that do not count never join") {
+  Member diskless = Replica("4", "");
+  Member other = Replica("5", "e");
+  other.counts_for_quorum = false;
+  CHECK_FALSE(PlanGroup(Group({kOne, kTwo, kThree}), {kOne, kTwo, kThree, diskless, other}, 1));
+}
+
+TEST_CASE("A change that was begun is finished") {
+  messages::ReplicaGroup group = Group({kOne, kTwo, kThree});
+  *group.add_next_members() = group.members(0);
+  CHECK(PlanGroup(group, {kOne, kTwo, kThree}, 1));
+}
+
+TEST_CASE("The first live member with a store keeps the groups") {
+  const Member diskless = Replica("0", "");
+  CHECK(IsGroupKeeper({diskless, kOne, kTwo}, "1"));
+  CHECK_FALSE(IsGroupKeeper({diskless, kOne, kTwo}, "0"));
+  CHECK_FALSE(IsGroupKeeper({diskless, kOne, kTwo}, "2"));
+  CHECK_FALSE(IsGroupKeeper({}, "1"));
+}
