--- a/include/rookgw/brain.h
+++ b/include/rookgw/brain.h
@@ -82,6 +82,7 @@
   double fee_cross_zone = 0, fee_fetch = 0, fee_handshake = 0, fee_late = 0, fee_probe = 0, fee_waste = 0;
   // Guarantees
   Time ask_every = 0, drain_grace = 0;
+  Time silence = 0;  // a worker this long silent with jobs unstarted is ejected; 0: by the classes' aims
   double cold_share = 1, overload_factor = 1;
   Time ramp_time = 0, overload_for = 0;
 };
@@ -95,6 +96,8 @@
   Time since = 0;  // when it last started; 0: long ago
   int cell = kNone, kind = kNone, zone = kNone;
   double weight = 1;
+  double slots = 0;  // that it says it has, shared by all nodes; 0: not told, they are learned
+  std::vector<std::uint64_t> holds;  // what RequestArrived::needs may name, sorted
 };
 
 struct ListChanged {
@@ -107,6 +110,7 @@
 struct RequestArrived {
   RequestId id = 0;
   std::optional<std::uint64_t> key;  // hashed to the home; without one the class is
+  std::uint64_t needs = 0;           // only workers that hold it are eligible; 0: any
   double slots = 1, memory = 0;
   std::optional<Time> effort;  // a guess of its core time
   // A final answer is owed by then. Where repeats are not marked, a request with less time left than the
@@ -225,6 +229,12 @@
   // held already. A class, tenant, zone or kind outside the settings throws std::out_of_range.
   void Handle(Time now, const Event& event, std::vector<Action>* actions);
 
+  // Adds a class and returns its number. Throws std::invalid_argument as the constructor does.
+  int AddClass(ClassSettings added);
+
+  // How many nodes the tier has now.
+  void SetInstances(int instances);
+
   Holdings holdings() const;
 
  private:
--- /dev/null
+++ b/src/base/hash.h
@@ -0,0 +1,23 @@
+// Hashes that are the same on every machine and in every build. Not for secrets.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace lichenlug {
+
+// The finisher of splitmix64: spreads the bits of a number evenly.
+inline std::uint64_t Mix(std::uint64_t x) {
+  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+  return x ^ (x >> 31);
+}
+
+// FNV-1a, then mixed.
+inline std::uint64_t HashText(std::string_view text) {
+  std::uint64_t hash = 0xcbf29ce484222325ULL;
+  for (unsigned char c : text) hash = (hash ^ c) * 0x100000001b3ULL;
+  return Mix(hash);
+}
+
+}  // namespace lichenlug
--- a/src/decisions/brain.cpp
+++ b/src/decisions/brain.cpp
@@ -28,6 +28,16 @@
     ArmTimer();
   }
 
+  int AddClass(ClassSettings added) {
+    Settings more = s_;
+    more.classes.push_back(std::move(added)), s_ = Checked(std::move(more));
+    run_.emplace_back(), longest_wait_.emplace_back();
+    for (Worker& w : workers_) w.health.emplace_back();
+    return static_cast<int>(s_.classes.size()) - 1;
+  }
+
+  void SetInstances(int instances) { s_.instances = std::max(1, instances); }
+
   Holdings holdings() const { return {workers_.size(), requests_.size(), waiting_.size(), keys_.size()}; }
 
  private:
@@ -39,7 +49,7 @@
     Request& r = it->second;
     r.id = e.id;
     r.hash = e.key ? Mix(*e.key ^ 0x9e3779b97f4a7c15ULL) : HashText(cls.name);
-    r.slots = std::max(e.slots, 0.0);
+    r.slots = std::max(e.slots, 0.0), r.needs = e.needs;
     r.valid_until = e.valid_until, r.cls = e.cls, r.tenant = e.tenant;
     // A client's repeat keeps the time of its first try, told by how much of the longest wait seen is left to
     // it: once its aim has passed it is not worth slots that others could still use.
@@ -190,6 +200,8 @@
   impl_->Handle(now, event);
 }
 
+int Brain::AddClass(ClassSettings added) { return impl_->AddClass(std::move(added)); }
+void Brain::SetInstances(int instances) { impl_->SetInstances(instances); }
 Holdings Brain::holdings() const { return impl_->holdings(); }
 
 }  // namespace rookgw
--- a/src/decisions/demand.h
+++ b/src/decisions/demand.h
@@ -58,7 +58,7 @@
   std::vector<Mean> run_ = std::vector<Mean>(s_.classes.size());
   std::vector<Mean> kind_slowness_ = std::vector<Mean>(s_.kinds.size());
   Mean run_all_, slowness_;
-  RateMeter arrivals_;
+  RateMeter arrivals_{kRateMemory};
 };
 
 }  // namespace rookgw::internal
--- a/src/decisions/health.h
+++ b/src/decisions/health.h
@@ -35,8 +35,8 @@
   // A worker that holds jobs unstarted for as long as a whole answer may take has most likely hung.
   void FindSilent() {
     if (!s_.starts_told) return;
-    Time patience = 0;
-    for (std::size_t c = 0; c < s_.classes.size(); ++c)
+    Time patience = s_.silence;
+    for (std::size_t c = 0; s_.silence == 0 && c < s_.classes.size(); ++c)
       patience = std::max<Time>(patience, s_.classes[c].aim + s_.classes[c].stretch * RunTime(c));
     auto silent = [&](const Worker& w) { return w.unstarted > 0 && now_ - w.silent_since >= patience; };
     auto away = [&](int i) { return silent(workers_[i]) || Ejected(workers_[i]); };
--- a/src/decisions/placing.h
+++ b/src/decisions/placing.h
@@ -26,7 +26,7 @@
       const int w = ring_[(home + step) % ring_.size()].second;
       if (std::exchange(workers_[w].seen_in, walk_) == walk_ || !Eligible(r, w)) continue;
       if (Across(w, r)) {
-        if (across_.size() < kOverflow && (!Told() || Idle(w, r))) across_.push_back(w);
+        if (across_.size() < kOverflow && !Full(w, r) && (!Told() || Idle(w, r))) across_.push_back(w);
         continue;
       }
       members_.push_back(w);
@@ -34,7 +34,8 @@
       any_idle = any_idle || Idle(w, r);
       if (needed == 0 && room >= demand) needed = members_.size();
       if (needed == 0 || members_.size() < key.width) continue;
-      if (any_idle || (!Told() && members_.size() >= std::max(needed, key.width) + kOverflow)) break;
+      const bool enough = members_.size() >= std::max(needed, key.width) + kOverflow;
+      if (any_idle || (enough && !Told() && !Full(w, r))) break;
     }
     if (longest < ring_.size()) {
       const double filled = needed == 0 ? demand / std::max(room, 1.0) : static_cast<double>(step) / longest;
@@ -47,27 +48,28 @@
     if (needed == 0) needed = members_.size();
     if (needed >= key.width || now_ - key.shrunk >= kShrinkEvery) key.width = needed, key.shrunk = now_;
     const std::size_t width = std::min(key.width, members_.size());
-    const int best = LeastLoaded(width);
+    const int best = LeastLoaded(r, width);
     // A job that would queue in its set looks past it first: a new copy costs less than a wait, and where a
     // few keys draw much of the traffic their sets would queue beside idle workers.
     if (Idle(best, r)) return Send(r, best);
     members_.insert(members_.end(), across_.begin(), across_.end());
     const bool chase = chase_ >= 1 || random_() % 1024 < 1024 * chase_;
+    const bool full = Full(best, r);
     for (std::size_t i = width; chase && i < members_.size(); ++i)  // the nearest: overflow stays together
-      if (Idle(members_[i], r)) return Send(r, members_[i]);
+      if (full ? Usable(members_[i], r) : Idle(members_[i], r)) return Send(r, members_[i]);
     return Usable(best, r) && Send(r, best);
   }
 
   // Nodes that share a set hold the same old reports: in wide sets each ranks a few members drawn by its own
   // seed, so that they do not all crowd the one that looked best.
-  int LeastLoaded(std::size_t width) {
+  int LeastLoaded(const Request& r, std::size_t width) {
     int best = members_[0];
     double least = std::numeric_limits<double>::infinity();
     const bool rank = width <= kRankAll;
     for (std::size_t i = 0; i < std::min(width, kRankAll); ++i) {
       const int w = members_[rank ? i : random_() % width];
       const double load = 1 - Free(workers_[w]) / Total(workers_[w]);
-      if (load < least) least = load, best = w;
+      if (load < least && !Full(w, r)) least = load, best = w;
     }
     return best;
   }
@@ -104,6 +106,7 @@
     const Worker& w = workers_[index];
     const int kind = s_.classes[r.cls].kind;
     if (kind != kNone && w.kind != kind) return false;
+    if (r.needs != 0 && !std::ranges::binary_search(w.holds, r.needs)) return false;
     const ClassHealth& h = w.health[r.cls];
     if (Ejected(w) || now_ < h.ejected_until || (s_.takes_told && h.failures > 0 && h.untaken > 0))
       return false;
@@ -173,13 +176,7 @@
   double QuotaBurst(int t) const { return std::max(2.0, 2 * QuotaPerS(t)); }  // two seconds' worth
 
   bool TakeQuota(int tenant) {  // true: over its share
-    if (tenant == kNone) return false;
-    auto& [at, left] = quota_[tenant];
-    left = std::min(QuotaBurst(tenant), left + QuotaPerS(tenant) * (now_ - at) / kSecond);
-    at = now_;
-    if (left < 1) return true;
-    left -= 1;
-    return false;
+    return tenant != kNone && !quota_[tenant].Take(now_, QuotaPerS(tenant), QuotaBurst(tenant));
   }
 
   std::vector<int> members_, across_;
@@ -187,7 +184,7 @@
   double chase_ = 1;  // chance that a job looks past its set
   double spill_ = 0;  // share of the keys whose sets are on the ring of all zones
   std::uint64_t walk_ = 0;
-  std::vector<std::pair<Time, double>> quota_ = std::vector<std::pair<Time, double>>(s_.tenants.size());
+  std::vector<lichenlug::TokenBucket> quota_ = std::vector<lichenlug::TokenBucket>(s_.tenants.size());
 };
 
 }  // namespace rookgw::internal
--- a/src/decisions/ring.h
+++ b/src/decisions/ring.h
@@ -33,6 +33,8 @@
       w.listed = entry.state != ListedWorker::State::kGone;
       w.state = entry.state, w.since = entry.since, w.cell = entry.cell;
       w.kind = entry.kind, w.zone = entry.zone, w.weight = entry.weight;
+      if (w.slots != entry.slots) w.learned = w.slots = entry.slots;
+      w.holds = entry.holds;
     }
     BuildRing();
   }
--- a/src/decisions/room.h
+++ b/src/decisions/room.h
@@ -33,6 +33,7 @@
   }
 
   double Total(const Worker& w) const {
+    if (w.slots > 0) return w.slots / s_.instances;  // this node's even part of what the worker says
     const Mean& whole = w.whole.weight > 2 ? w.whole : mean_whole_;
     if (Told(w) && whole.weight > 0) return std::max(1.0, whole.value);
     if (FleetWide()) return std::max({w.most_free, mean_total_.value, 1.0});
@@ -57,6 +58,9 @@
 
   bool Usable(int index, const Request& r) const {
     const Worker& w = workers_[index];
+    // The nodes' traffic is uneven: a node may go over its part until the worker says that it is full.
+    if (w.slots > 0)
+      return w.held + r.slots <= std::min(w.learned, w.slots) && now_ >= w.full_at + 2 * MeanRun() / w.slots;
     if (FleetWide() ? mean_total_.weight == 0 : w.learned == 0) return true;  // nothing is known against it
     const double behind = r.slots - Free(w);       // slots that have to come free first
     if (r.over_share && behind > 0) return false;  // a tenant's flood fills what is free, no queue
@@ -74,9 +78,12 @@
 
   // Has a free slot for it now. A job that leaves its set pays for a new copy; it should not queue as well.
   bool Idle(int index, const Request& r) const {
-    return Free(workers_[index]) >= r.slots && Usable(index, r);
+    const Worker& w = workers_[index];
+    return (Free(w) >= r.slots || (w.slots > 0 && w.held == 0)) && Usable(index, r);
   }
 
+  bool Full(int index, const Request& r) const { return workers_[index].slots > 0 && !Usable(index, r); }
+
   void NoteMove(Worker& w, double slots) {
     w.held += slots;
     if (w.moves.size() >= 16)
--- a/src/decisions/world.h
+++ b/src/decisions/world.h
@@ -15,10 +15,16 @@
 #include <unordered_map>
 #include <utility>
 
+#include "base/estimators.h"
+#include "base/hash.h"
+#include "base/token_bucket.h"
 #include "rookgw/brain.h"
 
 namespace rookgw::internal {
 
+using lichenlug::HashText, lichenlug::Mix, lichenlug::RateMeter;
+using Mean = lichenlug::RunningMean;
+
 inline constexpr Time kMs = 1000, kSecond = 1000 * kMs;
 inline constexpr Time kShrinkEvery = kSecond;      // least time between reductions of a set
 inline constexpr Time kRateMemory = 5 * kSecond;   // rates are averages over about this long
@@ -39,26 +45,6 @@
 inline constexpr std::size_t kLongestWalk = 256;  // ring steps for one decision, so that its cost has an end
 inline constexpr Time kSweepEvery = 50 * kMs;
 
-inline std::uint64_t Mix(std::uint64_t x) {  // splitmix64's finisher: the same on every node
-  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
-  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
-  return x ^ (x >> 31);
-}
-
-inline std::uint64_t HashText(const std::string& text) {  // FNV-1a, then mixed
-  std::uint64_t h = 0xcbf29ce484222325ULL;
-  for (unsigned char c : text) h = (h ^ c) * 0x100000001b3ULL;
-  return Mix(h);
-}
-
-struct Mean {  // a running mean that starts as a plain average and then forgets
-  double value = 0, weight = 0;
-  void Add(double x, double most = 200) {
-    weight = std::min(weight + 1, most);
-    value += (x - value) / weight;
-  }
-};
-
 struct Move {  // an own send (+slots) or end (-slots) that a report may not show yet
   Time at;
   double slots;
@@ -76,7 +62,8 @@
   bool listed = false;
   Time since = 0;
   int cell = kNone, kind = kNone, zone = kNone;
-  double weight = 1;
+  double weight = 1, slots = 0;
+  std::vector<std::uint64_t> holds;
   int points = 0;
   // Room
   Time report_at = -1, full_at = 0;
@@ -103,7 +90,7 @@
 
 struct Request {
   RequestId id = 0;
-  std::uint64_t hash = 0;
+  std::uint64_t hash = 0, needs = 0;
   double slots = 1;
   Time valid_until = 0, latest_start = 0;
   int cls = 0, tenant = kNone;
@@ -119,12 +106,6 @@
   Time seen = 0, shrunk = 0;
   std::size_t width = 1, windows = 1;  // windows: walks that pass its whole set
 };
-struct RateMeter {
-  double count = 0;
-  Time at = 0;
-  void Add(Time now) { count = Rate(now) * kRateMemory + 1, at = now; }
-  double Rate(Time now) const { return count / kRateMemory * std::exp(1.0 * (at - now) / kRateMemory); }
-};
 class World {
  public:
   World(Settings settings, std::uint64_t seed) : s_(std::move(settings)), random_(seed) {}
--- /dev/null
+++ b/src/routing/decisions.cpp
@@ -0,0 +1,142 @@
+#include "routing/decisions.h"
+
+#include <algorithm>
+#include <map>
+#include <unordered_map>
+#include <utility>
+
+#include "routing/priority_scale.h"
+#include "routing/request_flow.h"
+#include "routing/service_state.h"
+
+namespace lichenlug::routing {
+
+class Decisions::Impl {
+ public:
+  Impl(Time now, std::uint64_t seed) : now_(now), flow_(now, seed) {}
+
+  // Time never goes back for what is held here.
+  Time Now(Time now) { return now_ = std::max(now_, now); }
+
+  void Install(std::shared_ptr<const Snapshot> snapshot, std::vector<Decision>* decisions) {
+    const bool configured = !snapshot_ || snapshot_->configuration != snapshot->configuration;
+    const bool listed = !snapshot_ || snapshot_->runners != snapshot->runners;
+    snapshot_ = std::move(snapshot);
+    flow_.SetBounds(snapshot_->bounds);
+    flow_.dispatchers().Set(now_, snapshot_->bounds.retry_window, snapshot_->live_dispatchers);
+    for (auto& [name, service] : services_)
+      if (service->brain) service->brain->SetLiveDispatchers(snapshot_->live_dispatchers);
+    if (configured) Configure();
+    if (configured || listed) UpdateRunners(decisions);
+    if (configured) DropUnused();
+  }
+
+  void Arrived(const Arrival& arrival, std::vector<Decision>* decisions) {
+    const auto found = services_.find(arrival.service);
+    const bool known = found != services_.end() && found->second->configured;
+    flow_.Arrived(now_, arrival, priorities_.PriorityOf(arrival.precedence),
+                  known ? found->second.get() : nullptr, decisions);
+  }
+
+  void Tick(std::vector<Decision>* decisions) {
+    for (auto& [name, service] : services_) {
+      RunnerTable::Changes changes;
+      service->runners.Expire(now_, &changes);
+      flow_.TellChanges(now_, service.get(), changes, decisions);
+      flow_.FireTimers(now_, service.get(), decisions);
+    }
+  }
+
+  std::optional<Time> NextTimer() const {
+    std::optional<Time> next;
+    const auto take = [&next](std::optional<Time> at) {
+      if (at && (!next || *at < *next)) next = at;
+    };
+    for (const auto& [name, service] : services_) {
+      take(service->runners.NextExpiry());
+      if (service->brain) take(service->brain->NextTimer());
+    }
+    return next;
+  }
+
+  RequestFlow& flow() { return flow_; }
+  const RequestFlow& flow() const { return flow_; }
+
+ private:
+  void Configure() {
+    for (auto& [name, service] : services_) service->configured = false;
+    if (!snapshot_->configuration) return;
+    priorities_ = PriorityScale(*snapshot_->configuration);
+    for (const messages::Service& service : snapshot_->configuration->services()) {
+      auto& state = services_[service.name()];
+      if (!state)
+        state =
+            std::make_unique<ServiceState>(service.name(), snapshot_->zone, snapshot_->bounds.retry_window);
+      state->Configure(service);
+    }
+  }
+
+  void UpdateRunners(std::vector<Decision>* decisions) {
+    std::unordered_map<std::string_view, std::vector<const messages::RunnerRecord*>> by_service;
+    if (snapshot_->runners)
+      for (const messages::RunnerRecord& record : *snapshot_->runners)
+        by_service[record.service()].push_back(&record);
+    for (auto& [name, service] : services_) {
+      RunnerTable::Changes changes;
+      service->runners.Update(by_service[name], &changes);
+      flow_.TellChanges(now_, service.get(), changes, decisions);
+    }
+  }
+
+  // A service that the configuration has dropped is kept until its last request has ended.
+  void DropUnused() {
+    std::erase_if(services_,
+                  [this](const auto& item) { return !item.second->configured && !flow_.Uses(*item.second); });
+  }
+
+  Time now_;
+  std::shared_ptr<const Snapshot> snapshot_;
+  PriorityScale priorities_;
+  std::map<std::string, std::unique_ptr<ServiceState>, std::less<>> services_;
+  RequestFlow flow_;
+};
+
+Decisions::Decisions(Time now, std::uint64_t seed) : impl_(std::make_unique<Impl>(now, seed)) {}
+Decisions::~Decisions() = default;
+
+void Decisions::Install(Time now, std::shared_ptr<const Snapshot> snapshot,
+                        std::vector<Decision>* decisions) {
+  impl_->Now(now);
+  impl_->Install(std::move(snapshot), decisions);
+}
+
+void Decisions::Arrived(Time now, const Arrival& arrival, std::vector<Decision>* decisions) {
+  impl_->Now(now);
+  impl_->Arrived(arrival, decisions);
+}
+
+void Decisions::FirstEvent(Time now, RequestNumber request, int attempt) {
+  impl_->flow().FirstEvent(impl_->Now(now), request, attempt);
+}
+
+void Decisions::AttemptEnded(Time now, RequestNumber request, int attempt, AttemptOutcome outcome, bool final,
+                             std::vector<Decision>* decisions) {
+  impl_->flow().AttemptEnded(impl_->Now(now), request, attempt, outcome, final, decisions);
+}
+
+void Decisions::Gone(Time now, RequestNumber request, std::vector<Decision>* decisions) {
+  impl_->flow().Gone(impl_->Now(now), request, decisions);
+}
+
+void Decisions::Tick(Time now, std::vector<Decision>* decisions) {
+  impl_->Now(now);
+  impl_->Tick(decisions);
+}
+
+std::optional<Time> Decisions::NextTimer() const { return impl_->NextTimer(); }
+
+std::vector<Decisions::Demand> Decisions::DemandNow(Time now) const {
+  return impl_->flow().demand().Recent(now);
+}
+
+}  // namespace lichenlug::routing
--- /dev/null
+++ b/src/routing/demand_table.cpp
@@ -0,0 +1,56 @@
+#include "routing/demand_table.h"
+
+#include <algorithm>
+
+namespace lichenlug::routing {
+namespace {
+
+constexpr Time kMemory = 3 * kSecond;   // rates are averages over about this long
+constexpr Time kRecent = 10 * kSecond;  // what was not asked for in as long is not told
+constexpr std::size_t kForgetPart = 8;  // one in so many is forgotten when the table is full
+
+}  // namespace
+
+DemandTable::Entry::Entry() : arrivals(kMemory), unserved(kMemory) {}
+
+void DemandTable::CountArrival(Time now, const DemandKey& key) { Touch(now, key).arrivals.Add(now); }
+
+void DemandTable::CountUnserved(Time now, const DemandKey& key) { Touch(now, key).unserved.Add(now); }
+
+void DemandTable::ChangeRunning(const DemandKey& key, int change) {
+  const auto found = entries_.find(key);
+  if (found != entries_.end()) found->second.running = std::max(0, found->second.running + change);
+}
+
+std::vector<Decisions::Demand> DemandTable::Recent(Time now) const {
+  std::vector<Decisions::Demand> recent;
+  for (const auto& [key, entry] : entries_) {
+    if (now - entry.seen > kRecent && entry.running == 0) continue;
+    recent.push_back({.service = key.service,
+                      .model = key.model,
+                      .adapter = key.adapter,
+                      .arrivals_per_s = entry.arrivals.Rate(now) * kSecond,
+                      .running = static_cast<double>(entry.running),
+                      .unserved = entry.unserved.Rate(now) * kMemory});
+  }
+  return recent;
+}
+
+DemandTable::Entry& DemandTable::Touch(Time now, const DemandKey& key) {
+  if (entries_.size() >= most_keys_ && !entries_.contains(key)) ForgetOldest();
+  Entry& entry = entries_[key];
+  entry.seen = now;
+  return entry;
+}
+
+void DemandTable::ForgetOldest() {
+  std::vector<Time> seen;
+  seen.reserve(entries_.size());
+  for (const auto& [key, entry] : entries_) seen.push_back(entry.seen);
+  const auto nth = seen.begin() + static_cast<std::ptrdiff_t>(seen.size() / kForgetPart);
+  std::ranges::nth_element(seen, nth);
+  const Time oldest_kept = *nth;
+  std::erase_if(entries_, [&](const auto& item) { return item.second.seen <= oldest_kept; });
+}
+
+}  // namespace lichenlug::routing
--- /dev/null
+++ b/src/routing/demand_table.h
@@ -0,0 +1,46 @@
+// What is asked of each model and adapter of late: the demand that placement goes by. Bounded.
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/estimators.h"
+#include "routing/decisions.h"
+
+namespace lichenlug::routing {
+
+struct DemandKey {
+  std::string service, model, adapter;
+  auto operator<=>(const DemandKey&) const = default;
+};
+
+class DemandTable {
+ public:
+  explicit DemandTable(std::size_t most_keys) : most_keys_(most_keys) {}
+
+  void CountArrival(Time now, const DemandKey& key);
+  void CountUnserved(Time now, const DemandKey& key);  // refused, as no runner holds it
+  void ChangeRunning(const DemandKey& key, int change);
+
+  std::vector<Decisions::Demand> Recent(Time now) const;
+
+ private:
+  struct Entry {
+    Entry();
+    RateMeter arrivals, unserved;
+    Time seen = 0;
+    int running = 0;
+  };
+
+  Entry& Touch(Time now, const DemandKey& key);
+  void ForgetOldest();
+
+  std::size_t most_keys_;
+  std::map<DemandKey, Entry> entries_;
+};
+
+}  // namespace lichenlug::routing
--- /dev/null
+++ b/src/routing/request_flow.cpp
@@ -0,0 +1,284 @@
+#include "routing/request_flow.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lichenlug::routing {
+namespace {
+
+constexpr std::size_t kMostDemandKeys = 8192;
+constexpr Time kLeastRetryAfter = 50 * kMillisecond, kMostRetryAfter = kSecond;
+constexpr Time kUnknownRetryAfter = 300 * kMillisecond;  // before a run was seen, or a service
+constexpr Time kLeftByRetryAfter = 3;                    // clients honour it up to a third of what is left
+
+rookgw::Outcome ModuleOutcome(AttemptOutcome outcome, bool begun) {
+  switch (outcome) {
+    case AttemptOutcome::kServed:
+      return rookgw::Outcome::kServed;
+    case AttemptOutcome::kNotRun:
+      return rookgw::Outcome::kFull;
+    case AttemptOutcome::kModelMissing:
+    case AttemptOutcome::kWrongRunner:
+      return rookgw::Outcome::kMoot;
+    case AttemptOutcome::kConnectFailed:
+      return rookgw::Outcome::kConnectFailed;
+    case AttemptOutcome::kBroken:
+      return rookgw::Outcome::kReset;
+    case AttemptOutcome::kTimeout:  // one that has begun to answer is slow, not gone
+      return begun ? rookgw::Outcome::kCancelled : rookgw::Outcome::kTimeout;
+    case AttemptOutcome::kCancelled:
+      break;
+  }
+  return rookgw::Outcome::kCancelled;
+}
+
+bool NeverRan(AttemptOutcome outcome) {
+  return outcome == AttemptOutcome::kNotRun || outcome == AttemptOutcome::kModelMissing ||
+         outcome == AttemptOutcome::kWrongRunner || outcome == AttemptOutcome::kConnectFailed;
+}
+
+}  // namespace
+
+RequestFlow::RequestFlow(Time now, std::uint64_t seed)
+    : random_(seed), dispatchers_(now), demand_(kMostDemandKeys) {}
+
+bool RequestFlow::Uses(const ServiceState& service) const {
+  return std::ranges::any_of(requests_, [&](const auto& item) { return item.second.service == &service; });
+}
+
+void RequestFlow::Arrived(Time now, const Arrival& arrival, int priority, ServiceState* service,
+                          std::vector<Decision>* decisions) {
+  if (requests_.contains(arrival.request)) return;
+  if (service == nullptr || arrival.deadline <= now) {
+    decisions->emplace_back(Refuse{arrival.request, Bounded(now, arrival.deadline, kUnknownRetryAfter)});
+    return;
+  }
+  Request& request = requests_[arrival.request];
+  request.number = arrival.request;
+  request.service = service;
+  request.key = {arrival.service, arrival.model, arrival.adapter};
+  request.needs = service->has_engine ? HoldingOf(arrival.model, arrival.adapter) : 0;
+  request.deadline = arrival.deadline;
+  request.tries = std::max(1, arrival.tries);
+  request.priority = priority;
+  request.repeatable = arrival.repeatable;
+  request.stream = arrival.kind == RouteKind::kStream;
+  service->budget.CountRequest(now);
+  if (request.needs != 0 && service->Knows(arrival.model)) demand_.CountArrival(now, request.key);
+  if (request.needs != 0 && !service->runners.AnyReady(request.needs)) {
+    End(now, &request, RetryAfter(now, &request), decisions);
+    return ForgetEnded(arrival.request);
+  }
+  ServiceBrain& brain = service->Brain(now, arrival, random_(), dispatchers_.live());
+  FireTimers(now, service, decisions);  // none fires while there are no requests
+  rookgw::RequestArrived event;
+  event.id = arrival.request;
+  if (request.needs != 0) event.key = request.needs;
+  event.needs = request.needs;
+  event.valid_until = arrival.deadline;
+  event.cls = brain.ClassOf(ClassKey::Of(arrival));
+  Run(now, service, event, decisions);
+}
+
+void RequestFlow::FirstEvent(Time now, RequestNumber number, int attempt_number) {
+  Request* request = Find(number);
+  Attempt* attempt = FindOpen(request, attempt_number);
+  if (attempt == nullptr || std::exchange(attempt->begun, true)) return;
+  std::vector<rookgw::Action> none;  // neither event has the module act
+  request->service->brain->Tell(
+      now, rookgw::AttemptNote{number, attempt_number, rookgw::AttemptNote::Kind::kStarted, 0}, &none);
+  // A stream that has begun may go on past its deadline; one that may be taken up again is ended at it, for
+  // it could be waiting for its next run.
+  if (request->stream && !request->repeatable)
+    request->service->brain->Tell(now, rookgw::StreamStarted{number, attempt_number}, &none);
+}
+
+void RequestFlow::AttemptEnded(Time now, RequestNumber number, int attempt_number, AttemptOutcome outcome,
+                               bool final, std::vector<Decision>* decisions) {
+  Request* request = Find(number);
+  Attempt* attempt = FindOpen(request, attempt_number);
+  if (attempt == nullptr) return;
+  ServiceState* service = request->service;
+  attempt->fate = NeverRan(outcome) ? Fate::kNeverRan : Fate::kMayHaveRun;
+  demand_.ChangeRunning(request->key, -1);
+  if (outcome == AttemptOutcome::kServed) service->run_time.Add(static_cast<double>(now - attempt->sent));
+  rookgw::AttemptEnded event;
+  event.id = number;
+  event.attempt = attempt_number;
+  event.worker = attempt->runner_id;
+  event.outcome = ModuleOutcome(outcome, attempt->begun);
+  event.took = now - attempt->sent;
+  NoteRunner(now, *request, *attempt, outcome, decisions);
+  const bool answered = final || outcome == AttemptOutcome::kServed || request->ended;
+  event.complete = answered || !MayTryAgain(now, *request, outcome);
+  if (event.complete && !answered) End(now, request, RetryAfter(now, request), decisions);
+  request->ended = request->ended || event.complete;
+  Run(now, service, event, decisions);
+  ForgetEnded(number);
+}
+
+void RequestFlow::Gone(Time now, RequestNumber number, std::vector<Decision>* decisions) {
+  Request* request = Find(number);
+  if (request == nullptr || std::exchange(request->ended, true)) return;
+  Run(now, request->service, rookgw::RequestGone{number}, decisions);
+  ForgetEnded(number);
+}
+
+void RequestFlow::TellChanges(Time now, ServiceState* service, const RunnerTable::Changes& changes,
+                              std::vector<Decision>* decisions) {
+  if (changes.empty() || !service->brain) return;
+  Run(now, service,
+      rookgw::ListChanged{.form = rookgw::ListChanged::Form::kPatch, .version = 0, .workers = changes},
+      decisions);
+}
+
+void RequestFlow::FireTimers(Time now, ServiceState* service, std::vector<Decision>* decisions) {
+  if (!service->brain) return;
+  std::vector<rookgw::Action> actions;
+  service->brain->FireTimers(now, &actions);
+  Translate(now, service, actions, decisions);
+}
+
+RequestFlow::Request* RequestFlow::Find(RequestNumber number) {
+  const auto found = requests_.find(number);
+  return found == requests_.end() ? nullptr : &found->second;
+}
+
+RequestFlow::Attempt* RequestFlow::FindOpen(Request* request, int attempt) {
+  if (request == nullptr || attempt < 0 || attempt >= std::ssize(request->attempts)) return nullptr;
+  Attempt& found = request->attempts[static_cast<std::size_t>(attempt)];
+  return found.fate == Fate::kOut ? &found : nullptr;
+}
+
+bool RequestFlow::MayHaveRun(const Request& request) {
+  return std::ranges::any_of(request.attempts, [](const Attempt& it) { return it.fate != Fate::kNeverRan; });
+}
+
+bool RequestFlow::HasOpen(const Request& request) {
+  return std::ranges::any_of(request.attempts, [](const Attempt& it) { return it.fate == Fate::kOut; });
+}
+
+void RequestFlow::Run(Time now, ServiceState* service, const rookgw::Event& event,
+                      std::vector<Decision>* decisions) {
+  std::vector<rookgw::Action> actions;
+  service->brain->Tell(now, event, &actions);
+  Translate(now, service, actions, decisions);
+}
+
+void RequestFlow::Translate(Time now, ServiceState* service, const std::vector<rookgw::Action>& actions,
+                            std::vector<Decision>* decisions) {
+  for (const rookgw::Action& action : actions) {
+    if (const auto* dispatch = std::get_if<rookgw::Dispatch>(&action)) Do(now, service, *dispatch, decisions);
+    if (const auto* decline = std::get_if<rookgw::Decline>(&action)) Do(now, *decline, decisions);
+    if (const auto* fail = std::get_if<rookgw::Fail>(&action)) Do(now, *fail, decisions);
+    if (const auto* cancel = std::get_if<rookgw::CancelAttempt>(&action))
+      Do(now, service, *cancel, decisions);
+  }
+}
+
+void RequestFlow::Do(Time now, ServiceState* service, const rookgw::Dispatch& action,
+                     std::vector<Decision>* decisions) {
+  Request* request = Find(action.id);
+  const int number = request == nullptr ? 0 : static_cast<int>(std::ssize(request->attempts));
+  const bool repeat = number > 0;
+  if (request == nullptr || request->ended ||
+      (repeat && !service->budget.Allows(now, bounds_, dispatchers_))) {
+    if (request != nullptr) End(now, request, RetryAfter(now, request), decisions);
+    rookgw::AttemptEnded unsent;
+    unsent.id = action.id;
+    unsent.attempt = number;
+    unsent.worker = action.worker;
+    unsent.outcome = rookgw::Outcome::kMoot;
+    unsent.complete = true;
+    Run(now, service, unsent, decisions);
+    return ForgetEnded(action.id);
+  }
+  if (repeat) service->budget.CountRepeat(now);
+  request->attempts.push_back({.runner_id = action.worker, .sent = now});
+  demand_.ChangeRunning(request->key, +1);
+  decisions->emplace_back(StartAttempt{.request = action.id,
+                                       .attempt = number,
+                                       .runner_id = action.worker,
+                                       .address = service->runners.AddressOf(action.worker),
+                                       .priority = request->priority});
+}
+
+void RequestFlow::Do(Time now, const rookgw::Decline& action, std::vector<Decision>* decisions) {
+  if (Request* request = Find(action.id)) End(now, request, action.retry_after, decisions);
+  ForgetEnded(action.id);
+}
+
+void RequestFlow::Do(Time now, const rookgw::Fail& action, std::vector<Decision>* decisions) {
+  if (Request* request = Find(action.id)) End(now, request, 0, decisions);
+  ForgetEnded(action.id);
+}
+
+// The attempt is closed at once: the data plane closes its connection, which ends the run.
+void RequestFlow::Do(Time now, ServiceState* service, const rookgw::CancelAttempt& action,
+                     std::vector<Decision>* decisions) {
+  Request* request = Find(action.id);
+  Attempt* attempt = FindOpen(request, action.attempt);
+  if (attempt == nullptr) return;
+  attempt->fate = Fate::kMayHaveRun;
+  demand_.ChangeRunning(request->key, -1);
+  decisions->emplace_back(CancelAttempt{action.id, action.attempt});
+  rookgw::AttemptEnded event;
+  event.id = action.id;
+  event.attempt = action.attempt;
+  event.worker = attempt->runner_id;
+  event.outcome = rookgw::Outcome::kCancelled;
+  event.complete = request->ended;
+  event.took = now - attempt->sent;
+  Run(now, service, event, decisions);
+  ForgetEnded(action.id);
+}
+
+void RequestFlow::NoteRunner(Time now, const Request& request, const Attempt& attempt, AttemptOutcome outcome,
+                             std::vector<Decision>* decisions) {
+  RunnerTable::Changes changes;
+  RunnerTable& runners = request.service->runners;
+  if (outcome == AttemptOutcome::kModelMissing)
+    runners.Withhold(now, attempt.runner_id, request.needs, &changes);
+  if (outcome == AttemptOutcome::kWrongRunner) runners.MarkGone(attempt.runner_id, &changes);
+  TellChanges(now, request.service, changes, decisions);
+}
+
+bool RequestFlow::MayTryAgain(Time now, const Request& request, AttemptOutcome outcome) const {
+  if (outcome == AttemptOutcome::kTimeout || outcome == AttemptOutcome::kCancelled) return false;
+  if (MayHaveRun(request) && !request.repeatable) return false;
+  if (std::ssize(request.attempts) >= request.tries) return false;
+  if (!request.service->runners.AnyReady(request.needs)) return false;
+  return request.service->budget.Allows(now, bounds_, dispatchers_);
+}
+
+void RequestFlow::End(Time now, Request* request, Time retry_after, std::vector<Decision>* decisions) {
+  if (std::exchange(request->ended, true)) return;
+  if (MayHaveRun(*request))
+    decisions->emplace_back(Fail{request->number});
+  else
+    decisions->emplace_back(Refuse{request->number, Bounded(now, request->deadline, retry_after)});
+}
+
+// Where no ready runner holds what it needs, when that may be loaded, and the demand is noted for placement;
+// else when a run should have ended, spread so that refused clients do not come back together.
+Time RequestFlow::RetryAfter(Time now, Request* request) {
+  const ServiceState& service = *request->service;
+  if (request->needs != 0 && !service.runners.AnyReady(request->needs)) {
+    if (!MayHaveRun(*request) && service.Knows(request->key.model)) demand_.CountUnserved(now, request->key);
+    return service.LoadTime(request->key.model, request->key.adapter);
+  }
+  if (service.run_time.weight == 0) return kUnknownRetryAfter;
+  const double spread = std::uniform_real_distribution<double>(0.5, 1)(random_);
+  return std::clamp(static_cast<Time>(spread * service.run_time.value), kLeastRetryAfter, kMostRetryAfter);
+}
+
+Time RequestFlow::Bounded(Time now, Time deadline, Time retry_after) {
+  return std::clamp<Time>(retry_after, 0, std::max<Time>(0, deadline - now) / kLeftByRetryAfter);
+}
+
+void RequestFlow::ForgetEnded(RequestNumber number) {
+  const Request* request = Find(number);
+  if (request != nullptr && request->ended && !HasOpen(*request)) requests_.erase(number);
+}
+
+}  // namespace lichenlug::routing
--- /dev/null
+++ b/src/routing/request_flow.h
@@ -0,0 +1,90 @@
+// The way of each request from its arrival to its end: which attempts were made, what may still be done, and
+// the decision module's actions turned into decisions.
+#pragma once
+
+#include <cstdint>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "routing/decisions.h"
+#include "routing/demand_table.h"
+#include "routing/retry_budget.h"
+#include "routing/service_state.h"
+#include "routing/snapshot.h"
+
+namespace lichenlug::routing {
+
+class RequestFlow {
+ public:
+  RequestFlow(Time now, std::uint64_t seed);
+
+  DispatcherCount& dispatchers() { return dispatchers_; }
+  const DemandTable& demand() const { return demand_; }
+  bool Uses(const ServiceState& service) const;  // a request of it is still held
+  void SetBounds(const Bounds& bounds) { bounds_ = bounds; }
+
+  // `service` is null where the configuration has none of the name. `priority`: the runner's header.
+  void Arrived(Time now, const Arrival& arrival, int priority, ServiceState* service,
+               std::vector<Decision>* decisions);
+  void FirstEvent(Time now, RequestNumber request, int attempt);
+  void AttemptEnded(Time now, RequestNumber request, int attempt, AttemptOutcome outcome, bool final,
+                    std::vector<Decision>* decisions);
+  void Gone(Time now, RequestNumber request, std::vector<Decision>* decisions);
+
+  // Tells the service's module of changes of its runners.
+  void TellChanges(Time now, ServiceState* service, const RunnerTable::Changes& changes,
+                   std::vector<Decision>* decisions);
+  void FireTimers(Time now, ServiceState* service, std::vector<Decision>* decisions);
+
+ private:
+  enum class Fate : std::uint8_t { kOut, kNeverRan, kMayHaveRun };
+  struct Attempt {
+    std::string runner_id;
+    Time sent = 0;
+    Fate fate = Fate::kOut;
+    bool begun = false;
+  };
+  struct Request {
+    RequestNumber number = 0;
+    ServiceState* service = nullptr;
+    DemandKey key;
+    Holding needs = 0;
+    Time deadline = 0;
+    int tries = 1, priority = 5;
+    bool repeatable = false, stream = false;
+    bool ended = false;  // its end was told; kept until its attempts are closed
+    std::vector<Attempt> attempts;
+  };
+
+  Request* Find(RequestNumber number);
+  Attempt* FindOpen(Request* request, int attempt);
+  static bool MayHaveRun(const Request& request);
+  static bool HasOpen(const Request& request);
+
+  void Run(Time now, ServiceState* service, const rookgw::Event& event, std::vector<Decision>* decisions);
+  void Translate(Time now, ServiceState* service, const std::vector<rookgw::Action>& actions,
+                 std::vector<Decision>* decisions);
+  void Do(Time now, ServiceState* service, const rookgw::Dispatch& action, std::vector<Decision>* decisions);
+  void Do(Time now, const rookgw::Decline& action, std::vector<Decision>* decisions);
+  void Do(Time now, const rookgw::Fail& action, std::vector<Decision>* decisions);
+  void Do(Time now, ServiceState* service, const rookgw::CancelAttempt& action,
+          std::vector<Decision>* decisions);
+
+  void NoteRunner(Time now, const Request& request, const Attempt& attempt, AttemptOutcome outcome,
+                  std::vector<Decision>* decisions);
+  bool MayTryAgain(Time now, const Request& request, AttemptOutcome outcome) const;
+  void End(Time now, Request* request, Time retry_after, std::vector<Decision>* decisions);
+  Time RetryAfter(Time now, Request* request);
+  static Time Bounded(Time now, Time deadline, Time retry_after);
+  void ForgetEnded(RequestNumber number);
+
+  std::mt19937_64 random_;
+  Bounds bounds_;
+  DispatcherCount dispatchers_;
+  DemandTable demand_;
+  std::unordered_map<RequestNumber, Request> requests_;
+};
+
+}  // namespace lichenlug::routing
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -1,6 +1,7 @@
 // Which route and tenant a request belongs to. Pure; built anew for each configuration.
 #pragma once
 
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -26,6 +27,12 @@
   std::string message;  // one line
 };
 
+// The route's part of a precedence is its rest by this, the tenant's what is left.
+inline constexpr int kRoutePrecedences = 16;
+
+// How urgent a request is, 0 first; `tenant` is null for an anonymous one.
+int CombinedPrecedence(const messages::Tenant* tenant, const messages::Route& route);
+
 class Router {
  public:
   explicit Router(std::shared_ptr<const messages::Configuration> configuration);
@@ -37,11 +44,19 @@
   static const std::string& ServiceOf(const messages::Route& route, double draw);
 
  private:
-  struct Prefix;
+  // The routes of a host. A look-up costs one step for each length of a prefix, however many routes there
+  // are.
+  struct HostRoutes {
+    std::unordered_map<std::string_view, const messages::Route*> by_prefix;
+    std::vector<std::size_t> lengths;  // of the prefixes, longest first
+  };
+
+  const messages::Route* RouteOf(std::string_view host, std::string_view target) const;
+  const messages::Tenant* TenantOf(std::string_view authorization) const;
+
   std::shared_ptr<const messages::Configuration> configuration_;
-  std::unordered_map<std::string, std::vector<const messages::Route*>>
-      routes_by_host_;  // longest prefix first
-  std::unordered_map<std::string, const messages::Tenant*> tenants_by_key_;
+  std::unordered_map<std::string, HostRoutes> hosts_;  // by name in lower case, without a port
+  std::unordered_map<std::string_view, const messages::Tenant*> tenants_by_key_;
 };
 
 }  // namespace lichenlug::routing
--- /dev/null
+++ b/src/routing/runner_table.cpp
@@ -0,0 +1,146 @@
+#include "routing/runner_table.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "base/hash.h"
+#include "routing/zones.h"
+
+namespace lichenlug::routing {
+namespace {
+
+using rookgw::ListedWorker;
+
+constexpr Time kWithholdFor = 1500 * kMillisecond;
+constexpr double kColdPart = 0.6;  // of its slots are counted on while a runner is slow from its start
+
+ListedWorker::State StateOf(const messages::RunnerRecord& record, bool gone) {
+  if (gone) return ListedWorker::State::kGone;
+  if (record.state() == messages::RUNNER_READY) return ListedWorker::State::kServing;
+  return record.state() == messages::RUNNER_DRAINING ? ListedWorker::State::kDraining
+                                                     : ListedWorker::State::kGone;
+}
+
+bool SameListing(const ListedWorker& a, const ListedWorker& b) {
+  return a.state == b.state && a.zone == b.zone && a.weight == b.weight && a.slots == b.slots &&
+         a.holds == b.holds;
+}
+
+}  // namespace
+
+Holding HoldingOf(std::string_view model, std::string_view adapter) {
+  if (model.empty()) return 0;
+  std::string name(model);
+  if (!adapter.empty()) name.append("/").append(adapter);
+  return std::max<Holding>(HashText(name), 1);
+}
+
+void RunnerTable::Update(const std::vector<const messages::RunnerRecord*>& records, Changes* changes) {
+  std::set<std::string_view> present;
+  for (const messages::RunnerRecord* record : records) {
+    present.insert(record->runner_id());
+    auto [found, fresh] = runners_.try_emplace(record->runner_id());
+    Runner& runner = found->second;
+    if (fresh) {
+      runner.listed.id = record->runner_id();
+      runner.listed.state = ListedWorker::State::kGone;
+    }
+    if (!fresh && record->call_count() > runner.record.call_count()) {
+      runner.gone = false;
+      runner.withheld.clear();
+    }
+    runner.record = *record;
+    Publish(&runner, changes);
+  }
+  for (auto it = runners_.begin(); it != runners_.end();) {
+    if (present.contains(it->first)) {
+      ++it;
+      continue;
+    }
+    it->second.gone = true;
+    Publish(&it->second, changes);
+    it = runners_.erase(it);
+  }
+}
+
+void RunnerTable::Withhold(Time now, const std::string& runner_id, Holding holding, Changes* changes) {
+  const auto found = runners_.find(runner_id);
+  if (found == runners_.end() || holding == 0) return;
+  auto& withheld = found->second.withheld;
+  std::erase_if(withheld, [&](const Withheld& item) { return item.holding == holding; });
+  withheld.push_back({holding, now + kWithholdFor});
+  Publish(&found->second, changes);
+}
+
+void RunnerTable::MarkGone(const std::string& runner_id, Changes* changes) {
+  const auto found = runners_.find(runner_id);
+  if (found == runners_.end()) return;
+  found->second.gone = true;
+  Publish(&found->second, changes);
+}
+
+void RunnerTable::Expire(Time now, Changes* changes) {
+  for (auto& [id, runner] : runners_) {
+    const auto expired = std::erase_if(runner.withheld, [&](const Withheld& w) { return w.until <= now; });
+    if (expired > 0) Publish(&runner, changes);
+  }
+}
+
+std::optional<Time> RunnerTable::NextExpiry() const {
+  std::optional<Time> next;
+  for (const auto& [id, runner] : runners_)
+    for (const Withheld& item : runner.withheld) next = std::min(next.value_or(item.until), item.until);
+  return next;
+}
+
+bool RunnerTable::AnyReady(Holding holding) const { return ready_holders_.contains(holding); }
+
+std::string RunnerTable::AddressOf(const std::string& id) const {
+  const auto found = runners_.find(id);
+  return found == runners_.end() ? std::string() : found->second.record.address();
+}
+
+RunnerTable::Changes RunnerTable::All() const {
+  Changes all;
+  for (const auto& [id, runner] : runners_) all.push_back(runner.listed);
+  return all;
+}
+
+ListedWorker RunnerTable::Describe(const Runner& runner) const {
+  const messages::RunnerRecord& record = runner.record;
+  ListedWorker listed;
+  listed.id = runner.listed.id;
+  listed.state = StateOf(record, runner.gone);
+  listed.zone = record.zone() == own_zone_ ? kOwnZone : kOtherZones;
+  listed.weight = std::max(1, record.slots());
+  listed.slots = std::max(0, record.slots()) * (record.cold_ms() > 0 ? kColdPart : 1);
+  for (const messages::HeldModel& model : record.models()) {
+    listed.holds.push_back(HoldingOf(model.name(), {}));
+    for (const std::string& adapter : model.adapters())
+      listed.holds.push_back(HoldingOf(model.name(), adapter));
+  }
+  for (const Withheld& item : runner.withheld) std::erase(listed.holds, item.holding);
+  std::ranges::sort(listed.holds);
+  return listed;
+}
+
+void RunnerTable::Publish(Runner* runner, Changes* changes) {
+  ListedWorker listed = Describe(*runner);
+  if (SameListing(listed, runner->listed)) return;
+  CountHolder(runner->listed, -1);
+  CountHolder(listed, +1);
+  runner->listed = std::move(listed);
+  changes->push_back(runner->listed);
+}
+
+void RunnerTable::CountHolder(const ListedWorker& listed, int change) {
+  if (listed.state != ListedWorker::State::kServing) return;
+  const auto count = [&](Holding holding) {
+    if ((ready_holders_[holding] += change) == 0) ready_holders_.erase(holding);
+  };
+  count(0);
+  for (Holding holding : listed.holds) count(holding);
+}
+
+}  // namespace lichenlug::routing
--- /dev/null
+++ b/src/routing/service_brain.cpp
@@ -0,0 +1,124 @@
+#include "routing/service_brain.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "routing/zones.h"
+
+namespace lichenlug::routing {
+namespace {
+
+constexpr std::size_t kMostClasses = 64;  // later ones are taken for the likest
+// A refusal within this part of the objective still leaves the client's next try its worth.
+constexpr int kHeldPart = 4;
+// A late answer has a worth too, so no request is given up because its run is longer than its objective.
+constexpr double kNeverHopeless = 1e6;
+constexpr double kLateValue = 0.5;
+constexpr double kPrecedenceStep = 10;   // of worth, in powers of two: more than runs differ in length
+constexpr int kMostPrecedence = 90;      // keeps the worth above 0
+constexpr double kCrossZoneFee = 0.001;  // any fee makes the module prefer its own zone
+constexpr int kMostAttempts = 16;        // the route's `tries` are counted by the caller
+constexpr Time kMostRetryAfter = kSecond;
+
+rookgw::ClassSettings SettingsOf(const ClassKey& key) {
+  rookgw::ClassSettings settings;
+  settings.name = std::to_string(key.objective) + (key.repeatable ? " repeatable" : " once") +
+                  (key.stream ? " stream " : " whole ") + std::to_string(key.precedence);
+  settings.aim = key.objective / kHeldPart;
+  settings.stretch = kNeverHopeless;
+  settings.late_value = kLateValue;
+  settings.worth = std::exp2(-kPrecedenceStep * std::min(key.precedence, kMostPrecedence));
+  settings.effect = key.repeatable ? rookgw::Effect::kRepeatable : rookgw::Effect::kUnsafe;
+  settings.priority = key.precedence;
+  settings.stream = key.stream;
+  return settings;
+}
+
+// Class 0 serves where the table of classes is full, so it repeats nothing.
+ClassKey FirstClass(const ServiceBrain::Setup& setup) {
+  ClassKey first = setup.first_class;
+  first.repeatable = false;
+  return first;
+}
+
+rookgw::Settings SettingsOf(const ServiceBrain::Setup& setup) {
+  rookgw::Settings settings;
+  settings.instances = std::max(1, setup.live_dispatchers);
+  if (setup.zoned) {
+    settings.zones = {"own", "others"};
+    settings.my_zone = kOwnZone;
+    settings.fee_cross_zone = kCrossZoneFee;
+  }
+  settings.classes = {SettingsOf(FirstClass(setup))};
+  settings.max_attempts = kMostAttempts;
+  settings.cancelling = true;
+  settings.retry_after = true;
+  settings.max_retry_after = kMostRetryAfter;
+  settings.repeats_marked = true;  // a client's repeat is not told from a first try
+  settings.starts_told = true;
+  settings.silence = setup.silence;
+  return settings;
+}
+
+}  // namespace
+
+ClassKey ClassKey::Of(const Arrival& arrival) {
+  return {.objective = std::max<Time>(0, arrival.objective),
+          .repeatable = arrival.repeatable,
+          .stream = arrival.kind == RouteKind::kStream,
+          .precedence = std::max(0, arrival.precedence)};
+}
+
+ServiceBrain::ServiceBrain(Time now, const Setup& setup)
+    : brain_(SettingsOf(setup), setup.seed), classes_{FirstClass(setup)} {
+  std::vector<rookgw::Action> actions;
+  brain_.Start(now, &actions);
+  KeepTimers(now, 0, &actions);
+}
+
+void ServiceBrain::Tell(Time now, const rookgw::Event& event, std::vector<rookgw::Action>* actions) {
+  const std::size_t from = actions->size();
+  brain_.Handle(now, event, actions);
+  KeepTimers(now, from, actions);
+}
+
+void ServiceBrain::FireTimers(Time now, std::vector<rookgw::Action>* actions) {
+  std::vector<std::string> due;
+  std::erase_if(timers_, [&](const auto& timer) {
+    if (timer.first > now) return false;
+    due.push_back(timer.second);
+    return true;
+  });
+  for (std::string& token : due) Tell(now, rookgw::TimerFired{std::move(token)}, actions);
+}
+
+std::optional<Time> ServiceBrain::NextTimer() const {
+  if (idle() || timers_.empty()) return std::nullopt;
+  return std::ranges::min(timers_).first;
+}
+
+int ServiceBrain::ClassOf(const ClassKey& key) {
+  const auto same = std::ranges::find(classes_, key);
+  if (same != classes_.end()) return static_cast<int>(same - classes_.begin());
+  if (classes_.size() < kMostClasses) {
+    classes_.push_back(key);
+    return brain_.AddClass(SettingsOf(key));
+  }
+  const auto alike = std::ranges::find_if(classes_, [&](const ClassKey& it) {
+    return it.repeatable == key.repeatable && it.stream == key.stream;
+  });
+  return alike == classes_.end() ? 0 : static_cast<int>(alike - classes_.begin());
+}
+
+void ServiceBrain::KeepTimers(Time now, std::size_t from, std::vector<rookgw::Action>* actions) {
+  const auto added = actions->begin() + static_cast<std::ptrdiff_t>(from);
+  const auto is_timer = [](const rookgw::Action& action) {
+    return std::holds_alternative<rookgw::SetTimer>(action);
+  };
+  for (auto it = added; it != actions->end(); ++it)
+    if (const auto* timer = std::get_if<rookgw::SetTimer>(&*it))
+      timers_.emplace_back(now + timer->span, timer->token);
+  actions->erase(std::remove_if(added, actions->end(), is_timer), actions->end());
+}
+
+}  // namespace lichenlug::routing
--- /dev/null
+++ b/src/routing/service_state.cpp
@@ -0,0 +1,45 @@
+#include "routing/service_state.h"
+
+#include <vector>
+
+namespace lichenlug::routing {
+namespace {
+
+constexpr Time kUntilOrdered = 500 * kMillisecond;  // placement has to hear of it first
+constexpr Time kAdapterLoad = 300 * kMillisecond;
+// Signs of life are frequent at an engine; a whole answer of other services may take longer.
+constexpr Time kEngineSilence = kSecond, kOtherSilence = 2 * kSecond;
+
+}  // namespace
+
+void ServiceState::Configure(const messages::Service& service) {
+  configured = true;
+  has_engine = service.has_engine();
+  load_times.clear();
+  for (const messages::Model& model : service.engine().models())
+    load_times[model.name()] = static_cast<Time>(model.load_s() * kSecond);
+}
+
+ServiceBrain& ServiceState::Brain(Time now, const Arrival& first, std::uint64_t seed, int live_dispatchers) {
+  if (brain) return *brain;
+  brain = std::make_unique<ServiceBrain>(
+      now, ServiceBrain::Setup{.seed = seed,
+                               .live_dispatchers = live_dispatchers,
+                               .zoned = zoned,
+                               .silence = has_engine ? kEngineSilence : kOtherSilence,
+                               .first_class = ClassKey::Of(first)});
+  const RunnerTable::Changes all = runners.All();
+  std::vector<rookgw::Action> none;  // no request is there yet
+  brain->Tell(now,
+              rookgw::ListChanged{.form = rookgw::ListChanged::Form::kWhole, .version = 0, .workers = all},
+              &none);
+  return *brain;
+}
+
+Time ServiceState::LoadTime(const std::string& model, const std::string& adapter) const {
+  if (!adapter.empty() && runners.AnyReady(HoldingOf(model, {}))) return kAdapterLoad;
+  const auto found = load_times.find(model);
+  return kUntilOrdered + (found == load_times.end() ? 0 : found->second);
+}
+
+}  // namespace lichenlug::routing
--- /dev/null
+++ b/src/routing/sliding_counter.h
@@ -0,0 +1,50 @@
+// A count of events in the window before now, in a bounded number of buckets.
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+#include "base/clock.h"
+
+namespace lichenlug::routing {
+
+class SlidingCounter {
+ public:
+  explicit SlidingCounter(Time window) : width_(std::max<Time>(1, window / Time{kBuckets})) {}
+
+  void Add(Time now) {
+    Bucket& bucket = buckets_[IndexOf(now)];
+    if (bucket.number != now / width_) bucket = {now / width_, 0};
+    ++bucket.count;
+  }
+
+  // No fewer than those of the window: the bucket at its far end counts whole.
+  std::int64_t AtLeast(Time now) const { return Sum(now, kBuckets + 1); }
+  // No more than those of the window: the bucket at its far end is left out.
+  std::int64_t AtMost(Time now) const { return Sum(now, kBuckets); }
+
+ private:
+  static constexpr std::size_t kBuckets = 100;
+
+  struct Bucket {
+    Time number = -1;  // of the buckets since the clock's zero
+    std::int64_t count = 0;
+  };
+
+  std::size_t IndexOf(Time now) const { return static_cast<std::size_t>(now / width_) % buckets_.size(); }
+
+  std::int64_t Sum(Time now, std::size_t newest) const {
+    const Time last = now / width_;
+    std::int64_t sum = 0;
+    for (const Bucket& bucket : buckets_)
+      if (bucket.number > last - static_cast<Time>(newest) && bucket.number <= last) sum += bucket.count;
+    return sum;
+  }
+
+  Time width_;
+  std::array<Bucket, kBuckets + 1> buckets_;
+};
+
+}  // namespace lichenlug::routing
