--- a/src/transport/transport.h
+++ b/src/transport/transport.h
@@ -3,6 +3,8 @@
 // time.
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -22,6 +24,15 @@
     std::size_t longest_message = 8u << 20;
     std::size_t most_peers = 256;
   };
+  struct Statistics {
+    std::uint64_t sent = 0;            // handed to nng
+    std::uint64_t dropped = 0;         // not handed to nng: its buffer was full, or no socket could be made
+    std::uint64_t received = 0;        // given to `receive`
+    std::uint64_t unreadable = 0;      // received, but no envelope, or without a sender
+    std::uint64_t other_versions = 0;  // received, but of another protocol version
+    std::uint64_t renewals = 0;        // connections closed and dialled anew
+    std::size_t peers = 0;             // with a socket now
+  };
   // `receive` runs on the transport's thread, for each message that can be read and is of this protocol
   // version.
   Transport(Settings settings, std::function<void(messages::Envelope)> receive);
@@ -31,6 +42,8 @@
   void Send(const std::string& address, messages::Envelope envelope);  // from one thread; fills in the sender
   void Forget(const std::string& address);  // the peer is dead: its connection is closed
 
+  Statistics statistics() const;  // from any thread
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
