--- /dev/null
+++ b/src/registry/anti_entropy.cpp
@@ -0,0 +1,134 @@
+#include "registry/anti_entropy.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace lichenlug::registry {
+namespace {
+
+constexpr Time kDigestEvery = kSecond;
+constexpr Time kUnsettledDigestEvery = 250 * kMillisecond;
+constexpr std::size_t kGreeters = 8;       // about so many compare with a newly live one at once
+constexpr int kMostRecordsInRepair = 256;  // a message
+
+// Splits records into updates that ask for no acknowledgement.
+class RepairWriter {
+ public:
+  RepairWriter(std::string address, RegistryOutput* output) : address_(std::move(address)), output_(output) {}
+
+  void Add(messages::RunnerRecord record) {
+    if (update_ == nullptr || update_->records_size() >= kMostRecordsInRepair) Begin();
+    *update_->add_records() = std::move(record);
+  }
+  void Want(const std::string& runner_id) {
+    if (update_ == nullptr) Begin();
+    update_->add_wanted(runner_id);
+  }
+
+ private:
+  void Begin() {
+    output_->sends.emplace_back().address = address_;
+    update_ = output_->sends.back().message.mutable_update();
+  }
+
+  std::string address_;
+  RegistryOutput* output_;
+  messages::RegistryUpdate* update_ = nullptr;
+};
+
+}  // namespace
+
+void AntiEntropy::SetPeers(std::vector<std::string> addresses, const std::vector<std::string>& added) {
+  peers_ = std::move(addresses);
+  std::erase_if(greet_, [this](const std::string& address) {
+    return std::find(peers_.begin(), peers_.end(), address) == peers_.end();
+  });
+  for (const std::string& address : added)
+    if (random_() % (peers_.size() + 1) < kGreeters) greet_.push_back(address);
+  if (!added.empty() && !settled_) next_at_ = 0;
+}
+
+void AntiEntropy::Tick(Time now, const RunnerTable& table, RegistryOutput* output) {
+  if (started_at_ < 0) started_at_ = now;
+  for (const std::string& address : std::exchange(greet_, {})) SendHash(now, address, table, output);
+  if (now < next_at_) return;
+  const Time every = Settled(now) ? kDigestEvery : kUnsettledDigestEvery;
+  next_at_ = now + every * 3 / 4 + static_cast<Time>(random_() % static_cast<std::uint64_t>(every / 2));
+  if (!peers_.empty()) SendHash(now, peers_[random_() % peers_.size()], table, output);
+}
+
+void AntiEntropy::SendHash(Time now, const std::string& address, const RunnerTable& table,
+                           RegistryOutput* output) const {
+  auto& send = output->sends.emplace_back();
+  send.address = address;
+  send.message.mutable_digest()->set_hash(table.Hash(now));
+  send.message.mutable_digest()->set_settled(Settled(now));
+}
+
+void AntiEntropy::Receive(Time now, const std::string& from_address, const messages::RegistryDigest& digest,
+                          RunnerTable* table, RegistryOutput* output) {
+  const std::uint64_t hash = table->Hash(now);
+  if (digest.hash() == hash) {
+    settled_ = settled_ || digest.settled();
+    if (!digest.reply() && !digest.settled() && Settled(now)) {
+      SendHash(now, from_address, *table, output);
+      output->sends.back().message.mutable_digest()->set_reply(true);
+    }
+    return;
+  }
+  if (digest.reply()) return Repair(now, from_address, digest, table, output);
+  auto& send = output->sends.emplace_back();
+  send.address = from_address;
+  auto* reply = send.message.mutable_digest();
+  reply->set_hash(hash);
+  reply->set_reply(true);
+  reply->set_settled(Settled(now));
+  table->Describe(now, reply);
+}
+
+void AntiEntropy::Repair(Time now, const std::string& from_address, const messages::RegistryDigest& digest,
+                         RunnerTable* table, RegistryOutput* output) {
+  RepairWriter writer(from_address, output);
+  std::set<std::string> told;
+  if (digest.settled()) awaited_.clear();
+  for (const auto& entry : digest.entries()) {
+    told.insert(entry.runner_id());
+    const Version theirs{entry.call_count(), entry.state()};
+    const TrackedRunner* own = table->Find(entry.runner_id());
+    if (own == nullptr || WouldChange(VersionOf(own->record), theirs)) {
+      writer.Want(entry.runner_id());
+      if (digest.settled()) awaited_[entry.runner_id()] = theirs;
+    } else if (WouldChange(theirs, VersionOf(own->record))) {
+      writer.Add(RunnerTable::ToSend(now, *own));
+    }
+  }
+  for (const auto& [runner_id, runner] : table->runners()) {
+    messages::RunnerRecord record = RunnerTable::ToSend(now, runner);
+    if (!told.contains(runner_id) && RunnerTable::WorthLearning(record)) writer.Add(std::move(record));
+  }
+  if (digest.settled() && awaited_.empty()) settled_ = true;
+}
+
+void AntiEntropy::AnswerWanted(Time now, const std::string& from_address,
+                               const messages::RegistryUpdate& update, RunnerTable* table,
+                               RegistryOutput* output) const {
+  RepairWriter writer(from_address, output);
+  for (const std::string& runner_id : update.wanted())
+    if (const TrackedRunner* runner = table->Find(runner_id)) writer.Add(RunnerTable::ToSend(now, *runner));
+}
+
+void AntiEntropy::TookUpdate(RunnerTable* table) {
+  if (awaited_.empty()) return;
+  std::erase_if(awaited_, [table](const auto& entry) {
+    const TrackedRunner* own = table->Find(entry.first);
+    return own != nullptr && !WouldChange(VersionOf(own->record), entry.second);
+  });
+  if (awaited_.empty()) settled_ = true;
+}
+
+bool AntiEntropy::Settled(Time now) const {
+  return settled_ || (started_at_ >= 0 && now - started_at_ >= heartbeat_every_ * 5 / 2);
+}
+
+}  // namespace lichenlug::registry
--- /dev/null
+++ b/src/registry/anti_entropy.h
@@ -0,0 +1,52 @@
+// Finds what the spread has missed: a digest to one other dispatcher a second, and what follows where they
+// differ.
+//
+//   A: digest with a hash  ->  B: its own digest, with entries  ->  A: the records that B lacks, and the ids
+//   of those that A lacks  ->  B: these records.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "registry/registry.h"
+#include "registry/table.h"
+
+namespace lichenlug::registry {
+
+class AntiEntropy {
+ public:
+  AntiEntropy(Time heartbeat_every, std::uint64_t seed) : heartbeat_every_(heartbeat_every), random_(seed) {}
+
+  void SetPeers(std::vector<std::string> addresses, const std::vector<std::string>& added);
+  void Tick(Time now, const RunnerTable& table, RegistryOutput* output);
+  Time NextTimer() const { return next_at_; }
+
+  void Receive(Time now, const std::string& from_address, const messages::RegistryDigest& digest,
+               RunnerTable* table, RegistryOutput* output);
+  void AnswerWanted(Time now, const std::string& from_address, const messages::RegistryUpdate& update,
+                    RunnerTable* table, RegistryOutput* output) const;
+  void TookUpdate(RunnerTable* table);  // after records were merged
+
+  // Whether this dispatcher has got the whole table of one that has it, or heard runners for long enough.
+  bool Settled(Time now) const;
+
+ private:
+  void SendHash(Time now, const std::string& address, const RunnerTable& table, RegistryOutput* output) const;
+  void Repair(Time now, const std::string& from_address, const messages::RegistryDigest& digest,
+              RunnerTable* table, RegistryOutput* output);
+
+  Time heartbeat_every_;
+  std::mt19937_64 random_;
+  std::vector<std::string> peers_;
+  std::vector<std::string> greet_;  // newly live ones, to be compared with at once
+  Time started_at_ = -1;
+  Time next_at_ = 0;
+  bool settled_ = false;
+  std::map<std::string, Version> awaited_;  // what a settled dispatcher has and this one has asked for
+};
+
+}  // namespace lichenlug::registry
--- /dev/null
+++ b/src/registry/heartbeat_codec.cpp
@@ -0,0 +1,162 @@
+// Reads the JSON body of a runner's heartbeat. The names that runners use on the wire stand here alone.
+#include <algorithm>
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+#include "registry/registry.h"
+
+namespace lichenlug::registry {
+namespace {
+
+using Json = nlohmann::json;
+using messages::RunnerRecord;
+
+constexpr std::size_t kLongestName = 256;
+constexpr std::size_t kMostModels = 1024;
+constexpr std::size_t kMostAdapters = 4096;  // of one model
+constexpr std::int64_t kMostSlots = 1'000'000;
+
+// Reads members of one JSON object, and keeps the first thing wrong.
+class ObjectReader {
+ public:
+  ObjectReader(const Json& object, std::string place, std::string* error)
+      : object_(object), place_(std::move(place)), error_(error) {}
+
+  const Json* Find(const char* key, bool required) {
+    const auto found = object_.find(key);
+    if (found != object_.end()) return &*found;
+    if (required) Fail(key, "is missing: send it with every heartbeat");
+    return nullptr;
+  }
+
+  std::string Text(const char* key, bool required) {
+    const Json* value = Find(key, required);
+    if (value == nullptr) return {};
+    if (!value->is_string()) return Fail(key, "must be a string"), std::string();
+    const auto& text = value->get_ref<const std::string&>();
+    if (required && text.empty()) Fail(key, "must not be empty");
+    if (text.size() > kLongestName) Fail(key, "must have 256 bytes at most");
+    return text;
+  }
+
+  std::int64_t Whole(const char* key, bool required, std::int64_t most) {
+    const Json* value = Find(key, required);
+    if (value == nullptr) return 0;
+    const bool whole =
+        value->is_number_unsigned() || (value->is_number_integer() && value->get<std::int64_t>() >= 0);
+    if (!whole || value->get<std::uint64_t>() > static_cast<std::uint64_t>(most))
+      return Fail(key, "must be a whole number from 0 to " + std::to_string(most)), 0;
+    return value->get<std::int64_t>();
+  }
+
+  double Milliseconds(const char* key) {
+    const Json* value = Find(key, false);
+    if (value == nullptr) return 0;
+    if (!value->is_number() || !std::isfinite(value->get<double>()) || value->get<double>() < 0)
+      return Fail(key, "must be a number of milliseconds, 0 or more"), 0;
+    return value->get<double>();
+  }
+
+  const Json* List(const char* key, std::size_t most) {
+    const Json* value = Find(key, false);
+    if (value == nullptr) return nullptr;
+    if (!value->is_array()) return Fail(key, "must be a list"), nullptr;
+    if (value->size() > most)
+      return Fail(key, "must have " + std::to_string(most) + " items at most"), nullptr;
+    return value;
+  }
+
+  void Fail(const std::string& key, const std::string& remedy) {
+    if (error_->empty()) *error_ = "heartbeat: `" + key + "` in " + place_ + " " + remedy;
+  }
+
+ private:
+  const Json& object_;
+  std::string place_;
+  std::string* error_;
+};
+
+void ReadModel(const Json& item, const std::string& place, RunnerRecord* record, std::string* error) {
+  if (!item.is_object()) {
+    if (error->empty()) *error = "heartbeat: " + place + " must be an object with `name`";
+    return;
+  }
+  ObjectReader reader(item, place, error);
+  auto* model = record->add_models();
+  model->set_name(reader.Text("name", true));
+  model->set_edition(reader.Whole("edition", false, std::numeric_limits<std::int64_t>::max()));
+  const Json* adapters = reader.List("adapters", kMostAdapters);
+  if (adapters == nullptr) return;
+  for (const Json& adapter : *adapters) {
+    if (!adapter.is_string() || adapter.get_ref<const std::string&>().size() > kLongestName)
+      return reader.Fail("adapters", "must hold names of 256 bytes at most");
+    model->add_adapters(adapter.get<std::string>());
+  }
+  std::sort(model->mutable_adapters()->begin(), model->mutable_adapters()->end());
+}
+
+void ReadModels(ObjectReader* body, RunnerRecord* record, std::string* error) {
+  const Json* models = body->List("models", kMostModels);
+  if (models == nullptr) return;
+  for (std::size_t i = 0; i < models->size() && error->empty(); ++i)
+    ReadModel((*models)[i], "models[" + std::to_string(i) + "]", record, error);
+  // In one order, so that the same holdings told in another order are no change.
+  std::sort(record->mutable_models()->begin(), record->mutable_models()->end(),
+            [](const auto& left, const auto& right) { return left.name() < right.name(); });
+}
+
+void ReadState(ObjectReader* body, RunnerRecord* record) {
+  const std::string condition = body->Text("condition", true);
+  if (condition == "ready") {
+    record->set_state(messages::RUNNER_READY);
+  } else if (condition == "draining") {
+    record->set_state(messages::RUNNER_DRAINING);
+  } else {
+    body->Fail("condition", "must be \"ready\" or \"draining\"");
+  }
+}
+
+bool IsAddress(const std::string& address) {
+  const std::size_t colon = address.rfind(':');
+  if (colon == std::string::npos || colon == 0 || colon + 1 == address.size()) return false;
+  const std::string port = address.substr(colon + 1);
+  return port.size() <= 5 &&
+         std::all_of(port.begin(), port.end(), [](char c) { return c >= '0' && c <= '9'; }) &&
+         std::stoi(port) > 0 && std::stoi(port) <= 65535;
+}
+
+bool IsRunnerId(std::string_view id) {
+  return !id.empty() && id.size() <= kLongestName &&
+         std::all_of(id.begin(), id.end(), [](char c) { return c > ' ' && c < 127; });
+}
+
+}  // namespace
+
+std::variant<RunnerRecord, std::string> ReadHeartbeat(std::string_view runner_id, std::string_view json) {
+  if (!IsRunnerId(runner_id))
+    return "heartbeat: the runner's id in the path must have 1 to 256 printable characters and no space";
+  const Json body = Json::parse(json, nullptr, false);
+  if (!body.is_object()) return "heartbeat: the body must be one JSON object";
+
+  std::string error;
+  ObjectReader reader(body, "the body", &error);
+  RunnerRecord record;
+  record.set_runner_id(std::string(runner_id));
+  record.set_service(reader.Text("line", true));
+  record.set_address(reader.Text("address", true));
+  if (!IsAddress(record.address())) reader.Fail("address", "must be IP:PORT of the runner");
+  record.set_zone(reader.Text("zone", true));
+  record.set_software_edition(reader.Text("edition", false));
+  record.set_slots(static_cast<std::int32_t>(reader.Whole("berths", true, kMostSlots)));
+  ReadState(&reader, &record);
+  record.set_cold_ms(reader.Milliseconds("cold_ms"));
+  record.set_remaining_ms(reader.Milliseconds("remaining_ms"));
+  record.set_stage(reader.Text("stage", false));
+  record.set_call_count(
+      static_cast<std::uint64_t>(reader.Whole("call_count", true, std::numeric_limits<std::int64_t>::max())));
+  ReadModels(&reader, &record, &error);
+  if (!error.empty()) return error;
+  return record;
+}
+
+}  // namespace lichenlug::registry
--- /dev/null
+++ b/src/registry/merge.cpp
@@ -0,0 +1,89 @@
+#include "registry/merge.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lichenlug::registry {
+namespace {
+
+using messages::RunnerRecord;
+using messages::RunnerState;
+
+bool IsLost(RunnerState state) { return state == messages::RUNNER_LOST; }
+bool IsGone(RunnerState state) { return state == messages::RUNNER_GONE; }
+
+bool HasDrained(const RunnerRecord& record) {
+  return record.was_draining() || record.state() == messages::RUNNER_DRAINING;
+}
+
+// Carries "once draining" over to a record that has taken the place of another; true: that changed its state.
+bool KeepDraining(bool has_drained, RunnerRecord* record) {
+  if (!has_drained) return false;
+  if (!IsAlive(record->state())) return record->set_was_draining(true), false;
+  const bool changes = record->state() != messages::RUNNER_DRAINING;
+  record->set_state(messages::RUNNER_DRAINING);
+  return changes;
+}
+
+MergeResult MergeGone(const RunnerRecord& offered, TrackedRunner* runner) {
+  RunnerRecord& held = runner->record;
+  const bool was_gone = IsGone(held.state());
+  const std::uint64_t count = std::max(held.call_count(), offered.call_count());
+  if (was_gone && (!IsGone(offered.state()) || count == held.call_count())) return MergeResult::kNothing;
+  held.set_state(messages::RUNNER_GONE);
+  held.set_call_count(count);
+  return MergeResult::kChanged;
+}
+
+RunnerRecord WithoutCounts(RunnerRecord record) {
+  record.clear_call_count();
+  record.clear_cold_ms();
+  record.clear_remaining_ms();
+  record.clear_was_draining();
+  record.clear_ended_ms_ago();
+  return record;
+}
+
+std::pair<std::uint64_t, bool> Rank(const Version& version) {
+  return {version.call_count, IsLost(version.state)};
+}
+
+}  // namespace
+
+bool IsAlive(RunnerState state) {
+  return state == messages::RUNNER_READY || state == messages::RUNNER_DRAINING;
+}
+
+Version VersionOf(const RunnerRecord& record) { return {record.call_count(), record.state()}; }
+
+bool SameNews(const RunnerRecord& left, const RunnerRecord& right) {
+  return WithoutCounts(left).SerializeAsString() == WithoutCounts(right).SerializeAsString();
+}
+
+bool WouldChange(const Version& held, const Version& offered) {
+  if (IsGone(held.state)) return IsGone(offered.state) && offered.call_count > held.call_count;
+  if (IsGone(offered.state) || Rank(offered) > Rank(held)) return true;
+  return offered.state == messages::RUNNER_DRAINING && held.state == messages::RUNNER_READY;
+}
+
+MergeResult MergeRecord(const RunnerRecord& offered, bool may_refute, TrackedRunner* runner) {
+  RunnerRecord& held = runner->record;
+  if (IsGone(held.state()) || IsGone(offered.state())) return MergeGone(offered, runner);
+
+  const bool has_drained = HasDrained(held) || HasDrained(offered);
+  if (Rank(VersionOf(offered)) <= Rank(VersionOf(held)))
+    return KeepDraining(has_drained, &held) ? MergeResult::kChanged : MergeResult::kNothing;
+
+  const bool refuted = may_refute && IsLost(offered.state()) && IsAlive(held.state()) &&
+                       runner->heard_count > offered.call_count();
+  held = offered;
+  if (refuted) {
+    held.set_state(messages::RUNNER_READY);
+    held.set_call_count(runner->heard_count);
+  }
+  KeepDraining(has_drained, &held);
+  runner->heard_count = std::max(runner->heard_count, held.call_count());
+  return refuted ? MergeResult::kRefuted : MergeResult::kChanged;
+}
+
+}  // namespace lichenlug::registry
--- /dev/null
+++ b/src/registry/registry.cpp
@@ -0,0 +1,190 @@
+#include "registry/registry.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "registry/registry_impl.h"
+
+namespace lichenlug::registry {
+namespace {
+
+constexpr int kSilentHeartbeats = 3;           // after so many periods a runner counts as lost
+constexpr int kGraceHeartbeats = 1;            // more for a new home: runners have yet to find it
+constexpr Time kFreeze = kSecond;              // a longer pause between ticks says nothing of runners
+constexpr Time kLongestTick = kSecond / 4;     // between two looks for silent runners
+constexpr Time kNewsToNewPeers = 4 * kSecond;  // what was spread of late goes to a newly live one too
+
+// Shows the home that a runner which calls here is alive.
+void PassOn(const Home& home, const TrackedRunner& runner, RegistryOutput* output) {
+  if (!IsAlive(runner.record.state())) return;
+  auto& send = output->sends.emplace_back();
+  send.address = home.address;
+  auto* alive = send.message.mutable_update()->add_alive();
+  alive->set_runner_id(runner.record.runner_id());
+  alive->set_call_count(runner.heard_count);
+}
+
+}  // namespace
+
+Registry::Impl::Impl(RegistrySettings settings)
+    : settings_(std::move(settings)),
+      table_(settings_.most_runners),
+      homes_(settings_.self_name, settings_.zone),
+      spread_(settings_.seed),
+      anti_entropy_(settings_.heartbeat_every, settings_.seed) {}
+
+Registry::Answer Registry::Impl::Heartbeat(Time now, const messages::RunnerRecord& heartbeat,
+                                           RegistryOutput* output) {
+  const Home& home = HomeOf(now, heartbeat);
+  const Answer answer{true, home.control_address};
+  TrackedRunner* runner = table_.Find(heartbeat.runner_id());
+  if (runner == nullptr) {
+    runner = table_.Add(now, heartbeat);
+    if (runner == nullptr) return {};
+    TakeAddress(now, *runner, output);
+    Changed(now, runner, output);
+  } else if (!TakeHeartbeat(now, heartbeat, runner, output) && !home.is_self) {
+    PassOn(home, *runner, output);
+  }
+  spread_.Flush(now, &table_, output);
+  return answer;
+}
+
+bool Registry::Impl::TakeHeartbeat(Time now, const messages::RunnerRecord& heartbeat, TrackedRunner* runner,
+                                   RegistryOutput* output) {
+  if (heartbeat.call_count() <= runner->heard_count || !MayLive(now, *runner, heartbeat.address()))
+    return TakeLateDrain(now, heartbeat, runner, output);
+  runner->heard_count = heartbeat.call_count();
+  runner->last_heard = now;
+  const messages::RunnerRecord before = runner->record;
+  if (MergeRecord(heartbeat, true, runner) == MergeResult::kNothing) return false;
+  if (SameNews(before, runner->record)) {
+    runner->record.set_call_count(before.call_count());
+    return false;
+  }
+  if (!IsAlive(before.state()) || before.address() != runner->record.address())
+    TakeAddress(now, *runner, output);
+  Changed(now, runner, output);
+  return true;
+}
+
+bool Registry::Impl::TakeLateDrain(Time now, const messages::RunnerRecord& heartbeat, TrackedRunner* runner,
+                                   RegistryOutput* output) {
+  if (heartbeat.state() != messages::RUNNER_DRAINING || runner->record.state() != messages::RUNNER_READY)
+    return false;
+  runner->record.set_state(messages::RUNNER_DRAINING);
+  Changed(now, runner, output);
+  return true;
+}
+
+bool Registry::Impl::MayLive(Time now, const TrackedRunner& runner, const std::string& address) {
+  if (IsAlive(runner.record.state())) return true;
+  const TrackedRunner* holder = table_.HolderOfAddress(address, runner.record.runner_id());
+  return holder == nullptr || now - holder->last_heard > settings_.heartbeat_every * 5 / 4;
+}
+
+void Registry::Impl::TakeAddress(Time now, const TrackedRunner& runner, RegistryOutput* output) {
+  const std::string& runner_id = runner.record.runner_id();
+  while (TrackedRunner* older = table_.HolderOfAddress(runner.record.address(), runner_id))
+    Lose(now, older, output);
+}
+
+void Registry::Impl::Lose(Time now, TrackedRunner* runner, RegistryOutput* output) {
+  runner->record.set_was_draining(runner->record.state() == messages::RUNNER_DRAINING);
+  runner->record.set_state(messages::RUNNER_LOST);
+  runner->record.set_call_count(runner->heard_count);
+  Changed(now, runner, output);
+}
+
+void Registry::Impl::Changed(Time now, TrackedRunner* runner, RegistryOutput* output) {
+  if (!IsAlive(runner->record.state())) runner->ended_at = now;
+  runner->spread_at = now;
+  spread_.Add(runner->record.runner_id());
+  output->changed = true;
+}
+
+const Home& Registry::Impl::HomeOf(Time now, const messages::RunnerRecord& record) {
+  return homes_.HomeOf(now, record.service(), record.zone());
+}
+
+void Registry::Impl::Expire(Time now, RegistryOutput* output) {
+  const Time patience = kSilentHeartbeats * settings_.heartbeat_every;
+  const Time grace = kGraceHeartbeats * settings_.heartbeat_every;
+  for (auto& [runner_id, runner] : table_.runners()) {
+    if (!IsAlive(runner.record.state()) || now - runner.last_heard < patience) continue;
+    const Home& home = HomeOf(now, runner.record);
+    if (!home.is_self || now - std::max(home.since, thawed_at_) < patience + grace) continue;
+    Lose(now, &runner, output);
+  }
+}
+
+void Registry::Impl::Delete(Time now, const std::string& runner_id, RegistryOutput* output) {
+  TrackedRunner* runner = table_.Find(runner_id);
+  if (runner == nullptr) {
+    messages::RunnerRecord gone;
+    gone.set_runner_id(runner_id);
+    gone.set_state(messages::RUNNER_GONE);
+    runner = table_.Add(now, gone);
+    if (runner == nullptr) return;
+  } else if (runner->record.state() == messages::RUNNER_GONE) {
+    return;
+  }
+  runner->record.set_state(messages::RUNNER_GONE);
+  runner->record.set_call_count(runner->heard_count);
+  Changed(now, runner, output);
+  spread_.Flush(now, &table_, output);
+}
+
+void Registry::Impl::SetMembers(Time now, const std::vector<Member>& live, RegistryOutput* output) {
+  homes_.SetMembers(now, live);
+  const std::vector<std::string> added = spread_.SetPeers(live);
+  for (const auto& [runner_id, runner] : table_.runners()) {
+    if (runner.spread_at == 0 || now - runner.spread_at > kNewsToNewPeers) continue;
+    for (const std::string& address : added) spread_.AddFor(address, runner_id);
+  }
+  std::vector<std::string> addresses;
+  for (const Member& member : live) addresses.push_back(member.address);
+  anti_entropy_.SetPeers(std::move(addresses), added);
+  spread_.Flush(now, &table_, output);
+}
+
+void Registry::Impl::Tick(Time now, RegistryOutput* output) {
+  if (last_tick_ && now - *last_tick_ > kFreeze) thawed_at_ = now;
+  last_tick_ = now;
+  if (now >= next_watch_) {
+    next_watch_ = now + std::min(settings_.heartbeat_every / 4, kLongestTick);
+    Expire(now, output);
+    table_.DropEnded(now);
+  }
+  spread_.Flush(now, &table_, output);
+  spread_.Tick(now, &table_, output);
+  anti_entropy_.Tick(now, table_, output);
+}
+
+std::optional<Time> Registry::Impl::NextTimer() const {
+  const Time next = std::min(next_watch_, anti_entropy_.NextTimer());
+  return std::min(next, spread_.NextTimer().value_or(next));
+}
+
+Registry::Registry(RegistrySettings settings) : impl_(std::make_unique<Impl>(std::move(settings))) {}
+Registry::~Registry() = default;
+
+Registry::Answer Registry::Heartbeat(Time now, const messages::RunnerRecord& record, RegistryOutput* output) {
+  return impl_->Heartbeat(now, record, output);
+}
+void Registry::Delete(Time now, const std::string& runner_id, RegistryOutput* output) {
+  impl_->Delete(now, runner_id, output);
+}
+void Registry::Receive(Time now, const std::string& from_address, const messages::RegistryMessage& message,
+                       RegistryOutput* output) {
+  impl_->Receive(now, from_address, message, output);
+}
+void Registry::SetMembers(Time now, const std::vector<Member>& live, RegistryOutput* output) {
+  impl_->SetMembers(now, live, output);
+}
+void Registry::Tick(Time now, RegistryOutput* output) { impl_->Tick(now, output); }
+std::optional<Time> Registry::NextTimer() const { return impl_->NextTimer(); }
+std::vector<messages::RunnerRecord> Registry::Runners() const { return impl_->Runners(); }
+bool Registry::Settled(Time now) const { return impl_->Settled(now); }
+
+}  // namespace lichenlug::registry
--- a/src/registry/registry.h
+++ b/src/registry/registry.h
@@ -56,7 +56,8 @@
   std::optional<Time> NextTimer() const;
 
   std::vector<messages::RunnerRecord> Runners() const;  // ready and draining, by id
-  bool Settled(Time now) const;  // has heard at least two heartbeat periods' worth or another's whole table
+  // For a fresh process: knows the table of a settled dispatcher, or has listened for 2.5 heartbeat periods.
+  bool Settled(Time now) const;
 
  private:
   class Impl;
--- /dev/null
+++ b/src/registry/registry_receive.cpp
@@ -0,0 +1,104 @@
+// What other dispatchers tell a registry.
+#include <utility>
+
+#include "registry/registry_impl.h"
+
+namespace lichenlug::registry {
+
+void Registry::Impl::Receive(Time now, const std::string& from_address,
+                             const messages::RegistryMessage& message, RegistryOutput* output) {
+  switch (message.body_case()) {
+    case messages::RegistryMessage::kUpdate:
+      ReceiveUpdate(now, from_address, message.update(), output);
+      break;
+    case messages::RegistryMessage::kAck:
+      spread_.Acknowledged(from_address, message.ack().number());
+      break;
+    case messages::RegistryMessage::kDigest:
+      anti_entropy_.Receive(now, from_address, message.digest(), &table_, output);
+      break;
+    case messages::RegistryMessage::BODY_NOT_SET:
+      break;
+  }
+  spread_.Flush(now, &table_, output);
+}
+
+void Registry::Impl::ReceiveUpdate(Time now, const std::string& from_address,
+                                   const messages::RegistryUpdate& update, RegistryOutput* output) {
+  for (const auto& record : update.records()) {
+    if (record.runner_id().empty()) continue;
+    if (!update.wants_ack() && MustAskHome(now, from_address, record)) {
+      auto& send = output->sends.emplace_back();
+      send.address = HomeOf(now, record).address;
+      *send.message.mutable_update()->add_records() = record;
+    } else {
+      ReceiveRecord(now, from_address, record, update.wants_ack(), output);
+    }
+  }
+  for (const auto& alive : update.alive()) ReceiveAlive(now, alive, output);
+  if (update.wanted_size() > 0) anti_entropy_.AnswerWanted(now, from_address, update, &table_, output);
+  anti_entropy_.TookUpdate(&table_);
+  if (update.wants_ack()) {
+    auto& send = output->sends.emplace_back();
+    send.address = from_address;
+    send.message.mutable_ack()->set_number(update.number());
+  }
+}
+
+bool Registry::Impl::MustAskHome(Time now, const std::string& from_address,
+                                 const messages::RunnerRecord& record) {
+  if (record.state() != messages::RUNNER_LOST) return false;
+  const TrackedRunner* known = table_.Find(record.runner_id());
+  if (known == nullptr || !WouldChange(VersionOf(known->record), VersionOf(record))) return false;
+  const Home& home = HomeOf(now, record);
+  return !home.is_self && home.address != from_address;
+}
+
+void Registry::Impl::ReceiveRecord(Time now, const std::string& from_address,
+                                   const messages::RunnerRecord& record, bool is_spread,
+                                   RegistryOutput* output) {
+  const bool is_home = HomeOf(now, record).is_self;  // its watch begins now at the latest
+  TrackedRunner* runner = table_.Find(record.runner_id());
+  if (runner == nullptr) {
+    if (!RunnerTable::WorthLearning(record) || table_.Add(now, record) == nullptr) return;
+    output->changed = output->changed || IsAlive(record.state());
+    return;
+  }
+  const bool was_alive = IsAlive(runner->record.state());
+  const std::uint64_t heard_before = runner->heard_count;
+  const bool may_refute = table_.HolderOfAddress(runner->record.address(), record.runner_id()) == nullptr;
+  const MergeResult result = MergeRecord(record, may_refute, runner);
+  const bool is_alive = IsAlive(runner->record.state());
+  if (was_alive && !is_alive) runner->ended_at = RunnerTable::EndedAt(now, record);
+  if (runner->heard_count > heard_before) runner->last_heard = now;
+  runner->record.clear_ended_ms_ago();
+
+  if (result == MergeResult::kRefuted) {
+    Changed(now, runner, output);
+  } else if (result == MergeResult::kChanged) {
+    output->changed = true;
+    // A loss that was put to this home is confirmed to all.
+    if (is_home && !is_spread && record.state() == messages::RUNNER_LOST) Changed(now, runner, output);
+  } else if (!is_alive && (IsAlive(record.state()) || !is_spread)) {
+    // The sender does not know that the runner has ended.
+    spread_.AddFor(from_address, record.runner_id());
+  }
+}
+
+void Registry::Impl::ReceiveAlive(Time now, const messages::RegistryUpdate::Alive& alive,
+                                  RegistryOutput* output) {
+  TrackedRunner* runner = table_.Find(alive.runner_id());
+  if (runner == nullptr || alive.call_count() <= runner->heard_count) return;
+  if (runner->record.state() == messages::RUNNER_GONE) return;
+  if (!MayLive(now, *runner, runner->record.address())) return;
+  runner->heard_count = alive.call_count();
+  runner->last_heard = now;
+  if (runner->record.state() != messages::RUNNER_LOST) return;
+  runner->record.set_state(runner->record.was_draining() ? messages::RUNNER_DRAINING
+                                                         : messages::RUNNER_READY);
+  runner->record.clear_was_draining();
+  runner->record.set_call_count(alive.call_count());
+  Changed(now, runner, output);
+}
+
+}  // namespace lichenlug::registry
