--- a/src/registry/anti_entropy.cpp
+++ b/src/registry/anti_entropy.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 constexpr Time kDigestEvery = kSecond;
-constexpr Time kUnsettledDigestEvery = 250 * kMillisecond;
+constexpr Time kHurriedDigestEvery = 250 * kMillisecond;  // of a fresh process, and after a death
+constexpr Time kHurry = 2 * kSecond;
 constexpr std::size_t kGreeters = 8;       // about so many compare with a newly live one at once
 constexpr int kMostRecordsInRepair = 256;  // a message
 
@@ -39,21 +40,24 @@
 
 }  // namespace
 
-void AntiEntropy::SetPeers(std::vector<std::string> addresses, const std::vector<std::string>& added) {
+void AntiEntropy::SetPeers(Time now, std::vector<std::string> addresses,
+                           const std::vector<std::string>& added) {
+  const bool some_left = addresses.size() < peers_.size() + added.size();
+  if (some_left) hurry_until_ = now + kHurry;
+  if (some_left || (!added.empty() && !settled_)) next_at_ = 0;
   peers_ = std::move(addresses);
   std::erase_if(greet_, [this](const std::string& address) {
     return std::find(peers_.begin(), peers_.end(), address) == peers_.end();
   });
   for (const std::string& address : added)
     if (random_() % (peers_.size() + 1) < kGreeters) greet_.push_back(address);
-  if (!added.empty() && !settled_) next_at_ = 0;
 }
 
 void AntiEntropy::Tick(Time now, const RunnerTable& table, RegistryOutput* output) {
   if (started_at_ < 0) started_at_ = now;
   for (const std::string& address : std::exchange(greet_, {})) SendHash(now, address, table, output);
   if (now < next_at_) return;
-  const Time every = Settled(now) ? kDigestEvery : kUnsettledDigestEvery;
+  const Time every = Settled(now) && now >= hurry_until_ ? kDigestEvery : kHurriedDigestEvery;
   next_at_ = now + every * 3 / 4 + static_cast<Time>(random_() % static_cast<std::uint64_t>(every / 2));
   if (!peers_.empty()) SendHash(now, peers_[random_() % peers_.size()], table, output);
 }
--- a/src/registry/anti_entropy.h
+++ b/src/registry/anti_entropy.h
@@ -21,7 +21,7 @@
  public:
   AntiEntropy(Time heartbeat_every, std::uint64_t seed) : heartbeat_every_(heartbeat_every), random_(seed) {}
 
-  void SetPeers(std::vector<std::string> addresses, const std::vector<std::string>& added);
+  void SetPeers(Time now, std::vector<std::string> addresses, const std::vector<std::string>& added);
   void Tick(Time now, const RunnerTable& table, RegistryOutput* output);
   Time NextTimer() const { return next_at_; }
 
@@ -45,6 +45,7 @@
   std::vector<std::string> greet_;  // newly live ones, to be compared with at once
   Time started_at_ = -1;
   Time next_at_ = 0;
+  Time hurry_until_ = 0;  // a dispatcher has died of late, maybe while it spread something
   bool settled_ = false;
   std::map<std::string, Version> awaited_;  // what a settled dispatcher has and this one has asked for
 };
--- a/src/registry/merge.cpp
+++ b/src/registry/merge.cpp
@@ -20,18 +20,15 @@
 bool KeepDraining(bool has_drained, RunnerRecord* record) {
   if (!has_drained) return false;
   if (!IsAlive(record->state())) return record->set_was_draining(true), false;
+  record->clear_was_draining();
   const bool changes = record->state() != messages::RUNNER_DRAINING;
   record->set_state(messages::RUNNER_DRAINING);
   return changes;
 }
 
-MergeResult MergeGone(const RunnerRecord& offered, TrackedRunner* runner) {
-  RunnerRecord& held = runner->record;
-  const bool was_gone = IsGone(held.state());
-  const std::uint64_t count = std::max(held.call_count(), offered.call_count());
-  if (was_gone && (!IsGone(offered.state()) || count == held.call_count())) return MergeResult::kNothing;
-  held.set_state(messages::RUNNER_GONE);
-  held.set_call_count(count);
+MergeResult MergeGone(RunnerRecord* held) {
+  if (IsGone(held->state())) return MergeResult::kNothing;
+  MarkGone(held);
   return MergeResult::kChanged;
 }
 
@@ -56,19 +53,24 @@
 
 Version VersionOf(const RunnerRecord& record) { return {record.call_count(), record.state()}; }
 
+void MarkGone(RunnerRecord* record) {
+  record->set_state(messages::RUNNER_GONE);
+  record->set_call_count(0);
+}
+
 bool SameNews(const RunnerRecord& left, const RunnerRecord& right) {
   return WithoutCounts(left).SerializeAsString() == WithoutCounts(right).SerializeAsString();
 }
 
 bool WouldChange(const Version& held, const Version& offered) {
-  if (IsGone(held.state)) return IsGone(offered.state) && offered.call_count > held.call_count;
+  if (IsGone(held.state)) return false;
   if (IsGone(offered.state) || Rank(offered) > Rank(held)) return true;
   return offered.state == messages::RUNNER_DRAINING && held.state == messages::RUNNER_READY;
 }
 
 MergeResult MergeRecord(const RunnerRecord& offered, bool may_refute, TrackedRunner* runner) {
   RunnerRecord& held = runner->record;
-  if (IsGone(held.state()) || IsGone(offered.state())) return MergeGone(offered, runner);
+  if (IsGone(held.state()) || IsGone(offered.state())) return MergeGone(&held);
 
   const bool has_drained = HasDrained(held) || HasDrained(offered);
   if (Rank(VersionOf(offered)) <= Rank(VersionOf(held)))
--- a/src/registry/merge.h
+++ b/src/registry/merge.h
@@ -33,6 +33,9 @@
 bool IsAlive(messages::RunnerState state);  // ready or draining
 Version VersionOf(const messages::RunnerRecord& record);
 
+// Nothing follows the end that a runner told of, so no count is kept with it.
+void MarkGone(messages::RunnerRecord* record);
+
 // Whether all that is worth spreading is the same: anything but the count and the spans of time.
 bool SameNews(const messages::RunnerRecord& left, const messages::RunnerRecord& right);
 
--- a/src/registry/registry.cpp
+++ b/src/registry/registry.cpp
@@ -103,17 +103,20 @@
   output->changed = true;
 }
 
+Time Registry::Impl::HomePatience() const {
+  return (kSilentHeartbeats + kGraceHeartbeats) * settings_.heartbeat_every;
+}
+
 const Home& Registry::Impl::HomeOf(Time now, const messages::RunnerRecord& record) {
   return homes_.HomeOf(now, record.service(), record.zone());
 }
 
 void Registry::Impl::Expire(Time now, RegistryOutput* output) {
   const Time patience = kSilentHeartbeats * settings_.heartbeat_every;
-  const Time grace = kGraceHeartbeats * settings_.heartbeat_every;
   for (auto& [runner_id, runner] : table_.runners()) {
     if (!IsAlive(runner.record.state()) || now - runner.last_heard < patience) continue;
     const Home& home = HomeOf(now, runner.record);
-    if (!home.is_self || now - std::max(home.since, thawed_at_) < patience + grace) continue;
+    if (!home.is_self || now - std::max(home.since, thawed_at_) < HomePatience()) continue;
     Lose(now, &runner, output);
   }
 }
@@ -123,14 +126,13 @@
   if (runner == nullptr) {
     messages::RunnerRecord gone;
     gone.set_runner_id(runner_id);
-    gone.set_state(messages::RUNNER_GONE);
+    MarkGone(&gone);
     runner = table_.Add(now, gone);
     if (runner == nullptr) return;
   } else if (runner->record.state() == messages::RUNNER_GONE) {
     return;
   }
-  runner->record.set_state(messages::RUNNER_GONE);
-  runner->record.set_call_count(runner->heard_count);
+  MarkGone(&runner->record);
   Changed(now, runner, output);
   spread_.Flush(now, &table_, output);
 }
@@ -144,7 +146,7 @@
   }
   std::vector<std::string> addresses;
   for (const Member& member : live) addresses.push_back(member.address);
-  anti_entropy_.SetPeers(std::move(addresses), added);
+  anti_entropy_.SetPeers(now, std::move(addresses), added);
   spread_.Flush(now, &table_, output);
 }
 
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -46,6 +46,7 @@
   void Changed(Time now, TrackedRunner* runner, RegistryOutput* output);
   // Only the home of a runner declares it lost.
   void Expire(Time now, RegistryOutput* output);
+  Time HomePatience() const;  // of a new home with its runners
   const Home& HomeOf(Time now, const messages::RunnerRecord& record);
 
   // What other dispatchers tell (registry_receive.cpp).
@@ -53,8 +54,10 @@
   void ReceiveUpdate(Time now, const std::string& from_address, const messages::RegistryUpdate& update,
                      RegistryOutput* output);
   // A dispatcher that was cut off may count runners as lost that others hear well. Found by a digest alone,
-  // such a loss is put to the runner's home, which confirms or refutes it to all.
-  bool MustAskHome(Time now, const std::string& from_address, const messages::RunnerRecord& record);
+  // such a loss is put to the runner's home, which confirms or refutes it to all; a home that is new has yet
+  // to hear its runners.
+  enum class Loss { kTake, kIgnore, kAskHome };
+  Loss JudgeLoss(Time now, const std::string& from_address, const messages::RunnerRecord& record);
   void ReceiveRecord(Time now, const std::string& from_address, const messages::RunnerRecord& record,
                      bool is_spread, RegistryOutput* output);
   // A heartbeat without news that reached another dispatcher.
--- a/src/registry/registry_receive.cpp
+++ b/src/registry/registry_receive.cpp
@@ -27,13 +27,12 @@
                                    const messages::RegistryUpdate& update, RegistryOutput* output) {
   for (const auto& record : update.records()) {
     if (record.runner_id().empty()) continue;
-    if (!update.wants_ack() && MustAskHome(now, from_address, record)) {
-      auto& send = output->sends.emplace_back();
-      send.address = HomeOf(now, record).address;
-      *send.message.mutable_update()->add_records() = record;
-    } else {
-      ReceiveRecord(now, from_address, record, update.wants_ack(), output);
-    }
+    const Loss loss = update.wants_ack() ? Loss::kTake : JudgeLoss(now, from_address, record);
+    if (loss == Loss::kTake) ReceiveRecord(now, from_address, record, update.wants_ack(), output);
+    if (loss != Loss::kAskHome) continue;
+    auto& send = output->sends.emplace_back();
+    send.address = HomeOf(now, record).address;
+    *send.message.mutable_update()->add_records() = record;
   }
   for (const auto& alive : update.alive()) ReceiveAlive(now, alive, output);
   if (update.wanted_size() > 0) anti_entropy_.AnswerWanted(now, from_address, update, &table_, output);
@@ -45,13 +44,15 @@
   }
 }
 
-bool Registry::Impl::MustAskHome(Time now, const std::string& from_address,
-                                 const messages::RunnerRecord& record) {
-  if (record.state() != messages::RUNNER_LOST) return false;
+Registry::Impl::Loss Registry::Impl::JudgeLoss(Time now, const std::string& from_address,
+                                               const messages::RunnerRecord& record) {
+  if (record.state() != messages::RUNNER_LOST) return Loss::kTake;
   const TrackedRunner* known = table_.Find(record.runner_id());
-  if (known == nullptr || !WouldChange(VersionOf(known->record), VersionOf(record))) return false;
+  if (known == nullptr || !WouldChange(VersionOf(known->record), VersionOf(record))) return Loss::kTake;
+  if (known->heard_count > record.call_count()) return Loss::kTake;  // the merge refutes it
   const Home& home = HomeOf(now, record);
-  return !home.is_self && home.address != from_address;
+  if (now - home.since < HomePatience()) return Loss::kIgnore;
+  return home.is_self || home.address == from_address ? Loss::kTake : Loss::kAskHome;
 }
 
 void Registry::Impl::ReceiveRecord(Time now, const std::string& from_address,
--- a/src/registry/table.cpp
+++ b/src/registry/table.cpp
@@ -32,6 +32,7 @@
   }
   TrackedRunner& runner = runners_[record.runner_id()];
   runner.record = record;
+  if (record.state() == messages::RUNNER_GONE) MarkGone(&runner.record);
   runner.heard_count = record.call_count();
   runner.last_heard = now;
   if (!IsAlive(record.state())) runner.ended_at = EndedAt(now, record);
--- /dev/null
+++ b/tests/system/registry/expiry_simulation_test.cpp
@@ -0,0 +1,238 @@
+// Which runners count as lost, and when: homes that die, freezes, cut networks, and days of all of these.
+#include <catch2/catch.hpp>
+
+#include "registry_network.h"
+
+namespace lichenlug::registry {
+namespace {
+
+using messages::RUNNER_DRAINING;
+using messages::RUNNER_READY;
+
+constexpr Time kLossBound = 5 * kBeat;  // of a runner that crashed, known to all
+
+std::size_t HomeOf(RegistryNetwork* network, const std::string& runner_id) {
+  auto& runner = network->runners[runner_id];
+  network->Beat(&runner);  // is told the home
+  return runner.calls;
+}
+
+}  // namespace
+
+TEST_CASE("a silent runner counts as lost after three periods, not earlier, everywhere") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    RegistryNetwork network(10, seed);
+    network.AddRunner("i-1");
+    network.AddRunner("i-2");
+    network.RunFor(10 * kSecond);
+    auto& runner = network.runners["i-1"];
+    network.Beat(&runner);
+    runner.beats = false;
+    network.RunFor(3 * kBeat - kMillisecond);
+    REQUIRE(network.AllKnow("i-1", RUNNER_READY));
+    network.RunFor(kBeat);
+    REQUIRE(network.AllKnow("i-1", std::nullopt));
+    REQUIRE(network.AllKnow("i-2", RUNNER_READY));
+
+    network.Beat(&runner);  // it was only slow
+    network.RunFor(500 * kMillisecond);
+    REQUIRE(network.AllKnow("i-1", RUNNER_READY));
+  }
+}
+
+TEST_CASE("a runner that calls another dispatcher than its home is not lost, and is lost when it ends") {
+  RegistryNetwork network(10, 5);
+  network.AddRunner("i-1");
+  network.RunFor(5 * kSecond);
+  auto& runner = network.runners["i-1"];
+  runner.beats = false;
+  const std::size_t other = (HomeOf(&network, "i-1") + 1) % 10;
+  for (int i = 0; i < 20; ++i) {
+    network.RunFor(kBeat);
+    runner.calls = other;
+    network.Beat(&runner);
+    REQUIRE(network.AllKnow("i-1", RUNNER_READY));
+  }
+  network.RunFor(kLossBound);
+  REQUIRE(network.AllKnow("i-1", std::nullopt));
+}
+
+TEST_CASE("runners outlive their home, and one that ends with it is lost") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    RegistryNetwork network(6, seed);
+    for (int i = 0; i < 4; ++i) network.AddRunner("i-" + std::to_string(i));
+    network.RunFor(10 * kSecond);
+    const std::size_t home = HomeOf(&network, "i-0");
+    network.Kill(home);
+    network.runners["i-0"].beats = false;
+    network.RunFor(network.Random(3 * kSecond));  // until its death is known
+    network.TellMembers();
+    for (int i = 0; i < 100; ++i) {
+      network.RunFor(100 * kMillisecond);
+      for (int k = 1; k < 4; ++k) REQUIRE(network.AllKnow("i-" + std::to_string(k), RUNNER_READY));
+    }
+    REQUIRE(network.AllKnow("i-0", std::nullopt));
+  }
+}
+
+TEST_CASE("a home that was frozen, or is new, does not count runners as lost for it") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    RegistryNetwork network(3, seed);
+    network.AddRunner("i-1");
+    network.RunFor(10 * kSecond);
+    const std::size_t home = HomeOf(&network, "i-1");
+    network.Freeze(home);
+    const Time until = network.now + 2 * kSecond + network.Random(20 * kSecond);
+    while (network.now < until) {
+      network.RunFor(100 * kMillisecond);
+      REQUIRE(network.AllKnow("i-1", RUNNER_READY));
+    }
+    network.Thaw(home);
+    for (int i = 0; i < 100; ++i) {
+      network.RunFor(100 * kMillisecond);
+      REQUIRE(network.AllKnow("i-1", RUNNER_READY));
+    }
+  }
+}
+
+TEST_CASE("what one side of a cut network counted as lost is refuted when the cut heals") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    RegistryNetwork network(8, seed);
+    for (std::size_t i = 0; i < 6; ++i) network.AddRunner("i-" + std::to_string(i), i % 3);
+    network.RunFor(10 * kSecond);
+    network.sides = {0, 0, 0, 0, 0, 1, 1, 1};
+    network.TellMembers();
+    for (auto& [runner_id, runner] : network.runners) runner.calls %= 5;  // reach one side alone
+    for (int i = 0; i < 150; ++i) {
+      network.RunFor(100 * kMillisecond);
+      for (auto& [runner_id, runner] : network.runners) runner.calls %= 5;
+    }
+    REQUIRE(network.Runners(6).empty());
+    network.sides.clear();
+    network.TellMembers();
+    for (int i = 0; i < 50; ++i) {
+      network.RunFor(100 * kMillisecond);
+      for (std::size_t node = 0; node < 5; ++node) REQUIRE(network.Runners(node).size() == 6);
+    }
+    REQUIRE(network.AllAgree());
+  }
+}
+
+TEST_CASE("ended runners are forgotten everywhere in the end, and none comes back") {
+  RegistryNetwork network(5, 9);
+  network.AddRunner("i-1");
+  network.RunFor(5 * kSecond);
+  network.runners["i-1"].beats = false;
+  network.Delete(2, "i-1");
+  std::size_t last_mention = 0, second = 0;
+  network.watch = [&](const SentMessage& sent) {
+    if (sent.message.ShortDebugString().find("i-1") != std::string::npos) last_mention = second;
+  };
+  for (second = 0; second < 400; ++second) {
+    network.RunFor(kSecond);
+    REQUIRE(network.AllKnow("i-1", std::nullopt));
+    if (second % 20 == 10) {  // fresh processes learn of it, and must not keep it going
+      network.Kill(second / 20 % 5);
+      network.TellMembers();
+    }
+    if (second % 20 == 12) {
+      network.Start(second / 20 % 5);
+      network.TellMembers();
+    }
+  }
+  CHECK(last_mention < 130);
+}
+
+TEST_CASE(
+    "days of crashes, freezes, cuts, releases and loss: no drain is forgotten, and all agree in the end") {
+  for (std::uint64_t seed = 1; seed <= 25; ++seed) {
+    CAPTURE(seed);
+    RegistryNetwork network(7, seed);
+    network.fate = [&](SentMessage*) -> std::vector<Time> {
+      if (network.Random(20) == 0) return {};
+      if (network.Random(20) == 0) return {2 * kMillisecond, network.Random(kSecond)};
+      return {kMillisecond + network.Random(network.Random(30) == 0 ? kSecond : 5 * kMillisecond)};
+    };
+    int next_runner = 0;
+    for (; next_runner < 10; ++next_runner)
+      network.AddRunner("i-" + std::to_string(next_runner), static_cast<std::size_t>(next_runner % 3));
+    std::vector<std::set<std::string>> seen_draining(7);
+    std::set<std::string> gone;
+    for (int step = 0; step < 600; ++step) {
+      network.RunFor(100 * kMillisecond);
+      const auto node = static_cast<std::size_t>(network.Random(7));
+      const std::string runner_id = "i-" + std::to_string(network.Random(next_runner));
+      auto& runner = network.runners[runner_id];
+      switch (network.Random(60)) {
+        case 0:
+          network.Kill(node);
+          seen_draining[node].clear();
+          break;
+        case 1:
+          if (!network.nodes[node].is_running) network.Start(node);
+          break;
+        case 2:
+          network.Freeze(node);
+          break;
+        case 3:
+          for (std::size_t i = 0; i < 7; ++i)
+            if (network.nodes[i].is_frozen) network.Thaw(i);
+          break;
+        case 4:
+          runner.record.set_state(RUNNER_DRAINING);
+          break;
+        case 5:
+          runner.beats = false;
+          break;
+        case 6:
+          runner.beats = false;
+          if (network.nodes[node].is_running && !network.nodes[node].is_frozen) {
+            network.Delete(node, runner_id);
+            gone.insert(runner_id);
+          }
+          break;
+        case 7:
+          network.AddRunner("i-" + std::to_string(next_runner), network.Random(3));
+          ++next_runner;
+          break;
+        case 8:
+          network.sides = {0, 0, 0, 0, 1, 1, 1};
+          break;
+        case 9:
+          network.sides.clear();
+          break;
+        default:
+          break;
+      }
+      if (step % 7 == 0) network.TellMembers();
+      for (std::size_t i = 0; i < 7; ++i) {
+        if (!network.nodes[i].is_running) continue;
+        for (const auto& record : network.Runners(i)) {
+          if (record.state() == RUNNER_DRAINING) seen_draining[i].insert(record.runner_id());
+          REQUIRE((record.state() != RUNNER_READY || !seen_draining[i].contains(record.runner_id())));
+        }
+      }
+    }
+    network.sides.clear();
+    for (std::size_t i = 0; i < 7; ++i) {
+      if (!network.nodes[i].is_running) network.Start(i);
+      if (network.nodes[i].is_frozen) network.Thaw(i);
+    }
+    network.TellMembers();
+    network.fate = nullptr;
+    network.RunFor(15 * kSecond);
+    for (std::size_t i = 0; i < 7; ++i) UNSCOPED_INFO(network.TableAt(i));
+    REQUIRE(network.AllAgree());
+    for (const auto& [runner_id, runner] : network.runners) {
+      CAPTURE(runner_id);
+      const bool lives = runner.beats && !gone.contains(runner_id);
+      REQUIRE(network.AllKnow(runner_id, lives ? std::optional(runner.record.state()) : std::nullopt));
+    }
+  }
+}
+
+}  // namespace lichenlug::registry
--- /dev/null
+++ b/tests/system/registry/registry_test.cpp
@@ -0,0 +1,220 @@
+// What one registry, or two, answer and send.
+#include "registry/registry.h"
+
+#include <catch2/catch.hpp>
+
+#include "registry_network.h"
+
+namespace lichenlug::registry {
+namespace {
+
+using messages::RUNNER_DRAINING;
+using messages::RUNNER_READY;
+
+Registry MakeRegistry(std::size_t most_runners = 100) {
+  RegistrySettings settings;
+  settings.self_name = "dispatcher-0";
+  settings.zone = "zone-0";
+  settings.heartbeat_every = kBeat;
+  settings.most_runners = most_runners;
+  return Registry(settings);
+}
+
+Member MakeMember(int number, const std::string& zone = "zone-0") {
+  Member member;
+  member.name = "dispatcher-" + std::to_string(number);
+  member.incarnation = 1;
+  member.address = "10.0.0." + std::to_string(number) + ":7000";
+  member.control_address = "10.0.0." + std::to_string(number) + ":8000";
+  member.zone = zone;
+  return member;
+}
+
+std::vector<messages::RegistryUpdate> UpdatesIn(const RegistryOutput& output) {
+  std::vector<messages::RegistryUpdate> updates;
+  for (const auto& send : output.sends)
+    if (send.message.has_update()) updates.push_back(send.message.update());
+  return updates;
+}
+
+void Acknowledge(Registry* registry, const std::string& from, std::uint64_t number, Time now) {
+  messages::RegistryMessage ack;
+  ack.mutable_ack()->set_number(number);
+  RegistryOutput output;
+  registry->Receive(now, from, ack, &output);
+}
+
+}  // namespace
+
+TEST_CASE("a change goes to every dispatcher at once and again until each has acknowledged it") {
+  Registry registry = MakeRegistry();
+  Time now = 100 * kSecond;
+  RegistryOutput start;
+  registry.SetMembers(now, {MakeMember(1, "zone-1"), MakeMember(2, "zone-1")}, &start);
+  RegistryOutput first;
+  CHECK(registry.Heartbeat(now, MakeRecord("i-1", 1), &first).taken);
+  CHECK(first.changed);
+  REQUIRE(UpdatesIn(first).size() == 2);
+  CHECK(UpdatesIn(first)[0].wants_ack());
+  for (const auto& send : first.sends)
+    if (send.address == MakeMember(1).address)
+      Acknowledge(&registry, send.address, send.message.update().number(), now);
+
+  RegistryOutput later;
+  now += 200 * kMillisecond;
+  registry.Tick(now, &later);
+  REQUIRE(UpdatesIn(later).size() == 1);
+  CHECK(UpdatesIn(later)[0].records(0).runner_id() == "i-1");
+
+  SECTION("an acknowledgement of what was sent before a newer record does not cover that one") {
+    RegistryOutput second;
+    registry.Heartbeat(now, MakeRecord("i-1", 2, RUNNER_DRAINING), &second);
+    REQUIRE(UpdatesIn(second).size() == 2);
+    Acknowledge(&registry, MakeMember(2).address, UpdatesIn(later)[0].number(), now);
+    RegistryOutput repeat;
+    registry.Tick(now + 200 * kMillisecond, &repeat);
+    REQUIRE(UpdatesIn(repeat).size() == 2);
+    CHECK(UpdatesIn(repeat)[1].records(0).state() == RUNNER_DRAINING);
+  }
+  SECTION("no number that was never sent acknowledges anything") {
+    Acknowledge(&registry, MakeMember(2).address, ~std::uint64_t{0}, now);
+    RegistryOutput repeat;
+    registry.Tick(now + 200 * kMillisecond, &repeat);
+    CHECK(UpdatesIn(repeat).size() == 1);
+  }
+  SECTION("one that is no longer live gets nothing more") {
+    RegistryOutput output;
+    registry.SetMembers(now, {MakeMember(1, "zone-1")}, &output);
+    registry.Tick(now + 200 * kMillisecond, &output);
+    CHECK(UpdatesIn(output).empty());
+  }
+}
+
+TEST_CASE("heartbeats without news are not spread; a dispatcher that is not the home passes them on to it") {
+  Time now = 100 * kSecond;
+  for (const bool is_home : {true, false}) {
+    Registry registry = MakeRegistry();
+    RegistryOutput output;
+    registry.SetMembers(now, {MakeMember(1, "zone-1")}, &output);
+    auto record = MakeRecord("i-1", 1);
+    record.set_zone(is_home ? "zone-0" : "zone-1");
+    const auto answer = registry.Heartbeat(now, record, &output);
+    CHECK(answer.report_to == (is_home ? "" : MakeMember(1).control_address));
+    record.set_call_count(2);
+    record.set_cold_ms(77);
+    RegistryOutput second;
+    registry.Heartbeat(now, record, &second);
+    CHECK_FALSE(second.changed);
+    CHECK(registry.Runners().at(0).cold_ms() == 77);
+    if (is_home) {
+      CHECK(second.sends.empty());
+    } else {
+      REQUIRE(second.sends.size() == 1);
+      CHECK(second.sends[0].message.update().alive(0).call_count() == 2);
+      CHECK_FALSE(second.sends[0].message.update().wants_ack());
+    }
+  }
+}
+
+TEST_CASE("late heartbeats change nothing") {
+  Registry registry = MakeRegistry();
+  Time now = 100 * kSecond;
+  RegistryOutput output;
+  auto record = MakeRecord("i-1", 5);
+  registry.Heartbeat(now, record, &output);
+  auto late = MakeRecord("i-1", 4);
+  late.set_slots(99);
+  late.set_address("10.9.9.9:1");
+  RegistryOutput after;
+  CHECK(registry.Heartbeat(now, late, &after).taken);
+  CHECK(after.sends.empty());
+  CHECK_FALSE(after.changed);
+  CHECK(registry.Runners().at(0).slots() == 8);
+
+  SECTION("one that says ready does not end a drain") {
+    registry.Heartbeat(now, MakeRecord("i-1", 6, RUNNER_DRAINING), &output);
+    for (const std::uint64_t count : {5, 6, 7, 8})
+      registry.Heartbeat(now, MakeRecord("i-1", count, RUNNER_READY), &output);
+    CHECK(registry.Runners().at(0).state() == RUNNER_DRAINING);
+  }
+  SECTION("one after the runner has gone does not bring it back") {
+    registry.Delete(now, "i-1", &output);
+    registry.Heartbeat(now, MakeRecord("i-1", 9), &output);
+    CHECK(registry.Runners().empty());
+  }
+  SECTION("nor one that comes after the end of a runner never heard of") {
+    registry.Delete(now, "i-2", &output);
+    registry.Heartbeat(now, MakeRecord("i-2", 9), &output);
+    CHECK(registry.Runners().size() == 1);
+  }
+  SECTION("but an acknowledged drain holds even when it is late") {
+    registry.Heartbeat(now, MakeRecord("i-1", 3, RUNNER_DRAINING), &output);
+    CHECK(registry.Runners().at(0).state() == RUNNER_DRAINING);
+  }
+}
+
+TEST_CASE("a new runner at the address of another ends that one") {
+  Registry registry = MakeRegistry();
+  Time now = 100 * kSecond;
+  RegistryOutput output;
+  auto older = MakeRecord("i-1", 50);
+  registry.Heartbeat(now, older, &output);
+  auto newer = MakeRecord("i-2", 1);
+  newer.set_address(older.address());
+  registry.Heartbeat(now + kSecond, newer, &output);
+  REQUIRE(registry.Runners().size() == 1);
+  CHECK(registry.Runners()[0].runner_id() == "i-2");
+
+  older.set_call_count(51);  // was long under way
+  registry.Heartbeat(now + kSecond, older, &output);
+  REQUIRE(registry.Runners().size() == 1);
+  CHECK(registry.Runners()[0].runner_id() == "i-2");
+}
+
+TEST_CASE("a full table takes no new runner, and goes on with those it has") {
+  Registry registry = MakeRegistry(2);
+  Time now = 100 * kSecond;
+  RegistryOutput output;
+  CHECK(registry.Heartbeat(now, MakeRecord("i-1", 1), &output).taken);
+  CHECK(registry.Heartbeat(now, MakeRecord("i-2", 1), &output).taken);
+  CHECK_FALSE(registry.Heartbeat(now, MakeRecord("i-3", 1), &output).taken);
+  CHECK(registry.Heartbeat(now, MakeRecord("i-1", 2, RUNNER_DRAINING), &output).taken);
+  registry.Delete(now, "i-1", &output);
+  CHECK(registry.Heartbeat(now, MakeRecord("i-3", 2), &output).taken);
+  CHECK(registry.Runners().size() == 2);
+}
+
+TEST_CASE("ends of runners that nobody knows are bounded") {
+  Registry registry = MakeRegistry(2);
+  Time now = 100 * kSecond;
+  for (int i = 0; i < 10000; ++i) {
+    RegistryOutput output;
+    registry.Delete(now, "i-" + std::to_string(i), &output);
+  }
+  RegistryOutput output;
+  registry.Tick(now, &output);
+  CHECK(registry.Heartbeat(now, MakeRecord("j-1", 1), &output).taken);
+}
+
+TEST_CASE(
+    "a fresh process is settled once it knows the table of a settled one, or has listened long enough") {
+  RegistryNetwork network(3, 7);
+  network.AddRunner("i-1");
+  network.RunFor(2 * kBeat - kMillisecond);
+  CHECK_FALSE(network.nodes[0].registry->Settled(network.now));  // all are fresh
+  network.RunFor(kBeat);
+  CHECK(network.nodes[0].registry->Settled(network.now));
+
+  network.Kill(2);
+  network.TellMembers();
+  network.RunFor(kSecond);
+  network.Start(2);
+  network.RunFor(kMillisecond);
+  CHECK_FALSE(network.nodes[2].registry->Settled(network.now));
+  network.TellMembers();
+  network.RunFor(400 * kMillisecond);
+  CHECK(network.nodes[2].registry->Settled(network.now));
+  CHECK(network.StateAt(2, "i-1") == RUNNER_READY);
+}
+
+}  // namespace lichenlug::registry
