Place models on runners by demand, with orders that can't overfill a runner

The model router needs a holder of the placement duty that decides which runner loads what. Each order names the number of orders that its runner had taken when its state was read, so it is decided on the state that it meets; loads are counted over a sliding window and over changes of the holder.

--- /dev/null
+++ b/src/placement/eviction.cpp
@@ -0,0 +1,102 @@
+#include "placement/eviction.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace lichenlug::placement {
+namespace {
+
+constexpr double kNever = std::numeric_limits<double>::infinity();
+constexpr double kUnknownModel = 0.05;  // the configuration names it no more
+constexpr double kIdleCopy = 0.1;       // another runner holds it, nobody asks
+constexpr double kIdleLast = 1, kJustIdleLast = 3;
+constexpr double kIdleFade = 20.0 * kSecond;
+constexpr double kBusySpareCopy = 1.5, kBusySpareShare = 0.2;  // the others bear its demand
+constexpr double kBusyCopy = 10;
+constexpr double kRareLast = 15, kRareArrival = 10;  // the only copy of one that is seldom asked for
+constexpr double kSparedFill = 0.5;
+constexpr double kBusyArrivals = 0.3;  // a second: its only copy is never unloaded
+
+double IdleTime(const PlanContext& context, const Demand& demand) {
+  return demand.last_asked == 0 ? 1e12 : static_cast<double>(context.now - demand.last_asked);
+}
+
+double ValueOf(const PlanContext& context, const Key& key) {
+  if (!context.catalog->Knows(key)) return kUnknownModel;
+  const Demand& demand = key.is_model() ? context.demand->OfModel(key.model) : context.demand->Of(key);
+  const std::size_t copies = context.view->HoldersOf(key).size();
+  if (copies > 1) {
+    if (!demand.present()) return kIdleCopy;
+    const double share = demand.running / static_cast<double>(copies);
+    const double left = demand.running / static_cast<double>(copies - 1);
+    const bool spare = left <= kSparedFill * context.catalog->slots();
+    return spare ? kBusySpareCopy + kBusySpareShare * share : kBusyCopy + share;
+  }
+  if (demand.running > 0.5 || demand.arrivals_per_s >= kBusyArrivals || demand.unserved > 0) return kNever;
+  if (demand.present()) return kRareLast + kRareArrival * demand.arrivals_per_s;
+  return kIdleLast + kJustIdleLast * std::exp(-IdleTime(context, demand) / kIdleFade);
+}
+
+std::vector<Key> Candidates(const RunnerView& runner, const Key& target) {
+  std::vector<Key> keys;
+  for (const auto& [model, adapters] : runner.held.models()) {
+    if (target.is_model() && model != target.model) keys.push_back({model, ""});
+    if (!target.is_model())
+      for (const std::string& adapter : adapters)
+        if (model != target.model || adapter != target.adapter) keys.push_back({model, adapter});
+  }
+  return keys;
+}
+
+}  // namespace
+
+double MostValue(Urgency urgency) {
+  switch (urgency) {
+    case Urgency::kAsked:
+      return 100;
+    case Urgency::kOverload:
+      return 4;
+    case Urgency::kRelief:
+      return 2;
+    case Urgency::kSpare:
+      return 0;
+  }
+  return 0;
+}
+
+std::optional<Victims> FindVictims(const PlanContext& context, const RunnerView& runner, const Key& target,
+                                   double most) {
+  HeldSet left = runner.may_hold;
+  Victims victims;
+  if (context.catalog->Fits(left, target)) return victims;
+  std::vector<std::pair<double, Key>> candidates;
+  for (const Key& key : Candidates(runner, target)) {
+    const double value = ValueOf(context, key);
+    if (value <= most) candidates.emplace_back(value, key);
+  }
+  std::sort(candidates.begin(), candidates.end());
+  std::size_t taken = 0;
+  while (taken < candidates.size() && !context.catalog->Fits(left, target))
+    left.Remove(candidates[taken++].second);
+  if (!context.catalog->Fits(left, target)) return std::nullopt;
+  // What went first may be too small to matter once a larger one had to go: the dearest such are kept.
+  for (std::size_t i = taken; i-- > 0;) {
+    HeldSet kept = left;
+    const Key& key = candidates[i].second;
+    kept.Add(key);
+    const auto held = runner.may_hold.models().find(key.model);
+    if (key.is_model())
+      for (const std::string& adapter : held->second) kept.Add({key.model, adapter});
+    if (context.catalog->Fits(kept, target)) {
+      left = kept;
+      continue;
+    }
+    victims.keys.push_back(key);
+    victims.cost += candidates[i].first;
+  }
+  std::reverse(victims.keys.begin(), victims.keys.end());
+  return victims;
+}
+
+}  // namespace lichenlug::placement
--- /dev/null
+++ b/src/placement/eviction.h
@@ -0,0 +1,31 @@
+// What has to go from a runner before it can load something, and what that costs.
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "placement/fleet_view.h"
+
+namespace lichenlug::placement {
+
+struct PlanContext {
+  Time now = 0;
+  const Catalog* catalog = nullptr;
+  const DemandTable* demand = nullptr;
+  FleetView* view = nullptr;
+};
+
+struct Victims {
+  std::vector<Key> keys;  // empty: there is room already
+  double cost = 0;
+};
+
+// The cheapest keys whose unloading makes room for the target; nothing if room can't be made at a value of at
+// most `most` each.
+std::optional<Victims> FindVictims(const PlanContext& context, const RunnerView& runner, const Key& target,
+                                   double most);
+
+// What unloading may cost for the sake of a load of this urgency.
+double MostValue(Urgency urgency);
+
+}  // namespace lichenlug::placement
--- /dev/null
+++ b/src/placement/explain.cpp
@@ -0,0 +1,67 @@
+// Tells the operator why each model stands where it does.
+#include <cstdio>
+
+#include "placement/placement_impl.h"
+
+namespace lichenlug::placement {
+namespace {
+
+constexpr std::size_t kMostNames = 8;
+
+std::string Number(double value) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.1f", value);
+  return text;
+}
+
+}  // namespace
+
+std::vector<std::string> Placement::Impl::Explain(Time now) const {
+  std::vector<std::string> lines;
+  if (!active_)
+    return {settings_.service + ": another dispatcher places its models, or nothing is to be placed"};
+  lines.push_back(settings_.service + ": epoch " + std::to_string(epoch_) + ", " +
+                  std::to_string(budget_.Left(now)) + " loads left in this window" +
+                  (now < settle_until_ ? ", waiting for the runners' records after taking over" : ""));
+  for (const auto& [model, demand] : demand_.models())
+    if (demand.present()) lines.push_back(ExplainKey(now, {model, ""}, demand));
+  for (const auto& [key, demand] : demand_.keys())
+    if (!key.is_model() && demand.present()) lines.push_back(ExplainKey(now, key, demand));
+  for (const RunnerView& runner : view_.runners) lines.push_back(ExplainRunner(runner));
+  return lines;
+}
+
+std::string Placement::Impl::ExplainKey(Time now, const Key& key, const Demand& demand) const {
+  std::string line = ToText(key) + ": " + Number(demand.arrivals_per_s) + "/s, " + Number(demand.running) +
+                     " running, " + Number(demand.unserved) + " unserved; on";
+  std::size_t named = 0;
+  const auto& holders = view_.HoldersOf(key);
+  for (std::size_t holder : holders)
+    if (named++ < kMostNames) line += ' ' + view_.runners[holder].id;
+  if (holders.empty()) line += " no runner";
+  if (named > kMostNames) line += " and " + std::to_string(named - kMostNames) + " more";
+  const auto wish = planner_.wishes().find(key);
+  if (wish != planner_.wishes().end()) {
+    line += "; wants " + std::to_string(wish->second.copies);
+    if (*wish->second.hindrance) line += std::string(" (") + wish->second.hindrance + ')';
+  }
+  for (const auto& [id, runner] : runners_)
+    if (runner.intent && runner.intent->target == key)
+      line += "; next to " + id + ": " + ToText(runner.intent->urgency) + ", " +
+              Number(static_cast<double>(now - runner.intent->since) / kSecond) + " s";
+  return line;
+}
+
+std::string Placement::Impl::ExplainRunner(const RunnerView& runner) const {
+  std::string line = "runner " + runner.id + " in " + runner.zone + ": " +
+                     Number(catalog_.capacity_mb() - catalog_.MegabytesOf(runner.may_hold)) + " MB and " +
+                     std::to_string(catalog_.adapter_slots() - runner.may_hold.adapter_count()) +
+                     " adapter places free, about " + Number(runner.load) + " requests; holds";
+  for (const auto& [model, adapters] : runner.held.models()) {
+    line += ' ' + model;
+    for (const std::string& adapter : adapters) line += '/' + adapter;
+  }
+  return line;
+}
+
+}  // namespace lichenlug::placement
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -25,6 +25,8 @@
     Time origin_window = 5 * kSecond;
     double origin_overage = 1.1;
     Time lease = 3 * kSecond;
+    Time heartbeat = 1200 * kMillisecond;  // how often a runner tells what it holds
+    bool scale = false;                    // order fleet sizes too
     std::uint64_t seed = 0;
   };
   struct Input {
--- /dev/null
+++ b/src/placement/planner.cpp
@@ -0,0 +1,176 @@
+#include "placement/planner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <limits>
+
+namespace lichenlug::placement {
+namespace {
+
+constexpr double kFull = 0.6, kBusy = 0.3, kAim = 0.5;  // shares of a runner's slots
+constexpr double kLargeShare = 0.1;  // a key with less of a runner's slots isn't worth another copy
+constexpr double kLess = 0.8, kClearlyLess = 0.5;  // another runner's load against that of the holders
+constexpr double kAnyFill = std::numeric_limits<double>::infinity();
+constexpr double kSafeArrivals = 3;  // a second, from which the loss of an only copy costs more than a load
+constexpr double kMissedArrivals = 0.2;  // a second, from which a missing key needs no refused request
+constexpr Time kUrgentAfter = 500 * kMillisecond, kOptionalAfter = 3 * kSecond;
+constexpr std::size_t kRunnersPerOptional = 8;
+constexpr std::size_t kMostRefused = 1000;
+constexpr double kFillCost = 3, kColdCost = 1, kZoneCost = 0.3, kAdapterCost = 0.05, kOrderCost = 0.1;
+
+bool Missing(const Demand& demand) { return demand.unserved > 0 || demand.arrivals_per_s > kMissedArrivals; }
+
+double FillOf(const PlanContext& context, const std::vector<std::size_t>& holders) {
+  double sum = 0;
+  for (std::size_t holder : holders) sum += context.view->runners[holder].load;
+  return holders.empty() ? 0 : sum / static_cast<double>(holders.size()) / context.catalog->slots();
+}
+
+const Demand& DemandOf(const PlanContext& context, const Key& key) {
+  return key.is_model() ? context.demand->OfModel(key.model) : context.demand->Of(key);
+}
+
+// Models first, then adapters, the most wanted first.
+std::vector<Key> KeysInDemand(const PlanContext& context) {
+  std::vector<Key> keys;
+  for (const auto& [model, demand] : context.demand->models())
+    if (demand.present()) keys.push_back({model, ""});
+  for (const auto& [key, demand] : context.demand->keys())
+    if (!key.is_model() && demand.present()) keys.push_back(key);
+  const auto rank = [&](const Key& key) {
+    const Demand& demand = DemandOf(context, key);
+    return std::tuple(!key.is_model(), -demand.unserved, -demand.running);
+  };
+  std::stable_sort(keys.begin(), keys.end(), [&](const Key& a, const Key& b) { return rank(a) < rank(b); });
+  return keys;
+}
+
+}  // namespace
+
+void Planner::Refuse(const Key& key, Time until) {
+  if (refused_.size() >= kMostRefused) refused_.clear();
+  refused_[key] = until;
+}
+
+bool Planner::Refused(Time now, const Key& key) const {
+  const auto it = refused_.find(key);
+  return it != refused_.end() && now < it->second;
+}
+
+std::vector<Assignment> Planner::Plan(const PlanContext& context) {
+  std::vector<Assignment> assignments;
+  wishes_.clear();
+  std::size_t pending = 0;
+  for (const RunnerView& runner : context.view->runners) pending += runner.expected != runner.held ? 1 : 0;
+  const std::size_t most = std::max<std::size_t>(1, context.view->runners.size() / kRunnersPerOptional);
+  Pass pass{&context, &assignments, most > pending ? most - pending : 0};
+  PlaceMissing(pass);
+  PlaceCopies(&pass);
+  std::erase_if(short_since_, [&](const auto& entry) { return !wishes_.count(entry.first); });
+  return assignments;
+}
+
+void Planner::PlaceMissing(const Pass& pass) {
+  const PlanContext& context = *pass.context;
+  crowded_.clear();
+  for (const Key& key : KeysInDemand(context)) {
+    const Demand& demand = DemandOf(context, key);
+    if (!context.view->HoldersOf(key).empty() || !Missing(demand)) continue;
+    Wish& wish = wishes_[key] = {1, Urgency::kAsked, kAnyFill, ""};
+    if (Refused(context.now, key)) {
+      wish.hindrance = "a runner refused the order as invalid";
+      continue;
+    }
+    if (Place(pass, key, Urgency::kAsked, kAnyFill)) continue;
+    wish.hindrance = "no runner is free, or all hold what is in demand";
+    if (!key.is_model() && !context.view->HoldersOf({key.model, ""}).empty()) crowded_[key.model] = true;
+  }
+}
+
+void Planner::PlaceCopies(Pass* pass) {
+  const PlanContext& context = *pass->context;
+  for (const Key& key : KeysInDemand(context)) {
+    const std::vector<std::size_t> holders = context.view->HoldersOf(key);
+    if (holders.empty() || Refused(context.now, key)) continue;
+    const double fill = FillOf(context, holders);
+    const Wish wish = wishes_[key] = WishFor(context, key, DemandOf(context, key), fill);
+    if (!Ripe(context.now, key, wish, holders.size())) continue;
+    const bool urgent = wish.urgency == Urgency::kOverload;
+    for (std::size_t copies = holders.size(); copies < wish.copies; ++copies) {
+      if (!urgent && pass->optional_left == 0) break;
+      if (!Place(*pass, key, wish.urgency, wish.most_fill)) {
+        wishes_[key].hindrance = "no runner with less load has room";
+        break;
+      }
+      if (!urgent) --pass->optional_left;
+    }
+  }
+}
+
+Planner::Wish Planner::WishFor(const PlanContext& context, const Key& key, const Demand& demand,
+                               double fill) const {
+  const std::size_t copies = context.view->HoldersOf(key).size();
+  const double slots = context.catalog->slots();
+  const double share = demand.running / static_cast<double>(copies) / slots;
+  if (share > kFull) {
+    const auto wanted = static_cast<std::size_t>(std::ceil(demand.running / (kAim * slots)));
+    return {std::max(copies + 1, wanted), Urgency::kOverload, fill * kLess, ""};
+  }
+  if (key.is_model() && crowded_.count(key.model)) return {copies + 1, Urgency::kOverload, kAnyFill, ""};
+  if (fill > kFull && share > kLargeShare) return {copies + 1, Urgency::kRelief, fill * kClearlyLess, ""};
+  if (fill > kBusy && share > kLargeShare) return {copies + 1, Urgency::kSpare, fill * kClearlyLess, ""};
+  if (copies == 1 && demand.arrivals_per_s > kSafeArrivals) return {2, Urgency::kSpare, kFull, ""};
+  return {copies, Urgency::kSpare, 0, ""};
+}
+
+// A wish has to last before it is followed.
+bool Planner::Ripe(Time now, const Key& key, const Wish& wish, std::size_t copies) {
+  if (wish.copies <= copies) {
+    short_since_.erase(key);
+    return false;
+  }
+  const Time since = short_since_.try_emplace(key, now).first->second;
+  return now - since >= (wish.urgency == Urgency::kSpare ? kOptionalAfter : kUrgentAfter);
+}
+
+bool Planner::Place(const Pass& pass, const Key& key, Urgency urgency, double most_fill) {
+  const PlanContext& context = *pass.context;
+  std::optional<std::size_t> best;
+  double best_cost = 0;
+  for (std::size_t i = 0; i < context.view->runners.size(); ++i) {
+    const RunnerView& runner = context.view->runners[i];
+    if (!runner.available || runner.expected.Holds(key)) continue;
+    if (!key.is_model() && !runner.held.Holds({key.model, ""})) continue;
+    if (runner.load / context.catalog->slots() > most_fill) continue;
+    const auto victims = FindVictims(context, runner, key, MostValue(urgency));
+    if (!victims) continue;
+    const double orders = kOrderCost * static_cast<double>(victims->keys.size());
+    const double cost = CostOf(context, runner, key, victims->cost + orders);
+    if (best && cost >= best_cost) continue;
+    best = i;
+    best_cost = cost;
+  }
+  if (!best) return false;
+  context.view->runners[*best].available = false;
+  context.view->Expect(*best, key);
+  pass.assignments->push_back({*best, {key, urgency, context.now}});
+  return true;
+}
+
+double Planner::CostOf(const PlanContext& context, const RunnerView& runner, const Key& key,
+                       double victims_cost) const {
+  double cost = victims_cost + kFillCost * runner.load / context.catalog->slots();
+  const std::vector<std::size_t>& holders = context.view->HoldersOf(key);
+  for (std::size_t holder : holders)
+    if (context.view->runners[holder].zone == runner.zone)
+      cost += kZoneCost / static_cast<double>(holders.size());
+  if (key.is_model() && !context.view->OnDisk(runner.address, key.model)) cost += kColdCost;
+  if (!key.is_model()) cost += kAdapterCost * runner.expected.adapter_count();
+  // Among equals another one for each key and seed.
+  const std::size_t hash =
+      std::hash<std::string>()(runner.id + '/' + ToText(key)) ^ seed_ * 0x9e3779b97f4a7c15u;
+  return cost + static_cast<double>(hash % 1000) * 1e-6;
+}
+
+}  // namespace lichenlug::placement
--- /dev/null
+++ b/src/placement/runner_ledger.cpp
@@ -0,0 +1,200 @@
+#include "placement/runner_ledger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lichenlug::placement {
+namespace {
+
+constexpr Time kFirstBackOff = 300 * kMillisecond;
+constexpr int kMostDoublings = 5;
+constexpr Time kReportLag = 150 * kMillisecond;  // a report shows the state of some time ago
+constexpr Time kMostBusyWait = 2 * kSecond, kOtherRunnerWait = 2 * kSecond, kUnusableWait = 5 * kSecond;
+constexpr Time kShortWork = 100 * kMillisecond;
+constexpr int kEarlyAsks = 3;         // before the heartbeats are left to tell
+constexpr int kMostStaleReports = 3;  // in a row, before they are believed
+constexpr Time kLateAskEvery = 3 * kSecond;
+constexpr int kWorkTimeFactor = 3;
+constexpr Time kWorkTimeSlack = 3 * kSecond;
+
+HeldSet ToldBy(const messages::RunnerRecord& record) {
+  HeldSet held;
+  for (const messages::HeldModel& model : record.models()) {
+    held.Add({model.name(), ""});
+    for (const std::string& adapter : model.adapters()) held.Add({model.name(), adapter});
+  }
+  return held;
+}
+
+}  // namespace
+
+bool RunnerLedger::Observe(Time now, const messages::RunnerRecord& record) {
+  last_seen_ = now;
+  const bool first = record_.runner_id().empty();
+  if (!first && record.call_count() <= record_.call_count() && record.state() == record_.state())
+    return false;
+  record_ = record;
+  told_ = ToldBy(record);
+  if (phase_ == Phase::kWorking) Finish();
+  // What it says differs from what is known although nothing was ordered: it has to be read again.
+  else if (phase_ == Phase::kIdle && told_ != confirmed_)
+    phase_ = Phase::kUnread;
+  return true;
+}
+
+// The order under way is done if a heartbeat after it shows so.
+void RunnerLedger::Finish() {
+  if (!record_tells_ || record_.call_count() <= record_at_order_ || !told_.Shows(*under_way_)) return;
+  HeldSet held = confirmed_;
+  if (under_way_->kind == Order::Kind::kLoad)
+    held.Add(under_way_->key);
+  else
+    held.Remove(under_way_->key);
+  Confirm(held);
+}
+
+void RunnerLedger::Restart() {
+  if (phase_ == Phase::kOrdered && under_way_->kind == Order::Kind::kLoad) unanswered_.Add(under_way_->key);
+  under_way_.reset();
+  awaits_report_ = false;
+  phase_ = Phase::kUnread;
+  asks_ = failures_ = stale_reports_ = 0;
+  not_before_ = 0;
+}
+
+bool RunnerLedger::NeedsReport(Time now, bool wanted) const {
+  if (now < not_before_ || awaits_report_) return false;
+  if (phase_ == Phase::kUnread) return wanted;
+  if (phase_ != Phase::kWorking) return false;
+  if (now >= ordered_at_ + work_time_ * kWorkTimeFactor + kWorkTimeSlack)
+    return now >= asked_at_ + kLateAskEvery;
+  const Time due = std::max(ordered_at_ + work_time_, asked_at_) + (kReportLag << asks_);
+  return (wanted || !record_tells_) && asks_ < kEarlyAsks && now >= due;
+}
+
+bool RunnerLedger::CanOrder(Time now) const { return phase_ == Phase::kIdle && now >= not_before_; }
+
+void RunnerLedger::ReportSent(Time now) {
+  asked_at_ = now;
+  awaits_report_ = true;
+  ++asks_;
+  if (phase_ == Phase::kUnread) phase_ = Phase::kReading;
+}
+
+void RunnerLedger::ReportAnswered(Time now, const std::variant<RunnerReport, ReportError>& answer) {
+  awaits_report_ = false;
+  if (phase_ != Phase::kReading && phase_ != Phase::kWorking) return;
+  const bool working = phase_ == Phase::kWorking;
+  if (!working) phase_ = Phase::kUnread;
+  const RunnerReport* report = std::get_if<RunnerReport>(&answer);
+  if (!report) {
+    if (!working)
+      BackOff(now, std::get<ReportError>(answer) == ReportError::kFieldMissing ? kUnusableWait : 0);
+    return;
+  }
+  if (report->orders_taken < orders_taken_ && ++stale_reports_ <= kMostStaleReports) {  // of before the order
+    if (!working) not_before_ = now + kFirstBackOff;
+    return;
+  }
+  if (report->busy) {
+    if (!working) not_before_ = now + std::clamp(work_time_ / 2, kFirstBackOff, kMostBusyWait);
+    return;
+  }
+  // A load with no answer that wasn't taken may still arrive, until an order with its number is taken.
+  if (report->orders_taken != orders_taken_) DropUnanswered();
+  orders_taken_ = report->orders_taken;
+  Confirm(report->held);
+}
+
+void RunnerLedger::OrderSent(Time now, const Order& order, Time work_time, std::uint64_t load) {
+  under_way_ = order;
+  if (load != 0) load_ = load;
+  phase_ = Phase::kOrdered;
+  ordered_at_ = now;
+  work_time_ = work_time;
+  record_at_order_ = record_.call_count();
+  record_tells_ = !told_.Shows(order);
+  asks_ = 0;
+  asked_at_ = 0;
+}
+
+void RunnerLedger::OrderAnswered(Time now, OrderOutcome outcome) {
+  if (phase_ != Phase::kOrdered) return;
+  switch (outcome) {
+    case OrderOutcome::kTaken:
+      phase_ = Phase::kWorking;
+      ++orders_taken_;
+      failures_ = 0;
+      DropUnanswered();
+      Finish();
+      return;
+    case OrderOutcome::kUnknown:
+      if (under_way_->kind == Order::Kind::kLoad) unanswered_.Add(under_way_->key);
+      break;
+    case OrderOutcome::kConflict:
+    case OrderOutcome::kOtherRunner:
+      DropUnanswered();
+      break;
+    case OrderOutcome::kHolds:
+    case OrderOutcome::kFenced:
+    case OrderOutcome::kInvalid:
+      if (unanswered_.models().empty()) DropUnanswered();
+      break;
+  }
+  under_way_.reset();
+  phase_ = Phase::kUnread;
+  BackOff(now, outcome == OrderOutcome::kOtherRunner ? kOtherRunnerWait : 0);
+}
+
+const HeldSet& RunnerLedger::held() const {
+  const bool known = phase_ == Phase::kIdle || phase_ == Phase::kOrdered || phase_ == Phase::kWorking;
+  return known ? confirmed_ : told_;
+}
+
+bool RunnerLedger::Available(Time now) const {
+  if (record_.state() != messages::RUNNER_READY || (failures_ > 0 && now < not_before_)) return false;
+  return !under_way_ || work_time_ <= kShortWork;
+}
+
+HeldSet RunnerLedger::Expected() const {
+  HeldSet expected = held();
+  if (!under_way_) return expected;
+  if (under_way_->kind == Order::Kind::kLoad)
+    expected.Add(under_way_->key);
+  else
+    expected.Remove(under_way_->key);
+  return expected;
+}
+
+HeldSet RunnerLedger::MayHold() const {
+  HeldSet held = this->held();
+  if (phase_ == Phase::kUnread || phase_ == Phase::kReading) held.AddAll(confirmed_);
+  held.AddAll(unanswered_);
+  if (under_way_ && under_way_->kind == Order::Kind::kLoad) held.Add(under_way_->key);
+  return held;
+}
+
+std::optional<std::uint64_t> RunnerLedger::TakeSettledLoad() {
+  if (settled_load_ == 0) return std::nullopt;
+  return std::exchange(settled_load_, 0);
+}
+
+void RunnerLedger::Confirm(const HeldSet& held) {
+  confirmed_ = held;
+  under_way_.reset();
+  phase_ = Phase::kIdle;
+  failures_ = asks_ = stale_reports_ = 0;
+  not_before_ = 0;
+}
+
+void RunnerLedger::BackOff(Time now, Time least) {
+  not_before_ = now + std::max(least, kFirstBackOff << std::min(failures_, kMostDoublings));
+  ++failures_;
+}
+
+void RunnerLedger::DropUnanswered() {
+  if (load_ != 0) settled_load_ = std::exchange(load_, 0);
+  unanswered_ = {};
+}
+
+}  // namespace lichenlug::placement
--- /dev/null
+++ b/tests/system/placement/simulated_fleet.cpp
@@ -0,0 +1,232 @@
+#include "simulated_fleet.h"
+
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+namespace lichenlug::placement {
+namespace {
+
+using nlohmann::json;
+
+constexpr Time kStep = 10 * kMillisecond, kHeartbeat = 1200 * kMillisecond, kReportEvery = 250 * kMillisecond;
+constexpr Time kLostAfter = 2500 * kMillisecond, kOriginWindow = 5 * kSecond;
+constexpr double kOverage = 1.1, kCapacity = 200000;
+
+messages::Service MakeService(const SimulationOptions& options) {
+  messages::Service service;
+  service.set_name("llm");
+  messages::Engine& engine = *service.mutable_engine();
+  engine.set_slots(options.slots);
+  engine.set_weights_mb(kCapacity);
+  engine.set_adapter_slots(8);
+  engine.set_loads_per_s(options.loads_per_s);
+  for (int i = 0; i < options.models; ++i) {
+    messages::Model& model = *engine.add_models();
+    model.set_name("m" + std::to_string(i));
+    model.set_weights_mb(i % 3 == 0 ? 34300 : i % 3 == 1 ? 72700 : 65100);
+    model.set_load_s(i % 3 == 0 ? 1.3 : i % 3 == 1 ? 2.9 : 2.5);
+    model.set_adapters(i % 3 == 0 ? options.adapters : 0);
+    model.set_adapter_mb(66);
+  }
+  return service;
+}
+
+}  // namespace
+
+SimulatedFleet::SimulatedFleet(SimulationOptions options)
+    : options_(options), random_(options.seed), service_(MakeService(options)) {
+  catalog_.Assign(service_.engine());
+  for (int i = 0; i < options.runners; ++i) {
+    SimulatedRunner runner;
+    runner.id = "r" + std::to_string(starts_++);
+    runner.address = "10.0.0." + std::to_string(i) + ":80";
+    runner.zone = "z" + std::to_string(i % options.zones);
+    runner.next_heartbeat = now_ + Between(0, kHeartbeat);
+    if (options.filled && catalog_.Fits(runner.held, {"m0", ""})) runner.held.Add({"m0", ""});
+    runners_.push_back(runner);
+  }
+  for (int model = 1; options.filled && model < options.models; ++model)
+    for (SimulatedRunner& runner : runners_)
+      if (catalog_.Fits(runner.held, {ModelName(model), ""})) {
+        runner.held.Add({ModelName(model), ""});
+        break;
+      }
+  for (SimulatedRunner& runner : runners_) {
+    for (const auto& [model, adapters] : runner.held.models()) disks_[runner.address].insert(model);
+    Heartbeat(&runner);
+  }
+  reports_.resize(3);
+  FailOver(0);
+  epoch_ = 1;
+}
+
+void SimulatedFleet::Run(Time span) {
+  for (const Time end = now_ + span; now_ < end; now_ += kStep) {
+    while (!events_.empty() && events_.top().at <= now_) {
+      const auto run = events_.top().run;
+      events_.pop();
+      run();
+    }
+    StepRunners();
+    StepClients();
+    StepHolder();
+  }
+}
+
+void SimulatedFleet::StepRunners() {
+  for (SimulatedRunner& runner : runners_) {
+    if (runner.doing && now_ >= runner.done_at) {
+      if (runner.doing->kind == Order::Kind::kLoad)
+        runner.held.Add(runner.doing->key), disks_[runner.address].insert(runner.doing->key.model);
+      else
+        runner.held.Remove(runner.doing->key);
+      runner.doing.reset();
+    }
+    if (now_ >= runner.next_heartbeat && !runner.silent) Heartbeat(&runner);
+  }
+}
+
+// Reaches the holder only if it tells something new.
+void SimulatedFleet::Heartbeat(SimulatedRunner* runner) {
+  runner->next_heartbeat = now_ + kHeartbeat;
+  messages::RunnerRecord record;
+  record.set_runner_id(runner->id);
+  record.set_service("llm");
+  record.set_address(runner->address);
+  record.set_zone(runner->zone);
+  record.set_slots(options_.slots);
+  record.set_state(runner->draining ? messages::RUNNER_DRAINING : messages::RUNNER_READY);
+  record.set_call_count(++runner->heartbeats);
+  for (const auto& [model, adapters] : runner->held.models()) {
+    messages::HeldModel& held = *record.add_models();
+    held.set_name(model);
+    for (const std::string& adapter : adapters) held.add_adapters(adapter);
+  }
+  At(now_ + Between(kMillisecond, 60 * kMillisecond), [this, record] {
+    messages::RunnerRecord& known = records_[record.runner_id()];
+    messages::RunnerRecord same = record;
+    same.set_call_count(known.call_count());
+    if (record.call_count() > known.call_count() && same.SerializeAsString() != known.SerializeAsString())
+      known = record;
+  });
+}
+
+void SimulatedFleet::Ask(const Key& key, double requests_per_s, double work_s) {
+  asked_for_[key] = {requests_per_s, work_s, 0};
+}
+
+void SimulatedFleet::AskZipf(double requests_per_s, int first_model) {
+  asked_for_.clear();
+  double sum = 0;
+  for (int i = 0; i < options_.models; ++i) sum += 1 / std::pow(i + 1, 1.5);
+  for (int i = 0; i < options_.models; ++i)
+    Ask({ModelName((first_model + i) % options_.models), ""}, requests_per_s / std::pow(i + 1, 1.5) / sum);
+}
+
+void SimulatedFleet::Crash(std::size_t number, Time away) {
+  SimulatedRunner& runner = runners_[number];
+  const std::string lost = runner.id;
+  At(now_ + kLostAfter, [this, lost] { records_.erase(lost); });
+  SimulatedRunner fresh;
+  fresh.id = "r" + std::to_string(starts_++);
+  fresh.address = runner.address;
+  fresh.zone = runner.zone;
+  fresh.next_heartbeat = now_ + away;
+  fresh.silent = true;
+  runner = fresh;
+  At(now_ + away, [this, number, id = fresh.id] {
+    if (runners_[number].id == id) runners_[number].silent = false;
+  });
+}
+
+bool SimulatedFleet::Stands(const Key& key) const {
+  for (const SimulatedRunner& runner : runners_)
+    if (!runner.silent && !runner.draining && runner.held.Holds(key)) return true;
+  return false;
+}
+
+void SimulatedFleet::StepClients() {
+  const double seconds = static_cast<double>(kStep) / kSecond;
+  for (auto& [key, entry] : asked_for_) {
+    const bool served = Stands(key);
+    asked_ += entry.per_s * seconds;
+    if (!served) unserved_ += entry.per_s * seconds;
+    entry.unserved = (entry.unserved + (served ? 0 : entry.per_s * seconds)) * 0.99;
+  }
+  if (now_ < next_report_) return;
+  next_report_ = now_ + kReportEvery;
+  for (std::size_t i = 0; i < reports_.size(); ++i) {
+    messages::DemandReport& report = reports_[i];
+    report.Clear();
+    report.set_name("d" + std::to_string(i));
+    report.set_incarnation(1);
+    report.set_number(++report_number_);
+    const auto share = static_cast<double>(reports_.size());
+    for (const auto& [key, entry] : asked_for_) {
+      if (entry.per_s <= 0) continue;
+      messages::ModelDemand& demand = *report.add_models();
+      demand.set_service("llm");
+      demand.set_model(key.model);
+      demand.set_adapter(key.adapter);
+      demand.set_arrivals_per_s(entry.per_s / share);
+      demand.set_running(Stands(key) ? entry.per_s * entry.work_s / share : 0);
+      demand.set_unserved(entry.unserved < 0.05 ? 0 : entry.unserved / share);
+    }
+  }
+}
+
+void SimulatedFleet::FailOver(Time pause, bool /*returns_orders*/) {
+  holds_ = pause == 0;
+  ++epoch_;
+  const std::uint64_t epoch = epoch_;
+  At(now_ + pause, [this, epoch] {
+    if (epoch != epoch_) return;
+    holds_ = true;
+  });
+  Placement::Settings settings;
+  settings.service = "llm";
+  holder_ = settings.holder = "d" + std::to_string(holders_++);
+  settings.seed = options_.seed;
+  settings.origin_window = kOriginWindow;
+  placement_ = std::make_unique<Placement>(settings);
+}
+
+void SimulatedFleet::StepHolder() {
+  std::vector<messages::RunnerRecord> records;
+  for (const auto& [id, record] : records_) records.push_back(record);
+  Placement::Input input;
+  input.service = &service_;
+  input.runners = &records;
+  input.demand = &reports_;
+  input.epoch = epoch_;
+  input.holds = holds_;
+  std::vector<duties::HttpCall> calls;
+  placement_->Act(now_, input, &calls);
+  if (!holds_ && !calls.empty()) broken_.push_back("ONE: calls without the duty");
+  for (const duties::HttpCall& call : calls) Send(call);
+}
+
+void SimulatedFleet::Send(const duties::HttpCall& call) {
+  if (on_call) on_call(call);
+  call.method == "POST" ? ++orders_ : ++probes_;
+  const Time way = Between(kMillisecond, 8 * kMillisecond);
+  const bool lost = Chance(options_.lost_request), late = !lost && Chance(options_.late_request);
+  const auto tell = [this, tag = call.tag, from = placement_.get()](Time at, duties::HttpResult result) {
+    if (mutate) mutate(&result);
+    At(at, [this, tag, from, result] {
+      if (placement_.get() == from) placement_->Completed(now_, tag, result);
+    });
+  };
+  if (lost || late) {
+    tell(now_ + call.give_up_after, {});
+    if (late) At(now_ + Between(kSecond, 4 * kSecond), [this, call] { Serve(call, true); });
+    return;
+  }
+  At(now_ + way, [this, call, way, tell] {
+    const duties::HttpResult result = Serve(call, false);
+    const bool unanswered = result.status == 0 || Chance(options_.lost_answer);
+    tell(unanswered ? now_ + call.give_up_after : now_ + way, unanswered ? duties::HttpResult{} : result);
+  });
+}
+
+}  // namespace lichenlug::placement
--- /dev/null
+++ b/tests/system/placement/simulated_fleet.h
@@ -0,0 +1,125 @@
+// Runners that carry out orders as the runners' interface says, dispatchers that hold the duty in turn, a
+// network that loses and delays, and clients that ask for models; with a judge of what must never happen.
+// Time is stepped.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "placement/catalog.h"
+#include "placement/placement.h"
+
+namespace lichenlug::placement {
+
+struct SimulatedRunner {
+  std::string id, address, zone;
+  HeldSet held;
+  std::optional<Order> doing;
+  Time done_at = 0;
+  std::uint64_t orders_taken = 0, fence = 0, heartbeats = 0;
+  Time next_heartbeat = 0;
+  bool draining = false;
+  bool silent = false;  // no heartbeat and no answer leaves it
+};
+
+struct SimulationOptions {
+  int runners = 9;
+  int zones = 3;
+  int models = 30;
+  int slots = 64;
+  int adapters = 12;  // of each third model
+  double loads_per_s = 2.6;
+  double lost_request = 0, lost_answer = 0, late_request = 0;
+  bool fences_checked = true;
+  bool filled = true;  // each model stands somewhere at the start, as far as there is room
+  std::uint64_t seed = 1;
+};
+
+class SimulatedFleet {
+ public:
+  explicit SimulatedFleet(SimulationOptions options);
+
+  void Run(Time span);
+  void Ask(const Key& key, double requests_per_s, double work_s = 1);  // 0: no more
+  void AskZipf(double requests_per_s, int first_model);
+  void Crash(std::size_t runner, Time away);  // comes back empty
+  void Drain(std::size_t runner) { runners_[runner].draining = true; }
+  void Silence(std::size_t runner, bool silent) { runners_[runner].silent = silent; }
+  void FailOver(Time pause,
+                bool returns_orders = true);  // another holder, with nothing known, after the pause
+
+  bool Stands(const Key& key) const;  // at a ready runner
+  double unserved_share() const { return unserved_ / std::max(1.0, asked_); }
+  void ResetCounts() { orders_ = loads_ = probes_ = 0, unserved_ = asked_ = 0; }
+  int orders() const { return orders_; }
+  int loads() const { return loads_; }
+  int probes() const { return probes_; }
+  const std::vector<std::string>& broken() const { return broken_; }  // by the judge
+  Time now() const { return now_; }
+  const messages::Service& service() const { return service_; }
+  std::vector<SimulatedRunner>& runners() { return runners_; }
+  Placement& placement() { return *placement_; }
+  std::string ModelName(int number) const { return "m" + std::to_string(number); }
+  // Changes an answer before it is told.
+  std::function<void(duties::HttpResult*)> mutate;
+  std::function<void(const duties::HttpCall&)> on_call;
+
+ private:
+  struct Asked {
+    double per_s = 0, work_s = 1;
+    double unserved = 0;  // of late
+  };
+  struct Event {
+    Time at;
+    std::uint64_t number;
+    std::function<void()> run;
+    bool operator<(const Event& other) const {
+      return std::tie(at, number) > std::tie(other.at, other.number);
+    }
+  };
+  void At(Time at, std::function<void()> run) { events_.push({at, ++event_number_, std::move(run)}); }
+  bool Chance(double probability) { return std::uniform_real_distribution<>(0, 1)(random_) < probability; }
+  Time Between(Time least, Time most) { return std::uniform_int_distribution<Time>(least, most)(random_); }
+
+  void StepRunners();
+  void Heartbeat(SimulatedRunner* runner);
+  void StepClients();
+  void StepHolder();
+  void Send(const duties::HttpCall& call);
+  duties::HttpResult Serve(const duties::HttpCall& call, bool late);
+  duties::HttpResult Take(SimulatedRunner* runner, const duties::HttpCall& call, bool late);
+  std::string ReportOf(const SimulatedRunner& runner) const;
+  void Judge(const SimulatedRunner& runner, const Order& order, bool taken, bool late);
+  void JudgeHolder(const std::string& runner, const std::string& holder, std::uint64_t epoch);
+
+  SimulationOptions options_;
+  std::mt19937_64 random_;
+  messages::Service service_;
+  Catalog catalog_;
+  std::vector<SimulatedRunner> runners_;
+  std::map<std::string, std::set<std::string>> disks_;
+  std::map<std::string, messages::RunnerRecord> records_;
+  std::map<Key, Asked> asked_for_;
+  std::vector<messages::DemandReport> reports_;
+  std::priority_queue<Event> events_;
+  std::uint64_t event_number_ = 0, report_number_ = 0;
+  std::unique_ptr<Placement> placement_;
+  std::string holder_ = "d0";
+  std::uint64_t epoch_ = 1;
+  int starts_ = 0, holders_ = 0;
+  bool holds_ = true;
+  Time now_ = 1000 * kSecond;
+  Time next_report_ = 0;
+  int orders_ = 0, loads_ = 0, probes_ = 0;
+  double unserved_ = 0, asked_ = 0;
+  std::vector<Time> loads_begun_;
+  std::map<std::uint64_t, std::string> holder_of_epoch_;
+  std::vector<std::string> broken_;
+};
+
+}  // namespace lichenlug::placement
