Read, check and change the operator's configuration

Need: the router takes whole configurations and patches, and has to refuse every invalid one while it loses no valid one.

Patches work on the text, so unknown fields stay as they were written. Repeats of a change that was taken are known by digests in the register.

Checked: system_configuration_tests, each invalid case, races, repeats, patches.

--- a/src/configuration/configuration.h
+++ b/src/configuration/configuration.h
@@ -41,6 +41,10 @@
 };
 std::uint64_t Digest(const ChangeRequest& request);
 
+// Refuses a change that no register is needed to refuse: a whole configuration that is invalid, or a patch
+// whose own form is.
+std::optional<Problem> CheckShape(const ChangeRequest& request);
+
 // What a change makes of the register's payload (a serialized ConfigurationState; empty at first).
 enum class Verdict { kTake, kTakenBefore, kConflict, kInvalid };
 struct Judgement {
--- /dev/null
+++ b/src/configuration/judge.cpp
@@ -0,0 +1,77 @@
+// What a change of the operator makes of the register's payload.
+#include <algorithm>
+#include <utility>
+
+#include "configuration/configuration.h"
+#include "configuration/patch.h"
+#include "configuration/places.h"
+
+namespace lichenlug::configuration {
+namespace {
+
+using messages::ConfigurationState;
+
+// Digests kept of changes taken. A day holds hundreds of changes; 64 KiB hold those of many days.
+constexpr int kDigestsKept = 8192;
+
+// The whole configuration that the request asks for.
+std::variant<Parsed, Problem> Requested(const ConfigurationState& state, const ChangeRequest& request) {
+  if (request.method == ChangeRequest::Method::kPut) return Parse(request.body);
+  if (state.revision() == 0) {
+    return Problem{"patch", "the first configuration", "there is nothing to change yet: PUT a whole one"};
+  }
+  auto patch = ReadPatch(request.body);
+  if (auto* problem = std::get_if<Problem>(&patch)) return std::move(*problem);
+  auto patched = ApplyPatch(state.json(), std::get<Patch>(patch));
+  if (auto* problem = std::get_if<Problem>(&patched)) return std::move(*problem);
+  return Parse(std::get<std::string>(patched));
+}
+
+Judgement Refused(Problem problem, std::int64_t current_edition) {
+  return {Verdict::kInvalid, "", std::move(problem), current_edition};
+}
+
+void KeepDigest(std::uint64_t digest, ConfigurationState* state) {
+  auto* digests = state->mutable_taken_digests();
+  if (digests->size() >= kDigestsKept) {
+    digests->erase(digests->begin(), digests->begin() + (digests->size() - kDigestsKept + 1));
+  }
+  digests->Add(digest);
+}
+
+}  // namespace
+
+Judgement Judge(const std::string& payload, const ChangeRequest& request) {
+  ConfigurationState state;
+  if (!state.ParseFromString(payload)) {
+    return Refused({"configuration", "the register", "its record can't be read: restore the store"}, 0);
+  }
+  const std::uint64_t digest = Digest(request);
+  const auto& taken = state.taken_digests();
+  if (std::find(taken.rbegin(), taken.rend(), digest) != taken.rend()) {
+    return {Verdict::kTakenBefore, "", std::nullopt, state.edition()};
+  }
+  if (request.if_match != state.edition()) return {Verdict::kConflict, "", std::nullopt, state.edition()};
+  auto requested = Requested(state, request);
+  if (auto* problem = std::get_if<Problem>(&requested)) return Refused(std::move(*problem), state.edition());
+  auto& parsed = std::get<Parsed>(requested);
+  const std::int64_t edition = parsed.configuration->edition();
+  if (edition <= state.edition()) {
+    return Refused(
+        {"edition", std::string(kTopLevel), "give a number over " + std::to_string(state.edition())},
+        state.edition());
+  }
+  state.set_edition(edition);
+  state.set_revision(state.revision() + 1);
+  state.set_json(std::move(parsed.json));
+  KeepDigest(digest, &state);
+  return {Verdict::kTake, state.SerializeAsString(), std::nullopt, edition};
+}
+
+std::optional<ConfigurationState> ReadState(const std::string& payload) {
+  ConfigurationState state;
+  if (payload.empty() || !state.ParseFromString(payload) || state.revision() == 0) return std::nullopt;
+  return state;
+}
+
+}  // namespace lichenlug::configuration
--- /dev/null
+++ b/src/configuration/message_builder.h
@@ -0,0 +1,61 @@
+// Fills a protobuf message from the events of a JSON parser.
+#pragma once
+
+#include <google/protobuf/descriptor.h>
+#include <google/protobuf/message.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "configuration/configuration.h"
+
+namespace lichenlug::configuration {
+
+struct FieldTable;  // the fields of a message type by their names in JSON
+struct FieldEntry;
+
+// Events of values return false where the value does not fit, and then `problem` is set.
+class MessageBuilder {
+ public:
+  explicit MessageBuilder(google::protobuf::Message* root) : root_(root) {}
+
+  bool BeginObject();
+  bool EndObject();
+  bool BeginList();
+  bool EndList();
+  void Key(std::string_view name);
+  bool String(std::string value);
+  bool Whole(std::int64_t value);  // a number without a fraction
+  bool Fraction(double value);     // any other
+  bool Bool(bool value);
+  bool Null();
+
+  std::optional<Problem> problem;
+  std::vector<int> present;  // numbers of the fields of the root that the text holds
+
+ private:
+  using FieldDescriptor = google::protobuf::FieldDescriptor;
+
+  // An object being read, and the member that the next value belongs to.
+  struct Frame {
+    google::protobuf::Message* message = nullptr;
+    const google::protobuf::Reflection* reflection = nullptr;
+    const FieldTable* table = nullptr;
+    const FieldEntry* entry = nullptr;  // null: an unknown member, skipped
+    bool in_list = false;
+  };
+
+  bool Skips() const { return skipped_ > 0 || (!frames_.empty() && frames_.back().entry == nullptr); }
+  bool Expects(FieldDescriptor::CppType type) const;
+  bool WrongType();
+  std::string Place() const;
+
+  google::protobuf::Message* root_;
+  std::vector<Frame> frames_;
+  int skipped_ = 0;  // depth within the value of an unknown member
+};
+
+}  // namespace lichenlug::configuration
--- /dev/null
+++ b/src/configuration/patch.cpp
@@ -0,0 +1,167 @@
+#include "configuration/patch.h"
+
+#include <algorithm>
+#include <optional>
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
+
+#include "configuration/json_outline.h"
+#include "configuration/json_reader.h"
+#include "configuration/places.h"
+
+namespace lichenlug::configuration {
+namespace {
+
+constexpr std::string_view kEdition = "edition", kUpsert = "upsert", kRemove = "remove", kName = "name";
+
+ListChange& ChangeOf(std::string_view list, Patch* patch) {
+  const auto found = std::find_if(patch->lists.begin(), patch->lists.end(),
+                                  [&](const ListChange& change) { return change.list == list; });
+  if (found != patch->lists.end()) return *found;
+  patch->lists.push_back({std::string(list), {}, {}});
+  return patch->lists.back();
+}
+
+// Reads {list name: [items]}, each item by `read_item`, which returns false where it has the wrong form.
+template <typename ReadItem>
+std::optional<Problem> ReadLists(std::string_view section, std::string_view lists, std::string_view item_form,
+                                 Patch* patch, const ReadItem& read_item) {
+  if (KindOf(lists) == JsonKind::kNull) return std::nullopt;
+  if (KindOf(lists) != JsonKind::kObject) {
+    return Problem{std::string(section), std::string(kTopLevel), "give an object of lists"};
+  }
+  for (const JsonMember& member : ObjectMembers(lists)) {
+    const std::string place = std::string(section) + "." + member.name;
+    if (KindOf(member.value) != JsonKind::kList)
+      return Problem{member.name, std::string(section), "give a list"};
+    ListChange& change = ChangeOf(member.name, patch);
+    const auto items = ListItems(member.value);
+    for (std::size_t i = 0; i < items.size(); ++i) {
+      if (read_item(items[i], &change)) continue;
+      return Problem{std::string(kName), PlaceInList(place, static_cast<std::ptrdiff_t>(i), ""),
+                     std::string(item_form)};
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<std::string> ItemName(std::string_view item) {
+  const auto name = FindMember(item, kName);
+  if (!name || KindOf(*name) != JsonKind::kString) return std::nullopt;
+  return StringContent(*name);
+}
+
+bool ReadUpsert(std::string_view item, ListChange* change) {
+  auto name = ItemName(item);
+  if (!name || name->empty()) return false;
+  change->upserts.push_back({std::move(*name), item});
+  return true;
+}
+
+bool ReadRemoval(std::string_view item, ListChange* change) {
+  if (KindOf(item) != JsonKind::kString) return false;
+  change->removals.push_back(StringContent(item));
+  return true;
+}
+
+std::string Join(const std::vector<std::string_view>& parts, char opening, char closing) {
+  std::size_t size = 2;
+  for (const std::string_view part : parts) size += part.size() + 1;
+  std::string text;
+  text.reserve(size);
+  text += opening;
+  for (std::size_t i = 0; i < parts.size(); ++i) {
+    if (i > 0) text += ',';
+    text += parts[i];
+  }
+  text += closing;
+  return text;
+}
+
+std::string ChangedList(std::string_view list, const ListChange& change) {
+  const std::unordered_set<std::string_view> removed(change.removals.begin(), change.removals.end());
+  std::unordered_map<std::string_view, std::string_view> given;  // the last of each name
+  for (const NamedItem& item : change.upserts) given[item.name] = item.text;
+  std::unordered_set<std::string> placed;
+  std::vector<std::string_view> items;
+  for (const std::string_view item : ListItems(list)) {
+    const std::string name = ItemName(item).value_or("");
+    const auto replacement = given.find(name);
+    if (replacement != given.end()) {
+      if (placed.insert(name).second) items.push_back(replacement->second);
+    } else if (!removed.contains(name)) {
+      items.push_back(item);
+    }
+  }
+  for (const NamedItem& item : change.upserts) {
+    if (placed.insert(item.name).second) items.push_back(given[item.name]);
+  }
+  return Join(items, '[', ']');
+}
+
+// A whole number over 0, by the reader of whole configurations, so that both take the same.
+bool IsEdition(std::string_view value) {
+  if (value.empty()) return false;
+  messages::Configuration configuration;
+  const std::string object = "{\"edition\":" + std::string(value) + "}";
+  return !ReadJson(object, &configuration).problem && configuration.edition() > 0;
+}
+
+}  // namespace
+
+std::variant<Patch, Problem> ReadPatch(std::string_view text) {
+  if (!IsValidJson(text)) return Problem{"JSON", "the whole text", "can't be read: send the whole text"};
+  if (KindOf(text) != JsonKind::kObject) return Problem{"patch", "the whole text", "give an object"};
+  Patch patch;
+  for (const JsonMember& member : ObjectMembers(text)) {
+    std::optional<Problem> problem;
+    if (member.name == kEdition) patch.edition = member.value;
+    if (member.name == kUpsert) {
+      problem = ReadLists(kUpsert, member.value, "give an object with a name", &patch, ReadUpsert);
+    }
+    if (member.name == kRemove) {
+      problem = ReadLists(kRemove, member.value, "give a name", &patch, ReadRemoval);
+    }
+    if (problem) return *problem;
+  }
+  if (!IsEdition(patch.edition)) {
+    return Problem{std::string(kEdition), std::string(kTopLevel), "give a whole number over 0"};
+  }
+  return patch;
+}
+
+std::variant<std::string, Problem> ApplyPatch(std::string_view json, const Patch& patch) {
+  std::vector<JsonMember> members = ObjectMembers(json);
+  std::vector<std::string> texts;  // of what is new; reserved, so that none moves
+  texts.reserve(2 * patch.lists.size());
+  std::vector<std::string_view> parts;
+  for (const ListChange& change : patch.lists) {
+    const auto member = std::find_if(members.begin(), members.end(),
+                                     [&](const JsonMember& other) { return other.name == change.list; });
+    const bool absent = member == members.end();
+    const JsonKind kind = absent ? JsonKind::kNull : KindOf(member->value);
+    if (kind != JsonKind::kList && kind != JsonKind::kNull) {
+      return Problem{change.list, "patch", "is no list: replace the whole configuration"};
+    }
+    texts.push_back(ChangedList(absent ? std::string_view("[]") : member->value, change));
+    if (!absent) {
+      member->value = texts.back();
+      continue;
+    }
+    const std::string_view value = texts.back();
+    texts.push_back(QuotedString(change.list));
+    members.push_back({change.list, texts.back(), value});
+  }
+  for (JsonMember& member : members) {
+    if (member.name == kEdition) member.value = patch.edition;
+  }
+  std::vector<std::string> entries;
+  entries.reserve(members.size());
+  for (const JsonMember& member : members) {
+    entries.push_back(std::string(member.raw_name).append(1, ':').append(member.value));
+  }
+  return Join({entries.begin(), entries.end()}, '{', '}');
+}
+
+}  // namespace lichenlug::configuration
