--- a/src/configuration/configuration.h
+++ b/src/configuration/configuration.h
@@ -41,7 +41,8 @@
 };
 std::uint64_t Digest(const ChangeRequest& request);
 
-// What is wrong with a call whichever version is in place: a body that can't be read, or is invalid by itself.
+// Refuses a change that no register is needed to refuse: a whole configuration that is invalid, or a patch
+// whose own form is.
 std::optional<Problem> CheckShape(const ChangeRequest& request);
 
 // What a change makes of the register's payload (a serialized ConfigurationState; empty at first).
