Tell who is there: heartbeats on a ring, suspicion, news and anti-entropy

Need: every other part of the control plane asks membership.h who lives. A state machine: heartbeats to successors on a ring, suspicion and death by agreement of monitors, news passed on in bursts, bucket hashes for what was missed, calls to seeds and to the dead so that cuts heal. MemberRecord gains suspected_by, MembershipTable bucket_hashes.

Checked: simulation in virtual time of 1 to 300 members (membership_test.cpp); mutated messages and the table of measures are still to come.

--- /dev/null
+++ b/src/membership/contacts.cpp
@@ -0,0 +1,62 @@
+#include "membership/contacts.h"
+
+#include <algorithm>
+
+namespace lichenlug::membership_ring {
+namespace {
+
+constexpr std::size_t kMostSeeds = 16;
+constexpr Time kFirstSeedInterval = 200 * kMillisecond;
+constexpr Time kSeedInterval = 2 * kSecond;
+constexpr Time kDeadInterval = kSecond;
+constexpr Time kOldDeadInterval = 5 * kSecond;
+constexpr Time kOldDeadAfter = 120 * kSecond;
+// However many members call, an address that does not answer is called about this often by all of them.
+constexpr Time kCallsPerSecond = 20;
+
+}  // namespace
+
+void Contacts::SetSeeds(std::vector<std::string> addresses) {
+  if (addresses.size() > kMostSeeds) addresses.resize(kMostSeeds);
+  seeds_ = std::move(addresses);
+  seed_interval_ = kFirstSeedInterval;
+}
+
+void Contacts::Start(Time now) {
+  next_seed_call_ = now;
+  seed_interval_ = kFirstSeedInterval;
+}
+
+Time Contacts::LongestSeedInterval() const {
+  return std::max(kSeedInterval, static_cast<Time>(table_.live_count()) * kSecond / kCallsPerSecond);
+}
+
+std::vector<std::string> Contacts::SeedsToCall(Time now) {
+  if (now < next_seed_call_) return {};
+  std::vector<std::string> called;
+  for (const std::string& address : seeds_) {
+    if (!table_.IsLiveAddress(address)) called.push_back(address);
+  }
+  const Time jitter = static_cast<Time>(random_.Below(static_cast<std::uint64_t>(seed_interval_ / 4 + 1)));
+  next_seed_call_ = now + seed_interval_ + jitter;
+  seed_interval_ = std::min(seed_interval_ * 3 / 2, LongestSeedInterval());
+  return called;
+}
+
+std::string Contacts::DeadToCall(Time now) {
+  const auto& dead = table_.dead();
+  if (dead.empty() || now < next_dead_call_) return {};
+  auto next = dead.upper_bound(last_dead_);
+  if (next == dead.end()) next = dead.begin();
+  last_dead_ = *next;
+  const Entry& entry = *table_.Find(last_dead_);
+  const bool old = now - entry.dead_since > kOldDeadAfter;
+  const Time shared = static_cast<Time>(table_.live_count() / dead.size()) * kSecond / kCallsPerSecond;
+  const Time interval = std::max(old ? kOldDeadInterval : kDeadInterval, shared);
+  next_dead_call_ =
+      now + interval * 3 / 4 + static_cast<Time>(random_.Below(static_cast<std::uint64_t>(interval / 2)));
+  const std::string& address = entry.record.address();
+  return table_.IsLiveAddress(address) ? std::string() : address;
+}
+
+}  // namespace lichenlug::membership_ring
--- /dev/null
+++ b/src/membership/failure_detector.cpp
@@ -0,0 +1,147 @@
+#include "membership/failure_detector.h"
+
+#include <algorithm>
+
+namespace lichenlug::membership_ring {
+namespace {
+
+constexpr Time kBetweenPings = 300 * kMillisecond;
+constexpr int kMostPatience = 8;
+constexpr Time kAcquitAfter = 10 * kSecond;
+constexpr Time kTroubleLasts = 3 * kSecond;
+constexpr std::size_t kFewestProbes = 8, kMostProbes = 64;  // a heartbeat period
+constexpr std::size_t kProbedShare = 10;                    // one in so many members
+
+}  // namespace
+
+void FailureDetector::FollowRing(Time now) {
+  if (ring_seen_ == table_.ring_changes()) return;
+  ring_seen_ = table_.ring_changes();
+  const auto predecessors = table_.Predecessors(table_.self().name(), settings_.monitors);
+  const auto is_predecessor = [&](const std::string& name) {
+    return std::ranges::find(predecessors, name) != predecessors.end();
+  };
+  std::erase_if(watches_, [&](const auto& item) {
+    const Entry* entry = table_.Find(item.first);
+    return entry == nullptr || !IsLive(entry->record) || (!item.second.probed && !is_predecessor(item.first));
+  });
+  for (const std::string& name : predecessors) {
+    const auto [watch, added] = watches_.try_emplace(name);
+    if (added) watch->second.since = now;
+    watch->second.probed = false;
+  }
+}
+
+void FailureDetector::Check(Time now, Findings* findings) {
+  FollowRing(now);
+  std::size_t silent = 0, predecessors = 0;
+  for (auto item = watches_.begin(); item != watches_.end();) {
+    auto& [name, watch] = *item;
+    const Entry* entry = table_.Find(name);
+    if (entry == nullptr || (watch.probed && entry->last_heard > watch.since)) {
+      item = watches_.erase(item);
+      continue;
+    }
+    CheckWatched(now, name, watch, findings);
+    predecessors += watch.probed ? 0 : 1;
+    silent += !watch.probed && now - LastSign(*entry, watch) >= settings_.suspect_after ? 1 : 0;
+    ++item;
+  }
+  if (silent >= 2 || (silent > 0 && silent == predecessors)) trouble_until_ = now + kTroubleLasts;
+  CheckSuspects(now, findings);
+}
+
+Time FailureDetector::LastSign(const Entry& entry, const Watch& watch) const {
+  return std::max(entry.last_heard, watch.since);
+}
+
+void FailureDetector::CheckWatched(Time now, const std::string& name, Watch& watch, Findings* findings) {
+  Entry& entry = *table_.Find(name);
+  if (!IsLive(entry.record)) return;
+  if (entry.last_heard > watch.since) watch.patience = 1;
+  const Time silence = now - LastSign(entry, watch);
+  if (silence >= PingAfter() && now >= watch.next_ping) {
+    watch.next_ping = now + kBetweenPings;
+    findings->ping.push_back(name);
+  }
+  if (silence >= SuspectAfter(watch) && table_.Accuse(now, entry)) findings->accused.push_back(name);
+  const bool sure = silence >= DeadAfter(watch) && entry.record.state() == messages::MEMBER_SUSPECT &&
+                    now - entry.suspect_since >= kObjectionTime;
+  if (sure && MonitorsAgree(entry)) {
+    table_.DeclareDead(now, entry);
+    findings->dead.push_back(name);
+  }
+}
+
+// At least two accusers, or as many as it has monitors that are not under suspicion themselves.
+bool FailureDetector::MonitorsAgree(const Entry& entry) const {
+  const auto monitors = table_.Successors(entry.record.name(), settings_.monitors);
+  const auto trusted = std::ranges::count_if(monitors, [&](const std::string& monitor) {
+    return table_.Find(monitor)->record.state() == messages::MEMBER_ALIVE;
+  });
+  return entry.record.suspected_by_size() >= std::min<std::ptrdiff_t>(2, trusted);
+}
+
+// Suspicions that are not this member's own: confirmed by others, or forgotten after a while.
+void FailureDetector::CheckSuspects(Time now, Findings* findings) {
+  const auto suspects = table_.suspects();
+  for (const std::string& name : suspects) {
+    Entry& entry = *table_.Find(name);
+    if (entry.death_at && now >= *entry.death_at) {
+      table_.DeclareDead(now, entry);
+      findings->dead.push_back(name);
+    } else if (now - entry.suspect_since >= kAcquitAfter && !watches_.contains(name)) {
+      table_.Acquit(entry);
+    }
+  }
+}
+
+std::optional<Time> FailureDetector::NextCheck(Time now) const {
+  std::optional<Time> next;
+  const auto consider = [&](Time at) {
+    if (at > now && (!next || at < *next)) next = at;
+  };
+  for (const auto& [name, watch] : watches_) {
+    const Entry* entry = table_.Find(name);
+    if (entry == nullptr) continue;
+    const Time last_sign = LastSign(*entry, watch);
+    consider(std::max(last_sign + PingAfter(), watch.next_ping));
+    consider(last_sign + SuspectAfter(watch));
+    consider(last_sign + DeadAfter(watch));
+  }
+  for (const std::string& name : table_.suspects()) {
+    const Entry& entry = *table_.Find(name);
+    consider(entry.suspect_since + kObjectionTime);
+    if (entry.death_at) consider(*entry.death_at);
+  }
+  return next;
+}
+
+void FailureDetector::ProbeAtRandom(Time now, Findings* findings) {
+  const std::size_t live = table_.live_count();
+  if (now >= trouble_until_ || live < 2) return;
+  const std::size_t probes = std::min(std::clamp(live / kProbedShare, kFewestProbes, kMostProbes), live);
+  const std::size_t start = random_.Below(live);
+  for (std::size_t i = 0; i < probes; ++i) {
+    const std::string& name = table_.LiveAt((start + i) % live);
+    if (name == table_.self().name()) continue;
+    const auto [watch, added] = watches_.try_emplace(name);
+    if (!added) continue;
+    watch->second = {.since = now, .next_ping = now + kBetweenPings, .probed = true};
+    findings->ping.push_back(name);
+  }
+}
+
+void FailureDetector::RestartAll(Time now) {
+  for (auto& [name, watch] : watches_) watch.since = now;
+  trouble_until_ = 0;
+}
+
+void FailureDetector::Objected(Time now, const std::string& name) {
+  const auto watch = watches_.find(name);
+  if (watch == watches_.end()) return;
+  watch->second.since = now;
+  watch->second.patience = std::min(watch->second.patience * 2, kMostPatience);
+}
+
+}  // namespace lichenlug::membership_ring
--- /dev/null
+++ b/src/membership/member_table.h
@@ -0,0 +1,95 @@
+// All members that are remembered, and what follows from them: the ring of the live ones and the hashes that
+// two members compare.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/clock.h"
+#include "membership/record.h"
+
+namespace lichenlug::membership_ring {
+
+inline constexpr std::size_t kMostMembers = 8192;
+inline constexpr std::size_t kBuckets = 64;
+
+// A suspect may object at least this long before it is taken for dead on another member's word.
+inline constexpr Time kObjectionTime = 600 * kMillisecond;
+
+struct Entry {
+  MemberRecord record;
+  Time last_heard = 0;           // the last sign of life; 0: none
+  Time suspect_since = 0;        // of the state, if it is a suspect
+  Time dead_since = 0;           // of the state, if it is dead or has left
+  std::optional<Time> death_at;  // others say that it is dead: believed then, unless it objects
+  Time last_told = 0;            // when it was last told what is said of it
+};
+
+class MemberTable {
+ public:
+  struct Applied {
+    bool news = false;          // others should hear of it
+    bool live_changed = false;  // a member of Live() or a field that is shown there
+    bool objected = false;      // a suspicion ended by a higher incarnation
+  };
+  using Hashes = std::array<std::uint64_t, kBuckets>;
+
+  explicit MemberTable(const MemberRecord& self);
+
+  // Takes over what the record tells beyond what is known. Not for the own record. Unknown members that are
+  // not live are added only if `unknown_dead` is true: otherwise the members' memories would keep each other
+  // alive.
+  Applied Apply(Time now, const MemberRecord& record, bool unknown_dead);
+  void SetSelf(const MemberRecord& record);
+
+  bool Accuse(Time now, Entry& entry);  // by the own member; true if the accusation is new
+  void Acquit(Entry& entry);            // nobody has confirmed the suspicion
+  void DeclareDead(Time now, Entry& entry);
+  void ForgetDeadBefore(Time dead_limit, Time left_limit);
+
+  Entry* Find(const std::string& name);
+  const Entry* Find(const std::string& name) const;
+  const MemberRecord& self() const { return Find(own_name_)->record; }
+  const std::map<std::string, Entry>& entries() const { return entries_; }
+  const std::set<std::string>& suspects() const { return suspects_; }
+  const std::set<std::string>& dead() const { return dead_; }  // not those that have left
+  bool IsLiveAddress(const std::string& address) const { return live_addresses_.contains(address); }
+
+  std::uint64_t hash() const { return hash_; }
+  const Hashes& bucket_hashes() const { return bucket_hashes_; }
+  static std::size_t BucketOf(const std::string& name) { return HashName(name) % kBuckets; }
+
+  // The ring: live members by the hash of their names, this one included.
+  std::size_t live_count() const { return ring_.size(); }
+  std::vector<std::string> Successors(const std::string& name, std::size_t count) const;
+  std::vector<std::string> Predecessors(const std::string& name, std::size_t count) const;
+  const std::string& LiveAt(std::size_t position) const { return ring_[position].second; }
+  std::uint64_t ring_changes() const { return ring_changes_; }
+
+ private:
+  using RingKey = std::pair<std::uint64_t, std::string>;
+
+  std::size_t RingPosition(const std::string& name) const;
+  Applied ApplyToKnown(Time now, const MemberRecord& record, Entry& entry);
+  void SetState(Time now, Entry& entry, messages::MemberState state);
+  bool MergeState(Time now, const MemberRecord& record, Entry& entry);
+  bool MakeRoom();
+  void Index(const Entry& entry);
+  void Unindex(const Entry& entry);
+
+  const std::string own_name_;
+  std::map<std::string, Entry> entries_;
+  std::vector<RingKey> ring_;  // sorted
+  std::set<std::string> suspects_, dead_;
+  std::multiset<std::string> live_addresses_;
+  std::uint64_t hash_ = 0, ring_changes_ = 0;
+  Hashes bucket_hashes_{};
+};
+
+}  // namespace lichenlug::membership_ring
--- /dev/null
+++ b/src/membership/news.h
@@ -0,0 +1,41 @@
+// What this member has learned of late: sent on once to a few members soon after, and along with its
+// heartbeats for a while.
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+
+namespace lichenlug::membership_ring {
+
+class News {
+ public:
+  static constexpr std::size_t kMostInMessage = 64;
+  static constexpr Time kBetweenBursts = 50 * kMillisecond;
+  static constexpr Time kRecent = kSecond;
+
+  void Add(Time now, const std::string& name) {
+    pending_.insert(name);
+    recent_[name] = now + kRecent;
+  }
+
+  // When the next burst is due, if there is anything to send.
+  std::optional<Time> DueAt() const {
+    if (pending_.empty()) return std::nullopt;
+    return last_burst_ + kBetweenBursts;
+  }
+  std::vector<std::string> TakeBurst(Time now);
+  std::vector<std::string> Recent(Time now);  // to go along with a heartbeat
+
+ private:
+  std::set<std::string> pending_;
+  std::map<std::string, Time> recent_;  // until when
+  Time last_burst_ = 0;
+};
+
+}  // namespace lichenlug::membership_ring
--- /dev/null
+++ b/src/membership/protocol.cpp
@@ -0,0 +1,216 @@
+#include "membership/protocol.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lichenlug::membership_ring {
+namespace {
+
+constexpr Time kPause = kSecond;             // a longer gap between calls: this process was stopped
+constexpr Time kHearsNobodyAfter = kSecond;  // then the fault may be here, and others are not told of it
+constexpr Time kRememberDead = 1800 * kSecond;
+constexpr Time kRememberLeft = 600 * kSecond;
+constexpr Time kBetweenForgetting = 10 * kSecond;
+constexpr std::size_t kRandomTargets = 4;
+constexpr std::size_t kFarewells = 12;
+
+FailureDetector::Settings DetectorSettings(const MembershipSettings& settings) {
+  return {.heartbeat_every = settings.heartbeat_every,
+          .suspect_after = settings.suspect_after,
+          .dead_after = settings.dead_after,
+          .monitors = static_cast<std::size_t>(std::max(settings.monitors, 1))};
+}
+
+}  // namespace
+
+Protocol::Protocol(MembershipSettings settings)
+    : settings_(std::move(settings)),
+      self_(settings_.self),
+      random_(settings_.seed ^ HashName(self_.name)),
+      table_(ToRecord(self_)),
+      detector_(DetectorSettings(settings_), &table_, &random_),
+      contacts_(&table_, &random_),
+      anti_entropy_(&table_, &random_) {
+  contacts_.SetSeeds(settings_.seed_addresses);
+}
+
+void Protocol::Start(Time now, MembershipOutput* output) {
+  started_ = true;
+  started_at_ = last_call_ = now;
+  contacts_.Start(now);
+  next_heartbeat_ =
+      now + static_cast<Time>(random_.Below(static_cast<std::uint64_t>(settings_.heartbeat_every)));
+  CallSeeds({now, *output});
+}
+
+void Protocol::Tick(Time now, MembershipOutput* output) {
+  if (!started_ || left_) return;
+  const Call call{now, *output};
+  NotePauses(call);
+  CallSeeds(call);
+  if (now >= next_heartbeat_) HeartbeatPeriod(call);
+  CheckOthers(call);
+  SendNews(call);
+}
+
+std::optional<Time> Protocol::NextTimer() const {
+  if (!started_ || left_) return std::nullopt;
+  Time next = std::min(next_heartbeat_, contacts_.next_seed_call());
+  if (next_check_) next = std::min(next, *next_check_);
+  if (const auto news = news_.DueAt()) next = std::min(next, *news);
+  return next;
+}
+
+void Protocol::NotePauses(const Call& call) {
+  if (call.now - last_call_ > kPause) detector_.RestartAll(call.now);
+  last_call_ = call.now;
+}
+
+void Protocol::HeartbeatPeriod(const Call& call) {
+  next_heartbeat_ =
+      std::max(next_heartbeat_ + settings_.heartbeat_every, call.now + settings_.heartbeat_every / 2);
+  const auto heartbeat = MakeHeartbeat(news_.Recent(call.now), false);
+  GreetNewMonitors(call);
+  for (const std::string& monitor : monitors_) SendToMember(call, monitor, heartbeat);
+  FailureDetector::Findings findings;
+  detector_.ProbeAtRandom(call.now, &findings);
+  ActOn(call, findings);
+  if (const std::string address = contacts_.DeadToCall(call.now); !address.empty()) {
+    SendToAddress(call, address, MakeHeartbeat({}, true));
+  }
+  if (call.now >= next_forgetting_) {
+    next_forgetting_ = call.now + kBetweenForgetting;
+    table_.ForgetDeadBefore(call.now - kRememberDead, call.now - kRememberLeft);
+  }
+}
+
+// New monitors hear from this member at once, not only with the next heartbeat.
+void Protocol::GreetNewMonitors(const Call& call) {
+  if (ring_seen_ == table_.ring_changes()) return;
+  ring_seen_ = table_.ring_changes();
+  auto monitors = table_.Successors(self_.name, static_cast<std::size_t>(std::max(settings_.monitors, 1)));
+  for (const std::string& monitor : monitors) {
+    if (std::ranges::find(monitors_, monitor) != monitors_.end()) continue;
+    SendToMember(call, monitor, MakeHeartbeat(news_.Recent(call.now), false));
+  }
+  monitors_ = std::move(monitors);
+}
+
+void Protocol::CheckOthers(const Call& call) {
+  FailureDetector::Findings findings;
+  detector_.Check(call.now, &findings);
+  ActOn(call, findings);
+  next_check_ = detector_.NextCheck(call.now);
+}
+
+void Protocol::ActOn(const Call& call, const FailureDetector::Findings& findings) {
+  for (const std::string& name : findings.ping) SendToMember(call, name, MakeHeartbeat({}, true));
+  for (const std::string& name : findings.accused) {
+    SendToMember(call, name, MakeHeartbeat({name}, true));
+  }
+  call.output.changed |= !findings.dead.empty();
+  if (call.now - last_received_ >= kHearsNobodyAfter) return;
+  for (const std::string& name : findings.accused) news_.Add(call.now, name);
+  for (const std::string& name : findings.dead) news_.Add(call.now, name);
+}
+
+void Protocol::CallSeeds(const Call& call) {
+  for (const std::string& address : contacts_.SeedsToCall(call.now)) {
+    if (table_.live_count() > 1) {
+      SendToAddress(call, address, MakeHeartbeat({}, true));
+      continue;
+    }
+    messages::MembershipMessage message;
+    *message.mutable_join()->mutable_self() = table_.self();
+    SendToAddress(call, address, std::move(message));
+  }
+}
+
+void Protocol::SendNews(const Call& call) {
+  GreetNewMonitors(call);
+  const auto due = news_.DueAt();
+  if (!due || call.now < *due) return;
+  const std::vector<std::string> names = news_.TakeBurst(call.now);
+  const auto message = MakeHeartbeat(names, false);
+  for (const std::string& target : NewsTargets(names)) SendToMember(call, target, message);
+}
+
+// News of this member goes to its monitors as well: they pass it on.
+std::vector<std::string> Protocol::NewsTargets(const std::vector<std::string>& names) {
+  std::vector<std::string> targets;
+  if (std::ranges::find(names, self_.name) != names.end()) targets = monitors_;
+  const std::size_t live = table_.live_count();
+  if (live == 0) return targets;
+  for (std::size_t i = 0; i < kRandomTargets; ++i) {
+    const std::string& name = table_.LiveAt(random_.Below(live));
+    if (name != self_.name && std::ranges::find(targets, name) == targets.end()) targets.push_back(name);
+  }
+  return targets;
+}
+
+void Protocol::UpdateSelf(Time now, bool ready, const std::string& replica_id, MembershipOutput* output) {
+  if (ready == self_.ready && replica_id == self_.replica_id) return;
+  const Call call{now, *output};
+  ChangeSelf(call, [&](MemberRecord* record) {
+    record->set_ready(ready);
+    record->set_replica_id(replica_id);
+    record->set_version(record->version() + 1);
+  });
+  if (started_ && !left_) SendNews(call);
+}
+
+void Protocol::Leave(Time now, MembershipOutput* output) {
+  if (!started_ || left_) return;
+  const Call call{now, *output};
+  std::vector<std::string> targets = monitors_;
+  for (std::size_t i = 0; i < kFarewells; ++i) {
+    targets.push_back(table_.LiveAt(random_.Below(table_.live_count())));
+  }
+  std::ranges::sort(targets);
+  targets.erase(std::ranges::unique(targets).begin(), targets.end());
+  ChangeSelf(call, [](MemberRecord* record) { record->set_state(messages::MEMBER_LEFT); });
+  left_ = true;
+  const auto farewell = MakeHeartbeat({}, false);
+  for (const std::string& name : targets) SendToMember(call, name, farewell);
+}
+
+void Protocol::ChangeSelf(const Call& call, const std::function<void(MemberRecord*)>& change) {
+  MemberRecord record = table_.self();
+  change(&record);
+  table_.SetSelf(record);
+  self_ = ToMember(record);
+  call.output.changed = true;
+  news_.Add(call.now, self_.name);
+}
+
+messages::MembershipMessage Protocol::MakeHeartbeat(const std::vector<std::string>& news,
+                                                    bool wants_reply) const {
+  messages::MembershipMessage message;
+  messages::MembershipHeartbeat& heartbeat = *message.mutable_heartbeat();
+  *heartbeat.mutable_self() = table_.self();
+  for (const std::string& name : news) {
+    const Entry* entry = table_.Find(name);
+    if (entry != nullptr && name != self_.name) *heartbeat.add_news() = entry->record;
+  }
+  heartbeat.set_table_hash(table_.hash());
+  heartbeat.set_wants_reply(wants_reply);
+  return message;
+}
+
+void Protocol::SendToMember(const Call& call, const std::string& name, messages::MembershipMessage message) {
+  if (const Entry* entry = table_.Find(name))
+    SendToAddress(call, entry->record.address(), std::move(message));
+}
+
+void Protocol::SendToAddress(const Call& call, const std::string& address,
+                             messages::MembershipMessage message) {
+  if (address != self_.address) call.output.sends.push_back({address, std::move(message)});
+}
+
+void Protocol::SendTable(const Call& call, const std::string& address, messages::MembershipTable table) {
+  messages::MembershipMessage message;
+  *message.mutable_table() = std::move(table);
+  SendToAddress(call, address, std::move(message));
+}
+
+}  // namespace lichenlug::membership_ring
--- /dev/null
+++ b/tests/system/membership/membership_test.cpp
@@ -0,0 +1,246 @@
+// Members of 10, 100 and 300 machines through the troubles of their days.
+#include "membership/membership.h"
+
+#include <catch2/catch.hpp>
+
+#include "simulated_network.h"
+
+namespace lichenlug::membership_ring {
+namespace {
+
+std::vector<int> Range(int from, int to) {
+  std::vector<int> numbers;
+  for (int i = from; i < to; ++i) numbers.push_back(i);
+  return numbers;
+}
+
+// A network that is up and agrees.
+SimulatedNetwork Started(const NetworkSettings& settings) {
+  SimulatedNetwork network(settings);
+  network.StartAll(300 * kMillisecond);
+  REQUIRE(network.RunUntil([&] { return network.AllAgree(); }, 10 * kSecond));
+  network.RunFor(5 * kSecond);
+  REQUIRE(network.AllAgree());
+  return network;
+}
+
+TEST_CASE("a cold start in any order ends in one table everywhere") {
+  const int members = GENERATE(1, 2, 3, 10, 100, 300);
+  const std::uint64_t seed = GENERATE(1, 2);
+  CAPTURE(members, seed);
+  SimulatedNetwork network({.members = members, .seed = seed});
+  network.StartAll(300 * kMillisecond);
+  CHECK(network.RunUntil([&] { return network.AllAgree(); }, 3 * kSecond));
+  CHECK(network.RunUntil([&] { return network.SameRecords(network.Running()); }, 3 * kSecond));
+}
+
+TEST_CASE("seeds that start last are joined when they do") {
+  SimulatedNetwork network({.members = 10});
+  for (int i = 3; i < 10; ++i) network.Start(i);
+  network.RunFor(10 * kSecond);
+  for (int i = 0; i < 3; ++i) network.Start(i);
+  CHECK(network.RunUntil([&] { return network.AllAgree(); }, 5 * kSecond));
+}
+
+TEST_CASE("one seed is enough to join") {
+  SimulatedNetwork network({.members = 10});
+  for (int i = 2; i < 10; ++i) network.Start(i);
+  CHECK(network.RunUntil([&] { return network.AllAgree(); }, 5 * kSecond));
+}
+
+TEST_CASE("a killed member is dead everywhere within three seconds") {
+  const int members = GENERATE(2, 3, 10, 100, 300);
+  const std::uint64_t seed = GENERATE(1, 2, 3);
+  CAPTURE(members, seed);
+  SimulatedNetwork network = Started({.members = members, .seed = seed});
+  network.Kill(1);
+  CHECK(network.RunUntil([&] { return network.AllAgree(); }, 3200 * kMillisecond));
+  CHECK(network.Objections() == 0);
+  CHECK(network.member(0).DeadSince("member-1"));
+  CHECK_FALSE(network.member(0).DeadSince("member-0"));
+}
+
+TEST_CASE("several members killed at once are all found") {
+  const int members = GENERATE(10, 100, 300);
+  CAPTURE(members);
+  SimulatedNetwork network = Started({.members = members});
+  for (int i = 0; i < members / 2; ++i) network.Kill(i * 2);
+  CHECK(network.RunUntil([&] { return network.AllAgree(); }, 10 * kSecond));
+}
+
+TEST_CASE("a member killed and restarted is known in its new life") {
+  const Time pause = GENERATE(50 * kMillisecond, 500 * kMillisecond, 2 * kSecond, 10 * kSecond);
+  CAPTURE(pause);
+  SimulatedNetwork network = Started({.members = 10});
+  network.Kill(4);
+  network.RunFor(pause);
+  network.Start(4);
+  CHECK(network.RunUntil([&] { return network.SameRecords(network.Running()); }, 2 * kSecond));
+  network.RunFor(5 * kSecond);
+  CHECK(network.SameRecords(network.Running()));
+}
+
+TEST_CASE("a member whose clock went back overrules its earlier life") {
+  const Time pause = GENERATE(500 * kMillisecond, 10 * kSecond);
+  SimulatedNetwork network = Started({.members = 10});
+  const std::uint64_t before = network.member(4).self().incarnation;
+  network.Kill(4);
+  network.RunFor(pause);
+  network.StepClock(4, -60 * kSecond);
+  network.Start(4);
+  CHECK(network.RunUntil([&] { return network.SameRecords(network.Running()); }, 3 * kSecond));
+  CHECK(network.member(4).self().incarnation > before);
+}
+
+TEST_CASE("all members killed at once find each other again") {
+  SimulatedNetwork network = Started({.members = 100});
+  for (const int node : network.Running()) network.Kill(node);
+  network.RunFor(kSecond);
+  network.StartAll(300 * kMillisecond);
+  CHECK(network.RunUntil([&] { return network.SameRecords(network.Running()); }, 5 * kSecond));
+}
+
+TEST_CASE("both sides of a cut declare the other dead and find it again, even with dead seeds") {
+  const int members = GENERATE(4, 10, 100, 300);
+  CAPTURE(members);
+  SimulatedNetwork network = Started({.members = members});
+  const int middle = members / 2;
+  network.SetCut([middle](int from, int to) { return (from < middle) != (to < middle); });
+  CHECK(network.RunUntil(
+      [&] {
+        return network.AllSeeExactly(Range(0, middle)) && network.AllSeeExactly(Range(middle, members));
+      },
+      8 * kSecond));
+  const int first_left = std::min(3, middle - 1);  // the seeds, but one of each side must be left
+  for (int i = 0; i < first_left; ++i) network.Kill(i);
+  network.RunFor(20 * kSecond);
+  network.SetCut(nullptr);
+  CHECK(network.RunUntil([&] { return network.AllAgree(); }, 5 * kSecond));
+  network.RunFor(5 * kSecond);
+  CHECK(network.SameRecords(network.Running()));
+}
+
+TEST_CASE("members declared dead by the other side stay live on their own when the cut heals") {
+  SimulatedNetwork network = Started({.members = 100});
+  network.SetCut([](int from, int to) { return (from < 50) != (to < 50); });
+  network.RunFor(20 * kSecond);
+  network.SetCut(nullptr);
+  const auto own_side_is_whole = [&] {
+    for (int observer = 0; observer < 100; ++observer) {
+      if (!network.SeesAll(observer, observer < 50 ? Range(0, 50) : Range(50, 100))) return false;
+    }
+    return true;
+  };
+  for (int step = 0; step < 100; ++step) {
+    network.RunFor(50 * kMillisecond);
+    REQUIRE(own_side_is_whole());
+  }
+  CHECK(network.AllAgree());
+}
+
+TEST_CASE("a member cut off both ways is dead to the others, and they to it") {
+  const int members = GENERATE(10, 100);
+  CAPTURE(members);
+  SimulatedNetwork network = Started({.members = members});
+  network.SetCut([](int from, int to) { return (from == 5) != (to == 5); });
+  auto others = network.Running();
+  std::erase(others, 5);
+  CHECK(network.RunUntil([&] { return network.AllSeeExactly(others); }, 4 * kSecond));
+  CHECK(network.RunUntil([&] { return network.AllSeeExactly({5}); }, 12 * kSecond));
+  network.SetCut(nullptr);
+  CHECK(network.RunUntil([&] { return network.SameRecords(network.Running()); }, 8 * kSecond));
+}
+
+TEST_CASE("a cut one way between two members leaves them live for all others") {
+  SimulatedNetwork network = Started({.members = 10});
+  network.SetCut([](int from, int to) { return from == 4 && to == 5; });
+  for (int step = 0; step < 200; ++step) {
+    network.RunFor(100 * kMillisecond);
+    REQUIRE(network.AllAgree());
+  }
+  network.SetCut(nullptr);
+  CHECK(network.RunUntil([&] { return network.SameRecords(network.Running()); }, 3 * kSecond));
+}
+
+TEST_CASE("a member that can't be heard is dead to the others; one that can't hear does them no harm") {
+  SimulatedNetwork network = Started({.members = 100});
+  auto others = network.Running();
+  std::erase(others, 7);
+  SECTION("nobody hears it") {
+    network.SetCut([](int from, int) { return from == 7; });
+    CHECK(network.RunUntil([&] { return network.AllSeeExactly(others); }, 4 * kSecond));
+  }
+  SECTION("it hears nobody") {
+    network.SetCut([](int, int to) { return to == 7; });
+    for (int step = 0; step < 100; ++step) {
+      network.RunFor(200 * kMillisecond);
+      for (const int observer : others) REQUIRE(network.SeesAll(observer, others));
+    }
+  }
+  network.SetCut(nullptr);
+  CHECK(network.RunUntil([&] { return network.SameRecords(network.Running()); }, 15 * kSecond));
+}
+
+TEST_CASE("a frozen member is declared dead, accuses nobody when it thaws, and is back soon") {
+  const Time frozen = GENERATE(600 * kMillisecond, 2 * kSecond, 10 * kSecond);
+  CAPTURE(frozen);
+  SimulatedNetwork network = Started({.members = 10});
+  network.Freeze(5);
+  network.RunFor(frozen);
+  auto others = network.Running();
+  std::erase(others, 5);
+  CHECK(network.AllSeeExactly(others) == (frozen > 4 * kSecond));
+  network.Thaw(5);
+  CHECK(network.RunUntil([&] { return network.SameRecords(network.Running()); }, 2 * kSecond));
+  CHECK(network.Objections() <= 1);  // of the frozen one only
+}
+
+TEST_CASE("a member that leaves is gone at once, and comes back") {
+  const int members = GENERATE(2, 10, 100, 300);
+  CAPTURE(members);
+  SimulatedNetwork network = Started({.members = members});
+  network.Leave(1);
+  CHECK(network.RunUntil([&] { return network.AllAgree(); }, 700 * kMillisecond));
+  network.RunFor(kSecond);
+  network.Start(1);
+  CHECK(network.RunUntil([&] { return network.SameRecords(network.Running()); }, 2 * kSecond));
+}
+
+TEST_CASE("a replacement under the same name at another address takes its place") {
+  SimulatedNetwork network = Started({.members = 10});
+  const Time pause = GENERATE(0 * kSecond, 5 * kSecond);
+  network.Kill(4);
+  network.RunFor(pause);
+  const int replacement = network.AddReplacement("member-4");
+  network.Start(replacement);
+  CHECK(network.RunUntil([&] { return network.SameRecords(network.Running()); }, 4 * kSecond));
+  for (const Member& seen : network.member(0).Live()) {
+    if (seen.name == "member-4") CHECK(seen.address == network.AddressOf(replacement));
+  }
+}
+
+TEST_CASE("what a member says of itself reaches all, and the caller is told of the change") {
+  SimulatedNetwork network = Started({.members = 100});
+  MembershipOutput output;
+  network.member(9).UpdateSelf(network.now(), true, "store-9", &output);
+  CHECK(output.changed);
+  CHECK(network.member(9).self().ready);
+  CHECK(network.RunUntil([&] { return network.SameRecords(network.Running()); }, 2 * kSecond));
+  MembershipOutput unchanged;
+  network.member(9).UpdateSelf(network.now(), true, "store-9", &unchanged);
+  CHECK_FALSE(unchanged.changed);
+}
+
+TEST_CASE("ten in a hundred messages lost: nobody is declared dead") {
+  const int members = GENERATE(10, 100);
+  CAPTURE(members);
+  SimulatedNetwork network = Started({.members = members, .loss = 0.1});
+  for (int step = 0; step < 300; ++step) {
+    network.RunFor(200 * kMillisecond);
+    REQUIRE(network.AllAgree());
+  }
+  CHECK(network.Objections() <= static_cast<std::uint64_t>(members / 10));
+}
+
+}  // namespace
+}  // namespace lichenlug::membership_ring
--- /dev/null
+++ b/tests/system/membership/simulated_network.cpp
@@ -0,0 +1,217 @@
+#include "simulated_network.h"
+
+#include <algorithm>
+
+namespace lichenlug::membership_ring {
+namespace {
+
+constexpr Time kShortestDelay = kMillisecond, kDelaySpread = 4 * kMillisecond;
+constexpr Time kTimerLate = kMillisecond;
+
+}  // namespace
+
+SimulatedNetwork::SimulatedNetwork(const NetworkSettings& settings)
+    : settings_(settings), random_(settings.seed) {
+  for (int i = 0; i < settings.members; ++i) AddNode("member-" + std::to_string(i));
+}
+
+void SimulatedNetwork::AddNode(const std::string& name) {
+  const std::size_t number = nodes_.size();
+  Node node;
+  node.name = name;
+  node.address = "10.0." + std::to_string(number / 250) + "." + std::to_string(number % 250 + 1) + ":7660";
+  nodes_.push_back(std::move(node));
+}
+
+int SimulatedNetwork::AddReplacement(const std::string& name) {
+  AddNode(name);
+  return size() - 1;
+}
+
+void SimulatedNetwork::Start(int number) {
+  Node& node = At(number);
+  ++node.life;
+  node.frozen = false;
+  node.held_up.clear();
+  node.timer_at = 0;
+  MembershipSettings settings;
+  settings.self.name = node.name;
+  settings.self.address = node.address;
+  settings.self.control_address = node.address + "0";
+  settings.self.zone = "zone-" + std::to_string(number % 3);
+  settings.self.region = "region";
+  settings.self.counts_for_quorum = number < 3;
+  settings.self.incarnation = static_cast<std::uint64_t>(now_ + node.clock_offset);
+  node.first_incarnation = settings.self.incarnation;
+  settings.seed = random_.Next();
+  for (int i = 0; i < std::min(settings_.seeds, size()); ++i) settings.seed_addresses.push_back(AddressOf(i));
+  node.membership = std::make_unique<Membership>(settings);
+  node.live.reset();
+  MembershipOutput output;
+  node.membership->Start(now_, &output);
+  Transmit(number, output);
+}
+
+void SimulatedNetwork::StartAll(Time within) {
+  std::vector<std::pair<Time, int>> order;
+  for (int i = 0; i < size(); ++i) {
+    order.emplace_back(now_ + static_cast<Time>(random_.Below(static_cast<std::uint64_t>(within + 1))), i);
+  }
+  std::ranges::sort(order);
+  for (const auto& [at, node] : order) {
+    RunFor(at - now_);
+    Start(node);
+  }
+}
+
+void SimulatedNetwork::Kill(int node) {
+  At(node).membership.reset();
+  At(node).held_up.clear();
+}
+
+void SimulatedNetwork::Leave(int node) {
+  MembershipOutput output;
+  At(node).membership->Leave(now_, &output);
+  Transmit(node, output);
+  Kill(node);
+}
+
+void SimulatedNetwork::Freeze(int node) { At(node).frozen = true; }
+
+void SimulatedNetwork::Thaw(int number) {
+  Node& node = At(number);
+  node.frozen = false;
+  for (const auto& [from, bytes] : std::exchange(node.held_up, {})) Deliver(number, from, bytes);
+  Tick(number);
+}
+
+void SimulatedNetwork::Transmit(int from, const MembershipOutput& output) {
+  if (output.changed) At(from).live.reset();
+  for (const MembershipSend& send : output.sends) {
+    messages::MembershipMessage message = send.message;
+    if (mutator_) std::exchange(mutator_, nullptr)(&message);
+    ++messages_sent_;
+    std::string bytes = message.SerializeAsString();
+    bytes_sent_ += bytes.size();
+    const int to = NodeAt(send.address);
+    const bool lost = static_cast<double>(random_.Below(1'000'000)) < settings_.loss * 1e6;
+    if (to < 0 || lost || !IsRunning(to) || (cut_ && cut_(from, to))) continue;
+    const Time delay = kShortestDelay + static_cast<Time>(random_.Below(kDelaySpread));
+    events_.push({now_ + delay, ++numbers_, to, At(to).life, AddressOf(from), std::move(bytes)});
+  }
+  SetTimer(from);
+}
+
+void SimulatedNetwork::SetTimer(int number) {
+  Node& node = At(number);
+  if (node.membership == nullptr) return;
+  const auto next = node.membership->NextTimer();
+  if (!next || (node.timer_at > now_ && node.timer_at <= *next)) return;
+  node.timer_at = std::max(*next, now_) + kTimerLate;
+  events_.push({node.timer_at, ++numbers_, number, node.life, {}, {}});
+}
+
+void SimulatedNetwork::Deliver(int number, const std::string& from, const std::string& bytes) {
+  messages::MembershipMessage message;
+  if (!message.ParseFromString(bytes)) return;
+  MembershipOutput output;
+  At(number).membership->Receive(now_, from, message, &output);
+  Transmit(number, output);
+}
+
+void SimulatedNetwork::Tick(int number) {
+  At(number).timer_at = 0;
+  MembershipOutput output;
+  At(number).membership->Tick(now_, &output);
+  Transmit(number, output);
+}
+
+void SimulatedNetwork::Handle(const Event& event) {
+  Node& node = At(event.node);
+  if (node.membership == nullptr || node.life != event.life) return;
+  if (event.from.empty()) {
+    if (!node.frozen && node.timer_at == event.at) Tick(event.node);
+  } else if (node.frozen) {
+    node.held_up.emplace_back(event.from, event.bytes);
+  } else {
+    Deliver(event.node, event.from, event.bytes);
+  }
+}
+
+void SimulatedNetwork::RunFor(Time span) {
+  const Time end = now_ + span;
+  while (!events_.empty() && events_.top().at <= end) {
+    const Event event = events_.top();
+    events_.pop();
+    now_ = event.at;
+    Handle(event);
+  }
+  now_ = end;
+}
+
+std::optional<Time> SimulatedNetwork::RunUntil(const std::function<bool()>& condition, Time longest) {
+  const Time start = now_;
+  while (!condition()) {
+    if (now_ - start >= longest) return std::nullopt;
+    RunFor(10 * kMillisecond);
+  }
+  return now_ - start;
+}
+
+std::vector<int> SimulatedNetwork::Running() const {
+  std::vector<int> running;
+  for (int i = 0; i < size(); ++i) {
+    if (IsRunning(i)) running.push_back(i);
+  }
+  return running;
+}
+
+const std::vector<Member>& SimulatedNetwork::LiveOf(int node) const {
+  const Node& observer = nodes_[static_cast<std::size_t>(node)];
+  if (!observer.live) observer.live = observer.membership->Live();
+  return *observer.live;
+}
+
+bool SimulatedNetwork::Sees(int observer, int other) const {
+  return std::ranges::binary_search(LiveOf(observer), NameOf(other), {}, &Member::name);
+}
+
+bool SimulatedNetwork::SeesAll(int observer, const std::vector<int>& others) const {
+  return std::ranges::all_of(others, [&](int other) { return Sees(observer, other); });
+}
+
+bool SimulatedNetwork::SeesExactly(int observer, const std::vector<std::string>& sorted_names) const {
+  return std::ranges::equal(LiveOf(observer), sorted_names, {}, &Member::name);
+}
+
+bool SimulatedNetwork::AllSeeExactly(const std::vector<int>& group) const {
+  std::vector<std::string> names;
+  for (const int node : group) names.push_back(NameOf(node));
+  std::ranges::sort(names);
+  return std::ranges::all_of(group, [&](int node) { return SeesExactly(node, names); });
+}
+
+bool SimulatedNetwork::SameRecords(const std::vector<int>& group) const {
+  std::vector<Member> truth;
+  for (const int node : group) truth.push_back(member(node).self());
+  std::ranges::sort(truth, {}, &Member::name);
+  return std::ranges::all_of(group, [&](int node) { return LiveOf(node) == truth; });
+}
+
+std::uint64_t SimulatedNetwork::Objections() const {
+  std::uint64_t sum = 0;
+  for (const int node : Running()) {
+    sum += member(node).self().incarnation - nodes_[static_cast<std::size_t>(node)].first_incarnation;
+  }
+  return sum;
+}
+
+int SimulatedNetwork::NodeAt(const std::string& address) const {
+  // The newest machine at an address has it.
+  for (int i = size() - 1; i >= 0; --i) {
+    if (nodes_[static_cast<std::size_t>(i)].address == address) return i;
+  }
+  return -1;
+}
+
+}  // namespace lichenlug::membership_ring
--- /dev/null
+++ b/tests/system/membership/simulated_network.h
@@ -0,0 +1,111 @@
+// Members in virtual time on a network that delays, loses and cuts: the same run from the same seed.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "membership/membership.h"
+#include "membership/random.h"
+
+namespace lichenlug::membership_ring {
+
+struct NetworkSettings {
+  int members = 10;
+  int seeds = 3;
+  std::uint64_t seed = 1;
+  double loss = 0;
+};
+
+class SimulatedNetwork {
+ public:
+  using Mutator = std::function<void(messages::MembershipMessage*)>;
+
+  explicit SimulatedNetwork(const NetworkSettings& settings);
+
+  Time now() const { return now_; }
+  int size() const { return static_cast<int>(nodes_.size()); }
+
+  void Start(int node);        // a new life of the process
+  void StartAll(Time within);  // in random order
+  void Kill(int node);
+  void Leave(int node);  // SIGTERM: says so, then ends
+  void Freeze(int node);
+  void Thaw(int node);
+  int AddReplacement(const std::string& name);  // a machine at a new address; not started
+  void SetCut(std::function<bool(int from, int to)> cut) { cut_ = std::move(cut); }
+  void SetLoss(double loss) { settings_.loss = loss; }
+  void StepClock(int node, Time by) { nodes_[static_cast<std::size_t>(node)].clock_offset += by; }
+  void MutateNext(Mutator mutator) { mutator_ = std::move(mutator); }
+
+  void RunFor(Time span);
+  // Runs until the condition holds, looked at each 10 ms. The time it took, or none.
+  std::optional<Time> RunUntil(const std::function<bool()>& condition, Time longest);
+
+  const Membership& member(int node) const { return *nodes_[static_cast<std::size_t>(node)].membership; }
+  Membership& member(int node) { return *nodes_[static_cast<std::size_t>(node)].membership; }
+  bool IsRunning(int node) const { return nodes_[static_cast<std::size_t>(node)].membership != nullptr; }
+  std::string NameOf(int node) const { return nodes_[static_cast<std::size_t>(node)].name; }
+  std::string AddressOf(int node) const { return nodes_[static_cast<std::size_t>(node)].address; }
+  std::vector<int> Running() const;
+
+  bool Sees(int observer, int other) const;
+  bool SeesAll(int observer, const std::vector<int>& others) const;
+  bool AllSeeExactly(const std::vector<int>& group) const;  // each of the group sees the group, and only it
+  bool AllAgree() const { return AllSeeExactly(Running()); }
+  bool SameRecords(const std::vector<int>& group) const;  // also the same, true fields
+
+  std::uint64_t bytes_sent() const { return bytes_sent_; }
+  std::uint64_t messages_sent() const { return messages_sent_; }
+  std::uint64_t Objections() const;  // of running members in their present lives
+
+ private:
+  struct Node {
+    std::string name, address;
+    std::unique_ptr<Membership> membership;
+    std::uint64_t life = 0, first_incarnation = 0;
+    Time clock_offset = 0;
+    Time timer_at = 0;
+    bool frozen = false;
+    mutable std::optional<std::vector<Member>> live;  // as of the last change that the member reported
+    std::vector<std::pair<std::string, std::string>> held_up;  // sender's address and bytes, while frozen
+  };
+  struct Event {
+    Time at;
+    std::uint64_t number;
+    int node;
+    std::uint64_t life;
+    std::string from;   // empty: a timer
+    std::string bytes;  // of the message
+    bool operator>(const Event& other) const {
+      return std::tie(at, number) > std::tie(other.at, other.number);
+    }
+  };
+
+  const std::vector<Member>& LiveOf(int node) const;
+  bool SeesExactly(int observer, const std::vector<std::string>& sorted_names) const;
+  Node& At(int node) { return nodes_[static_cast<std::size_t>(node)]; }
+  void AddNode(const std::string& name);
+  void Transmit(int from, const MembershipOutput& output);
+  void Deliver(int node, const std::string& from, const std::string& bytes);
+  void Tick(int node);
+  void SetTimer(int node);
+  void Handle(const Event& event);
+  int NodeAt(const std::string& address) const;
+
+  NetworkSettings settings_;
+  Random random_;
+  std::vector<Node> nodes_;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+  std::function<bool(int, int)> cut_;
+  Mutator mutator_;
+  Time now_ = 1'700'000'000 * kSecond;
+  std::uint64_t numbers_ = 0, bytes_sent_ = 0, messages_sent_ = 0;
+};
+
+}  // namespace lichenlug::membership_ring
