--- a/src/controlplane/duty_service.cpp
+++ b/src/controlplane/duty_service.cpp
@@ -1,6 +1,7 @@
 #include "controlplane/duty_service.h"
 
 #include <glog/logging.h>
+#define XXH_INLINE_ALL
 #include <xxhash.h>
 
 #include <utility>
