Test the placement under every trouble, and spread busy models to empty runners

Simulated crashes, silence, lost and late orders, changes of the holder and single mutations of answers and records; an unload is taken as done on the runner's report alone, as a heartbeat may show it when it begins.

--- a/src/placement/eviction.cpp
+++ b/src/placement/eviction.cpp
@@ -15,6 +15,7 @@
 constexpr double kBusySpareCopy = 1.5, kBusySpareShare = 0.2;  // the others bear its demand
 constexpr double kBusyCopy = 10;
 constexpr double kRareLast = 15, kRareArrival = 10;  // the only copy of one that is seldom asked for
+constexpr Time kLeastStay = 15 * kSecond;  // from its assignment, so that such models take turns slowly
 constexpr double kSparedFill = 0.5;
 constexpr double kBusyArrivals = 0.3;  // a second: its only copy is never unloaded
 
@@ -34,6 +35,10 @@
     return spare ? kBusySpareCopy + kBusySpareShare * share : kBusyCopy + share;
   }
   if (demand.running > 0.5 || demand.arrivals_per_s >= kBusyArrivals || demand.unserved > 0) return kNever;
+  if (demand.present() && context.placed) {
+    const auto placed = context.placed->find(key);
+    if (placed != context.placed->end() && context.now - placed->second < kLeastStay) return kNever;
+  }
   if (demand.present()) return kRareLast + kRareArrival * demand.arrivals_per_s;
   return kIdleLast + kJustIdleLast * std::exp(-IdleTime(context, demand) / kIdleFade);
 }
--- a/src/placement/eviction.h
+++ b/src/placement/eviction.h
@@ -13,6 +13,7 @@
   const Catalog* catalog = nullptr;
   const DemandTable* demand = nullptr;
   FleetView* view = nullptr;
+  const std::map<Key, Time>* placed = nullptr;  // when what stood nowhere was last assigned to a runner
 };
 
 struct Victims {
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -38,7 +38,8 @@
 
 void Placement::Impl::Observe(Time now, const std::vector<messages::RunnerRecord>& records) {
   for (const messages::RunnerRecord& record : records) {
-    if (record.service() != settings_.service || record.runner_id().empty()) continue;
+    if (record.service() != settings_.service || record.runner_id().empty() || record.address().empty())
+      continue;
     auto it = runners_.find(record.runner_id());
     if (it == runners_.end()) {
       if (runners_.size() >= kMostRunners) continue;
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -13,8 +13,10 @@
 constexpr double kLess = 0.8, kClearlyLess = 0.5;  // another runner's load against that of the holders
 constexpr double kAnyFill = std::numeric_limits<double>::infinity();
 constexpr double kSafeArrivals = 3;  // a second, from which the loss of an only copy costs more than a load
+constexpr double kBusyArrivals = 1;  // a second, from which a model is worth the free room of idle runners
 constexpr double kMissedArrivals = 0.2;  // a second, from which a missing key needs no refused request
 constexpr Time kUrgentAfter = 500 * kMillisecond, kOptionalAfter = 3 * kSecond;
+constexpr Time kRememberPlaced = 60 * kSecond;
 constexpr std::size_t kRunnersPerOptional = 8;
 constexpr std::size_t kMostRefused = 1000;
 constexpr double kFillCost = 3, kColdCost = 1, kZoneCost = 0.3, kAdapterCost = 0.05, kOrderCost = 0.1;
@@ -58,7 +60,9 @@
   return it != refused_.end() && now < it->second;
 }
 
-std::vector<Assignment> Planner::Plan(const PlanContext& context) {
+std::vector<Assignment> Planner::Plan(PlanContext context) {
+  context.placed = &placed_;
+  std::erase_if(placed_, [&](const auto& entry) { return context.now - entry.second > kRememberPlaced; });
   std::vector<Assignment> assignments;
   wishes_.clear();
   std::size_t pending = 0;
@@ -121,6 +125,11 @@
   if (fill > kFull && share > kLargeShare) return {copies + 1, Urgency::kRelief, fill * kClearlyLess, ""};
   if (fill > kBusy && share > kLargeShare) return {copies + 1, Urgency::kSpare, fill * kClearlyLess, ""};
   if (copies == 1 && demand.arrivals_per_s > kSafeArrivals) return {2, Urgency::kSpare, kFull, ""};
+  if (key.is_model() && demand.arrivals_per_s >= kBusyArrivals) {
+    // For runners that came back empty.
+    const double mean = context.demand->running() / slots / static_cast<double>(context.view->runners.size());
+    return {copies + 1, Urgency::kSpare, mean * kClearlyLess, ""};
+  }
   return {copies, Urgency::kSpare, 0, ""};
 }
 
@@ -154,6 +163,7 @@
   if (!best) return false;
   context.view->runners[*best].available = false;
   context.view->Expect(*best, key);
+  if (urgency == Urgency::kAsked) placed_[key] = context.now;
   pass.assignments->push_back({*best, {key, urgency, context.now}});
   return true;
 }
--- a/src/placement/planner.h
+++ b/src/placement/planner.h
@@ -24,7 +24,8 @@
   // Keys that a runner refused as invalid are left out until then.
   void Refuse(const Key& key, Time until);
 
-  std::vector<Assignment> Plan(const PlanContext& context);
+  std::vector<Assignment> Plan(PlanContext context);
+  const std::map<Key, Time>& placed() const { return placed_; }
 
   // How many runners were wanted for each key at the last plan, and what hinders, for the operator.
   struct Wish {
@@ -54,6 +55,7 @@
   std::map<Key, Wish> wishes_;
   std::map<Key, Time> short_since_;  // of copies
   std::map<Key, Time> refused_;
+  std::map<Key, Time> placed_;  // what stood nowhere, when it was last assigned
   std::map<std::string, bool>
       crowded_;  // models whose runners have no place for an adapter that is asked for
 };
--- a/src/placement/runner_ledger.cpp
+++ b/src/placement/runner_ledger.cpp
@@ -11,7 +11,7 @@
 constexpr Time kReportLag = 150 * kMillisecond;  // a report shows the state of some time ago
 constexpr Time kMostBusyWait = 2 * kSecond, kOtherRunnerWait = 2 * kSecond, kUnusableWait = 5 * kSecond;
 constexpr Time kShortWork = 100 * kMillisecond;
-constexpr int kEarlyAsks = 3;         // before the heartbeats are left to tell
+constexpr int kEarlyAsks = 5;         // before the heartbeats are left to tell
 constexpr int kMostStaleReports = 3;  // in a row, before they are believed
 constexpr Time kLateAskEvery = 3 * kSecond;
 constexpr int kWorkTimeFactor = 3;
@@ -42,14 +42,11 @@
   return true;
 }
 
-// The order under way is done if a heartbeat after it shows so.
+// The load under way is done if a heartbeat after it shows so.
 void RunnerLedger::Finish() {
   if (!record_tells_ || record_.call_count() <= record_at_order_ || !told_.Shows(*under_way_)) return;
   HeldSet held = confirmed_;
-  if (under_way_->kind == Order::Kind::kLoad)
-    held.Add(under_way_->key);
-  else
-    held.Remove(under_way_->key);
+  held.Add(under_way_->key);
   Confirm(held);
 }
 
@@ -113,7 +110,8 @@
   ordered_at_ = now;
   work_time_ = work_time;
   record_at_order_ = record_.call_count();
-  record_tells_ = !told_.Shows(order);
+  // That an unload is done, and not only begun, a report alone tells.
+  record_tells_ = order.kind == Order::Kind::kLoad && !told_.Shows(order);
   asks_ = 0;
   asked_at_ = 0;
 }
--- a/src/placement/runner_ledger.h
+++ b/src/placement/runner_ledger.h
@@ -69,7 +69,7 @@
   std::uint64_t orders_taken_ = 0;
   std::optional<Order> under_way_;  // sent, and not known to be done or refused
   HeldSet unanswered_;         // loads that may still arrive while the runner's number is `orders_taken_`
-  bool record_tells_ = false;  // the record didn't show the effect yet when the order was sent
+  bool record_tells_ = false;  // a heartbeat can show that the order under way is done
   bool awaits_report_ = false;
   std::uint64_t load_ = 0;
   std::uint64_t settled_load_ = 0;
--- a/src/placement/steps.cpp
+++ b/src/placement/steps.cpp
@@ -25,7 +25,7 @@
   DropIntents(now);
   view_ = View(now);
   EstimateLoads(demand_, catalog_.slots(), &view_);
-  const PlanContext context{now, &catalog_, &demand_, &view_};
+  const PlanContext context{now, &catalog_, &demand_, &view_, &planner_.placed()};
   for (const Assignment& assignment : planner_.Plan(context))
     runners_.at(view_.runners[assignment.runner].id).intent = assignment.intent;
   if (!settings_.scale || !input.service->has_fleet()) return;
@@ -116,8 +116,8 @@
   view.id = id;
   view.held = ledger.held();
   view.may_hold = ledger.MayHold();
-  const auto victims =
-      FindVictims({now, &catalog_, &demand_, &view_}, view, target, MostValue(intent.urgency));
+  const auto victims = FindVictims({now, &catalog_, &demand_, &view_, &planner_.placed()}, view, target,
+                                   MostValue(intent.urgency));
   if (!victims || victims->keys.empty()) {
     runner->intent.reset();
     return;
--- /dev/null
+++ b/tests/system/placement/faults_test.cpp
@@ -0,0 +1,201 @@
+// Placement under crashes, silence, lost and late orders and changes of the holder, from seeds.
+#include <catch2/catch.hpp>
+#include <random>
+#include <set>
+
+#include "simulated_fleet.h"
+
+namespace lichenlug::placement {
+namespace {
+
+void RequireUnbroken(const SimulatedFleet& fleet, std::uint64_t seed) {
+  INFO("seed " << seed);
+  REQUIRE((fleet.broken().empty() ? std::string() : fleet.broken().front()) == "");
+}
+
+// Something happens about every two seconds.
+void Trouble(SimulatedFleet* fleet, std::mt19937_64* random, bool failovers) {
+  const auto below = [&](std::uint64_t most) { return static_cast<std::size_t>((*random)() % most); };
+  const std::size_t runner = below(fleet->runners().size());
+  const int models = fleet->service().engine().models_size();
+  switch (below(failovers ? 8 : 6)) {
+    case 0:
+      return fleet->Crash(runner, kSecond + static_cast<Time>(below(4)) * kSecond);
+    case 1:
+      return fleet->AskZipf(60 + static_cast<double>(below(400)), static_cast<int>(below(30)), 30);
+    case 2:
+    case 3: {  // rare models are asked for at once
+      for (int i = 0; i < 6; ++i) fleet->Ask({fleet->ModelName(static_cast<int>(below(models))), ""}, 0.5);
+      return;
+    }
+    case 4: {
+      const int model = static_cast<int>(below(models)) / 3 * 3;
+      for (int i = 0; i < 5; ++i)
+        fleet->Ask({fleet->ModelName(model), "a" + std::to_string(1 + below(12))}, 1);
+      return;
+    }
+    case 5:
+      return fleet->Silence(runner, !fleet->runners()[runner].silent);
+    default:
+      return fleet->FailOver(3200 * kMillisecond + static_cast<Time>(below(2000)) * kMillisecond);
+  }
+}
+
+TEST_CASE("limits hold through every trouble") {
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    SimulationOptions options;
+    options.seed = seed;
+    options.lost_request = seed % 3 == 0 ? 0.1 : 0.01;
+    options.lost_answer = seed % 4 == 0 ? 0.2 : 0.02;
+    options.late_request = seed % 5 == 0 ? 0.15 : 0.01;
+    options.fences_checked = seed % 2 == 0;
+    SimulatedFleet fleet(options);
+    fleet.AskZipf(60, 0, 15);
+    std::mt19937_64 random(seed);
+    for (int i = 0; i < 40; ++i) {
+      fleet.Run(static_cast<Time>(500 + random() % 3000) * kMillisecond);
+      Trouble(&fleet, &random, true);
+    }
+    RequireUnbroken(fleet, seed);
+  }
+}
+
+// The fewest seconds between changes of the holder, all at work at the ceiling.
+TEST_CASE("the ceiling of loads holds across changes of the holder") {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    SimulationOptions options;
+    options.seed = seed;
+    options.runners = 40;
+    options.models = 120;
+    options.filled = false;
+    SimulatedFleet fleet(options);
+    for (int i = 0; i < options.models; ++i) fleet.Ask({fleet.ModelName(i), ""}, 1);
+    for (int i = 0; i < 8; ++i) {
+      fleet.Run(static_cast<Time>(3 + i) * kSecond);
+      fleet.FailOver(3100 * kMillisecond);
+    }
+    RequireUnbroken(fleet, seed);
+    CHECK(fleet.loads() > 40);
+  }
+}
+
+TEST_CASE("a model lost by a crash stands again soon") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    SimulationOptions options;
+    options.seed = seed;
+    SimulatedFleet fleet(options);
+    fleet.AskZipf(60, 0, 15);
+    fleet.Run(10 * kSecond);
+    fleet.Crash(seed % 9, 3 * kSecond);
+    fleet.Run(10 * kSecond);
+    fleet.ResetCounts();
+    fleet.Run(10 * kSecond);
+    INFO("seed " << seed);
+    CHECK(fleet.unserved_share() < 0.002);
+    RequireUnbroken(fleet, seed);
+  }
+}
+
+TEST_CASE("a runner that comes back empty gets busy models, one at a time") {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    SimulationOptions options;
+    options.seed = seed;
+    SimulatedFleet fleet(options);
+    fleet.AskZipf(60, 0, 15);
+    fleet.Run(20 * kSecond);
+    fleet.Crash(8, 2 * kSecond);
+    fleet.Run(20 * kSecond);
+    INFO("seed " << seed);
+    CHECK(fleet.runners()[8].held.models().size() >= 1);
+    fleet.ResetCounts();
+    fleet.Run(30 * kSecond);
+    CHECK(fleet.orders() == 0);
+    RequireUnbroken(fleet, seed);
+  }
+}
+
+TEST_CASE("a shift of demand and a burst of rare models are followed") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    SimulationOptions options;
+    options.seed = seed;
+    options.runners = 18;
+    options.slots = 32;
+    options.models = 64;
+    options.loads_per_s = 5.7;
+    SimulatedFleet fleet(options);
+    fleet.AskZipf(110, 0, 25);
+    fleet.Run(10 * kSecond);
+    fleet.AskZipf(110, 20, 25);
+    for (int i = 50; i < 58; ++i) fleet.Ask({fleet.ModelName(i), ""}, 0.7);
+    fleet.Run(8 * kSecond);
+    fleet.ResetCounts();
+    fleet.Run(20 * kSecond);
+    INFO("seed " << seed << " orders " << fleet.orders() << " loads " << fleet.loads());
+    CHECK(fleet.unserved_share() < 0.01);
+    RequireUnbroken(fleet, seed);
+  }
+}
+
+// More models than there is room for: they take turns, at a bounded number of loads.
+TEST_CASE("no model starves when not all in demand fit") {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    SimulationOptions options;
+    options.seed = seed;
+    SimulatedFleet fleet(options);
+    for (int i = 0; i < 30; ++i) fleet.Ask({fleet.ModelName(i), ""}, i < 3 ? 20 : 0.2);
+    fleet.Run(20 * kSecond);
+    fleet.ResetCounts();
+    std::set<int> stood;
+    for (int step = 0; step < 400; ++step) {
+      fleet.Run(100 * kMillisecond);
+      for (int i = 0; i < 30; ++i)
+        if (fleet.Stands({fleet.ModelName(i), ""})) stood.insert(i);
+    }
+    INFO("seed " << seed << " orders " << fleet.orders() << " loads " << fleet.loads());
+    CHECK(stood.size() == 30);
+    CHECK(fleet.loads() <= 72);  // 27 places, each taken anew every 15 s at most
+    RequireUnbroken(fleet, seed);
+  }
+}
+
+TEST_CASE("a drained runner and a silent one get no orders") {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    SimulationOptions options;
+    options.seed = seed;
+    options.filled = false;
+    SimulatedFleet fleet(options);
+    fleet.Drain(0);
+    fleet.Run(2 * kSecond);
+    const std::string drained = fleet.runners()[0].address;
+    bool ordered = false;
+    fleet.on_call = [&](const duties::HttpCall& call) { ordered = ordered || call.address == drained; };
+    fleet.AskZipf(300, 0, 15);
+    fleet.Run(20 * kSecond);
+    CHECK_FALSE(ordered);
+    CHECK(fleet.loads() > 5);
+  }
+}
+
+TEST_CASE("adapters that are asked for are loaded, and give way to others when idle") {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    SimulationOptions options;
+    options.seed = seed;
+    SimulatedFleet fleet(options);
+    fleet.Ask({"m3", ""}, 5);
+    fleet.Run(3 * kSecond);
+    for (int first : {1, 7}) {
+      for (int i = first; i < first + 6; ++i) fleet.Ask({"m3", "a" + std::to_string(i)}, 1);
+      fleet.Run(6 * kSecond);
+      for (int i = first; i < first + 6; ++i) {
+        INFO("seed " << seed << " adapter " << i);
+        CHECK(fleet.Stands({"m3", "a" + std::to_string(i)}));
+        fleet.Ask({"m3", "a" + std::to_string(i)}, 0);
+      }
+      fleet.Run(15 * kSecond);
+    }
+    RequireUnbroken(fleet, seed);
+  }
+}
+
+}  // namespace
+}  // namespace lichenlug::placement
--- a/tests/system/placement/placement_test.cpp
+++ b/tests/system/placement/placement_test.cpp
@@ -37,8 +37,7 @@
     SimulationOptions options;
     options.seed = seed;
     SimulatedFleet fleet(options);
-    fleet.AskZipf(60, 0);
-    for (int i = 6; i < options.models; ++i) fleet.Ask({fleet.ModelName(i), ""}, 0);
+    fleet.AskZipf(60, 0, 6);
     fleet.Run(kSettled);
     const std::string missing = FirstMissing(&fleet);
     REQUIRE(missing != "");
@@ -54,7 +53,7 @@
     SimulationOptions options;
     options.seed = seed;
     SimulatedFleet fleet(options);
-    fleet.AskZipf(90, 0);
+    fleet.AskZipf(90, 0, 15);
     fleet.Run(30 * kSecond);
     fleet.ResetCounts();
     fleet.Run(60 * kSecond);
--- a/tests/system/placement/simulated_fleet.cpp
+++ b/tests/system/placement/simulated_fleet.cpp
@@ -1,16 +1,13 @@
 #include "simulated_fleet.h"
 
 #include <cmath>
-#include <nlohmann/json.hpp>
 
 namespace lichenlug::placement {
 namespace {
 
-using nlohmann::json;
-
 constexpr Time kStep = 10 * kMillisecond, kHeartbeat = 1200 * kMillisecond, kReportEvery = 250 * kMillisecond;
 constexpr Time kLostAfter = 2500 * kMillisecond, kOriginWindow = 5 * kSecond;
-constexpr double kOverage = 1.1, kCapacity = 200000;
+constexpr double kCapacity = 200000;
 
 messages::Service MakeService(const SimulationOptions& options) {
   messages::Service service;
@@ -56,8 +53,7 @@
     Heartbeat(&runner);
   }
   reports_.resize(3);
-  FailOver(0);
-  epoch_ = 1;
+  placement_ = NewHolder();
 }
 
 void SimulatedFleet::Run(Time span) {
@@ -102,12 +98,13 @@
     held.set_name(model);
     for (const std::string& adapter : adapters) held.add_adapters(adapter);
   }
+  if (mutate_record) mutate_record(&record);
   At(now_ + Between(kMillisecond, 60 * kMillisecond), [this, record] {
     messages::RunnerRecord& known = records_[record.runner_id()];
     messages::RunnerRecord same = record;
     same.set_call_count(known.call_count());
     if (record.call_count() > known.call_count() && same.SerializeAsString() != known.SerializeAsString())
-      known = record;
+      known = record, input_changed_ = true;
   });
 }
 
@@ -115,18 +112,21 @@
   asked_for_[key] = {requests_per_s, work_s, 0};
 }
 
-void SimulatedFleet::AskZipf(double requests_per_s, int first_model) {
+void SimulatedFleet::AskZipf(double requests_per_s, int first_model, int models) {
   asked_for_.clear();
   double sum = 0;
-  for (int i = 0; i < options_.models; ++i) sum += 1 / std::pow(i + 1, 1.5);
-  for (int i = 0; i < options_.models; ++i)
+  for (int i = 0; i < models; ++i) sum += 1 / std::pow(i + 1, 1.5);
+  for (int i = 0; i < models; ++i)
     Ask({ModelName((first_model + i) % options_.models), ""}, requests_per_s / std::pow(i + 1, 1.5) / sum);
 }
 
 void SimulatedFleet::Crash(std::size_t number, Time away) {
   SimulatedRunner& runner = runners_[number];
   const std::string lost = runner.id;
-  At(now_ + kLostAfter, [this, lost] { records_.erase(lost); });
+  At(now_ + kLostAfter, [this, lost] {
+    records_.erase(lost);
+    input_changed_ = true;
+  });
   SimulatedRunner fresh;
   fresh.id = "r" + std::to_string(starts_++);
   fresh.address = runner.address;
@@ -155,6 +155,7 @@
   }
   if (now_ < next_report_) return;
   next_report_ = now_ + kReportEvery;
+  input_changed_ = true;
   for (std::size_t i = 0; i < reports_.size(); ++i) {
     messages::DemandReport& report = reports_[i];
     report.Clear();
@@ -175,23 +176,29 @@
   }
 }
 
-void SimulatedFleet::FailOver(Time pause, bool /*returns_orders*/) {
-  holds_ = pause == 0;
-  ++epoch_;
-  const std::uint64_t epoch = epoch_;
-  At(now_ + pause, [this, epoch] {
-    if (epoch != epoch_) return;
-    holds_ = true;
-  });
+std::unique_ptr<Placement> SimulatedFleet::NewHolder() {
   Placement::Settings settings;
   settings.service = "llm";
-  holder_ = settings.holder = "d" + std::to_string(holders_++);
+  settings.holder = "d" + std::to_string(holders_++);
   settings.seed = options_.seed;
   settings.origin_window = kOriginWindow;
-  placement_ = std::make_unique<Placement>(settings);
+  return std::make_unique<Placement>(settings);
+}
+
+void SimulatedFleet::FailOver(Time pause) {
+  holds_ = false;
+  input_changed_ = true;
+  const std::uint64_t epoch = ++epoch_;
+  At(now_ + pause, [this, epoch] {
+    if (epoch == epoch_) holds_ = input_changed_ = true;
+  });
+  placement_ = NewHolder();
 }
 
 void SimulatedFleet::StepHolder() {
+  const std::optional<Time> timer = placement_->NextTimer();
+  if (!input_changed_ && (!timer || *timer > now_)) return;
+  input_changed_ = false;
   std::vector<messages::RunnerRecord> records;
   for (const auto& [id, record] : records_) records.push_back(record);
   Placement::Input input;
--- a/tests/system/placement/simulated_fleet.h
+++ b/tests/system/placement/simulated_fleet.h
@@ -46,12 +46,11 @@
 
   void Run(Time span);
   void Ask(const Key& key, double requests_per_s, double work_s = 1);  // 0: no more
-  void AskZipf(double requests_per_s, int first_model);
+  void AskZipf(double requests_per_s, int first_model, int models);
   void Crash(std::size_t runner, Time away);  // comes back empty
   void Drain(std::size_t runner) { runners_[runner].draining = true; }
   void Silence(std::size_t runner, bool silent) { runners_[runner].silent = silent; }
-  void FailOver(Time pause,
-                bool returns_orders = true);  // another holder, with nothing known, after the pause
+  void FailOver(Time pause);  // another holder, with nothing known, after the pause
 
   bool Stands(const Key& key) const;  // at a ready runner
   double unserved_share() const { return unserved_ / std::max(1.0, asked_); }
@@ -67,6 +66,8 @@
   std::string ModelName(int number) const { return "m" + std::to_string(number); }
   // Changes an answer before it is told.
   std::function<void(duties::HttpResult*)> mutate;
+  // Changes a record before it is told.
+  std::function<void(messages::RunnerRecord*)> mutate_record;
   std::function<void(const duties::HttpCall&)> on_call;
 
  private:
@@ -90,6 +91,7 @@
   void Heartbeat(SimulatedRunner* runner);
   void StepClients();
   void StepHolder();
+  std::unique_ptr<Placement> NewHolder();
   void Send(const duties::HttpCall& call);
   duties::HttpResult Serve(const duties::HttpCall& call, bool late);
   duties::HttpResult Take(SimulatedRunner* runner, const duties::HttpCall& call, bool late);
@@ -109,10 +111,10 @@
   std::priority_queue<Event> events_;
   std::uint64_t event_number_ = 0, report_number_ = 0;
   std::unique_ptr<Placement> placement_;
-  std::string holder_ = "d0";
   std::uint64_t epoch_ = 1;
   int starts_ = 0, holders_ = 0;
   bool holds_ = true;
+  bool input_changed_ = true;
   Time now_ = 1000 * kSecond;
   Time next_report_ = 0;
   int orders_ = 0, loads_ = 0, probes_ = 0;
