Add ownership of duties: a lease observed in a register, with epochs

One dispatcher at a time may act on a duty, also through freezes, lost answers and clocks that run apart. A lease counts from the start of a chosen renewal; another takes over what it has seen unchanged for a whole lease and a margin; a former holder, and a fresh process, wait a whole lease before they take again.

--- /dev/null
+++ b/src/duties/ownership.cpp
@@ -0,0 +1,290 @@
+#include "duties/ownership.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include "duties/agreed_order.h"
+#include "duties/ownership_changes.h"
+
+namespace lichenlug::duties {
+namespace {
+
+using messages::OwnershipState;
+using messages::WindowCount;
+
+constexpr Time kMargin = 400 * kMillisecond;  // for clocks that do not run alike
+constexpr Time kReadEvery = 500 * kMillisecond;
+constexpr Time kRetryAfter = 150 * kMillisecond;
+constexpr Time kLongestOperation = kSecond;
+constexpr int kRenewalsInLease = 3;
+
+enum class Kind { kRead, kTakeOver, kRenew, kGiveUp };
+
+struct Operation {
+  Kind kind = Kind::kRead;
+  std::uint64_t tag = 0;
+  Time started_at = 0;
+  Time give_up_at = 0;
+};
+struct Plan {
+  Kind kind = Kind::kRead;
+  Time at = 0;
+};
+
+}  // namespace
+
+class Ownership::Impl {
+ public:
+  explicit Impl(OwnershipSettings settings)
+      : settings_(std::move(settings)),
+        self_{settings_.self_name, settings_.self_incarnation},
+        random_(settings_.seed) {}
+
+  void SetMembers(Time now, const std::vector<Member>& live, bool wanted) {
+    Begin(now);
+    order_ = AgreedOrder(settings_.register_name, live);
+    live_ = live;
+    wanted_ = wanted;
+  }
+
+  void Tick(Time now, OwnershipOutput* output) {
+    Begin(now);
+    if (running_ && now > running_->give_up_at + kLongestOperation) {  // it will not be answered any more
+      running_.reset();
+      Failed(now);
+    }
+    Act(now, output);
+    Report(now, output);
+  }
+
+  void Completed(Time now, std::uint64_t tag, const consensus::Completion& completion,
+                 OwnershipOutput* output) {
+    if (!running_ || running_->tag != tag) return;
+    const Operation done = *std::exchange(running_, std::nullopt);
+    ended_at_ = now;
+    failures_ = 0;
+    const bool is_known =
+        completion.outcome == consensus::Outcome::kChosen || completion.outcome == consensus::Outcome::kKept;
+    const std::optional<OwnershipState> state =
+        is_known ? ReadState(completion.payload) : std::optional<OwnershipState>();
+    if (state) {
+      Observe(now, *state);
+      const bool holds = done.kind == Kind::kTakeOver || done.kind == Kind::kRenew;
+      if (completion.outcome == consensus::Outcome::kChosen && holds && OwnsInState())
+        lease_started_at_ = done.started_at;
+    } else {
+      Failed(now);
+    }
+    Act(now, output);
+    Report(now, output);
+  }
+
+  std::optional<Time> NextTimer() const {
+    std::optional<Time> next;
+    const auto consider = [&next](Time at) { next = std::min(next.value_or(at), at); };
+    if (running_) {
+      consider(running_->give_up_at + kLongestOperation + kMillisecond);
+    } else if (const std::optional<Plan> plan = MakePlan()) {
+      consider(plan->at);
+    }
+    if (reported_holds_ && lease_started_at_) consider(LeaseEnd());
+    return next;
+  }
+
+  bool Holds(Time now) const { return lease_started_at_ && !resigned_ && now < LeaseEnd(); }
+  std::uint64_t epoch() const { return state_.epoch(); }
+  const OwnershipState& state() const { return state_; }
+
+  void ChooseTally(Time now, const WindowCount& tally, OwnershipOutput* output) {
+    if (!Holds(now)) return;
+    const auto is_same = [&](const WindowCount& other) { return other.window() == tally.window(); };
+    if (std::none_of(tallies_.begin(), tallies_.end(), is_same)) tallies_.push_back(tally);
+    std::sort(tallies_.begin(), tallies_.end(), [](const WindowCount& left, const WindowCount& right) {
+      return left.window() < right.window();
+    });
+    DropChosenTallies();
+    Act(now, output);
+    Report(now, output);
+  }
+
+  void Resign(Time now, OwnershipOutput* output) {
+    if (resigned_) return;
+    resigned_ = true;
+    resigned_at_ = now;
+    Act(now, output);
+    Report(now, output);
+  }
+
+ private:
+  // A fresh process does not know whether its life before held the duty a moment ago.
+  void Begin(Time now) {
+    if (std::exchange(has_begun_, true)) return;
+    may_take_at_ = now + settings_.lease + kMargin;
+  }
+
+  Time LeaseEnd() const { return *lease_started_at_ + settings_.lease - kMargin; }
+  bool OwnsInState() const { return RenewalOf(state_).owner == self_; }
+
+  bool OwnerIsLive() const {
+    const Holder owner = RenewalOf(state_).owner;
+    return std::any_of(live_.begin(), live_.end(), [&](const Member& member) {
+      return Holder{member.name, member.incarnation} == owner;
+    });
+  }
+
+  // How many live candidates come before this dispatcher, an owner left out; none: it is no candidate.
+  std::optional<int> Position() const {
+    int position = 0;
+    for (const Member& member : order_) {
+      if (member.name == self_.name) return position;
+      if (Holder{member.name, member.incarnation} != RenewalOf(state_).owner) ++position;
+    }
+    return std::nullopt;
+  }
+
+  std::optional<Plan> MakePlan() const {
+    const Time retry_at = failures_ > 0 ? ended_at_ + retry_after_ : 0;
+    if (OwnsInState()) {
+      if (resigned_) return Plan{Kind::kGiveUp, retry_at};
+      if (!wanted_) return std::nullopt;
+      const bool at_once = !lease_started_at_ || !tallies_.empty() || failures_ > 0;
+      const Time at = at_once ? 0 : started_at_ + settings_.lease / kRenewalsInLease;
+      return Plan{Kind::kRenew, std::max(at, retry_at)};
+    }
+    if (!wanted_ || resigned_) return std::nullopt;
+    std::optional<Plan> plan = PlanTakeOver();
+    if (plan) plan->at = std::max(plan->at, retry_at);
+    return plan;
+  }
+
+  // The first candidate takes over. The second one does later, should the first be live but unable; and an
+  // owner that is live but does not renew is replaced later too.
+  std::optional<Plan> PlanTakeOver() const {
+    const std::optional<int> position = Position();
+    const bool owner_is_live = OwnerIsLive();
+    if (!position || *position > (owner_is_live ? 0 : 1)) return std::nullopt;
+    const bool is_slow = owner_is_live || *position > 0;
+    const Time read_at = started_at_ + (is_slow ? settings_.lease : kReadEvery);
+    if (!observed_since_) return Plan{Kind::kRead, *position > 0 ? read_at : 0};
+
+    Time take_at = *observed_since_ + (is_slow ? 2 * settings_.lease : 0);
+    if (!state_.owner().empty()) take_at += settings_.lease + kMargin;
+    if (state_.epoch() > 0) take_at = std::max(take_at, may_take_at_);
+    return take_at <= read_at ? Plan{Kind::kTakeOver, take_at} : Plan{Kind::kRead, read_at};
+  }
+
+  void Act(Time now, OwnershipOutput* output) {
+    if (running_) return;
+    const std::optional<Plan> plan = MakePlan();
+    if (!plan || now < plan->at) return;
+    Operation operation{plan->kind, ++last_tag_, now, now + OperationTime()};
+    output->operations.push_back(
+        {operation.tag, settings_.register_name, ChangeOf(plan->kind), operation.give_up_at});
+    running_ = operation;
+    started_at_ = now;
+  }
+
+  Time OperationTime() const { return std::min(kLongestOperation, settings_.lease / kRenewalsInLease); }
+
+  consensus::ChangeFunction ChangeOf(Kind kind) const {
+    switch (kind) {
+      case Kind::kTakeOver:
+        return TakeOver(RenewalOf(state_), self_);
+      case Kind::kRenew:
+        return Renew(self_, state_.epoch(), tallies_);
+      case Kind::kGiveUp:
+        return GiveUp(self_, state_.epoch());
+      case Kind::kRead:
+        break;
+    }
+    return ReadOnly();
+  }
+
+  void Failed(Time now) {
+    ++failures_;
+    ended_at_ = now;
+    retry_after_ = kRetryAfter + static_cast<Time>(random_() % static_cast<std::uint64_t>(kRetryAfter));
+  }
+
+  void Observe(Time now, const OwnershipState& state) {
+    const bool owned = OwnsInState();
+    if (!observed_since_ || RenewalOf(state) != RenewalOf(state_)) observed_since_ = now;
+    state_ = state;
+    has_news_ = true;
+    if (owned && !OwnsInState()) Lost();
+    DropChosenTallies();
+  }
+
+  // One that held the duty takes it again only a whole lease after it could last act.
+  void Lost() {
+    if (lease_started_at_) {
+      const Time acted_until = resigned_ ? std::min(LeaseEnd(), resigned_at_) : LeaseEnd();
+      may_take_at_ = std::max(may_take_at_, acted_until + settings_.lease + kMargin);
+    }
+    lease_started_at_.reset();
+    tallies_.clear();
+  }
+
+  void DropChosenTallies() {
+    if (state_.tallies().empty()) return;
+    const std::int64_t newest = state_.tallies().rbegin()->window();
+    std::erase_if(tallies_, [newest](const WindowCount& tally) { return tally.window() <= newest; });
+  }
+
+  void Report(Time now, OwnershipOutput* output) {
+    const bool holds = Holds(now);
+    if (holds != reported_holds_ || has_news_) output->changed = true;
+    reported_holds_ = holds;
+    has_news_ = false;
+  }
+
+  OwnershipSettings settings_;
+  Holder self_;
+  std::mt19937_64 random_;
+
+  std::vector<Member> live_;
+  std::vector<Member> order_;
+  bool wanted_ = false;
+  bool resigned_ = false;
+  Time resigned_at_ = 0;
+
+  OwnershipState state_;                  // as last seen chosen
+  std::optional<Time> observed_since_;    // when the present renewal was first seen, at the end of a read
+  std::optional<Time> lease_started_at_;  // start of the last renewal of this dispatcher that was chosen
+  bool has_begun_ = false;
+  Time may_take_at_ = 0;
+  std::vector<WindowCount> tallies_;  // to be chosen, in order
+
+  std::optional<Operation> running_;
+  std::uint64_t last_tag_ = 0;
+  Time started_at_ = 0;  // of the last operation
+  Time ended_at_ = 0;
+  int failures_ = 0;
+  Time retry_after_ = 0;
+
+  bool reported_holds_ = false;
+  bool has_news_ = false;
+};
+
+Ownership::Ownership(OwnershipSettings settings) : impl_(std::make_unique<Impl>(std::move(settings))) {}
+Ownership::~Ownership() = default;
+
+void Ownership::SetMembers(Time now, const std::vector<Member>& live, bool wanted) {
+  impl_->SetMembers(now, live, wanted);
+}
+void Ownership::Tick(Time now, OwnershipOutput* output) { impl_->Tick(now, output); }
+void Ownership::Completed(Time now, std::uint64_t tag, const consensus::Completion& completion,
+                          OwnershipOutput* output) {
+  impl_->Completed(now, tag, completion, output);
+}
+std::optional<Time> Ownership::NextTimer() const { return impl_->NextTimer(); }
+bool Ownership::Holds(Time now) const { return impl_->Holds(now); }
+std::uint64_t Ownership::epoch() const { return impl_->epoch(); }
+const messages::OwnershipState& Ownership::state() const { return impl_->state(); }
+void Ownership::ChooseTally(Time now, const messages::WindowCount& tally, OwnershipOutput* output) {
+  impl_->ChooseTally(now, tally, output);
+}
+void Ownership::Resign(Time now, OwnershipOutput* output) { impl_->Resign(now, output); }
+
+}  // namespace lichenlug::duties
--- a/src/duties/ownership.h
+++ b/src/duties/ownership.h
@@ -45,8 +45,9 @@
   explicit Ownership(OwnershipSettings settings);
   ~Ownership();
 
-  // `wanted`: there is work for this duty. Candidates are the live members with a store, in the agreed order
-  // (by a hash of register and name).
+  // `live` holds this dispatcher too. `wanted`: there is work for this duty; without, a lease that is held
+  // lapses. Candidates are the live members with a store, in the agreed order (by a hash of register and
+  // name).
   void SetMembers(Time now, const std::vector<Member>& live, bool wanted);
   void Tick(Time now, OwnershipOutput* output);
   void Completed(Time now, std::uint64_t tag, const consensus::Completion& completion,
@@ -59,7 +60,9 @@
   // Adds to the state with the next renewal, at once: usage tallies. Dropped if the ownership is lost before
   // it is chosen.
   void ChooseTally(Time now, const messages::WindowCount& tally, OwnershipOutput* output);
-  void Resign(Time now, OwnershipOutput* output);  // SIGTERM
+  // On SIGTERM: acts no more and leaves the duty to the next at once, so the calls under way are to end
+  // before.
+  void Resign(Time now, OwnershipOutput* output);
 
  private:
   class Impl;
--- /dev/null
+++ b/src/duties/ownership_changes.cpp
@@ -0,0 +1,74 @@
+#include "duties/ownership_changes.h"
+
+#include <utility>
+
+namespace lichenlug::duties {
+namespace {
+
+using consensus::Change;
+using consensus::KeepPayload;
+using consensus::NewPayload;
+using messages::OwnershipState;
+
+constexpr int kMostTallies = 16;  // the newest; older ones are long past their time
+
+Holder OwnerOf(const OwnershipState& state) { return {state.owner(), state.owner_incarnation()}; }
+
+void AddTally(const messages::WindowCount& tally, OwnershipState* state) {
+  auto* tallies = state->mutable_tallies();
+  if (!tallies->empty() && tallies->rbegin()->window() >= tally.window()) return;
+  *tallies->Add() = tally;
+  if (tallies->size() > kMostTallies) tallies->DeleteSubrange(0, tallies->size() - kMostTallies);
+}
+
+}  // namespace
+
+std::optional<OwnershipState> ReadState(const std::string& payload) {
+  OwnershipState state;
+  if (!state.ParseFromString(payload)) return std::nullopt;
+  return state;
+}
+
+Renewal RenewalOf(const OwnershipState& state) { return {OwnerOf(state), state.epoch(), state.renewals()}; }
+
+consensus::ChangeFunction ReadOnly() {
+  return [](const std::string&) -> Change { return KeepPayload{kOnlyRead}; };
+}
+
+consensus::ChangeFunction TakeOver(const Renewal& observed, const Holder& taker) {
+  return [observed, taker](const std::string& payload) -> Change {
+    std::optional<OwnershipState> state = ReadState(payload);
+    if (!state) return KeepPayload{kUnreadable};
+    if (RenewalOf(*state) != observed) return KeepPayload{kWasRenewed};
+    state->set_owner(taker.name);
+    state->set_owner_incarnation(taker.incarnation);
+    state->set_epoch(observed.epoch + 1);
+    state->set_renewals(0);
+    return NewPayload{state->SerializeAsString()};
+  };
+}
+
+consensus::ChangeFunction Renew(const Holder& owner, std::uint64_t epoch,
+                                std::vector<messages::WindowCount> tallies) {
+  return [owner, epoch, tallies = std::move(tallies)](const std::string& payload) -> Change {
+    std::optional<OwnershipState> state = ReadState(payload);
+    if (!state) return KeepPayload{kUnreadable};
+    if (OwnerOf(*state) != owner || state->epoch() != epoch) return KeepPayload{kNotOwner};
+    state->set_renewals(state->renewals() + 1);
+    for (const auto& tally : tallies) AddTally(tally, &*state);
+    return NewPayload{state->SerializeAsString()};
+  };
+}
+
+consensus::ChangeFunction GiveUp(const Holder& owner, std::uint64_t epoch) {
+  return [owner, epoch](const std::string& payload) -> Change {
+    std::optional<OwnershipState> state = ReadState(payload);
+    if (!state) return KeepPayload{kUnreadable};
+    if (OwnerOf(*state) != owner || state->epoch() != epoch) return KeepPayload{kNotOwner};
+    state->set_owner("");
+    state->set_owner_incarnation(0);
+    return NewPayload{state->SerializeAsString()};
+  };
+}
+
+}  // namespace lichenlug::duties
--- /dev/null
+++ b/tests/system/duties/ownership_test.cpp
@@ -0,0 +1,317 @@
+// Leases in a register: one holder at a time, epochs of one holder, no turns inside a lease.
+#include "duties/ownership.h"
+
+#include <catch2/catch.hpp>
+
+#include "duties/agreed_order.h"
+#include "ownership_world.h"
+
+namespace lichenlug::duties {
+namespace {
+
+messages::OwnershipState StateOf(const std::string& payload) {
+  messages::OwnershipState state;
+  REQUIRE(state.ParseFromString(payload));
+  return state;
+}
+
+messages::WindowCount MakeTally(std::int64_t window, std::uint64_t count) {
+  messages::WindowCount tally;
+  tally.set_window(window);
+  auto* tenant = tally.add_counts();
+  tenant->set_tenant("tenant");
+  tenant->set_count(count);
+  return tally;
+}
+
+// What the outside sees of holders: each epoch is of one life, epochs rise, and nobody acts again inside a
+// lease of another's acts that followed its own.
+void CheckActs(const std::vector<OwnershipWorld::Act>& acts) {
+  std::map<std::uint64_t, std::uint64_t> life_of_epoch;
+  std::map<std::size_t, Time> turn_ended;  // by node: its last act before another's
+  for (std::size_t k = 0; k < acts.size(); ++k) {
+    const auto& act = acts[k];
+    const auto [known, added] = life_of_epoch.try_emplace(act.epoch, act.incarnation);
+    REQUIRE(known->second == act.incarnation);
+    if (k == 0) continue;
+    REQUIRE(act.epoch >= acts[k - 1].epoch);
+    if (act.node == acts[k - 1].node) continue;
+    REQUIRE(act.at > acts[k - 1].at);  // never two at one time
+    turn_ended[acts[k - 1].node] = acts[k - 1].at;
+    if (turn_ended.contains(act.node)) REQUIRE(act.at - turn_ended[act.node] >= OwnershipWorld::kLease);
+  }
+}
+
+std::size_t FirstInOrder(const OwnershipWorld& world, const std::vector<std::size_t>& live) {
+  std::vector<Member> members;
+  for (const std::size_t i : live) {
+    Member member;
+    member.name = world.Name(i);
+    members.push_back(member);
+  }
+  const std::string first = AgreedOrder("duties/0", members).front().name;
+  for (const std::size_t i : live)
+    if (world.Name(i) == first) return i;
+  return 0;
+}
+
+}  // namespace
+
+TEST_CASE("the agreed order prefers members with a store and does not depend on the order told") {
+  std::vector<Member> members;
+  for (int i = 0; i < 6; ++i) {
+    Member member;
+    member.name = "dispatcher-" + std::to_string(i);
+    if (i < 3) member.replica_id = "replica-" + std::to_string(i);
+    members.push_back(member);
+  }
+  const auto order = AgreedOrder("duties/1", members);
+  CHECK(order.size() == 3);
+  std::reverse(members.begin(), members.end());
+  CHECK(AgreedOrder("duties/1", members) == order);
+  for (Member& member : members) member.replica_id.clear();
+  CHECK(AgreedOrder("duties/1", members).size() == 6);
+  std::set<std::string> firsts;
+  for (int shard = 0; shard < 64; ++shard)
+    firsts.insert(AgreedOrder("duties/" + std::to_string(shard), members).front().name);
+  CHECK(firsts.size() == 6);
+}
+
+TEST_CASE("the first in the order takes a duty that nobody ever held, soon, and keeps it") {
+  OwnershipWorld world(5, 1);
+  world.RunFor(kSecond / 2);
+  const std::size_t first = FirstInOrder(world, {0, 1, 2, 3, 4});
+  REQUIRE(world.Holder() == first);
+  CHECK(world.nodes[first].ownership->epoch() == 1);
+  world.operations = 0;
+  for (int i = 0; i < 600; ++i) {
+    world.RunFor(kSecond / 10);
+    REQUIRE(world.Holder() == first);
+  }
+  CHECK(world.operations <= 60 + 25);  // a renewal a second, and now and then a look by the next candidate
+  CHECK(world.nodes[first].ownership->epoch() == 1);
+}
+
+TEST_CASE("only members with a store hold duties, where there are any") {
+  OwnershipWorld world(5, 1);
+  world.stores = 1;
+  world.TellMembers();
+  world.RunFor(5 * kSecond);
+  CHECK(world.Holder() == std::size_t{0});
+}
+
+TEST_CASE("a holder that died is replaced after its lease, and does not take the duty back") {
+  OwnershipWorld world(3, 2);
+  world.RunFor(10 * kSecond);
+  const std::size_t first = world.Holder().value();
+  const Time killed_at = world.now;
+  world.Kill(first);
+  world.TellMembers();
+  while (!world.Holder() && world.now < killed_at + 20 * kSecond) world.RunFor(10 * kMillisecond);
+  REQUIRE(world.Holder());
+  const std::size_t second = *world.Holder();
+  CHECK(world.now - killed_at >= OwnershipWorld::kLease - kSecond);
+  CHECK(world.now - killed_at <= OwnershipWorld::kLease + 2 * kSecond);
+  CHECK(world.nodes[second].ownership->epoch() == 2);
+  world.Start(first);
+  world.TellMembers();
+  world.RunFor(30 * kSecond);
+  CHECK(world.Holder() == second);
+  CheckActs(world.acts);
+}
+
+TEST_CASE("a holder that was frozen finds its lease over before it acts") {
+  OwnershipWorld world(3, 3);
+  world.RunFor(10 * kSecond);
+  const std::size_t first = world.Holder().value();
+  world.Freeze(first);
+  world.RunFor(2 * kSecond);
+  world.TellMembers();
+  world.RunFor(6 * kSecond);
+  REQUIRE(world.Holder());
+  world.nodes[first].is_frozen = false;
+  CHECK_FALSE(world.Holds(first));
+  world.nodes[first].is_frozen = true;
+  world.Thaw(first);
+  world.TellMembers();
+  world.RunFor(20 * kSecond);
+  CheckActs(world.acts);
+}
+
+TEST_CASE("one that resigns is replaced at once, and its next life waits for a whole lease") {
+  OwnershipWorld world(2, 4);
+  world.RunFor(10 * kSecond);
+  const std::size_t first = world.Holder().value();
+  world.Resign(first);
+  CHECK_FALSE(world.Holds(first));
+  world.RunFor(200 * kMillisecond);
+  world.Kill(first);
+  world.TellMembers();
+  world.RunFor(kSecond);
+  REQUIRE(world.Holder() == 1 - first);
+  world.Start(first);
+  world.TellMembers();
+  world.Resign(1 - first);
+  world.RunFor(kSecond);
+  world.Kill(1 - first);
+  world.TellMembers();
+  world.RunFor(10 * kSecond);
+  CHECK(world.Holder() == first);
+  CheckActs(world.acts);
+}
+
+TEST_CASE("a duty that is not wanted is not taken, and one held lapses") {
+  OwnershipWorld world(3, 5);
+  for (auto& node : world.nodes) node.wanted = false;
+  world.TellMembers();
+  world.RunFor(10 * kSecond);
+  CHECK_FALSE(world.Holder());
+  CHECK(world.operations == 0);
+  for (auto& node : world.nodes) node.wanted = true;
+  world.TellMembers();
+  world.RunFor(5 * kSecond);
+  REQUIRE(world.Holder());
+  for (auto& node : world.nodes) node.wanted = false;
+  world.TellMembers();
+  world.RunFor(3 * kSecond);
+  CHECK_FALSE(world.Holder());
+}
+
+TEST_CASE("a holder without a quorum stops in time, and one that is live but does not renew is replaced") {
+  OwnershipWorld world(3, 6);
+  world.RunFor(10 * kSecond);
+  const std::size_t first = world.Holder().value();
+  world.nodes[first].is_cut_off = true;  // but live, as members see it
+  world.RunFor(3 * kSecond);
+  CHECK_FALSE(world.Holds(first));
+  world.RunFor(12 * kSecond);
+  REQUIRE(world.Holder());
+  CHECK(world.Holder() != first);
+  CheckActs(world.acts);
+}
+
+TEST_CASE("where the first candidate can't act the second does") {
+  OwnershipWorld world(3, 6);
+  world.RunFor(10 * kSecond);
+  const std::size_t first = world.Holder().value();
+  world.Kill(first);
+  std::vector<std::size_t> rest;
+  for (std::size_t i = 0; i < 3; ++i)
+    if (i != first) rest.push_back(i);
+  const std::size_t next = FirstInOrder(world, rest);
+  world.nodes[next].is_cut_off = true;
+  world.TellMembers();
+  world.RunFor(15 * kSecond);
+  REQUIRE(world.Holder());
+  CHECK(world.Holder() != next);
+  CheckActs(world.acts);
+}
+
+TEST_CASE("a tally is chosen with a renewal at once, each window once, the newest sixteen") {
+  OwnershipWorld world(3, 7);
+  world.RunFor(5 * kSecond);
+  const std::size_t holder = world.Holder().value();
+  for (std::int64_t window = 100; window < 130; ++window) {
+    world.ChooseTally(holder, MakeTally(window, 5));
+    world.RunFor(150 * kMillisecond);
+    REQUIRE(StateOf(world.payload).tallies().rbegin()->window() == window);
+    world.ChooseTally(holder, MakeTally(window, 6));
+    world.ChooseTally(holder, MakeTally(window - 1, 6));
+    world.RunFor(100 * kMillisecond);
+  }
+  const auto state = StateOf(world.payload);
+  REQUIRE(state.tallies_size() == 16);
+  for (const auto& tally : state.tallies()) CHECK(tally.counts(0).count() == 5);
+  CHECK(state.tallies(0).window() == 114);
+}
+
+TEST_CASE("a payload that is no state stops nobody but the duty") {
+  OwnershipWorld world(2, 8);
+  world.payload = "\xff\xff";
+  world.RunFor(10 * kSecond);
+  CHECK_FALSE(world.Holder());
+  CHECK(world.operations < 150);
+  CHECK(world.payload == "\xff\xff");
+}
+
+TEST_CASE("days of faults: one holder at a time, epochs of one holder, no turns inside a lease") {
+  std::size_t acts = 0;
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    CAPTURE(seed);
+    OwnershipWorld world(4, seed);
+    world.is_rough = true;
+    for (auto& node : world.nodes) {
+      node.clock_rate = 0.99 + static_cast<double>(world.Random(200)) / 10000;
+      node.clock_offset = world.Random(1000 * kSecond);
+    }
+    for (std::size_t i = 0; i < 4; ++i) world.Start(i);
+    world.TellMembers();
+    std::map<std::int64_t, std::string> chosen;
+    std::uint64_t last_epoch = 0;
+    world.on_change = [&] {
+      const auto state = StateOf(world.payload);
+      REQUIRE(state.epoch() >= last_epoch);
+      last_epoch = state.epoch();
+      REQUIRE(state.tallies_size() <= 16);
+      for (const auto& tally : state.tallies()) {
+        const auto [known, added] = chosen.try_emplace(tally.window(), tally.SerializeAsString());
+        REQUIRE(known->second == tally.SerializeAsString());
+        if (added) REQUIRE(chosen.rbegin()->first == tally.window());
+      }
+    };
+    std::int64_t window = 0;
+    for (int step = 0; step < 1200; ++step) {
+      world.RunFor(100 * kMillisecond);
+      const auto i = static_cast<std::size_t>(world.Random(4));
+      switch (world.Random(80)) {
+        case 0:
+          world.Kill(i);
+          break;
+        case 1:
+          if (!world.nodes[i].is_running) world.Start(i);
+          break;
+        case 2:
+          world.Freeze(i);
+          break;
+        case 3:
+          world.Thaw(i);
+          break;
+        case 4:
+          if (world.Runs(i)) world.Resign(i);
+          break;
+        case 5:
+          world.nodes[i].is_cut_off = !world.nodes[i].is_cut_off;
+          break;
+        case 6:  // its clock pauses for a moment, within the margin of two leases
+          if (step % 100 == 0) world.nodes[i].clock_offset -= 150 * kMillisecond;
+          break;
+        case 7:
+          world.nodes[i].wanted = !world.nodes[i].wanted;
+          break;
+        default:
+          break;
+      }
+      if (step % 10 == 0) {
+        ++window;
+        for (std::size_t k = 0; k < 4; ++k)
+          if (world.Holds(k))
+            world.ChooseTally(k, MakeTally(window, static_cast<std::uint64_t>(world.Random(100))));
+      }
+      if (world.Random(15) == 0) world.TellMembers();
+    }
+    CheckActs(world.acts);
+    acts += world.acts.size();
+
+    world.is_rough = false;
+    for (std::size_t i = 0; i < 4; ++i) {
+      world.Start(i);
+      world.TellMembers();
+    }
+    world.RunFor(12 * kSecond);
+    REQUIRE(world.Holder());
+    CheckActs(world.acts);
+  }
+  CHECK(acts > 60 * 2000);  // of 12,000 steps each: the duty was held for a good part of these days
+}
+
+}  // namespace lichenlug::duties
--- /dev/null
+++ b/tests/system/duties/ownership_world.h
@@ -0,0 +1,206 @@
+// Candidates for one duty over a simulated register: linearizable, with delays, answers that never come,
+// changes that take effect late, clocks that run apart, freezes, kills and restarts. Time is simulated, by a
+// seed.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "duties/ownership.h"
+
+namespace lichenlug::duties {
+
+class OwnershipWorld {
+ public:
+  static constexpr Time kLease = 3 * kSecond;
+
+  struct Node {
+    std::unique_ptr<Ownership> ownership;
+    std::uint64_t incarnation = 0;
+    bool is_running = false;
+    bool is_frozen = false;
+    bool is_cut_off = false;  // from the register
+    bool wanted = true;
+    double clock_rate = 1;
+    Time clock_offset = 0;
+    std::vector<std::pair<std::uint64_t, consensus::Completion>> held_back;  // came while it was frozen
+  };
+  struct Act {  // a holder's call to the outside
+    Time at = 0;
+    std::size_t node = 0;
+    std::uint64_t incarnation = 0, epoch = 0;
+  };
+
+  OwnershipWorld(std::size_t count, std::uint64_t seed) : random_(seed) {
+    nodes.resize(count);
+    for (std::size_t i = 0; i < count; ++i) Start(i);
+    TellMembers();
+  }
+
+  std::string Name(std::size_t i) const { return "dispatcher-" + std::to_string(i); }
+  Time LocalTime(std::size_t i) const {
+    return static_cast<Time>(static_cast<double>(now) * nodes[i].clock_rate) + nodes[i].clock_offset;
+  }
+
+  void Start(std::size_t i) {
+    Node& node = nodes[i];
+    const double rate = node.clock_rate;
+    const Time offset = node.clock_offset;
+    node = Node();
+    node.clock_rate = rate;
+    node.clock_offset = offset;
+    node.incarnation = ++incarnations_;
+    node.is_running = true;
+    OwnershipSettings settings;
+    settings.register_name = "duties/0";
+    settings.self_name = Name(i);
+    settings.self_incarnation = node.incarnation;
+    settings.lease = kLease;
+    settings.seed = random_();
+    node.ownership = std::make_unique<Ownership>(settings);
+  }
+  void Kill(std::size_t i) { nodes[i].is_running = false; }
+  void Freeze(std::size_t i) { nodes[i].is_frozen = true; }
+  void Thaw(std::size_t i) {
+    nodes[i].is_frozen = false;
+    for (const auto& [tag, completion] : std::exchange(nodes[i].held_back, {})) Complete(i, tag, completion);
+  }
+  void Resign(std::size_t i) {
+    OwnershipOutput output;
+    nodes[i].ownership->Resign(LocalTime(i), &output);
+    Take(i, &output);
+  }
+  void ChooseTally(std::size_t i, const messages::WindowCount& tally) {
+    OwnershipOutput output;
+    nodes[i].ownership->ChooseTally(LocalTime(i), tally, &output);
+    Take(i, &output);
+  }
+
+  // Each learns who runs and is not frozen.
+  void TellMembers() {
+    std::vector<Member> live;
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+      if (!nodes[i].is_running || nodes[i].is_frozen) continue;
+      Member member;
+      member.name = Name(i);
+      member.incarnation = nodes[i].incarnation;
+      member.replica_id = i < stores ? "replica-" + std::to_string(i) : "";
+      live.push_back(member);
+    }
+    for (std::size_t i = 0; i < nodes.size(); ++i)
+      if (Runs(i)) nodes[i].ownership->SetMembers(LocalTime(i), live, nodes[i].wanted);
+  }
+
+  bool Runs(std::size_t i) const { return nodes[i].is_running && !nodes[i].is_frozen; }
+  bool Holds(std::size_t i) const { return Runs(i) && nodes[i].ownership->Holds(LocalTime(i)); }
+  std::optional<std::size_t> Holder() const {
+    for (std::size_t i = 0; i < nodes.size(); ++i)
+      if (Holds(i)) return i;
+    return std::nullopt;
+  }
+
+  // Goes on in steps of 10 ms; each holder acts at each.
+  void RunFor(Time span) {
+    for (const Time until = now + span; now < until;) {
+      now += 10 * kMillisecond;
+      while (!events_.empty() && events_.begin()->first.first <= now) {
+        const auto event = std::move(events_.begin()->second);
+        events_.erase(events_.begin());
+        event();
+      }
+      for (std::size_t i = 0; i < nodes.size(); ++i) {
+        if (!Runs(i)) continue;
+        const std::optional<Time> timer = nodes[i].ownership->NextTimer();
+        if (timer && *timer > LocalTime(i)) continue;
+        OwnershipOutput output;
+        nodes[i].ownership->Tick(LocalTime(i), &output);
+        Take(i, &output);
+      }
+      for (std::size_t i = 0; i < nodes.size(); ++i)
+        if (Holds(i)) acts.push_back({now, i, nodes[i].incarnation, nodes[i].ownership->epoch()});
+    }
+  }
+
+  Time Random(Time most) { return static_cast<Time>(random_() % static_cast<std::uint64_t>(most)); }
+
+  Time now = 1000 * kSecond;
+  std::size_t stores = 100;  // so many of the first have one
+  std::vector<Node> nodes;
+  std::vector<Act> acts;
+  std::string payload;  // of the register
+  bool is_rough = false;
+  std::size_t operations = 0;
+  std::function<void()> on_change;  // after each change of the payload
+
+ private:
+  void At(Time when, std::function<void()> event) { events_[{when, ++event_number_}] = std::move(event); }
+
+  void Take(std::size_t i, OwnershipOutput* output) {
+    for (RegisterOperation& operation : output->operations) Submit(i, operation);
+  }
+
+  void Submit(std::size_t i, const RegisterOperation& operation) {
+    ++operations;
+    const Time patience = std::max<Time>(0, operation.give_up_at - LocalTime(i));
+    const std::uint64_t incarnation = nodes[i].incarnation;
+    const auto answer = [this, i, incarnation, tag = operation.tag](const consensus::Completion& completion) {
+      if (nodes[i].incarnation == incarnation) Complete(i, tag, completion);
+    };
+    if (nodes[i].is_cut_off || (is_rough && Random(20) == 0)) {
+      At(now + patience, [answer] { answer({}); });  // never proposed
+      return;
+    }
+    const bool is_slow = is_rough && Random(8) == 0;
+    const Time applied = now + kMillisecond + Random(is_slow ? 5 * kSecond : 20 * kMillisecond);
+    const Time answered = applied + Random(is_slow ? 2 * kSecond : 20 * kMillisecond);
+    if (answered > now + patience) {
+      consensus::Completion unknown;
+      unknown.outcome = consensus::Outcome::kUnknown;
+      At(now + patience, [answer, unknown] { answer(unknown); });
+      if (Random(2) == 0) return;
+      At(applied, [this, change = operation.change] { Apply(change); });
+      return;
+    }
+    At(applied, [this, answer, answered, change = operation.change] {
+      const consensus::Completion completion = Apply(change);
+      At(answered, [answer, completion] { answer(completion); });
+    });
+  }
+
+  consensus::Completion Apply(const consensus::ChangeFunction& change) {
+    change("");  // an attempt that came to nothing
+    consensus::Completion completion;
+    const consensus::Change result = change(payload);
+    if (const auto* next = std::get_if<consensus::NewPayload>(&result)) {
+      payload = next->payload;
+      completion.outcome = consensus::Outcome::kChosen;
+      if (on_change) on_change();
+    } else {
+      completion.outcome = consensus::Outcome::kKept;
+      completion.reason = std::get<consensus::KeepPayload>(result).reason;
+    }
+    completion.payload = payload;
+    return completion;
+  }
+
+  void Complete(std::size_t i, std::uint64_t tag, const consensus::Completion& completion) {
+    if (!nodes[i].is_running) return;
+    if (nodes[i].is_frozen) return nodes[i].held_back.emplace_back(tag, completion), void();
+    OwnershipOutput output;
+    nodes[i].ownership->Completed(LocalTime(i), tag, completion, &output);
+    Take(i, &output);
+  }
+
+  std::mt19937_64 random_;
+  std::uint64_t incarnations_ = 0;
+  std::uint64_t event_number_ = 0;
+  std::map<std::pair<Time, std::uint64_t>, std::function<void()>> events_;
+};
+
+}  // namespace lichenlug::duties
