Test leases against faults planted one at a time

Targeted tests now find the other three: a lease counted from the answer, a former holder that does not wait, and a take-over of unknown outcome that counts as a lease.

--- a/tests/system/duties/ownership_test.cpp
+++ b/tests/system/duties/ownership_test.cpp
@@ -234,6 +234,96 @@
   CHECK(world.payload == "\xff\xff");
 }
 
+TEST_CASE("a renewal that is answered only after a freeze counts from its start") {
+  OwnershipWorld world(3, 9);
+  world.RunFor(10 * kSecond);
+  const std::size_t first = world.Holder().value();
+  world.operations = 0;
+  while (world.operations == 0) world.RunFor(10 * kMillisecond);  // a renewal is under way
+  world.Freeze(first);
+  world.TellMembers();
+  world.RunFor(10 * kSecond);
+  REQUIRE(world.Holder());
+  world.Thaw(first);
+  CHECK_FALSE(world.Holds(first));
+  world.RunFor(5 * kSecond);
+  CheckActs(world.acts);
+}
+
+TEST_CASE("a former holder waits for a whole lease though the next one resigns at once") {
+  OwnershipWorld world(2, 10);
+  world.RunFor(10 * kSecond);
+  const std::size_t first = world.Holder().value();
+  world.nodes[first].is_suspected = true;  // so the other looks often, and sees the last renewal soon
+  world.TellMembers();
+  world.RunFor(5 * kSecond);
+  REQUIRE(world.Holder() == first);
+  world.nodes[first].is_cut_off = true;
+  while (world.Holder() != 1 - first) world.RunFor(10 * kMillisecond);
+  world.nodes[first].is_cut_off = false;
+  world.nodes[first].is_suspected = false;
+  world.Resign(1 - first);
+  world.RunFor(100 * kMillisecond);
+  world.Kill(1 - first);
+  world.TellMembers();
+  world.RunFor(10 * kSecond);
+  CHECK(world.Holder() == first);
+  CheckActs(world.acts);
+}
+
+TEST_CASE("a take-over of unknown outcome that was chosen holds only from its first renewal on") {
+  OwnershipSettings settings;
+  settings.register_name = "duties/0";
+  settings.self_name = "dispatcher-0";
+  settings.self_incarnation = 7;
+  Ownership ownership(settings);
+  Time now = 1000 * kSecond;
+  Member self;
+  self.name = settings.self_name;
+  self.incarnation = 7;
+  ownership.SetMembers(now, {self}, true);
+  const auto next_operation = [&] {
+    OwnershipOutput output;
+    while (output.operations.empty()) {
+      now = std::max(now + kMillisecond, ownership.NextTimer().value());
+      ownership.Tick(now, &output);
+    }
+    return output.operations.front();
+  };
+  const auto complete = [&](const RegisterOperation& operation, consensus::Outcome outcome,
+                            const messages::OwnershipState& state) {
+    consensus::Completion completion;
+    completion.outcome = outcome;
+    completion.payload = state.SerializeAsString();
+    OwnershipOutput output;
+    ownership.Completed(now, operation.tag, completion, &output);
+    return output;
+  };
+  messages::OwnershipState state;  // nobody ever owned it
+  complete(next_operation(), consensus::Outcome::kKept, state);
+  const auto unknown = complete(next_operation(), consensus::Outcome::kUnknown, {});
+  CHECK_FALSE(ownership.Holds(now));
+  REQUIRE(unknown.operations.empty());
+
+  const RegisterOperation again = next_operation();
+  state.set_owner(settings.self_name);
+  state.set_owner_incarnation(7);
+  state.set_epoch(1);
+  const auto found = complete(again, consensus::Outcome::kKept, state);
+  CHECK_FALSE(ownership.Holds(now));
+  REQUIRE(found.operations.size() == 1);
+
+  const Time renewed_at = now;
+  const auto renewed = found.operations.front().change(state.SerializeAsString());
+  REQUIRE(std::holds_alternative<consensus::NewPayload>(renewed));
+  now += 300 * kMillisecond;
+  complete(found.operations.front(), consensus::Outcome::kChosen,
+           StateOf(std::get<consensus::NewPayload>(renewed).payload));
+  CHECK(ownership.Holds(now));
+  CHECK(ownership.Holds(renewed_at + 2590 * kMillisecond));
+  CHECK_FALSE(ownership.Holds(renewed_at + 2600 * kMillisecond));
+}
+
 TEST_CASE("days of faults: one holder at a time, epochs of one holder, no turns inside a lease") {
   std::size_t acts = 0;
   for (std::uint64_t seed = 1; seed <= 60; ++seed) {
@@ -285,6 +375,9 @@
         case 6:  // its clock pauses for a moment, within the margin of two leases
           if (step % 100 == 0) world.nodes[i].clock_offset -= 150 * kMillisecond;
           break;
+        case 8:
+          world.nodes[i].is_suspected = !world.nodes[i].is_suspected;
+          break;
         case 7:
           world.nodes[i].wanted = !world.nodes[i].wanted;
           break;
--- a/tests/system/duties/ownership_world.h
+++ b/tests/system/duties/ownership_world.h
@@ -25,7 +25,8 @@
     std::uint64_t incarnation = 0;
     bool is_running = false;
     bool is_frozen = false;
-    bool is_cut_off = false;  // from the register
+    bool is_cut_off = false;    // from the register
+    bool is_suspected = false;  // the others think that it is dead
     bool wanted = true;
     double clock_rate = 1;
     Time clock_offset = 0;
@@ -82,19 +83,22 @@
     Take(i, &output);
   }
 
-  // Each learns who runs and is not frozen.
+  // Each learns who runs, is not frozen and is not suspected by the others.
   void TellMembers() {
+    for (std::size_t i = 0; i < nodes.size(); ++i)
+      if (Runs(i)) nodes[i].ownership->SetMembers(LocalTime(i), LiveFor(i), nodes[i].wanted);
+  }
+  std::vector<Member> LiveFor(std::size_t observer) const {
     std::vector<Member> live;
     for (std::size_t i = 0; i < nodes.size(); ++i) {
-      if (!nodes[i].is_running || nodes[i].is_frozen) continue;
+      if (!Runs(i) || (nodes[i].is_suspected && i != observer)) continue;
       Member member;
       member.name = Name(i);
       member.incarnation = nodes[i].incarnation;
       member.replica_id = i < stores ? "replica-" + std::to_string(i) : "";
       live.push_back(member);
     }
-    for (std::size_t i = 0; i < nodes.size(); ++i)
-      if (Runs(i)) nodes[i].ownership->SetMembers(LocalTime(i), live, nodes[i].wanted);
+    return live;
   }
 
   bool Runs(std::size_t i) const { return nodes[i].is_running && !nodes[i].is_frozen; }
