Have runners say their slots, keep a silent one out, and test the decisions

A runner's room is the dispatcher's even part of the slots that it says it has; it may go over that part until the runner is full. A runner silent for a second while requests wait for their first event is passed over until it shows a sign of life: its heartbeats end only later. What reached no runner draws nothing on the retry budget.

--- a/include/rookgw/brain.h
+++ b/include/rookgw/brain.h
@@ -97,7 +97,7 @@
   int cell = kNone, kind = kNone, zone = kNone;
   double weight = 1;
   double slots = 0;  // that it says it has, shared by all nodes; 0: not told, they are learned
-  std::vector<std::uint64_t> holds;  // what RequestArrived::needs may name, sorted
+  std::vector<std::uint64_t> holds = {};  // what RequestArrived::needs may name, sorted
 };
 
 struct ListChanged {
--- a/src/decisions/health.h
+++ b/src/decisions/health.h
@@ -9,7 +9,10 @@
  protected:
   using Room::Room;
 
-  bool Ejected(const Worker& w) const { return now_ < w.ejected_until; }
+  bool Ejected(const Worker& w) const {  // with `silence` set, for as long as it stays silent
+    const bool silent = s_.silence > 0 && w.unstarted > 0 && now_ - w.silent_since >= s_.silence;
+    return now_ < w.ejected_until || (silent && !blind_);
+  }
 
   void SignOfLife(Worker& w) {
     w.ejections = 0, w.ejected_until = 0;
@@ -19,7 +22,7 @@
   void Eject(Worker& w) {
     w.ejections = std::min(w.ejections + 1, 5);
     w.ejected_until = now_ + (kSecond / 4 << w.ejections);
-    w.silent_since = w.unstarted > 0 ? now_ : 0;
+    if (s_.silence == 0 || w.unstarted == 0) w.silent_since = w.unstarted > 0 ? now_ : 0;
   }
 
   // Some workers leave all jobs of one class without a word; some fail most at once, look idle for it and
--- a/src/decisions/ring.h
+++ b/src/decisions/ring.h
@@ -32,9 +32,8 @@
       if (entry.since != w.since) w.span = -1, w.report_at = -1, w.learned = 0;
       w.listed = entry.state != ListedWorker::State::kGone;
       w.state = entry.state, w.since = entry.since, w.cell = entry.cell;
-      w.kind = entry.kind, w.zone = entry.zone, w.weight = entry.weight;
+      w.kind = entry.kind, w.zone = entry.zone, w.weight = entry.weight, w.holds = entry.holds;
       if (w.slots != entry.slots) w.learned = w.slots = entry.slots;
-      w.holds = entry.holds;
     }
     BuildRing();
   }
--- a/src/decisions/room.h
+++ b/src/decisions/room.h
@@ -53,7 +53,7 @@
   double RoomOf(int index, const Request& r) const {
     const Worker& w = workers_[index];
     const double free = Free(w) + Total(w) * 0.5 * s_.classes[r.cls].aim / RunTime(r.cls);
-    return std::max(free, kLeastRoom * Total(w));
+    return std::max(free, (w.slots > 0 ? kLeastToldRoom : kLeastRoom) * Total(w));
   }
 
   bool Usable(int index, const Request& r) const {
--- a/src/decisions/world.h
+++ b/src/decisions/world.h
@@ -36,10 +36,10 @@
 inline constexpr double kPoints = 16;             // ring points of a worker of mean size: evens out the arcs
 inline constexpr double kMostPoints = 64;
 inline constexpr std::size_t kRankAll = 8;  // sets up to this size are ranked, of wider ones so many drawn
-inline constexpr double kLeastRoom = 0.5;   // of a worker's slots: keeps sets narrow where nothing is free
-inline constexpr double kAimWork = 0.6;     // of a run, on the safe side, is own work that stretches the aim
-inline constexpr double kHopeWork = 0.8;    // the same, on the other safe side, for calling off what was sent
-inline constexpr double kZoneGap = 0.1;     // free slots: under it keys cross to zones emptier by as much
+inline constexpr double kLeastRoom = 0.5, kLeastToldRoom = 0.2;  // of a worker's slots: keeps sets narrow
+inline constexpr double kAimWork = 0.6;   // of a run, on the safe side, is own work that stretches the aim
+inline constexpr double kHopeWork = 0.8;  // the same, on the other safe side, for calling off what was sent
+inline constexpr double kZoneGap = 0.1;   // free slots: under it keys cross to zones emptier by as much
 inline constexpr std::size_t kOverflow = 2;  // workers looked at past a set in which none can start the job
 inline constexpr double kMostProbes = 3, kProbers = 12;  // probes a job, up to so many nodes by that
 inline constexpr std::size_t kLongestWalk = 256;  // ring steps for one decision, so that its cost has an end
--- a/src/routing/request_flow.cpp
+++ b/src/routing/request_flow.cpp
@@ -100,6 +100,7 @@
   if (attempt == nullptr) return;
   ServiceState* service = request->service;
   attempt->fate = NeverRan(outcome) ? Fate::kNeverRan : Fate::kMayHaveRun;
+  attempt->reached = outcome != AttemptOutcome::kConnectFailed;
   demand_.ChangeRunning(request->key, -1);
   if (outcome == AttemptOutcome::kServed) service->run_time.Add(static_cast<double>(now - attempt->sent));
   rookgw::AttemptEnded event;
@@ -165,74 +166,6 @@
   Translate(now, service, actions, decisions);
 }
 
-void RequestFlow::Translate(Time now, ServiceState* service, const std::vector<rookgw::Action>& actions,
-                            std::vector<Decision>* decisions) {
-  for (const rookgw::Action& action : actions) {
-    if (const auto* dispatch = std::get_if<rookgw::Dispatch>(&action)) Do(now, service, *dispatch, decisions);
-    if (const auto* decline = std::get_if<rookgw::Decline>(&action)) Do(now, *decline, decisions);
-    if (const auto* fail = std::get_if<rookgw::Fail>(&action)) Do(now, *fail, decisions);
-    if (const auto* cancel = std::get_if<rookgw::CancelAttempt>(&action))
-      Do(now, service, *cancel, decisions);
-  }
-}
-
-void RequestFlow::Do(Time now, ServiceState* service, const rookgw::Dispatch& action,
-                     std::vector<Decision>* decisions) {
-  Request* request = Find(action.id);
-  const int number = request == nullptr ? 0 : static_cast<int>(std::ssize(request->attempts));
-  const bool repeat = number > 0;
-  if (request == nullptr || request->ended ||
-      (repeat && !service->budget.Allows(now, bounds_, dispatchers_))) {
-    if (request != nullptr) End(now, request, RetryAfter(now, request), decisions);
-    rookgw::AttemptEnded unsent;
-    unsent.id = action.id;
-    unsent.attempt = number;
-    unsent.worker = action.worker;
-    unsent.outcome = rookgw::Outcome::kMoot;
-    unsent.complete = true;
-    Run(now, service, unsent, decisions);
-    return ForgetEnded(action.id);
-  }
-  if (repeat) service->budget.CountRepeat(now);
-  request->attempts.push_back({.runner_id = action.worker, .sent = now});
-  demand_.ChangeRunning(request->key, +1);
-  decisions->emplace_back(StartAttempt{.request = action.id,
-                                       .attempt = number,
-                                       .runner_id = action.worker,
-                                       .address = service->runners.AddressOf(action.worker),
-                                       .priority = request->priority});
-}
-
-void RequestFlow::Do(Time now, const rookgw::Decline& action, std::vector<Decision>* decisions) {
-  if (Request* request = Find(action.id)) End(now, request, action.retry_after, decisions);
-  ForgetEnded(action.id);
-}
-
-void RequestFlow::Do(Time now, const rookgw::Fail& action, std::vector<Decision>* decisions) {
-  if (Request* request = Find(action.id)) End(now, request, 0, decisions);
-  ForgetEnded(action.id);
-}
-
-// The attempt is closed at once: the data plane closes its connection, which ends the run.
-void RequestFlow::Do(Time now, ServiceState* service, const rookgw::CancelAttempt& action,
-                     std::vector<Decision>* decisions) {
-  Request* request = Find(action.id);
-  Attempt* attempt = FindOpen(request, action.attempt);
-  if (attempt == nullptr) return;
-  attempt->fate = Fate::kMayHaveRun;
-  demand_.ChangeRunning(request->key, -1);
-  decisions->emplace_back(CancelAttempt{action.id, action.attempt});
-  rookgw::AttemptEnded event;
-  event.id = action.id;
-  event.attempt = action.attempt;
-  event.worker = attempt->runner_id;
-  event.outcome = rookgw::Outcome::kCancelled;
-  event.complete = request->ended;
-  event.took = now - attempt->sent;
-  Run(now, service, event, decisions);
-  ForgetEnded(action.id);
-}
-
 void RequestFlow::NoteRunner(Time now, const Request& request, const Attempt& attempt, AttemptOutcome outcome,
                              std::vector<Decision>* decisions) {
   RunnerTable::Changes changes;
@@ -248,7 +181,13 @@
   if (MayHaveRun(request) && !request.repeatable) return false;
   if (std::ssize(request.attempts) >= request.tries) return false;
   if (!request.service->runners.AnyReady(request.needs)) return false;
-  return request.service->budget.Allows(now, bounds_, dispatchers_);
+  return MayReachAnother(now, request);
+}
+
+// The budget counts what arrives at runners beyond the first attempt that did.
+bool RequestFlow::MayReachAnother(Time now, const Request& request) const {
+  const bool first = std::ranges::none_of(request.attempts, &Attempt::reached);
+  return first || request.service->budget.Allows(now, bounds_, dispatchers_);
 }
 
 void RequestFlow::End(Time now, Request* request, Time retry_after, std::vector<Decision>* decisions) {
--- a/src/routing/request_flow.h
+++ b/src/routing/request_flow.h
@@ -45,6 +45,7 @@
     Time sent = 0;
     Fate fate = Fate::kOut;
     bool begun = false;
+    bool reached = true;  // the runner; false once it turns out that nothing was sent
   };
   struct Request {
     RequestNumber number = 0;
@@ -62,6 +63,7 @@
   Attempt* FindOpen(Request* request, int attempt);
   static bool MayHaveRun(const Request& request);
   static bool HasOpen(const Request& request);
+  bool MayReachAnother(Time now, const Request& request) const;
 
   void Run(Time now, ServiceState* service, const rookgw::Event& event, std::vector<Decision>* decisions);
   void Translate(Time now, ServiceState* service, const std::vector<rookgw::Action>& actions,
--- a/src/routing/runner_table.cpp
+++ b/src/routing/runner_table.cpp
@@ -22,6 +22,11 @@
                                                      : ListedWorker::State::kGone;
 }
 
+// Records are merged by these: there is never another one with the same.
+bool SameRecord(const messages::RunnerRecord& a, const messages::RunnerRecord& b) {
+  return a.call_count() == b.call_count() && a.state() == b.state();
+}
+
 bool SameListing(const ListedWorker& a, const ListedWorker& b) {
   return a.state == b.state && a.zone == b.zone && a.weight == b.weight && a.slots == b.slots &&
          a.holds == b.holds;
@@ -46,6 +51,7 @@
       runner.listed.id = record->runner_id();
       runner.listed.state = ListedWorker::State::kGone;
     }
+    if (!fresh && SameRecord(*record, runner.record)) continue;
     if (!fresh && record->call_count() > runner.record.call_count()) {
       runner.gone = false;
       runner.withheld.clear();
--- /dev/null
+++ b/tests/system/routing/attempts_test.cpp
@@ -0,0 +1,212 @@
+// What follows when an attempt ends without an answer: another runner, a refusal or a failure.
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "world.h"
+
+namespace lichenlug::routing {
+namespace {
+
+World Runners(int count) {
+  World world;
+  world.bounds.retry_budget = false;
+  for (int i = 0; i < count; ++i) world.AddRunner("r" + std::to_string(i), "pool", 64, {"m1"});
+  return world;
+}
+
+StartAttempt First(Dispatcher* dispatcher, bool repeatable, int tries = 2) {
+  Arrival arrival = Asking(dispatcher->next++, dispatcher->now, "m1");
+  arrival.repeatable = repeatable;
+  arrival.tries = tries;
+  const auto started = Only<StartAttempt>(dispatcher->Arrived(arrival));
+  REQUIRE(started.size() == 1);
+  return started[0];
+}
+
+TEST_CASE("a request that has not run goes to another runner", "[attempts]") {
+  for (AttemptOutcome outcome : {AttemptOutcome::kNotRun, AttemptOutcome::kModelMissing,
+                                 AttemptOutcome::kWrongRunner, AttemptOutcome::kConnectFailed}) {
+    Dispatcher fresh(Runners(3));
+    const StartAttempt first = First(&fresh, false);
+    const auto second = Only<StartAttempt>(fresh.Ended(first, outcome));
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].attempt == 1);
+    CHECK(second[0].runner_id != first.runner_id);
+    // `tries` is the most runners that it may go to.
+    const auto end = fresh.Ended(second[0], outcome);
+    REQUIRE(end.size() == 1);
+    CHECK(Only<Refuse>(end).size() == 1);
+  }
+}
+
+TEST_CASE("a request of one try is refused when it has not run", "[attempts]") {
+  Dispatcher dispatcher(Runners(3));
+  const auto end = dispatcher.Ended(First(&dispatcher, true, 1), AttemptOutcome::kNotRun);
+  REQUIRE(end.size() == 1);
+  CHECK(Only<Refuse>(end).size() == 1);
+}
+
+TEST_CASE("a request that may have run is repeated only where that is harmless", "[attempts]") {
+  Dispatcher dispatcher(Runners(3));
+  const auto failed = dispatcher.Ended(First(&dispatcher, false), AttemptOutcome::kBroken);
+  REQUIRE(failed.size() == 1);
+  CHECK(Only<Fail>(failed).size() == 1);
+  const StartAttempt first = First(&dispatcher, true);
+  const auto second = Only<StartAttempt>(dispatcher.Ended(first, AttemptOutcome::kBroken));
+  REQUIRE(second.size() == 1);
+  CHECK(second[0].runner_id != first.runner_id);
+  // It has not run at the second, but may have at the first: nothing is promised.
+  CHECK(Only<Fail>(dispatcher.Ended(second[0], AttemptOutcome::kNotRun)).size() == 1);
+}
+
+TEST_CASE("a stream that has begun is taken up elsewhere", "[attempts]") {
+  Dispatcher dispatcher(Runners(3));
+  const StartAttempt first = First(&dispatcher, true);
+  dispatcher.decisions.FirstEvent(dispatcher.now, first.request, 0);
+  dispatcher.now += kSecond;
+  CHECK(Only<StartAttempt>(dispatcher.Ended(first, AttemptOutcome::kBroken)).size() == 1);
+}
+
+TEST_CASE("a stream that nobody can take up fails at its deadline at the latest", "[attempts]") {
+  World world = Runners(2);
+  Dispatcher dispatcher(world);
+  const StartAttempt first = First(&dispatcher, true);
+  dispatcher.decisions.FirstEvent(dispatcher.now, first.request, 0);
+  world.Runner("r0").set_state(messages::RUNNER_DRAINING);
+  world.Runner("r1").set_state(messages::RUNNER_DRAINING);
+  dispatcher.Install(world);
+  auto end = dispatcher.Ended(first, AttemptOutcome::kBroken);
+  for (const Decision& decision : dispatcher.Wait(13 * kSecond)) end.push_back(decision);
+  REQUIRE(end.size() == 1);
+  CHECK(Only<Fail>(end).size() == 1);
+}
+
+TEST_CASE("a time-out fails, and an end that was final needs no decision", "[attempts]") {
+  Dispatcher dispatcher(Runners(3));
+  const auto failed = dispatcher.Ended(First(&dispatcher, true), AttemptOutcome::kTimeout);
+  REQUIRE(failed.size() == 1);
+  CHECK(Only<Fail>(failed).size() == 1);
+  for (AttemptOutcome outcome : {AttemptOutcome::kServed, AttemptOutcome::kBroken, AttemptOutcome::kTimeout,
+                                 AttemptOutcome::kNotRun, AttemptOutcome::kCancelled}) {
+    Dispatcher fresh(Runners(3));
+    CHECK(fresh.Ended(First(&fresh, true), outcome, true).empty());
+    CHECK(fresh.decisions.NextTimer() == std::nullopt);  // nothing is held
+  }
+}
+
+TEST_CASE("a runner without the model is not asked for it again before it has said more", "[attempts]") {
+  World world = Runners(2);
+  Dispatcher dispatcher(world);
+  const StartAttempt first = First(&dispatcher, true);
+  REQUIRE(Only<StartAttempt>(dispatcher.Ended(first, AttemptOutcome::kModelMissing)).size() == 1);
+  dispatcher.Install(world);  // the same record again
+  for (int i = 0; i < 40; ++i) REQUIRE(dispatcher.Send("m1") != first.runner_id);
+  SECTION("a newer record") {
+    world.Runner(first.runner_id).set_call_count(2);
+    dispatcher.Install(world);
+  }
+  SECTION("some time") { dispatcher.Wait(1600 * kMillisecond); }
+  std::set<std::string> used;
+  for (int i = 0; i < 40; ++i) used.insert(dispatcher.Send("m1"));
+  CHECK(used.contains(first.runner_id));
+}
+
+TEST_CASE("when the last runner turns out not to hold the model, the demand is counted", "[attempts]") {
+  Dispatcher dispatcher(Runners(1));
+  const auto refused =
+      Only<Refuse>(dispatcher.Ended(First(&dispatcher, true), AttemptOutcome::kModelMissing));
+  REQUIRE(refused.size() == 1);
+  CHECK(refused[0].retry_after == 2500 * kMillisecond);
+  CHECK(dispatcher.decisions.DemandNow(dispatcher.now)[0].unserved == Approx(1));
+  CHECK(Only<Refuse>(dispatcher.Arrived(Asking(50, dispatcher.now, "m1"))).size() == 1);
+}
+
+TEST_CASE("another runner at the address: gone until a newer record", "[attempts]") {
+  World world = Runners(2);
+  Dispatcher dispatcher(world);
+  const StartAttempt first = First(&dispatcher, true);
+  dispatcher.Ended(first, AttemptOutcome::kWrongRunner);
+  dispatcher.Install(world);
+  dispatcher.Wait(5 * kSecond);
+  for (int i = 0; i < 40; ++i) REQUIRE(dispatcher.Send("m1") != first.runner_id);
+  world.Runner(first.runner_id).set_call_count(2);
+  dispatcher.Install(world);
+  std::set<std::string> used;
+  for (int i = 0; i < 20; ++i) used.insert(dispatcher.Send("m1"));
+  CHECK(used.contains(first.runner_id));
+}
+
+TEST_CASE("a runner that can't be reached is passed over for a while", "[attempts]") {
+  Dispatcher dispatcher(Runners(3));
+  const StartAttempt first = First(&dispatcher, true);
+  dispatcher.Ended(first, AttemptOutcome::kConnectFailed);
+  for (int i = 0; i < 20; ++i) REQUIRE(dispatcher.Send("m1") != first.runner_id);
+}
+
+TEST_CASE("an attempt that reached no runner draws nothing on the retry budget", "[attempts]") {
+  World world = Runners(3);
+  world.bounds.retry_budget = true;
+  world.bounds.retry_slack = 0;
+  Dispatcher dispatcher(world);
+  const auto second = Only<StartAttempt>(dispatcher.Ended(First(&dispatcher, true, 3),  //
+                                                          AttemptOutcome::kConnectFailed));
+  REQUIRE(second.size() == 1);
+  // The second was the first to reach one; a third would be a repeat.
+  CHECK(Only<Refuse>(dispatcher.Ended(second[0], AttemptOutcome::kNotRun)).size() == 1);
+}
+
+TEST_CASE("a full runner is passed over for a moment", "[attempts]") {
+  Dispatcher dispatcher(Runners(2));
+  const StartAttempt first = First(&dispatcher, true);
+  dispatcher.Ended(first, AttemptOutcome::kNotRun);
+  for (int i = 0; i < 10; ++i) REQUIRE(dispatcher.Send("m1") != first.runner_id);
+}
+
+TEST_CASE("a runner that hangs is passed over once it has been silent", "[attempts]") {
+  Dispatcher dispatcher(Runners(3));
+  std::set<std::string> used;
+  const StartAttempt hung = First(&dispatcher, true);
+  for (int i = 0; i < 40; ++i) {
+    const StartAttempt other = First(&dispatcher, true);
+    if (other.runner_id != hung.runner_id) dispatcher.Ended(other, AttemptOutcome::kServed, true);
+    dispatcher.Wait(50 * kMillisecond);
+    if (i >= 25) used.insert(other.runner_id);
+  }
+  CHECK_FALSE(used.contains(hung.runner_id));
+}
+
+TEST_CASE("a runner that vanishes takes nothing new; its attempts end as they do", "[attempts]") {
+  World world = Runners(3);
+  Dispatcher dispatcher(world);
+  const StartAttempt first = First(&dispatcher, true);
+  world.Remove(first.runner_id);
+  CHECK(dispatcher.Install(world).empty());
+  const auto second = Only<StartAttempt>(dispatcher.Ended(first, AttemptOutcome::kBroken));
+  REQUIRE(second.size() == 1);
+  CHECK(second[0].runner_id != first.runner_id);
+  for (int i = 0; i < 40; ++i) REQUIRE(dispatcher.Send("m1") != first.runner_id);
+}
+
+TEST_CASE("a client that leaves has its attempt cancelled", "[attempts]") {
+  Dispatcher dispatcher(Runners(3));
+  const StartAttempt first = First(&dispatcher, true);
+  const auto cancelled = Only<CancelAttempt>(dispatcher.Gone(first.request));
+  REQUIRE(cancelled.size() == 1);
+  CHECK(cancelled[0].attempt == 0);
+  CHECK(dispatcher.Ended(first, AttemptOutcome::kCancelled).empty());
+  CHECK(dispatcher.Gone(first.request).empty());
+  CHECK(dispatcher.decisions.NextTimer() == std::nullopt);
+}
+
+TEST_CASE("a request without an answer fails at its deadline", "[attempts]") {
+  Dispatcher dispatcher(Runners(3));
+  const StartAttempt first = First(&dispatcher, false);
+  const auto end = dispatcher.Wait(12 * kSecond);
+  CHECK(Only<Fail>(end).size() == 1);
+  CHECK(Only<CancelAttempt>(end).size() == 1);
+  CHECK(Only<Refuse>(end).empty());
+  CHECK(end.size() == 2);
+}
+
+}  // namespace
+}  // namespace lichenlug::routing
--- /dev/null
+++ b/tests/system/routing/budget_storm_test.cpp
@@ -0,0 +1,103 @@
+// A storm of failures at many dispatchers: the retry budget that they share without talking.
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cstdio>
+#include <deque>
+#include <random>
+
+#include "world.h"
+
+namespace lichenlug::routing {
+namespace {
+
+constexpr int kDispatchers = 10;
+constexpr Time kTick = 10 * kMillisecond;
+
+// Repeats in a window against what the rule allows there.
+class BudgetRule {
+ public:
+  explicit BudgetRule(const Bounds& bounds) : bounds_(bounds) {}
+  void Request(Time now) { requests_.push_back(now); }
+  void Repeat(Time now) { repeats_.push_back(now); }
+
+  // The most repeats by what is allowed, over all windows that end with a repeat.
+  double Worst() const {
+    double worst = 0;
+    const auto count = [](const std::deque<Time>& times, Time from, Time to) {
+      return static_cast<double>(std::upper_bound(times.begin(), times.end(), to) -
+                                 std::upper_bound(times.begin(), times.end(), from));
+    };
+    const Time w = bounds_.retry_window;
+    for (Time end : repeats_) {
+      const double most = std::max({count(requests_, end - w, end), count(requests_, end - 2 * w, end - w),
+                                    count(requests_, end - 3 * w / 2, end - w / 2)});
+      const double allowed = bounds_.retry_ratio * most + bounds_.retry_slack;
+      worst = std::max(worst, count(repeats_, end - w, end) / allowed);
+    }
+    return worst;
+  }
+  std::size_t repeats() const { return repeats_.size(); }
+
+ private:
+  Bounds bounds_;
+  std::deque<Time> requests_, repeats_;
+};
+
+TEST_CASE("under a storm of failures all dispatchers together keep the retry budget", "[storm]") {
+  World world;
+  for (int i = 0; i < 9; ++i) world.AddRunner("r" + std::to_string(i), "pool", 64, {"m1"});
+  world.live_dispatchers = kDispatchers;
+  std::vector<std::unique_ptr<Dispatcher>> dispatchers;
+  for (int i = 0; i < kDispatchers; ++i) {
+    dispatchers.push_back(std::make_unique<Dispatcher>(world, i + 1));
+  }
+  std::mt19937_64 random(11);
+  BudgetRule rule(world.bounds);
+  RequestNumber number = 0;
+  std::size_t refused = 0;
+  for (Time now = kWorldTime; now < kWorldTime + 60 * kSecond; now += kTick) {
+    const Time second = (now - kWorldTime) / kSecond;
+    // A jump of traffic, a pause, and dispatchers that are lost and come back.
+    const double per_tick = second < 15 ? 0.05 : second < 25 ? 0.5 : second < 40 ? 0.002 : 0.1;
+    if (now % (7 * kSecond) == 0) {
+      world.live_dispatchers = second % 2 == 0 ? 4 : kDispatchers;
+      for (auto& dispatcher : dispatchers) dispatcher->Install(world);
+    }
+    if (second == 30 && now % kSecond == 0)
+      for (int i = 0; i < 3; ++i) dispatchers[i] = std::make_unique<Dispatcher>(world, 100 + i, now);
+    for (auto& dispatcher : dispatchers) {
+      dispatcher->now = now;
+      std::bernoulli_distribution arrives(per_tick);
+      for (int k = 0; k < 5; ++k) {
+        if (!arrives(random)) continue;
+        Arrival arrival = Asking(++number, now, "m1");
+        arrival.tries = 4;
+        rule.Request(now);
+        std::vector<Decision> todo = dispatcher->Arrived(arrival);
+        // Every attempt fails, in one way or the other, and is tried again as long as that is allowed.
+        for (std::size_t at = 0; at < todo.size(); ++at) {
+          refused += std::holds_alternative<Refuse>(todo[at]) ? 1 : 0;
+          const auto* started = std::get_if<StartAttempt>(&todo[at]);
+          if (started == nullptr) continue;
+          if (started->attempt > 0) rule.Repeat(now);
+          const StartAttempt attempt = *started;
+          const auto outcome = random() % 2 == 0 ? AttemptOutcome::kBroken : AttemptOutcome::kNotRun;
+          for (Decision& decision : dispatcher->Ended(attempt, outcome)) todo.push_back(std::move(decision));
+        }
+      }
+      for (const Decision& decision : dispatcher->Wait(0)) {
+        const auto* started = std::get_if<StartAttempt>(&decision);
+        if (started == nullptr) continue;
+        if (started->attempt > 0) rule.Repeat(now);
+        dispatcher->Ended(*started, AttemptOutcome::kNotRun, true);
+      }
+    }
+  }
+  std::printf("storm: %zu repeats of %llu requests, %zu refused, worst window at %.2f of the budget\n",
+              rule.repeats(), static_cast<unsigned long long>(number), refused, rule.Worst());
+  CHECK(rule.repeats() > 100);
+  CHECK(rule.Worst() <= 1.0);
+}
+
+}  // namespace
+}  // namespace lichenlug::routing
--- /dev/null
+++ b/tests/system/routing/decisions_test.cpp
@@ -0,0 +1,293 @@
+// Which runner a request goes to, and how it ends.
+#include "routing/decisions.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "world.h"
+
+namespace lichenlug::routing {
+namespace {
+
+// Nine runners of 64 slots; all hold m1, three m2, one m3 and m1/a1.
+World NineRunners() {
+  World world;
+  for (int i = 0; i < 9; ++i) {
+    std::vector<std::string> models{"m1"};
+    if (i % 3 == 0) models.push_back("m2");
+    if (i == 4) models.push_back("m3");
+    if (i == 5) models.push_back("m1/a1");
+    world.AddRunner("r" + std::to_string(i), "pool", 64, models);
+  }
+  return world;
+}
+
+const Decisions::Demand* Find(const std::vector<Decisions::Demand>& demand, const std::string& model,
+                              const std::string& adapter = "") {
+  for (const Decisions::Demand& item : demand)
+    if (item.model == model && item.adapter == adapter) return &item;
+  return nullptr;
+}
+
+TEST_CASE("only runners that hold the model and adapter are used", "[decisions]") {
+  Dispatcher dispatcher(NineRunners());
+  std::set<std::string> used;
+  for (int i = 0; i < 150; ++i) used.insert(dispatcher.Send("m2"));
+  CHECK(used == std::set<std::string>{"r0", "r3", "r6"});
+  for (int i = 0; i < 40; ++i) REQUIRE(dispatcher.Send("m3") == "r4");
+  for (int i = 0; i < 40; ++i) REQUIRE(dispatcher.Send("m1/a1") == "r5");
+}
+
+TEST_CASE("an attempt names the runner's address and the request's priority", "[decisions]") {
+  World world;
+  world.AddRunner("only", "pool", 64, {"m1"}).set_address("10.0.0.9:1234");
+  Dispatcher dispatcher(world);
+  Arrival arrival = Asking(1, dispatcher.now, "m1");
+  arrival.precedence = 1;
+  const auto started = Only<StartAttempt>(dispatcher.Arrived(arrival));
+  REQUIRE(started.size() == 1);
+  CHECK(started[0].address == "10.0.0.9:1234");
+  CHECK(started[0].runner_id == "only");
+  CHECK(started[0].attempt == 0);
+  CHECK(started[0].priority == 3);
+}
+
+TEST_CASE("a draining runner gets nothing new, and its requests go on", "[decisions]") {
+  World world = NineRunners();
+  Dispatcher dispatcher(world);
+  const std::string home = dispatcher.Send("m2");
+  world.Runner(home).set_state(messages::RUNNER_DRAINING);
+  world.Runner(home).set_call_count(2);
+  CHECK(dispatcher.Install(world).empty());
+  for (int i = 0; i < 120; ++i) {
+    const std::string runner = dispatcher.Send("m2");
+    REQUIRE(runner != home);
+    REQUIRE_FALSE(runner.empty());
+  }
+}
+
+TEST_CASE("a model starts at its home, the same at every dispatcher", "[decisions]") {
+  const World world = NineRunners();
+  std::set<std::string> homes;
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    Dispatcher dispatcher(world, seed);
+    const auto started = Only<StartAttempt>(dispatcher.Arrived(Asking(1, dispatcher.now, "m1")));
+    REQUIRE(started.size() == 1);
+    homes.insert(started[0].runner_id);
+    for (RequestNumber number = 2; number < 20; ++number) {  // one at a time needs no second runner
+      dispatcher.Serve(number - 1);
+      dispatcher.now += 300 * kMillisecond;
+      homes.insert(Only<StartAttempt>(dispatcher.Arrived(Asking(number, dispatcher.now, "m1")))[0].runner_id);
+    }
+  }
+  CHECK(homes.size() == 1);
+}
+
+TEST_CASE("a runner that joins or leaves moves few homes", "[decisions]") {
+  World world;
+  for (int i = 0; i < 9; ++i) {
+    std::vector<std::string> adapters{"m1"};
+    for (int a = 0; a < 200; ++a) adapters.push_back("m1/a" + std::to_string(a));
+    world.AddRunner("r" + std::to_string(i), "pool", 64, adapters);
+  }
+  const auto homes = [](const World& with) {
+    Dispatcher dispatcher(with);
+    std::vector<std::string> runners;
+    for (int a = 0; a < 200; ++a) {
+      runners.push_back(dispatcher.Send("m1/a" + std::to_string(a)));
+      dispatcher.Serve(dispatcher.next - 1);
+    }
+    return runners;
+  };
+  const auto before = homes(world);
+  world.Remove("r3");
+  const auto after = homes(world);
+  for (std::size_t i = 0; i < before.size(); ++i)
+    if (before[i] != "r3") CHECK(before[i] == after[i]);
+  CHECK(std::set<std::string>(before.begin(), before.end()).size() == 9);
+}
+
+TEST_CASE("the set widens under load, and the least loaded member is taken", "[decisions]") {
+  Dispatcher dispatcher(NineRunners());
+  std::map<std::string, int> held;
+  for (int i = 0; i < 9 * 64; ++i) {
+    const std::string runner = dispatcher.Send("m1");
+    REQUIRE_FALSE(runner.empty());
+    ++held[runner];
+    dispatcher.now += kMillisecond;
+  }
+  REQUIRE(held.size() == 9);
+  for (const auto& [runner, count] : held) CHECK(count == 64);
+  CHECK(dispatcher.Send("m1").empty());  // all places are taken
+}
+
+TEST_CASE("a request that finds no place waits within a part of its objective", "[decisions]") {
+  World world;
+  world.AddRunner("only", "pool", 2, {"m1"});
+  Dispatcher dispatcher(world);
+  dispatcher.Send("m1"), dispatcher.Send("m1");
+  const Time asked = dispatcher.now;
+  REQUIRE(dispatcher.Arrived(Asking(3, asked, "m1")).empty());
+  SECTION("it is sent once a place comes free") {
+    dispatcher.Wait(20 * kMillisecond);
+    const auto started = Only<StartAttempt>(dispatcher.Serve(1));
+    REQUIRE(started.size() == 1);
+    CHECK(started[0].request == 3);
+  }
+  SECTION("else it is refused early enough for another try") {
+    const auto ends = dispatcher.Wait(100 * kMillisecond);
+    REQUIRE(ends.size() == 1);
+    const auto refused = Only<Refuse>(ends);
+    REQUIRE(refused.size() == 1);
+    CHECK(refused[0].request == 3);
+    CHECK(refused[0].retry_after > 0);
+    CHECK(refused[0].retry_after <= 4 * kSecond);
+  }
+  SECTION("a client that leaves frees it") {
+    CHECK(dispatcher.Gone(3).empty());
+    CHECK(dispatcher.Wait(kSecond).empty());
+  }
+}
+
+TEST_CASE("the more urgent of the waiting go first", "[decisions]") {
+  World world;
+  world.AddRunner("only", "pool", 1, {"m1"});
+  Dispatcher dispatcher(world);
+  dispatcher.Send("m1");
+  Arrival late = Asking(2, dispatcher.now, "m1"), urgent = Asking(3, dispatcher.now, "m1");
+  late.precedence = 2;
+  REQUIRE(dispatcher.Arrived(late).empty());
+  REQUIRE(dispatcher.Arrived(urgent).empty());
+  dispatcher.Wait(10 * kMillisecond);
+  const auto started = Only<StartAttempt>(dispatcher.Serve(1));
+  REQUIRE(started.size() == 1);
+  CHECK(started[0].request == 3);
+}
+
+TEST_CASE("a model that no ready runner holds is refused at once and counted", "[decisions]") {
+  World world = NineRunners();
+  Dispatcher dispatcher(world);
+  for (RequestNumber number = 1; number <= 20; ++number) {
+    const auto refused = Only<Refuse>(dispatcher.Arrived(Asking(number, dispatcher.now, "unloaded")));
+    REQUIRE(refused.size() == 1);
+    CHECK(refused[0].retry_after == 2500 * kMillisecond);
+    dispatcher.now += 50 * kMillisecond;
+  }
+  Arrival hasty = Asking(21, dispatcher.now, "unloaded");
+  hasty.deadline = dispatcher.now + 1500 * kMillisecond;
+  const auto refused = Only<Refuse>(dispatcher.Arrived(hasty));
+  REQUIRE(refused.size() == 1);
+  CHECK(refused[0].retry_after == 500 * kMillisecond);  // a third of what is left
+
+  const auto recent = dispatcher.decisions.DemandNow(dispatcher.now);
+  const Decisions::Demand* demand = Find(recent, "unloaded");
+  REQUIRE(demand != nullptr);
+  CHECK(demand->service == "pool");
+  CHECK(demand->unserved > 10);
+  CHECK(demand->arrivals_per_s > 4);
+  CHECK(demand->running == 0);
+  CHECK(Find(dispatcher.decisions.DemandNow(dispatcher.now + 11 * kSecond), "unloaded") == nullptr);
+
+  world.Runner("r2").add_models()->set_name("unloaded");
+  world.Runner("r2").set_call_count(2);
+  dispatcher.Install(world);
+  CHECK(dispatcher.Send("unloaded") == "r2");
+}
+
+TEST_CASE("an adapter that is not loaded has its client come back soon", "[decisions]") {
+  Dispatcher dispatcher(NineRunners());
+  const auto refused = Only<Refuse>(dispatcher.Arrived(Asking(1, dispatcher.now, "m2/a3")));
+  REQUIRE(refused.size() == 1);
+  CHECK(refused[0].retry_after == 300 * kMillisecond);
+  const auto recent = dispatcher.decisions.DemandNow(dispatcher.now);
+  REQUIRE(Find(recent, "m2", "a3") != nullptr);
+  CHECK(Find(recent, "m2", "a3")->unserved == Approx(1));
+}
+
+TEST_CASE("a model that the operator has not given is refused and not counted", "[decisions]") {
+  Dispatcher dispatcher(NineRunners());
+  CHECK(Only<Refuse>(dispatcher.Arrived(Asking(1, dispatcher.now, "nobody's"))).size() == 1);
+  CHECK(dispatcher.decisions.DemandNow(dispatcher.now).empty());
+}
+
+TEST_CASE("demand tells what runs", "[decisions]") {
+  Dispatcher dispatcher(NineRunners());
+  for (int i = 0; i < 5; ++i) dispatcher.Send("m1");
+  dispatcher.Send("m3");
+  dispatcher.Serve(1);
+  auto recent = dispatcher.decisions.DemandNow(dispatcher.now);
+  CHECK(Find(recent, "m1")->running == 4);
+  CHECK(Find(recent, "m3")->running == 1);
+  CHECK(Find(recent, "m3")->unserved == 0);
+  dispatcher.Gone(6);
+  recent = dispatcher.decisions.DemandNow(dispatcher.now);
+  CHECK(Find(recent, "m3")->running == 0);
+}
+
+TEST_CASE("a service without an engine is served by any of its runners", "[decisions]") {
+  World world;
+  for (const char* id : {"d1", "d2", "d3"}) world.AddRunner(id, "desk", 6, {});
+  Dispatcher dispatcher(world);
+  std::map<std::string, int> held;
+  for (int i = 0; i < 18; ++i) ++held[dispatcher.Send("")];
+  CHECK(held == std::map<std::string, int>{{"d1", 6}, {"d2", 6}, {"d3", 6}});
+  CHECK(dispatcher.decisions.DemandNow(dispatcher.now).empty());
+}
+
+TEST_CASE("runners of the own zone are preferred, and others take what overflows", "[decisions]") {
+  World world;
+  for (int i = 0; i < 6; ++i)
+    world.AddRunner("r" + std::to_string(i), "pool", 8, {"m1"}).set_zone(i < 3 ? "here" : "there");
+  world.zone = "here";
+  Dispatcher dispatcher(world);
+  const std::set<std::string> own{"r0", "r1", "r2"};
+  for (int i = 0; i < 24; ++i) REQUIRE(own.contains(dispatcher.Send("m1")));
+  for (int i = 0; i < 24; ++i) {
+    const std::string runner = dispatcher.Send("m1");
+    REQUIRE_FALSE(runner.empty());
+    REQUIRE_FALSE(own.contains(runner));
+  }
+}
+
+TEST_CASE("a request for a service that is not there is refused", "[decisions]") {
+  Dispatcher dispatcher(NineRunners());
+  Arrival arrival = Asking(1, dispatcher.now, "m1");
+  arrival.service = "nowhere";
+  CHECK(Only<Refuse>(dispatcher.Arrived(arrival)).size() == 1);
+  CHECK(dispatcher.decisions.NextTimer() == std::nullopt);
+}
+
+TEST_CASE("services come and go with the configuration", "[decisions]") {
+  World world = NineRunners();
+  Dispatcher dispatcher(world);
+  const std::string home = dispatcher.Send("m1");
+  World without = world;
+  without.configuration() = messages::Configuration();
+  World shared = NineRunners();
+  shared.configuration().clear_services();
+  dispatcher.Install(shared);
+  CHECK(dispatcher.Send("m1").empty());
+  // Its request is still there, and ends as any other.
+  CHECK(dispatcher.Serve(1).empty());
+  dispatcher.Install(shared);
+  dispatcher.Install(NineRunners());
+  CHECK(dispatcher.Send("m1") == home);
+}
+
+TEST_CASE("classes are added as routes change, and their number has an end", "[decisions]") {
+  World world;
+  world.AddRunner("only", "pool", 5000, {"m1"});
+  Dispatcher dispatcher(world);
+  for (RequestNumber number = 1; number <= 500; ++number) {
+    Arrival arrival = Asking(number, dispatcher.now, "m1");
+    arrival.objective = static_cast<Time>(number) * kMillisecond;
+    arrival.precedence = static_cast<int>(number % 50);
+    arrival.repeatable = number % 2 == 0;
+    const auto started = Only<StartAttempt>(dispatcher.Arrived(arrival));
+    REQUIRE(started.size() == 1);
+    if (number % 3 == 0) dispatcher.Ended(started[0], AttemptOutcome::kServed, true);
+  }
+}
+
+}  // namespace
+}  // namespace lichenlug::routing
--- /dev/null
+++ b/tests/system/routing/retry_budget_test.cpp
@@ -0,0 +1,119 @@
+// The retry budget of a service and the estimators beside it.
+#include "routing/retry_budget.h"
+
+#include <catch2/catch.hpp>
+
+#include "routing/priority_scale.h"
+
+namespace lichenlug::routing {
+namespace {
+
+constexpr Time kWindow = 10 * kSecond;
+
+int Spend(RetryBudget* budget, Time now, const Bounds& bounds, const DispatcherCount& count) {
+  int repeats = 0;
+  for (; repeats < 1000 && budget->Allows(now, bounds, count); ++repeats) budget->CountRepeat(now);
+  return repeats;
+}
+
+TEST_CASE("a new life has none of the slack for the first window", "[budget]") {
+  Bounds bounds;
+  RetryBudget budget(kWindow);
+  DispatcherCount count(100 * kSecond);
+  CHECK(Spend(&budget, 100 * kSecond, bounds, count) == 0);
+  count.Set(100 * kSecond, kWindow, 1);
+  CHECK(Spend(&budget, 109 * kSecond, bounds, count) == 0);
+  CHECK(Spend(&budget, 110 * kSecond, bounds, count) == 48);  // 0.8 of 60
+}
+
+TEST_CASE("the budget grows with own requests and comes back with the window", "[budget]") {
+  Bounds bounds;
+  bounds.retry_slack = 0;
+  RetryBudget budget(kWindow);
+  DispatcherCount count(0);
+  count.Set(0, kWindow, 1);
+  const Time start = 50 * kSecond;
+  for (int i = 0; i < 100; ++i) budget.CountRequest(start);
+  CHECK(Spend(&budget, start, bounds, count) == 17);  // 0.85 x 0.2 x 100
+  CHECK(Spend(&budget, start + 9 * kSecond, bounds, count) == 0);
+  for (int i = 0; i < 100; ++i) budget.CountRequest(start + 10 * kSecond + 200 * kMillisecond);
+  CHECK(Spend(&budget, start + 10 * kSecond + 300 * kMillisecond, bounds, count) == 17);
+}
+
+TEST_CASE("an idle budget forgets", "[budget]") {
+  Bounds bounds;
+  bounds.retry_slack = 0;
+  RetryBudget budget(kWindow);
+  DispatcherCount count(0);
+  count.Set(0, kWindow, 1);
+  for (int i = 0; i < 1000; ++i) budget.CountRequest(50 * kSecond);
+  CHECK(Spend(&budget, 1000 * kSecond, bounds, count) == 0);
+}
+
+TEST_CASE("the part of the slack grows twofold at most within a window", "[budget]") {
+  DispatcherCount count(0);
+  count.Set(kSecond, kWindow, 10);
+  CHECK(count.ShareOf(20 * kSecond, 60, kWindow) == Approx(6));
+  count.Set(21 * kSecond, kWindow, 1);
+  CHECK(count.ShareOf(21 * kSecond, 60, kWindow) == Approx(12));
+  CHECK(count.ShareOf(30 * kSecond, 60, kWindow) == Approx(12));
+  CHECK(count.ShareOf(32 * kSecond, 60, kWindow) == Approx(60));
+  count.Set(33 * kSecond, kWindow, 20);  // more: at once
+  CHECK(count.ShareOf(33 * kSecond, 60, kWindow) == Approx(3));
+}
+
+TEST_CASE("a count that changes often keeps its largest of the window", "[budget]") {
+  DispatcherCount count(0);
+  Time now = 20 * kSecond;
+  for (int i = 0; i < 1000; ++i, now += kMillisecond) count.Set(now, kWindow, i % 2 == 0 ? 9 : 3);
+  count.Set(now, kWindow, 3);
+  CHECK(count.ShareOf(now, 90, kWindow) == Approx(20));
+  CHECK(count.ShareOf(now + kWindow + kSecond, 90, kWindow) == Approx(30));
+}
+
+TEST_CASE("where the rule is not in force there is no end", "[budget]") {
+  Bounds bounds;
+  bounds.retry_budget = false;
+  RetryBudget budget(kWindow);
+  CHECK(Spend(&budget, kSecond, bounds, DispatcherCount(0)) == 1000);
+}
+
+TEST_CASE("the count of a window never counts too few at one end or too many at the other", "[budget]") {
+  SlidingCounter counter(kWindow);
+  const Time start = 123456789;
+  for (int i = 0; i < 1000; ++i) counter.Add(start + i * 10 * kMillisecond);
+  const Time end = start + 1000 * 10 * kMillisecond;
+  CHECK(counter.AtLeast(end) >= 1000);
+  CHECK(counter.AtMost(end) <= 1000);
+  CHECK(counter.AtMost(end) >= 980);
+  CHECK(counter.AtLeast(end + kWindow + kSecond) == 0);
+}
+
+TEST_CASE("more urgent precedences have smaller numbers in the Priority header", "[priority]") {
+  messages::Configuration configuration;
+  CHECK(PriorityScale(configuration).PriorityOf(0) == 1);
+  for (int precedence : {0, 1, 2, 3}) configuration.add_routes()->set_precedence(precedence);
+  const PriorityScale routes(configuration);
+  CHECK(routes.PriorityOf(0) == 1);
+  CHECK(routes.PriorityOf(1) == 3);
+  CHECK(routes.PriorityOf(2) == 5);
+  CHECK(routes.PriorityOf(3) == 7);
+  CHECK(routes.PriorityOf(1000) == 9);
+  configuration.add_tenants()->set_precedence(0);
+  configuration.add_tenants()->set_precedence(1);
+  configuration.add_tenants()->set_precedence(2);
+  const PriorityScale tenants(configuration);
+  int last = 0;
+  for (int tenant : {0, 1, 2})
+    for (int precedence : {0, 1, 2, 3}) {
+      const int priority = tenants.PriorityOf(tenant * 16 + precedence);
+      CHECK(priority >= last);
+      CHECK(priority <= 9);
+      last = priority;
+    }
+  CHECK(tenants.PriorityOf(0) == 0);
+  CHECK(last == 9);
+}
+
+}  // namespace
+}  // namespace lichenlug::routing
