--- /dev/null
+++ b/src/ctl/http_get.cpp
@@ -0,0 +1,41 @@
+#include "ctl/http_get.h"
+
+#include <asio/ip/tcp.hpp>
+#include <chrono>
+#include <iterator>
+#include <sstream>
+
+namespace lichenlug::ctl {
+namespace {
+
+constexpr std::chrono::seconds kPatience{5};
+
+HttpAnswer ReadAnswer(std::istream& stream) {
+  std::string version, line;
+  HttpAnswer answer;
+  if (!(stream >> version >> answer.status) || !version.starts_with("HTTP/1.")) {
+    return {0, "", "no HTTP answer came in time"};
+  }
+  std::getline(stream, line);  // the reason
+  while (std::getline(stream, line) && line != "\r" && !line.empty()) {
+  }
+  answer.body.assign(std::istreambuf_iterator<char>(stream), std::istreambuf_iterator<char>());
+  return answer;
+}
+
+}  // namespace
+
+HttpAnswer HttpGet(const std::string& address, const std::string& path) {
+  const std::size_t colon = address.rfind(':');
+  if (colon == std::string::npos) return {0, "", "give the address as ip:port"};
+  asio::ip::tcp::iostream stream;
+  stream.expires_after(kPatience);
+  stream.connect(address.substr(0, colon), address.substr(colon + 1));
+  if (!stream) return {0, "", stream.error().message()};
+  // HTTP/1.0, so that the body ends with the connection and is not in chunks.
+  stream << "GET " << path << " HTTP/1.0\r\nHost: " << address << "\r\nConnection: close\r\n\r\n"
+         << std::flush;
+  return ReadAnswer(stream);
+}
+
+}  // namespace lichenlug::ctl
--- /dev/null
+++ b/src/ctl/status_command.cpp
@@ -0,0 +1,53 @@
+#include <glog/logging.h>
+
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "ctl/commands.h"
+#include "ctl/http_get.h"
+
+namespace lichenlug::ctl {
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+constexpr char kStatusPath[] = "/-/status";
+constexpr int kStatusOk = 200;
+
+std::string Scalar(const Json& value) { return value.is_string() ? value.get<std::string>() : value.dump(); }
+
+// One line a value, nested ones indented beneath the name of theirs.
+void Print(const Json& value, int indent) {
+  const std::string margin(static_cast<std::size_t>(indent), ' ');
+  for (const auto& [name, inner] : value.items()) {
+    const std::string label = value.is_array() ? "-" : name + ":";
+    if (inner.is_structured() && !inner.empty()) {
+      std::cout << margin << label << '\n';
+      Print(inner, indent + 2);
+    } else {
+      std::cout << margin << label << ' ' << (inner.is_structured() ? "none" : Scalar(inner)) << '\n';
+    }
+  }
+}
+
+}  // namespace
+
+ExitCode ShowStatus(const std::string& address) {
+  const HttpAnswer answer = HttpGet(address, kStatusPath);
+  if (answer.status != kStatusOk) {
+    LOG(ERROR) << address << kStatusPath << ": "
+               << (answer.status == 0 ? answer.error : "answered " + std::to_string(answer.status))
+               << ": give the control address of a running dispatcher";
+    return kFailed;
+  }
+  const Json status = Json::parse(answer.body, nullptr, false);
+  if (!status.is_object()) {
+    LOG(ERROR) << address << kStatusPath
+               << ": its answer is no JSON object: is this a dispatcher's control address?";
+    return kFailed;
+  }
+  Print(status, 0);
+  return kSuccess;
+}
+
+}  // namespace lichenlug::ctl
