Let lichenlugctl verify and export the store of a stopped dispatcher

Need: what a dispatcher's disk holds has to be readable without starting it and without changing it, so a copy is read, by the code that restores the registers.

--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -19,4 +19,10 @@
 // Fetches the status of the dispatcher with that control address, "ip:port".
 ExitCode ShowStatus(const std::string& address);
 
+// Reads the store of a dispatcher that is stopped, from a copy of its folder, so that it stays as it is.
+// Verify lists its records and registers and tells whether all can be read; export prints the registers, one
+// JSON object a line.
+ExitCode VerifyStore(const std::string& folder);
+ExitCode ExportStore(const std::string& folder);
+
 }  // namespace lichenlug::ctl
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -28,6 +28,14 @@
        "FILE",
        "check a configuration as a dispatcher does (- for standard input)",
        CheckConfiguration},
+      {{"store", "verify"},
+       "FOLDER",
+       "list the store of a stopped dispatcher and check each record",
+       VerifyStore},
+      {{"store", "export"},
+       "FOLDER",
+       "print the registers of a stopped dispatcher's store as JSON",
+       ExportStore},
       {{"status"}, "ADDRESS", "show the status of the dispatcher with this control address", ShowStatus},
   };
   return commands;
