--- /dev/null
+++ b/tests/system/placement/explain_test.cpp
@@ -0,0 +1,31 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "simulated_fleet.h"
+
+namespace lichenlug::placement {
+namespace {
+
+TEST_CASE("the operator is told where models stand, what is wanted and why") {
+  SimulatedFleet fleet({});
+  fleet.Ask({"m0", ""}, 20);
+  fleet.Ask({"m29", ""}, 1);
+  fleet.Run(3500 * kMillisecond);
+  const std::vector<std::string> lines = fleet.placement().Explain(fleet.now());
+  const auto line = [&](const std::string& start) {
+    const auto it = std::find_if(lines.begin(), lines.end(),
+                                 [&](const std::string& text) { return text.rfind(start, 0) == 0; });
+    return it == lines.end() ? std::string() : *it;
+  };
+  CHECK(line("llm: epoch 1").find("loads left") != std::string::npos);
+  CHECK(line("m0: 20.0/s").find("; on r") != std::string::npos);
+  CHECK(line("m29: 1.0/s").find("next to r") != std::string::npos);
+  CHECK(line("m29: ").find("held by no ready runner") != std::string::npos);
+  CHECK(line("runner r0 in z0").find("MB and 8 adapter places free") != std::string::npos);
+  fleet.FailOver(3 * kSecond);
+  fleet.Run(kSecond);
+  CHECK(fleet.placement().Explain(fleet.now()).size() == 1);
+}
+
+}  // namespace
+}  // namespace lichenlug::placement
--- /dev/null
+++ b/tests/system/placement/runner_ledger_test.cpp
@@ -0,0 +1,157 @@
+#include "placement/runner_ledger.h"
+
+#include <catch2/catch.hpp>
+
+namespace lichenlug::placement {
+namespace {
+
+using Phase = RunnerLedger::Phase;
+const Key kFirst{"m1", ""}, kSecondKey{"m2", ""};
+constexpr Time kLoadTime = 2 * kSecond;
+
+messages::RunnerRecord Record(std::uint64_t heartbeat, const std::vector<std::string>& models) {
+  messages::RunnerRecord record;
+  record.set_runner_id("r1");
+  record.set_address("10.0.0.1:80");
+  record.set_call_count(heartbeat);
+  for (const std::string& model : models) record.add_models()->set_name(model);
+  return record;
+}
+
+RunnerReport Report(std::uint64_t taken, bool busy, const std::vector<std::string>& models) {
+  RunnerReport report;
+  report.orders_taken = taken;
+  report.busy = busy;
+  for (const std::string& model : models) report.held.Add({model, ""});
+  return report;
+}
+
+RunnerLedger IdleLedger(const std::vector<std::string>& models) {
+  RunnerLedger ledger;
+  ledger.Observe(0, Record(5, models));
+  CHECK(ledger.NeedsReport(0, true));
+  ledger.ReportSent(0);
+  ledger.ReportAnswered(0, Report(3, false, models));
+  CHECK(ledger.CanOrder(0));
+  return ledger;
+}
+
+TEST_CASE("a runner is read before its first order, and only if there is one") {
+  RunnerLedger ledger;
+  ledger.Observe(0, Record(5, {}));
+  CHECK_FALSE(ledger.CanOrder(0));
+  CHECK_FALSE(ledger.NeedsReport(0, false));
+  CHECK(ledger.NeedsReport(0, true));
+  ledger.ReportSent(0);
+  CHECK_FALSE(ledger.NeedsReport(0, true));
+  ledger.ReportAnswered(0, Report(3, true, {}));  // another holder's order is under way
+  CHECK_FALSE(ledger.CanOrder(0));
+  CHECK(ledger.NeedsReport(kSecond, true));
+}
+
+TEST_CASE("a load counts from its order on, answered or not") {
+  RunnerLedger ledger = IdleLedger({"m1"});
+  ledger.OrderSent(0, {Order::Kind::kLoad, kSecondKey}, kLoadTime, 9);
+  CHECK(ledger.MayHold().Holds(kSecondKey));
+  ledger.OrderAnswered(kSecond, OrderOutcome::kUnknown);
+  CHECK(ledger.MayHold().Holds(kSecondKey));
+  CHECK(ledger.unsettled_load() == 9);
+  CHECK_FALSE(ledger.TakeSettledLoad());
+  // Not taken so far, which doesn't mean that it won't arrive.
+  ledger.ReportSent(2 * kSecond);
+  ledger.ReportAnswered(2 * kSecond, Report(3, false, {"m1"}));
+  CHECK(ledger.CanOrder(2 * kSecond));
+  CHECK(ledger.MayHold().Holds(kSecondKey));
+  CHECK(ledger.unsettled_load() == 9);
+  // An order with its number is taken: it never will.
+  ledger.OrderSent(2 * kSecond, {Order::Kind::kUnload, kFirst}, 0, 0);
+  ledger.OrderAnswered(2 * kSecond, OrderOutcome::kTaken);
+  CHECK_FALSE(ledger.MayHold().Holds(kSecondKey));
+  CHECK(ledger.TakeSettledLoad() == std::optional<std::uint64_t>(9));
+  CHECK(ledger.orders_taken() == 4);
+}
+
+TEST_CASE("an unanswered load still counts after the epoch changed") {
+  RunnerLedger ledger = IdleLedger({});
+  ledger.OrderSent(0, {Order::Kind::kLoad, kFirst}, kLoadTime, 9);
+  ledger.Restart();
+  ledger.ReportSent(0);
+  ledger.ReportAnswered(0, Report(3, false, {}));
+  CHECK(ledger.MayHold().Holds(kFirst));
+  CHECK(ledger.unsettled_load() == 9);
+}
+
+TEST_CASE("what is unloaded counts until a report shows it gone and nothing under way") {
+  RunnerLedger ledger = IdleLedger({"m1"});
+  ledger.OrderSent(0, {Order::Kind::kUnload, kFirst}, 0, 0);
+  ledger.OrderAnswered(0, OrderOutcome::kTaken);
+  ledger.Observe(kSecond, Record(6, {}));  // it may have only begun
+  CHECK(ledger.MayHold().Holds(kFirst));
+  CHECK_FALSE(ledger.CanOrder(kSecond));
+  CHECK(ledger.NeedsReport(kSecond, false));
+  ledger.ReportSent(kSecond);
+  ledger.ReportAnswered(kSecond, Report(3, false, {}));  // of before the order
+  CHECK(ledger.MayHold().Holds(kFirst));
+  ledger.ReportSent(2 * kSecond);
+  ledger.ReportAnswered(2 * kSecond, Report(4, true, {}));
+  CHECK(ledger.MayHold().Holds(kFirst));
+  ledger.ReportSent(3 * kSecond);
+  ledger.ReportAnswered(3 * kSecond, Report(4, false, {}));
+  CHECK_FALSE(ledger.MayHold().Holds(kFirst));
+  CHECK(ledger.CanOrder(3 * kSecond));
+}
+
+TEST_CASE("a load is done when a heartbeat after its order shows it") {
+  RunnerLedger ledger = IdleLedger({});
+  ledger.OrderSent(0, {Order::Kind::kLoad, kFirst}, kLoadTime, 9);
+  ledger.OrderAnswered(0, OrderOutcome::kTaken);
+  CHECK(ledger.phase() == Phase::kWorking);
+  ledger.Observe(kSecond, Record(5, {"m1"}));  // not newer
+  CHECK(ledger.phase() == Phase::kWorking);
+  ledger.Observe(3 * kSecond, Record(7, {"m1"}));
+  CHECK(ledger.phase() == Phase::kIdle);
+  CHECK(ledger.held().Holds(kFirst));
+}
+
+TEST_CASE("a heartbeat may come before the answer to the order that it shows done") {
+  RunnerLedger ledger = IdleLedger({});
+  ledger.OrderSent(0, {Order::Kind::kLoad, kFirst}, kLoadTime, 9);
+  ledger.Observe(kSecond, Record(6, {"m1"}));
+  ledger.OrderAnswered(kSecond, OrderOutcome::kTaken);
+  CHECK(ledger.phase() == Phase::kIdle);
+}
+
+TEST_CASE("an order that is never seen done is asked after") {
+  RunnerLedger ledger = IdleLedger({});
+  ledger.OrderSent(0, {Order::Kind::kLoad, kFirst}, kLoadTime, 9);
+  ledger.OrderAnswered(0, OrderOutcome::kTaken);
+  CHECK_FALSE(ledger.NeedsReport(8 * kSecond, false));
+  CHECK(ledger.NeedsReport(9 * kSecond, false));
+  ledger.ReportSent(9 * kSecond);
+  ledger.ReportAnswered(9 * kSecond, ReportError::kNoAnswer);
+  CHECK_FALSE(ledger.NeedsReport(10 * kSecond, false));
+  CHECK(ledger.NeedsReport(12 * kSecond, false));
+}
+
+TEST_CASE("each refusal makes the runner be read again, later each time") {
+  for (OrderOutcome outcome : {OrderOutcome::kHolds, OrderOutcome::kConflict, OrderOutcome::kInvalid,
+                               OrderOutcome::kOtherRunner, OrderOutcome::kUnknown}) {
+    RunnerLedger ledger = IdleLedger({});
+    ledger.OrderSent(0, {Order::Kind::kLoad, kFirst}, kLoadTime, 9);
+    ledger.OrderAnswered(0, outcome);
+    CHECK(ledger.phase() == Phase::kUnread);
+    CHECK_FALSE(ledger.NeedsReport(0, true));
+    CHECK(ledger.NeedsReport(3 * kSecond, true));
+    CHECK(ledger.TakeSettledLoad().has_value() == (outcome != OrderOutcome::kUnknown));
+  }
+}
+
+TEST_CASE("a runner that holds another thing than is known is read again") {
+  RunnerLedger ledger = IdleLedger({"m1"});
+  ledger.Observe(kSecond, Record(6, {"m1", "m2"}));
+  CHECK(ledger.phase() == Phase::kUnread);
+  CHECK(ledger.MayHold().Holds(kSecondKey));
+}
+
+}  // namespace
+}  // namespace lichenlug::placement
--- a/tests/system/placement/simulated_fleet.h
+++ b/tests/system/placement/simulated_fleet.h
@@ -35,6 +35,8 @@
   int adapters = 12;  // of each third model
   double loads_per_s = 2.6;
   double lost_request = 0, lost_answer = 0, late_request = 0;
+  Time latest = 4 * kSecond;                    // of late requests
+  Time settle_heartbeat = 1200 * kMillisecond;  // what the holders take for the period of heartbeats
   bool fences_checked = true;
   bool filled = true;  // each model stands somewhere at the start, as far as there is room
   std::uint64_t seed = 1;
