--- a/src/membership/failure_detector.cpp
+++ b/src/membership/failure_detector.cpp
@@ -79,7 +79,7 @@
   const auto trusted = std::ranges::count_if(monitors, [&](const std::string& monitor) {
     return table_.Find(monitor)->record.state() == messages::MEMBER_ALIVE;
   });
-  return entry.record.suspected_by_size() >= std::min<std::ptrdiff_t>(2, trusted);
+  return entry.record.suspected_by_size() >= std::min<std::ptrdiff_t>(kMostAccusers, trusted);
 }
 
 // Suspicions that are not this member's own: confirmed by others, or forgotten after a while.
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -43,9 +43,18 @@
   return {.news = live, .live_changed = live};
 }
 
+// The usual case, as most news comes several times.
+bool MemberTable::TellsNothingNew(const MemberRecord& record, const Entry& entry) {
+  const MemberRecord& known = entry.record;
+  if (record.incarnation() != known.incarnation()) return record.incarnation() < known.incarnation();
+  const bool newer_state =
+      record.state() > known.state() || (record.state() == MEMBER_SUSPECT && known.state() == MEMBER_SUSPECT);
+  return !newer_state && CompareKnowledge(record, known) <= 0;
+}
+
 // A higher incarnation replaces what was known; within one, each field takes the newer value.
 MemberTable::Applied MemberTable::ApplyToKnown(Time now, const MemberRecord& record, Entry& entry) {
-  if (record.incarnation() < entry.record.incarnation()) return {};
+  if (TellsNothingNew(record, entry)) return {};
   const bool was_live = IsLive(entry.record);
   const bool newer_life = record.incarnation() > entry.record.incarnation();
   const bool newer_fields = CompareKnowledge(record, entry.record) > 0;
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -4,10 +4,10 @@
 
 #include <array>
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -56,7 +56,7 @@
   Entry* Find(const std::string& name);
   const Entry* Find(const std::string& name) const;
   const MemberRecord& self() const { return Find(own_name_)->record; }
-  const std::map<std::string, Entry>& entries() const { return entries_; }
+  const std::unordered_map<std::string, Entry>& entries() const { return entries_; }
   const std::set<std::string>& suspects() const { return suspects_; }
   const std::set<std::string>& dead() const { return dead_; }  // not those that have left
   bool IsLiveAddress(const std::string& address) const { return live_addresses_.contains(address); }
@@ -76,6 +76,7 @@
   using RingKey = std::pair<std::uint64_t, std::string>;
 
   std::size_t RingPosition(const std::string& name) const;
+  static bool TellsNothingNew(const MemberRecord& record, const Entry& entry);
   Applied ApplyToKnown(Time now, const MemberRecord& record, Entry& entry);
   void SetState(Time now, Entry& entry, messages::MemberState state);
   bool MergeState(Time now, const MemberRecord& record, Entry& entry);
@@ -84,7 +85,7 @@
   void Unindex(const Entry& entry);
 
   const std::string own_name_;
-  std::map<std::string, Entry> entries_;
+  std::unordered_map<std::string, Entry> entries_;
   std::vector<RingKey> ring_;  // sorted
   std::set<std::string> suspects_, dead_;
   std::multiset<std::string> live_addresses_;
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -1,5 +1,6 @@
 #include "membership/membership.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "membership/protocol.h"
@@ -9,6 +10,16 @@
 class Membership::Impl : public Protocol {
  public:
   using Protocol::Protocol;
+
+  template <typename Condition>
+  std::vector<Member> Members(Condition condition) const {  // by name
+    std::vector<Member> members;
+    for (const auto& [name, entry] : table().entries()) {
+      if (condition(entry.record)) members.push_back(ToMember(entry.record));
+    }
+    std::ranges::sort(members, {}, &Member::name);
+    return members;
+  }
 };
 
 Membership::Membership(MembershipSettings settings) : impl_(std::make_unique<Impl>(std::move(settings))) {}
@@ -31,17 +42,11 @@
 void Membership::Leave(Time now, MembershipOutput* output) { impl_->Leave(now, output); }
 
 std::vector<Member> Membership::Live() const {
-  std::vector<Member> live;
-  for (const auto& [name, entry] : impl_->table().entries()) {
-    if (IsLive(entry.record)) live.push_back(ToMember(entry.record));
-  }
-  return live;
+  return impl_->Members([](const MemberRecord& record) { return IsLive(record); });
 }
 
 std::vector<Member> Membership::Everyone() const {
-  std::vector<Member> everyone;
-  for (const auto& [name, entry] : impl_->table().entries()) everyone.push_back(ToMember(entry.record));
-  return everyone;
+  return impl_->Members([](const MemberRecord&) { return true; });
 }
 
 std::optional<Time> Membership::DeadSince(const std::string& name) const {
--- a/src/membership/news.h
+++ b/src/membership/news.h
@@ -17,7 +17,7 @@
  public:
   static constexpr std::size_t kMostInMessage = 64;
   static constexpr Time kBetweenBursts = 50 * kMillisecond;
-  static constexpr Time kRecent = kSecond;
+  static constexpr Time kRecent = 450 * kMillisecond;  // about one heartbeat
 
   void Add(Time now, const std::string& name) {
     pending_.insert(name);
--- a/src/membership/protocol.cpp
+++ b/src/membership/protocol.cpp
@@ -48,8 +48,9 @@
   const Call call{now, *output};
   NotePauses(call);
   CallSeeds(call);
-  if (now >= next_heartbeat_) HeartbeatPeriod(call);
-  CheckOthers(call);
+  const bool heartbeat_due = now >= next_heartbeat_;
+  if (heartbeat_due) HeartbeatPeriod(call);
+  if (heartbeat_due || (next_check_ && now >= *next_check_)) CheckOthers(call);
   SendNews(call);
 }
 
@@ -91,7 +92,7 @@
   auto monitors = table_.Successors(self_.name, static_cast<std::size_t>(std::max(settings_.monitors, 1)));
   for (const std::string& monitor : monitors) {
     if (std::ranges::find(monitors_, monitor) != monitors_.end()) continue;
-    SendToMember(call, monitor, MakeHeartbeat(news_.Recent(call.now), false));
+    SendToMember(call, monitor, MakeHeartbeat({}, false));
   }
   monitors_ = std::move(monitors);
 }
--- a/src/membership/protocol_receive.cpp
+++ b/src/membership/protocol_receive.cpp
@@ -8,6 +8,7 @@
 
 constexpr Time kLearnsOfDeadFor = 10 * kSecond;  // a new life takes over what others remember of the dead
 constexpr Time kBetweenTellings = 100 * kMillisecond;
+constexpr Time kCheckSoon = 30 * kMillisecond;  // after news of a suspicion: more may come with it
 
 }  // namespace
 
@@ -38,7 +39,7 @@
   LearnFromOwner(call, from, heartbeat.self());
   for (const MemberRecord& record : heartbeat.news()) Learn(call, record);
   if (heartbeat.self().state() != messages::MEMBER_ALIVE) return;
-  if (heartbeat.wants_reply()) SendToAddress(call, from, MakeHeartbeat(news_.Recent(call.now), false));
+  if (heartbeat.wants_reply()) SendToAddress(call, from, MakeHeartbeat({}, false));
   if (heartbeat.table_hash() == table_.hash()) return;
   if (auto digest = anti_entropy_.OnOtherHash(call.now)) SendTable(call, from, std::move(*digest));
 }
@@ -60,7 +61,9 @@
   const bool accused_here = known != nullptr && HasAccuser(known->record, self_.name);
   const auto applied = table_.Apply(call.now, record, call.now - started_at_ < kLearnsOfDeadFor);
   if (applied.news) news_.Add(call.now, record.name());
-  if (applied.news && record.state() != messages::MEMBER_ALIVE) next_check_ = call.now;
+  if (applied.news && record.state() != messages::MEMBER_ALIVE) {
+    next_check_ = std::min(next_check_.value_or(call.now + kCheckSoon), call.now + kCheckSoon);
+  }
   if (applied.objected && accused_here) detector_.Objected(call.now, record.name());
   call.output.changed |= applied.live_changed;
 }
--- a/src/transport/transport.cpp
+++ b/src/transport/transport.cpp
@@ -1,5 +1,7 @@
 #include "transport/transport.h"
 
+#include <google/protobuf/stubs/logging.h>
+
 #include <atomic>
 #include <utility>
 
@@ -59,6 +61,7 @@
 
   void OnBytes(std::span<const std::byte> bytes) {
     messages::Envelope envelope;
+    const google::protobuf::LogSilencer silence;  // what can't be read is counted
     if (!envelope.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
       ++unreadable_;
     } else if (envelope.protocol_version() != kProtocolVersion) {
