Add the usage duty: merged counts, tallies chosen once, told exactly so until acknowledged

Per tenant and window, the requests that began have to be reported once, with the same counts whoever reports them and however often.

--- /dev/null
+++ b/src/duties/usage_counts.cpp
@@ -0,0 +1,87 @@
+#include "duties/usage_counts.h"
+
+#include <algorithm>
+
+namespace lichenlug::duties {
+namespace {
+
+constexpr std::int64_t kFewestWindows = 12, kMostWindows = 64;  // that are kept
+constexpr std::int64_t kWindowsAhead = 1;                       // clocks of dispatchers differ a little
+constexpr std::size_t kMostLives = 8192;
+constexpr std::size_t kMostTenants = 4096;  // of one life in one window
+
+}  // namespace
+
+UsageCounts::UsageCounts(std::int64_t kept_windows)
+    : kept_windows_(std::clamp(kept_windows, kFewestWindows, kMostWindows)) {}
+
+void UsageCounts::Merge(const messages::UsageReport& report, std::int64_t newest) {
+  if (newest - kept_windows_ > oldest_kept_) DropBefore(newest - kept_windows_);
+  const Life life(report.name(), report.incarnation());
+  for (const auto& window : report.windows()) {
+    if (window.window() < newest - kept_windows_ || window.window() > newest + kWindowsAhead) continue;
+    if (!lives_.contains(life) && lives_.size() >= kMostLives) return;
+    Counts& counts = lives_[life][window.window()];
+    for (const auto& entry : window.counts()) {
+      if (counts.size() >= kMostTenants && !counts.contains(entry.tenant())) continue;
+      std::uint64_t& count = counts[entry.tenant()];
+      count = std::max(count, entry.count());
+    }
+  }
+}
+
+void UsageCounts::DropBefore(std::int64_t oldest) {
+  oldest_kept_ = oldest;
+  for (auto& [life, windows] : lives_) windows.erase(windows.begin(), windows.lower_bound(oldest));
+  std::erase_if(lives_, [](const auto& entry) { return entry.second.empty(); });
+}
+
+messages::WindowCount UsageCounts::Tally(std::int64_t window) const {
+  Counts sum;
+  for (const auto& [life, windows] : lives_) {
+    const auto found = windows.find(window);
+    if (found == windows.end()) continue;
+    for (const auto& [tenant, count] : found->second) sum[tenant] += count;
+  }
+  messages::WindowCount tally;
+  tally.set_window(window);
+  for (const auto& [tenant, count] : sum) {
+    if (count == 0) continue;
+    auto* entry = tally.add_counts();
+    entry->set_tenant(tenant);
+    entry->set_count(count);
+  }
+  return tally;
+}
+
+std::optional<std::int64_t> UsageCounts::OldestWindow() const {
+  std::optional<std::int64_t> oldest;
+  for (const auto& [life, windows] : lives_) {
+    for (const auto& [window, counts] : windows) {
+      if (std::any_of(counts.begin(), counts.end(), [](const auto& entry) { return entry.second > 0; }))
+        oldest = std::min(oldest.value_or(window), window);
+    }
+  }
+  return oldest;
+}
+
+std::vector<messages::UsageReport> UsageCounts::Reports() const {
+  std::vector<messages::UsageReport> reports;
+  for (const auto& [life, windows] : lives_) {
+    auto& report = reports.emplace_back();
+    report.set_name(life.first);
+    report.set_incarnation(life.second);
+    for (const auto& [window, counts] : windows) {
+      auto* told = report.add_windows();
+      told->set_window(window);
+      for (const auto& [tenant, count] : counts) {
+        auto* entry = told->add_counts();
+        entry->set_tenant(tenant);
+        entry->set_count(count);
+      }
+    }
+  }
+  return reports;
+}
+
+}  // namespace lichenlug::duties
--- /dev/null
+++ b/tests/system/duties/usage_test.cpp
@@ -0,0 +1,330 @@
+// Usage reports: merged idempotently, chosen once, told exactly so until acknowledged.
+#include "duties/usage.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <set>
+
+namespace lichenlug::duties {
+namespace {
+
+constexpr Time kWindow = 5 * kSecond;
+constexpr Time kLate = 10 * kSecond;
+constexpr std::int64_t kFirst = 350000000;  // a window of our days
+constexpr Time kStart = kFirst * kWindow;
+
+using CountByTenant = std::map<std::string, std::uint64_t>;
+
+messages::UsageReport MakeReport(const std::string& name, std::uint64_t incarnation, std::int64_t window,
+                                 const CountByTenant& counts) {
+  messages::UsageReport report;
+  report.set_name(name);
+  report.set_incarnation(incarnation);
+  auto* told = report.add_windows();
+  told->set_window(window);
+  for (const auto& [tenant, count] : counts) {
+    auto* entry = told->add_counts();
+    entry->set_tenant(tenant);
+    entry->set_count(count);
+  }
+  return report;
+}
+
+CountByTenant CountsOf(const messages::WindowCount& tally) {
+  CountByTenant counts;
+  for (const auto& entry : tally.counts()) counts[entry.tenant()] = entry.count();
+  return counts;
+}
+
+std::int64_t WindowIn(const HttpCall& call) {
+  return nlohmann::json::parse(call.body).at("window_no").get<std::int64_t>();
+}
+
+// A duty, its register's state, and a platform that answers as told.
+struct World {
+  UsageDuty duty{UsageDuty::Settings{kWindow, kLate}};
+  messages::OwnershipState state;
+  Time now = 77 * kSecond;
+  Time wall = kStart;
+  int platform_status = 200;
+  std::vector<HttpCall> calls;
+  std::vector<messages::WindowCount> chosen;
+
+  void Step(std::uint64_t epoch, bool answers = true) {
+    UsageDuty::Output output;
+    duty.Act(now, wall, epoch, state, &output);
+    for (const auto& tally : output.choose) {
+      chosen.push_back(tally);
+      *state.add_tallies() = tally;
+    }
+    for (const HttpCall& call : output.calls) {
+      calls.push_back(call);
+      UsageDuty::Output more;
+      if (answers) duty.Completed(now, call.tag, {platform_status, ""}, &more);
+    }
+    now += 50 * kMillisecond;
+    wall += 50 * kMillisecond;
+  }
+  void RunFor(Time span, std::uint64_t epoch, bool answers = true) {
+    for (const Time until = now + span; now < until;) Step(epoch, answers);
+  }
+};
+
+}  // namespace
+
+TEST_CASE("reports merge to the same in any order and any number") {
+  std::mt19937_64 random(1);
+  for (int round = 0; round < 300; ++round) {
+    std::vector<messages::UsageReport> reports;
+    CountByTenant truth;
+    for (int life = 0; life < 4; ++life) {
+      CountByTenant counts;
+      for (int told = 0; told < 3; ++told) {  // cumulative
+        counts["a"] += random() % 5;
+        counts["b"] += random() % 5;
+        reports.push_back(MakeReport("dispatcher-" + std::to_string(life / 2), life, kFirst, counts));
+      }
+      for (const auto& [tenant, count] : counts) truth[tenant] += count;
+    }
+    std::erase_if(truth, [](const auto& entry) { return entry.second == 0; });
+    World world;
+    for (int copy = 0; copy < 2; ++copy) {
+      std::shuffle(reports.begin(), reports.end(), random);
+      for (const auto& report : reports) world.duty.Merge(kStart, report);
+    }
+    UsageDuty other{UsageDuty::Settings{kWindow, kLate}};  // told by this one alone
+    for (const auto& report : world.duty.Reports()) other.Merge(kStart, report);
+    UsageDuty::Output output;
+    other.Act(world.now, kStart + kWindow + kLate / 2, 1, {}, &output);
+    REQUIRE(output.choose.size() == 1);
+    REQUIRE(CountsOf(output.choose[0]) == truth);
+  }
+}
+
+TEST_CASE("a window is chosen between two and three fifths of the time allowed, and reported then") {
+  World world;
+  world.duty.Merge(kStart, MakeReport("d", 1, kFirst, {{"t2", 7}, {"t1", 3}, {"none", 0}}));
+  world.RunFor(kWindow + kLate * 2 / 5, 4);
+  CHECK(world.chosen.empty());
+  world.RunFor(kLate / 5, 4);
+  REQUIRE(world.chosen.size() == 1);
+  REQUIRE(world.calls.size() == 1);
+  const HttpCall& call = world.calls[0];
+  CHECK(call.method == "POST");
+  CHECK(call.path == "/usage");
+  CHECK(call.address.empty());
+  CHECK(call.fence == 4);
+  const auto body = nlohmann::json::parse(call.body);
+  CHECK(body == nlohmann::json{{"window_no", kFirst}, {"tallies", {{"t1", 3}, {"t2", 7}}}});
+}
+
+TEST_CASE("every window is reported once, the empty ones too, and in order") {
+  World world;
+  world.duty.Merge(kStart, MakeReport("d", 1, kFirst, {{"t", 1}}));
+  world.duty.Merge(kStart + 4 * kWindow, MakeReport("d", 1, kFirst + 4, {{"t", 2}}));
+  world.RunFor(100 * kSecond, 1);
+  REQUIRE(world.calls.size() >= 18);
+  for (std::size_t i = 0; i < world.calls.size(); ++i)
+    CHECK(WindowIn(world.calls[i]) == kFirst + static_cast<std::int64_t>(i));
+  CHECK(nlohmann::json::parse(world.calls[1].body)["tallies"] == nlohmann::json::object());
+}
+
+TEST_CASE("what was chosen is told exactly so until it is acknowledged, with pauses") {
+  World world;
+  world.duty.Merge(kStart, MakeReport("d", 1, kFirst, {{"t", 5}}));
+  world.platform_status = GENERATE(0, 429, 500, 503);
+  const bool answers = world.platform_status != 0;  // else the call is never heard of again
+  world.RunFor(kWindow + kLate * 9 / 20, 1, answers);
+  world.duty.Merge(world.wall, MakeReport("d", 1, kFirst, {{"t", 6}}));  // too late to be counted
+  world.RunFor(8 * kSecond, 1, answers);
+  std::size_t repeats = 0;
+  for (const HttpCall& call : world.calls) {
+    if (WindowIn(call) != kFirst) continue;
+    ++repeats;
+    CHECK(call.body == world.calls[0].body);
+  }
+  CHECK(repeats >= 3);
+  CHECK(repeats <= 8);                 // each pause is twice the one before, up to 2 s
+  CHECK(world.calls.size() <= 4 * 9);  // a few calls a second at the most
+  CHECK(nlohmann::json::parse(world.calls[0].body)["tallies"]["t"] == 5);
+
+  world.platform_status = 200;
+  world.RunFor(5 * kSecond, 1);
+  const auto told = world.calls.size();
+  world.RunFor(kWindow, 1);
+  CHECK(world.calls.size() <= told + 2);  // the windows that fell due meanwhile
+}
+
+TEST_CASE("a window is given up after four times the time allowed") {
+  World world;
+  world.platform_status = 503;
+  world.RunFor(200 * kSecond, 1);
+  for (const HttpCall& call : world.calls) REQUIRE_FALSE(call.body.empty());
+  std::set<std::int64_t> late_calls;
+  world.calls.clear();
+  world.RunFor(5 * kSecond, 1);
+  for (const HttpCall& call : world.calls) late_calls.insert(WindowIn(call));
+  for (const std::int64_t window : late_calls)
+    CHECK(world.wall <= (window + 1) * kWindow + 4 * kLate + 5 * kSecond);
+}
+
+TEST_CASE("one that the platform refuses for a higher fence stops until it has a newer epoch") {
+  World world;
+  world.RunFor(kWindow + kLate * 9 / 20, 1);
+  REQUIRE(world.calls.size() == 1);
+  world.platform_status = 409;
+  world.RunFor(20 * kSecond, 1);
+  CHECK(world.calls.size() == 2);
+  const auto chosen = world.chosen.size();
+  world.platform_status = 200;
+  world.RunFor(20 * kSecond, 1);
+  CHECK(world.calls.size() == 2);
+  CHECK(world.chosen.size() == chosen);
+  world.RunFor(20 * kSecond, 3);
+  CHECK(world.calls.size() > 4);
+  CHECK(world.calls.back().fence == 3);
+}
+
+TEST_CASE("a new holder repeats the chosen windows that are in time, exactly, and goes on from there") {
+  World world;
+  world.duty.Merge(kStart, MakeReport("d", 1, kFirst, {{"t", 5}}));
+  world.RunFor(60 * kSecond, 1);
+  World next;
+  next.state = world.state;
+  next.now = 5 * kSecond;  // another machine's clock
+  next.wall = world.wall;
+  next.duty.Merge(next.wall, MakeReport("d", 1, kFirst, {{"t", 9}}));
+  const std::int64_t newest = next.state.tallies().rbegin()->window();
+  next.RunFor(20 * kSecond, 2);
+  std::map<std::int64_t, std::string> told;
+  for (const HttpCall& call : world.calls) told[WindowIn(call)] = call.body;
+  REQUIRE(next.calls.size() >= 4);
+  for (const HttpCall& call : next.calls) {
+    const std::int64_t window = WindowIn(call);
+    CHECK((window + 1) * kWindow + kLate >= world.wall);
+    if (window <= newest) CHECK(call.body == told.at(window));
+    CHECK(call.fence == 2);
+  }
+  REQUIRE(next.chosen.size() >= 3);
+  CHECK(next.chosen[0].window() == newest + 1);
+}
+
+TEST_CASE("a holder after a long silence skips windows that are far too late") {
+  World world;
+  world.RunFor(30 * kSecond, 1);
+  world.wall += 1000 * kSecond;
+  world.now += 1000 * kSecond;
+  const auto before = world.chosen.size();
+  world.Step(1);
+  REQUIRE(world.chosen.size() > before);
+  CHECK((world.chosen[before].window() + 1) * kWindow + 4 * kLate >= world.wall - kWindow);
+  CHECK(world.chosen.size() <= before + 8);
+}
+
+TEST_CASE("counts are bounded: old windows, windows to come, dispatchers") {
+  World world;
+  for (std::uint64_t life = 0; life < 9000; ++life)
+    world.duty.Merge(kStart, MakeReport("d" + std::to_string(life), 1, kFirst, {{"t", 1}}));
+  CHECK(world.duty.Reports().size() == 8192);
+  world.duty.Merge(kStart + 100 * kWindow, MakeReport("new", 1, kFirst + 100, {{"t", 1}}));
+  CHECK(world.duty.Reports().size() == 1);
+  world.duty.Merge(kStart + 100 * kWindow, MakeReport("new", 1, kFirst + 80, {{"t", 1}}));
+  world.duty.Merge(kStart + 100 * kWindow, MakeReport("new", 1, kFirst + 120, {{"t", 1}}));
+  CHECK(world.duty.Reports()[0].windows_size() == 1);
+}
+
+TEST_CASE("through failovers each window is chosen once, and all that is told of it is the same") {
+  std::size_t due = 0, missed = 0;
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    CAPTURE(seed);
+    std::mt19937_64 random(seed);
+    const auto chance = [&random](int one_in) { return random() % static_cast<std::uint64_t>(one_in) == 0; };
+    std::vector<std::unique_ptr<UsageDuty>> duties(3);
+    for (auto& duty : duties) duty = std::make_unique<UsageDuty>(UsageDuty::Settings{kWindow, kLate});
+    messages::OwnershipState state;
+    std::vector<messages::WindowCount> pending;  // given to the register by the present holder
+    std::map<std::int64_t, std::string> told;
+    std::map<std::int64_t, CountByTenant> truth;
+    std::set<std::int64_t> acknowledged;
+    struct UnderWay {
+      std::size_t duty;
+      std::uint64_t tag;
+      int status;
+      Time at;
+    };
+    std::vector<UnderWay> answers;
+    std::vector<Time> losses;  // of the holder
+    std::size_t holder = 0;
+    std::uint64_t epoch = 1, count = 0;
+    Time now = 0, wall = kStart;
+    for (int step = 0; step < 2400; ++step, now += 50 * kMillisecond, wall += 50 * kMillisecond) {
+      const std::int64_t window = wall / kWindow;
+      truth[window]["t"] += count = random() % 3;
+      if (step % 5 == 0) {  // one dispatcher counts, and tells all; some do not hear of it at once
+        for (auto& duty : duties)
+          if (!chance(4)) duty->Merge(wall, MakeReport("d", 1, window, truth[window]));
+        if (step % 100 != 0)
+          for (auto& duty : duties) duty->Merge(wall, MakeReport("d", 1, window - 1, truth[window - 1]));
+      }
+      if (chance(150)) {  // the holder is lost, and with it what was not chosen
+        holder = random() % 3;
+        ++epoch;
+        losses.push_back(wall);
+        pending.clear();
+        if (chance(2)) {  // a fresh process
+          duties[holder] = std::make_unique<UsageDuty>(UsageDuty::Settings{kWindow, kLate});
+          std::erase_if(answers, [&](const UnderWay& answer) { return answer.duty == holder; });
+        }
+        for (const auto& other : duties)
+          for (const auto& report : other->Reports()) duties[holder]->Merge(wall, report);
+      }
+      if (!pending.empty() && chance(3)) {
+        for (const auto& tally : pending) {
+          const bool is_new = state.tallies().empty() || state.tallies().rbegin()->window() < tally.window();
+          if (is_new) *state.add_tallies() = tally;
+        }
+        pending.clear();
+        while (state.tallies_size() > 16) state.mutable_tallies()->DeleteSubrange(0, 1);
+      }
+      UsageDuty::Output output;
+      duties[holder]->Act(now, wall, epoch, state, &output);
+      for (const auto& tally : output.choose) pending.push_back(tally);
+      for (const HttpCall& call : output.calls) {
+        REQUIRE(call.fence == epoch);
+        const std::int64_t reported = WindowIn(call);
+        const auto [known, added] = told.try_emplace(reported, call.body);
+        REQUIRE(known->second == call.body);
+        const int status = chance(3) ? 503 : 200;
+        if (status == 200) acknowledged.insert(reported);
+        if (!chance(4))
+          answers.push_back(
+              {holder, call.tag, status, now + static_cast<Time>(random() % 400) * kMillisecond});
+      }
+      std::erase_if(answers, [&](const UnderWay& answer) {
+        if (answer.at > now) return false;
+        UsageDuty::Output more;
+        duties[answer.duty]->Completed(now, answer.tag, {answer.status, ""}, &more);
+        return true;
+      });
+    }
+    const std::int64_t last_due = (wall - kLate) / kWindow - 1;
+    for (std::int64_t window = kFirst; window <= last_due; ++window) {
+      ++due;
+      if (acknowledged.contains(window)) continue;
+      ++missed;  // only where its holder was lost after the window had ended
+      const Time ended = (window + 1) * kWindow;
+      REQUIRE(std::any_of(losses.begin(), losses.end(), [ended](Time at) { return at > ended; }));
+    }
+    for (const auto& [window, body] : told) {
+      const auto counted = nlohmann::json::parse(body)["tallies"].value("t", std::uint64_t{0});
+      REQUIRE(counted == truth[window]["t"]);
+    }
+  }
+  CAPTURE(due, missed);
+  CHECK(missed * 500 <= due);  // with a holder lost every 7.5 s and half of the calls in vain
+}
+
+}  // namespace lichenlug::duties
