Test the data plane on loopback, and mend what the tests found

Found and mended: a request that the decision module gave up a moment before its deadline was answered 502, not 504; a lack of connections on this side was told as a runner's fault. Buffers of events and of the parser are kept between calls; the connections kept to a runner are bounded by its limit.

--- a/src/dataplane/attempt.cpp
+++ b/src/dataplane/attempt.cpp
@@ -48,7 +48,7 @@
           return attempt->Fail(AttemptOutcome::kConnectFailed);
         attempt->Transmit();
       });
-  if (connection_ == nullptr) return Fail(AttemptOutcome::kConnectFailed);
+  if (connection_ == nullptr) return Fail(AttemptOutcome::kNotRun);  // no fault of the runner's
   connection_->set_user(this);
 }
 
@@ -161,8 +161,9 @@
   const auto self = shared_from_this();
   AttemptOwner* const owner = owner_;
   Stop();
-  // Nothing that comes to pass before the first byte leaves can have run.
-  if (owner != nullptr) owner->AttemptFailed(*this, sent_ ? outcome : AttemptOutcome::kConnectFailed);
+  // What comes to pass before the first byte leaves can't have run.
+  if (!sent_ && outcome == AttemptOutcome::kBroken) outcome = AttemptOutcome::kConnectFailed;
+  if (owner != nullptr) owner->AttemptFailed(*this, outcome);
 }
 
 }  // namespace lichenlug::dataplane
--- a/src/dataplane/context.h
+++ b/src/dataplane/context.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <memory>
+#include <string>
 
 #include "base/clock.h"
 #include "base/deadlines.h"
@@ -52,6 +53,7 @@
   UsageCounter usage;
   Counters counters;
   bool draining = false;
+  std::string events_buffer, framed_buffer;  // of one call, kept so that an event needs no memory of its own
 };
 
 }  // namespace lichenlug::dataplane
--- a/src/dataplane/data_plane.cpp
+++ b/src/dataplane/data_plane.cpp
@@ -14,8 +14,9 @@
 namespace lichenlug::dataplane {
 namespace {
 
-constexpr int kKeptDescriptors = 500;  // files, and the sockets of the rest of the process
-constexpr std::size_t kBodyShare = 4;  // of the memory one part is for requests' bodies
+constexpr int kKeptDescriptors = 500;                  // files, and the sockets of the rest of the process
+constexpr std::size_t kBodyShare = 4;                  // of the memory one part is for requests' bodies
+constexpr std::size_t kMostIdle = 64, kLeastIdle = 2;  // connections kept to a runner
 constexpr Time kPublishEvery = 250 * kMillisecond;
 constexpr Time kDrainLookEvery = 50 * kMillisecond;
 
@@ -23,6 +24,15 @@
   return static_cast<std::size_t>(std::max(16, descriptors - kKeptDescriptors)) / 2;
 }
 
+// Half of this dispatcher's part of the connections that a runner takes, for the service with the least.
+std::size_t MostIdle(const routing::Snapshot& snapshot) {
+  int least = 2 * static_cast<int>(kMostIdle) * std::max(1, snapshot.live_dispatchers);
+  if (snapshot.configuration != nullptr)
+    for (const auto& service : snapshot.configuration->services())
+      if (service.connection_limit() > 0) least = std::min(least, service.connection_limit());
+  return std::max<std::size_t>(kLeastIdle, least / (2 * std::max(1, snapshot.live_dispatchers)));
+}
+
 }  // namespace
 
 class DataPlane::Impl {
@@ -74,6 +84,7 @@
     context_.snapshot = snapshot;
     if (anew && snapshot->revision > 0 && snapshot->configuration != nullptr)
       context_.router = std::make_shared<const routing::Router>(snapshot->configuration);
+    runners_.SetMostIdle(MostIdle(*snapshot));
     exchanges_.Install(snapshot);
   }
 
--- a/src/dataplane/exchange.cpp
+++ b/src/dataplane/exchange.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t kMostEvent = 1u << 20;  // held back until it is whole
 constexpr std::size_t kMostUnsent =
     64 * 1024;  // for a client that does not read: then its runner has to wait
+// The decision module may give a request up a little before its deadline.
+constexpr Time kDeadlineSlack = 20 * kMillisecond;
 constexpr Time kLeastRetryAfter = 50 * kMillisecond;
 constexpr std::string_view kBusy = "no runner could take the request: retry after the time in Retry-After";
 constexpr std::string_view kBroke = "the runner broke off: retry if the request may run twice";
@@ -113,8 +115,10 @@
 
 void Exchange::Refuse(Time retry_after) { AnswerOwn(503, kBusy, std::max(retry_after, kLeastRetryAfter)); }
 
+bool Exchange::Late() const { return context_->Now() >= deadline_ - kDeadlineSlack; }
+
 void Exchange::Fail() {
-  const bool late = context_->Now() >= deadline_;
+  const bool late = Late();
   AnswerOwn(late ? 504 : 502, late ? kLate : kBroke, std::nullopt);
 }
 
@@ -242,18 +246,21 @@
 void Exchange::StreamBytes(Attempt& attempt, std::string_view bytes) {
   const auto self = shared_from_this();
   if (!events_mode_) return SendStream(attempt, bytes);
-  std::string out = std::exchange(prelude_, {});
+  std::string& out = context_->events_buffer;
+  out.assign(prelude_);
+  prelude_.clear();
   bool first = false;
   PassEvents(bytes, &out, &first);
   if (events_.rest().size() > kMostEvent) return AttemptFailed(attempt, AttemptOutcome::kBroken);
   if (out.empty()) return;
-  if (!head_sent_ && !first) return void(prelude_ = std::move(out));
+  if (!head_sent_ && !first) return void(prelude_ = out);
   SendStream(attempt, out);
 }
 
 // Sends the head where it has not gone yet, then the bytes.
 void Exchange::SendStream(const Attempt& attempt, std::string_view bytes) {
-  std::string framed;
+  std::string& framed = context_->framed_buffer;
+  framed.clear();
   if (chunked_ && !bytes.empty())
     AppendChunk(bytes, &framed);
   else
@@ -294,7 +301,7 @@
   if (head_sent_) return Cut();
   for (const auto& attempt : attempts_) may_have_run_ = may_have_run_ || attempt->sent();
   const bool unsure = status == 503 && may_have_run_;
-  const bool late = context_->Now() >= deadline_;
+  const bool late = Late();
   if (unsure) status = late ? 504 : 502, line = late ? kLate : kBroke, retry_after.reset();
   ++(status == 503 ? context_->counters.refused : context_->counters.failed);
   if (sink_ != nullptr) std::exchange(sink_, nullptr)->SendOwn(status, line, retry_after);
--- a/src/dataplane/exchange.h
+++ b/src/dataplane/exchange.h
@@ -55,6 +55,7 @@
 
  private:
   void DeadlineCame();
+  bool Late() const;
   bool MayStillGo();
   bool Resumable() const;
   void PassEvents(std::string_view bytes, std::string* out, bool* first);
--- a/src/dataplane/runner_pool.cpp
+++ b/src/dataplane/runner_pool.cpp
@@ -146,8 +146,10 @@
   connection->user_ = nullptr;
   if (rest <= 0) return;
   connection->usable_until_ = deadlines_->Now() + rest;
+  std::vector<Connection>& kept = idle_[connection->key_];
+  if (kept.size() >= most_idle_) return;
   connection->on_idle_end_ = [this, raw = connection.get()] { DropIdle(raw); };
-  idle_[connection->key_].push_back(std::move(connection));
+  kept.push_back(std::move(connection));
   ++idle_count_;
   ArmSweep();
 }
--- a/src/dataplane/runner_pool.h
+++ b/src/dataplane/runner_pool.h
@@ -58,6 +58,9 @@
   // Keeps a connection whose exchange is whole; `answer` tells for how long its runner does.
   void Keep(Connection connection, const HttpMessage& answer);
 
+  // Runners bound the connections of all dispatchers together.
+  void SetMostIdle(std::size_t most_per_runner) { most_idle_ = most_per_runner; }
+
   std::size_t idle() const { return idle_count_; }
 
  private:
@@ -71,7 +74,7 @@
   const std::size_t most_connections_;
   std::shared_ptr<std::size_t> open_ = std::make_shared<std::size_t>(0);
   std::unordered_map<std::string, std::vector<Connection>> idle_;  // the latest used last
-  std::size_t idle_count_ = 0;
+  std::size_t idle_count_ = 0, most_idle_ = 64;
   Deadlines::Key sweep_;
 };
 
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -251,11 +251,13 @@
     return;
   }
   if (!resting_ && !pending_.empty()) {
-    const std::string bytes = std::exchange(pending_, {});
-    bytes_end_ = bytes.data() + bytes.size();
-    const std::size_t used = http_parser_execute(&parser_, &settings, bytes.data(), bytes.size());
+    parsing_.swap(pending_);
+    bytes_end_ = parsing_.data() + parsing_.size();
+    const std::size_t used = http_parser_execute(&parser_, &settings, parsing_.data(), parsing_.size());
     if (ended_) return;
-    if (used < bytes.size()) pending_.insert(0, bytes, used);
+    if (used < parsing_.size()) pending_.insert(0, parsing_, used);
+    parsing_.clear();
+    if (parsing_.capacity() > kReadSize) parsing_.shrink_to_fit();
     const http_errno fault = HTTP_PARSER_ERRNO(&parser_);
     if (fault != HPE_OK && fault != HPE_PAUSED) return Tell(too_large_ ? End::kTooLarge : End::kMalformed);
   }
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -113,7 +113,7 @@
   Events events_;
   http_parser parser_;
   HttpMessage message_;
-  std::string pending_, field_, out_;
+  std::string pending_, parsing_, field_, out_;
   std::size_t head_size_ = 0, out_at_ = 0;
   const char* bytes_end_ = nullptr;  // of what the parser reads now
   HttpOptions options_;
--- /dev/null
+++ b/tests/system/dataplane/clients_test.cpp
@@ -0,0 +1,276 @@
+// What clients may send, what is refused, and what is told to runners of it.
+#include <catch2/catch.hpp>
+#include <thread>
+
+#include "world.h"
+
+namespace lichenlug::dataplane::test {
+namespace {
+
+// Sends and expects a refusal with a one-line body before any runner is called.
+void CheckRefused(World* world, const std::string& bytes, int status, bool closes) {
+  Socket client = world->Client();
+  client.Send(bytes);
+  const Message answer = client.Read();
+  CHECK(answer.status() == status);
+  CHECK(answer.whole);
+  CHECK(answer.body.size() > 1);
+  CHECK(answer.body.find('\n') == answer.body.size() - 1);
+  CHECK((answer.Header("Connection") == "close") == closes);
+  if (closes) {
+    client.EndSending();
+    CHECK(client.AtEnd());
+  }
+  CHECK_FALSE(world->runner(0).Waiting(0));
+}
+
+}  // namespace
+
+TEST_CASE("Without a configuration a request is refused for a moment") {
+  World world({{.id = "r1", .models = {}}}, {}, /*install=*/false);
+  Socket client = world.Client();
+  client.Send(Get("/safe/x", "a1"));
+  const Message answer = client.Read();
+  CHECK(answer.status() == 503);
+  CHECK(answer.Header("Retry-After") == "0.200");
+}
+
+TEST_CASE("Requests with no route or key are refused") {
+  World world;
+  CheckRefused(&world, Get("/none/x", "a1"), 404, false);
+  CheckRefused(&world, Get("/key/x", "a1"), 401, false);
+  CheckRefused(&world, Get("/key/x", "a1", "Authorization: Bearer k2\r\n"), 401, false);
+}
+
+TEST_CASE("What could be read in two ways is refused") {
+  World world;
+  const std::string head = "POST /safe/x HTTP/1.1\r\nHost: h.example\r\nLichenlug-Try-Id: a1\r\n";
+  const std::string request = GENERATE_COPY(
+      std::string("nonsense\r\n\r\n"), std::string("GET /safe/x HTTP/1.1\r\nLichenlug-Try-Id: a1\r\n\r\n"),
+      std::string("GET /safe/x HTTP/1.1\r\nHost: h.example\r\n\r\n"),
+      std::string("GET safe/x HTTP/1.1\r\nHost: h.example\r\nLichenlug-Try-Id: a1\r\n\r\n"),
+      std::string("GET http://h.example/safe/x HTTP/1.1\r\nHost: h.example\r\nLichenlug-Try-Id: a1\r\n\r\n"),
+      std::string("CONNECT h.example:80 HTTP/1.1\r\nHost: h.example\r\nLichenlug-Try-Id: a1\r\n\r\n"),
+      head + "Host: other\r\n\r\n", head + "Lichenlug-Try-Id: a2\r\n\r\n",
+      head + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+      head + "Content-Length: 1\r\nContent-Length: 1\r\n\r\na",
+      head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      head + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+      head + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      head + "Content-Length: -1\r\n\r\n", head + "Content-Length: 1a\r\n\r\nb",
+      head + "Content-Length : 1\r\n\r\nb", head + "X: a\r\n b\r\nContent-Length: 0\r\n\r\n",
+      head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", head + "X\x01: a\r\n\r\n",
+      head + "Lichenlug-Deadline-Ms: soon\r\nContent-Length: 0\r\n\r\n",
+      head + "Lichenlug-Deadline-Ms: 1\r\nLichenlug-Deadline-Ms: 2\r\nContent-Length: 0\r\n\r\n");
+  CheckRefused(&world, request, 400, true);
+}
+
+TEST_CASE("Requests beyond the bounds of the configuration are refused") {
+  World world;
+  CheckRefused(&world, Get("/safe/x", "a1", "X: " + std::string(5000, 'x') + "\r\n"), 431, true);
+  CheckRefused(&world, Post("/safe/x", "a1", std::string(100001, 'x')), 413, true);
+  const std::string chunked =
+      "POST /safe/x HTTP/1.1\r\nHost: h.example\r\nLichenlug-Try-Id: a1\r\nTransfer-Encoding: "
+      "chunked\r\n\r\n" +
+      Chunk(std::string(60000, 'x')) + Chunk(std::string(60000, 'x'));
+  CheckRefused(&world, chunked, 413, true);
+  CheckRefused(&world, "GET /safe/x HTTP/1.0\r\nHost: h.example\r\nLichenlug-Try-Id: a1\r\n\r\n", 505, true);
+}
+
+TEST_CASE("A head that does not come in time is refused, and an idle connection ended") {
+  messages::Configuration configuration = UsualConfiguration();
+  configuration.mutable_limits()->set_idle_ms(300);
+  World world({{.id = "r1", .models = {}}}, configuration);
+  Socket warm = world.Client();  // the bounds are in force once a request is matched
+  for (int status = 503; status == 503;) {
+    warm.Send(Get("/none/x", "a1"));
+    status = warm.Read().status();
+  }
+  Socket slow = world.Client(), idle = world.Client();
+  slow.Send("GET /safe/x HTTP/1.1\r\nHost:");
+  CHECK(slow.Read().status() == 408);
+  CHECK(idle.AtEnd());
+  CHECK(warm.AtEnd());
+}
+
+TEST_CASE("Headers of one connection and the client's key stay behind") {
+  World world;
+  Socket client = world.Client();
+  client.Send(
+      Post("/key/x", "a1", "b",
+           "Authorization: Bearer k1\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\nKeep-Alive: 5\r\n"
+           "TE: trailers\r\nUpgrade: h2c\r\nProxy-Authorization: p\r\nLichenlug-Sender: forged\r\n"
+           "Lichenlug-Expect-Runner: forged\r\nPriority: 0\r\nlichenlug-deadline-ms: 900\r\n"
+           "Last-Event-Id: 12\r\nX-End: 2\r\nX-End: 3\r\nLichenlug-Model: m/a\r\n"));
+  Socket runner = world.runner(0).Accept();
+  const Message request = runner.Read();
+  for (const char* dropped :
+       {"Authorization", "Connection", "X-Hop", "Keep-Alive", "TE", "Upgrade", "Proxy-Authorization"})
+    CHECK(request.Header(dropped).empty());
+  const auto values = [&request](const std::string& name) {
+    std::vector<std::string> found;
+    for (const auto& [known, value] : request.headers)
+      if (known == name) found.push_back(value);
+    return found;
+  };
+  using Values = std::vector<std::string>;
+  CHECK(values("Lichenlug-Sender") == Values{"t1"});
+  CHECK(values("Lichenlug-Expect-Runner") == Values{"r1"});
+  CHECK(values("Host") == Values{"h.example"});
+  CHECK(values("X-End") == Values{"2", "3"});
+  CHECK(values("Last-Event-Id") == Values{"12"});
+  CHECK(values("Lichenlug-Model") == Values{"m/a"});
+  CHECK(values("Content-Length") == Values{"1"});
+  CHECK(values("Priority").size() == 1);
+  CHECK(values("lichenlug-deadline-ms").empty());
+  REQUIRE(values("Lichenlug-Deadline-Ms").size() == 1);
+  CHECK(std::stoi(values("Lichenlug-Deadline-Ms")[0]) <= 900);
+}
+
+TEST_CASE("An anonymous client can't name a tenant") {
+  World world;
+  Socket client = world.Client();
+  client.Send(Get("/safe/x", "a1", "Lichenlug-Sender: t1\r\n"));
+  Socket runner = world.runner(0).Accept();
+  const Message request = runner.Read();
+  CHECK(request.Header("Lichenlug-Sender").empty());
+  CHECK(request.Header("Content-Length").empty());
+}
+
+TEST_CASE("A body in chunks goes on with its length, and its trailers stay behind") {
+  World world;
+  Socket client = world.Client();
+  client.Send(
+      "POST /safe/x HTTP/1.1\r\nHost: h.example\r\nLichenlug-Try-Id: a1\r\nTransfer-Encoding: chunked\r\n"
+      "Trailer: X-After\r\n\r\n" +
+      Chunk("hel") + Chunk("lo") + "0\r\nX-After: 1\r\nLichenlug-Sender: t1\r\n\r\n");
+  Socket runner = world.runner(0).Accept();
+  const Message request = runner.Read();
+  CHECK(request.Header("Content-Length") == "5");
+  CHECK(request.Header("Transfer-Encoding").empty());
+  CHECK(request.Header("X-After").empty());
+  CHECK(request.Header("Lichenlug-Sender").empty());
+  CHECK(request.body == "hello");
+}
+
+TEST_CASE("Large bodies go through unchanged in both directions") {
+  messages::Configuration configuration = UsualConfiguration();
+  configuration.mutable_limits()->set_body_bytes(3'000'000);
+  World world({{.id = "r1", .models = {}}}, configuration);
+  std::string large(2'500'000, '\0');
+  for (std::size_t i = 0; i < large.size(); ++i) large[i] = static_cast<char>(i * 7919 >> 3);
+  Socket client = world.Client();
+  Socket warm = world.Client();
+  for (int status = 503; status == 503;) {
+    warm.Send(Get("/none/x", "a1"));
+    status = warm.Read().status();
+  }
+  client = world.Client();
+  client.Send(
+      "POST /safe/x HTTP/1.1\r\nHost: h.example\r\nLichenlug-Try-Id: a1\r\nExpect: 100-continue\r\n"
+      "Content-Length: 2500000\r\n\r\n");
+  CHECK(client.ReadHead().status() == 100);
+  client.Send(large);
+  Socket runner = world.runner(0).Accept();
+  const Message request = runner.Read();
+  CHECK(request.Header("Expect").empty());
+  CHECK((request.body == large));
+  const bool chunked = GENERATE(true, false);
+  const std::string whole = chunked
+                                ? "HTTP/1.1 200 OK\r\nLichenlug-Try-Id: a1\r\nLichenlug-Runner-Stamp: s1\r\n"
+                                  "Transfer-Encoding: chunked\r\n\r\n" +
+                                      Chunk(large) + "0\r\n\r\n"
+                                : Answer(200, "a1", large);
+  const bool cut = GENERATE(true, false);
+  std::thread sender([&] {
+    runner.Send(cut ? whole.substr(0, whole.size() - 7) : whole);
+    if (cut) runner.Close();
+  });
+  const Message answer = client.Read();
+  sender.join();
+  CHECK(answer.status() == 200);
+  CHECK(answer.whole == !cut);
+  if (!cut) CHECK((answer.body == large));
+}
+
+TEST_CASE("Answers to HEAD and with no content have no body") {
+  World world;
+  Socket client = world.Client();
+  client.Send("HEAD /safe/x HTTP/1.1\r\nHost: h.example\r\nLichenlug-Try-Id: a1\r\n\r\n" +
+              Get("/safe/x", "a2") + Get("/safe/x", "a3"));
+  Socket runner = world.runner(0).Accept();
+  CHECK(runner.Read().first_line == "HEAD /safe/x HTTP/1.1");
+  const std::string whole = Answer(200, "a1", "12345");
+  runner.Send(whole.substr(0, whole.size() - 5));
+  const Message head = client.Read(/*with_body=*/false);
+  CHECK(head.status() == 200);
+  CHECK(head.Header("Content-Length") == "5");
+  runner.Read();
+  runner.Send(
+      "HTTP/1.1 204 No\r\nLichenlug-Try-Id: a2\r\nLichenlug-Runner-Stamp: s1\r\nKeep-Alive: "
+      "timeout=9\r\n\r\n");
+  const Message empty = client.Read(/*with_body=*/false);
+  CHECK(empty.status() == 204);
+  CHECK(empty.Header("Content-Length").empty());
+  runner.Read();
+  runner.Send(Answer(200, "a3", "abc"));
+  CHECK(client.Read().body == "abc");
+}
+
+TEST_CASE("A client's wish to close is followed") {
+  World world;
+  Socket client = world.Client();
+  client.Send(Get("/none/x", "a1", "Connection: close\r\n"));
+  const Message answer = client.Read();
+  CHECK(answer.Header("Connection") == "close");
+  CHECK(client.AtEnd());
+}
+
+TEST_CASE("A draining data plane serves what is there and what comes, then has nothing left") {
+  World world({{.id = "r1", .models = {}}}, UsualConfiguration(), true, /*grace=*/kSecond);
+  Socket client = world.Client();
+  client.Send(Post("/unsafe/1", "a1", "b"));
+  Socket runner = world.runner(0).Accept();
+  runner.Read();
+  world.plane().BeginDrain();
+  runner.Send(Answer(200, "a1", "one"));
+  CHECK(client.Read().body == "one");
+  Socket late = world.Client();
+  late.Send(Post("/unsafe/2", "a2", "b"));
+  runner.Read();
+  runner.Send(Answer(200, "a2", "two"));
+  const Message answer = late.Read();
+  CHECK(answer.body == "two");
+  CHECK(answer.Header("Connection") == "close");
+  CHECK(late.AtEnd());
+  Socket resting = world.Client();
+  CHECK(resting.AtEnd());  // in the second half of the grace
+  late.Close(), client.Close(), resting.Close();
+  bool drained = false;
+  CHECK(world.Await([&](const Report&) { return drained = world.plane().Drained(); }));
+}
+
+TEST_CASE("A drain does not close over a request that has come") {
+  World world({{.id = "r1", .models = {}}}, UsualConfiguration(), true, /*grace=*/kSecond);
+  Socket client = world.Client();
+  client.Send(Get("/safe/1", "a1") + Get("/safe/2", "a2"));
+  Socket runner = world.runner(0).Accept();
+  runner.Read();
+  world.plane().BeginDrain();
+  runner.Send(Answer(200, "a1", "one"));
+  CHECK(client.Read().body == "one");
+  runner.Read();
+  runner.Send(Answer(200, "a2", "two"));
+  CHECK(client.Read().body == "two");
+}
+
+TEST_CASE("An address that can't be listened at is told") {
+  Settings settings;
+  settings.listen_address = GENERATE("nowhere", "127.0.0.1:no", "256.0.0.1:80", "127.0.0.1:");
+  DataPlane plane(settings);
+  std::string error;
+  CHECK_FALSE(plane.Start(&error));
+  CHECK(error.find(settings.listen_address) != std::string::npos);
+}
+
+}  // namespace lichenlug::dataplane::test
--- /dev/null
+++ b/tests/system/dataplane/event_stream_test.cpp
@@ -0,0 +1,95 @@
+// Framing of event streams: whatever the pieces, the same events with no byte changed.
+#include "dataplane/event_stream.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+#include <vector>
+
+namespace lichenlug::dataplane {
+namespace {
+
+struct Seen {
+  std::vector<std::string> texts;
+  std::vector<std::optional<std::uint64_t>> ids;
+  std::vector<bool> fields;
+  std::string rest;
+  bool fits = true;
+};
+
+Seen Feed(const std::vector<std::string>& pieces, std::size_t most = 1000) {
+  EventStream stream(most);
+  Seen seen;
+  for (const std::string& piece : pieces)
+    seen.fits = stream.Feed(piece, [&seen](const EventStream::Event& event) {
+      seen.texts.emplace_back(event.text);
+      seen.ids.push_back(event.id);
+      seen.fields.push_back(event.has_field);
+    }) && seen.fits;
+  seen.rest = stream.rest();
+  return seen;
+}
+
+std::vector<std::string> Cut(const std::string& text, std::mt19937* random) {
+  std::vector<std::string> pieces;
+  for (std::size_t at = 0; at < text.size();) {
+    const std::size_t size = 1 + (*random)() % 9;
+    pieces.push_back(text.substr(at, size));
+    at += size;
+  }
+  return pieces;
+}
+
+}  // namespace
+
+TEST_CASE("Events end with a blank line, whatever ends the lines") {
+  const std::string end = GENERATE("\n", "\r\n");
+  const std::string one = "id: 1" + end + "data: x" + end + end, two = "data: y" + end + "id:22" + end + end;
+  const Seen seen = Feed({one + two + "data: z"});
+  CHECK(seen.texts == std::vector<std::string>{one, two});
+  CHECK(seen.ids == std::vector<std::optional<std::uint64_t>>{1, 22});
+  CHECK(seen.rest == "data: z");
+}
+
+TEST_CASE("Lines that end with CR alone end events too") {
+  const Seen seen = Feed({"id: 1\rdata: x\r", "\r"});
+  CHECK(seen.texts == std::vector<std::string>{"id: 1\rdata: x\r\r"});
+}
+
+TEST_CASE("An id that is no whole number counts as none") {
+  const std::string id =
+      GENERATE("id: x", "id: 1x", "id:", "id: -1", "id:  1", "id: 99999999999999999999", "data: 1");
+  CHECK(Feed({id + "\n\n"}).ids == std::vector<std::optional<std::uint64_t>>{std::nullopt});
+}
+
+TEST_CASE("Comments and blank lines are no fields") {
+  CHECK(Feed({": c\n\n", "\n", "versions: 3\n\n"}).fields == std::vector<bool>{false, false, true});
+}
+
+TEST_CASE("An event beyond the bound is told") {
+  CHECK(Feed({std::string(10, 'x')}, 10).fits);
+  CHECK_FALSE(Feed({std::string(11, 'x')}, 10).fits);
+  CHECK(Feed({std::string(8, 'x') + "\n\n" + std::string(8, 'x') + "\n\n"}, 10).fits);
+}
+
+TEST_CASE("Pieces of any size give the same events and lose no byte") {
+  std::mt19937 random(7);
+  const std::vector<std::string> parts = {"id: 1", "id: 23", "data: x", ":c",          "\n",
+                                          "\n",    "\r\n",   "\r\n",    "versions: 4", " "};
+  for (int round = 0; round < 3000; ++round) {
+    std::string text;
+    for (std::size_t i = 0; i < 30; ++i) text += parts[random() % parts.size()];
+    const Seen whole = Feed({text}), pieces = Feed(Cut(text, &random));
+    std::string joined;
+    for (const std::string& event : pieces.texts) joined += event;
+    REQUIRE(joined + pieces.rest == text);
+    // A blank line that ends with CR at the end of a piece gives its LF to a block of its own.
+    std::vector<std::optional<std::uint64_t>> ids, whole_ids;
+    for (const auto& id : pieces.ids)
+      if (id) ids.push_back(id);
+    for (const auto& id : whole.ids)
+      if (id) whole_ids.push_back(id);
+    REQUIRE(ids == whole_ids);
+  }
+}
+
+}  // namespace lichenlug::dataplane
--- a/tests/system/dataplane/plain_socket.cpp
+++ b/tests/system/dataplane/plain_socket.cpp
@@ -70,6 +70,11 @@
   }
 }
 
+bool Socket::CanSend(int milliseconds) {
+  pollfd wanted{descriptor_, POLLOUT, 0};
+  return poll(&wanted, 1, milliseconds) == 1;
+}
+
 void Socket::EndSending() { shutdown(descriptor_, SHUT_WR); }
 
 void Socket::Reset() {
@@ -162,11 +167,15 @@
   port_ = ntohs(address.sin_port);
 }
 
-Listening::~Listening() { close(descriptor_); }
+Listening::~Listening() { Close(); }
+
+void Listening::Close() {
+  if (descriptor_ >= 0) close(std::exchange(descriptor_, -1));
+}
 
 bool Listening::Waiting(int milliseconds) {
   pollfd wanted{descriptor_, POLLIN, 0};
-  return poll(&wanted, 1, milliseconds) == 1;
+  return descriptor_ >= 0 && poll(&wanted, 1, milliseconds) == 1;
 }
 
 Socket Listening::Accept() {
--- a/tests/system/dataplane/plain_socket.h
+++ b/tests/system/dataplane/plain_socket.h
@@ -32,6 +32,7 @@
   static Socket ConnectTo(std::uint16_t port);
 
   void Send(std::string_view bytes);
+  bool CanSend(int milliseconds);  // within that time
   void EndSending();
   void Reset();  // closes with a reset
   void Close();
@@ -62,6 +63,7 @@
   std::uint16_t port() const { return port_; }
   std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
   Socket Accept();
+  void Close();                    // connections are refused from here on
   bool Waiting(int milliseconds);  // a connection waits to be accepted
 
  private:
--- /dev/null
+++ b/tests/system/dataplane/retries_test.cpp
@@ -0,0 +1,233 @@
+// What becomes of a request whose runner does not answer as it should.
+#include <catch2/catch.hpp>
+
+#include "world.h"
+
+namespace lichenlug::dataplane::test {
+namespace {
+
+const std::vector<RunnerPlan> kTwo = {{.id = "r1", .models = {}}, {.id = "r2", .models = {}}};
+
+// Has the first runner that is called say `first`, then the one that is called next serve the request.
+Message ServedBySecond(World* world, Socket* client, const std::string& first, bool other_runner = true) {
+  auto [runner, which] = world->AcceptAny();
+  const std::string id = runner.Read().Header("Lichenlug-Try-Id");
+  runner.Send(first);
+  if (first.empty()) runner.Close();
+  if (!other_runner) return client->Read();
+  Socket second = world->runner(1 - which).Accept();
+  CHECK(second.Read().Header("Lichenlug-Expect-Runner") == (which == 0 ? "r2" : "r1"));
+  second.Send(Answer(200, id, "served"));
+  return client->Read();
+}
+
+}  // namespace
+
+TEST_CASE("What a runner says it has not run goes to another runner") {
+  const int status = GENERATE(503, 429, 421);
+  const std::string target = GENERATE("/safe/x", "/unsafe/x", "/stream/x");
+  World world(kTwo);
+  Socket client = world.Client();
+  client.Send(Post(target, "a1", "b"));
+  const Message answer = ServedBySecond(&world, &client, NotRun(status, "a1"));
+  CHECK(answer.status() == 200);
+  CHECK(answer.body == "served");
+}
+
+TEST_CASE("A runner that lacks the model is passed over for another, by later requests too") {
+  World world({{.id = "r1", .service = "engine", .models = {"m1"}},
+               {.id = "r2", .service = "engine", .models = {"m1"}}});
+  const std::string words = "Lichenlug-Model: m1\r\nLichenlug-Token-Count: 10,5\r\n";
+  Socket client = world.Client();
+  client.Send(Post("/model/x", "a1", "b", words));
+  auto [runner, which] = world.AcceptAny();
+  runner.Read();
+  runner.Send(NotRun(421, "a1"));
+  Socket second = world.runner(1 - which).Accept();
+  for (const char* id : {"a1", "a2", "a3"}) {
+    if (std::string(id) != "a1") client.Send(Post("/model/x", id, "b", words));
+    CHECK(second.Read().Header("Lichenlug-Try-Id") == id);
+    second.Send(Answer(200, id, "served"));
+    CHECK(client.Read().body == "served");
+  }
+}
+
+TEST_CASE("A refusal that may not go to another runner goes to the client as a promise") {
+  World world;
+  Socket client = world.Client();
+  client.Send(Post("/once/x", "a1", "b"));
+  Socket runner = world.runner(0).Accept();
+  runner.Read();
+  runner.Send(NotRun(503, "a1"));
+  const Message answer = client.Read();
+  CHECK(answer.status() == 503);
+  CHECK(answer.Header("Lichenlug-Runner-Stamp").empty());
+  CHECK(std::stod(answer.Header("Retry-After")) > 0);
+  CHECK(answer.Header("Connection").empty());
+}
+
+TEST_CASE("A broken answer is repeated where the route allows it, else promises nothing") {
+  const std::string broken = GENERATE(
+      std::string(),                                               // closed with no answer
+      std::string("HTTP/1.1 200 OK\r\nLichenlug-Try-Id: a1\r\n"),  // half a head
+      Answer(200, "a1", "half.").substr(0, Answer(200, "a1", "half.").size() - 1),
+      std::string("nonsense\r\n\r\n"), Answer(200, "a1", "coded", "Content-Encoding: gzip\r\n"),
+      std::string("HTTP/1.1 200 OK\r\nLichenlug-Try-Id: a1\r\nContent-Length: 0\r\n\r\n"),        // no stamp
+      std::string("HTTP/1.1 200 OK\r\nLichenlug-Runner-Stamp: s1\r\nContent-Length: 0\r\n\r\n"),  // no id
+      Answer(503, "a1", ""), Answer(429, "a1", ""),
+      Answer(408, "a1", ""),  // a promise the runner did not give
+      std::string("HTTP/1.1 404 No\r\nLichenlug-Try-Id: a1\r\nContent-Length: 0\r\n\r\n"),
+      std::string("HTTP/1.1 200 OK\r\nLichenlug-Try-Id: a1\r\nLichenlug-Runner-Stamp: s1\r\n"
+                  "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd"),
+      std::string("HTTP/1.1 200 OK\r\nLichenlug-Try-Id: a1\r\nLichenlug-Runner-Stamp: s1\r\n"
+                  "Transfer-Encoding: chunked\r\n\r\nzz\r\n"));
+  const bool closes =
+      broken.empty() || broken.find("half") != std::string::npos || broken.ends_with("a1\r\n");
+  SECTION("safe") {
+    World world(kTwo);
+    Socket client = world.Client();
+    client.Send(Get("/safe/x", "a1"));
+    auto [runner, which] = world.AcceptAny();
+    runner.Read();
+    runner.Send(broken);
+    if (closes) runner.Close();
+    Socket second = world.runner(1 - which).Accept();
+    second.Read();
+    second.Send(Answer(200, "a1", "served"));
+    CHECK(client.Read().body == "served");
+  }
+  SECTION("unsafe") {
+    World world(kTwo);
+    Socket client = world.Client();
+    client.Send(Post("/unsafe/x", "a1", "b"));
+    auto [runner, which] = world.AcceptAny();
+    runner.Read();
+    runner.Send(broken);
+    if (closes) runner.Close();
+    const Message answer = client.Read();
+    CHECK(answer.status() == 502);
+    CHECK(answer.Header("Lichenlug-Runner-Stamp").empty());
+    CHECK_FALSE(world.runner(1 - which).Waiting(0));
+  }
+}
+
+TEST_CASE("A runner's own failure goes back with its stamp and status") {
+  const int status = GENERATE(500, 504, 400, 404, 501);
+  World world;
+  Socket client = world.Client();
+  client.Send(Post("/unsafe/x", "a1", "b"));
+  Socket runner = world.runner(0).Accept();
+  runner.Read();
+  runner.Send(Answer(status, "a1", "why"));
+  const Message answer = client.Read();
+  CHECK(answer.status() == status);
+  CHECK(answer.Header("Lichenlug-Runner-Stamp") == "s1");
+  CHECK(answer.body == "why");
+}
+
+TEST_CASE("A surplus answer behind a whole one is never taken for the next one's") {
+  World world;
+  Socket client = world.Client();
+  client.Send(Get("/safe/1", "a1"));
+  Socket runner = world.runner(0).Accept();
+  runner.Read();
+  runner.Send(Answer(200, "a1", "one") + Answer(200, "a0", "surplus"));
+  CHECK(client.Read().body == "one");
+  client.Send(Get("/safe/2", "a2"));
+  Socket fresh = world.runner(0).Accept();
+  CHECK(fresh.Read().Header("Lichenlug-Try-Id") == "a2");
+  fresh.Send(Answer(200, "a2", "two"));
+  CHECK(client.Read().body == "two");
+  CHECK(runner.AtEnd());
+}
+
+TEST_CASE("A late surplus answer before the right one is passed over, and the connection not kept") {
+  World world;
+  Socket client = world.Client();
+  client.Send(Post("/unsafe/1", "a1", "b"));
+  Socket runner = world.runner(0).Accept();
+  runner.Read();
+  runner.Send(Answer(200, "a0", "surplus") + Answer(200, "a1", "one"));
+  CHECK(client.Read().body == "one");
+  CHECK(runner.AtEnd());
+}
+
+TEST_CASE("A kept connection that its runner has ended is not used") {
+  World world;
+  Socket client = world.Client();
+  client.Send(Post("/unsafe/1", "a1", "b"));
+  Socket runner = world.runner(0).Accept();
+  runner.Read();
+  runner.Send(Answer(200, "a1", "one"));
+  runner.Close();
+  CHECK(client.Read().body == "one");
+  client.Send(Post("/unsafe/2", "a2", "b"));
+  Socket fresh = world.runner(0).Accept();
+  fresh.Read();
+  fresh.Send(Answer(200, "a2", "two", "Connection: close\r\n"));
+  CHECK(client.Read().body == "two");
+  CHECK(fresh.AtEnd());
+}
+
+TEST_CASE("A runner that cannot be reached is passed over") {
+  messages::Configuration configuration = UsualConfiguration();
+  World world(kTwo);
+  // Its port is closed: nothing can have run there.
+  Socket client = world.Client();
+  client.Send(Post("/unsafe/1", "a1", "b"));
+  auto [runner, which] = world.AcceptAny();
+  runner.Read();
+  runner.Send(Answer(200, "a1", "one", "Connection: close\r\n"));
+  CHECK(client.Read().body == "one");
+  world.CloseRunner(which);
+  client.Send(Post("/unsafe/2", "a2", "b"));
+  Socket other = world.runner(1 - which).Accept();
+  other.Read();
+  other.Send(Answer(200, "a2", "two"));
+  CHECK(client.Read().body == "two");
+}
+
+TEST_CASE("A repeat needs a route in the present configuration") {
+  World world(kTwo);
+  Socket client = world.Client();
+  client.Send(Get("/safe/x", "a1"));
+  auto [runner, which] = world.AcceptAny();
+  runner.Read();
+  messages::Configuration changed = UsualConfiguration();
+  changed.mutable_routes()->DeleteSubrange(0, 1);
+  world.Install(changed);
+  Socket probe = world.Client();
+  for (int status = 0; status != 404;) {  // until the new one is in force
+    probe.Send(Get("/safe/x", "p", "Lichenlug-Deadline-Ms: 1\r\n"));
+    status = probe.Read().status();
+  }
+  const std::string first = GENERATE(NotRun(503, "a1"), std::string("nonsense\r\n\r\n"));
+  runner.Send(first);
+  CHECK(client.Read().status() == (first.starts_with("HTTP") ? 503 : 502));
+}
+
+TEST_CASE("A client that leaves ends the work at its runner") {
+  World world;
+  Socket client = world.Client();
+  client.Send(Post("/unsafe/x", "a1", "b"));
+  Socket runner = world.runner(0).Accept();
+  runner.Read();
+  client.Close();
+  CHECK(runner.AtEnd());
+  CHECK(world.Await([](const Report& report) { return report.in_work == 0; }));
+}
+
+TEST_CASE("At its deadline a request is answered, and its runner's connection closed") {
+  World world;
+  Socket client = world.Client();
+  const std::string target = GENERATE("/short/x", "/unsafe/x");
+  client.Send(Post(target, "a1", "b", "Lichenlug-Deadline-Ms: 200\r\n"));
+  Socket runner = world.runner(0).Accept();
+  const int left = std::stoi(runner.Read().Header("Lichenlug-Deadline-Ms"));
+  CHECK(left <= (target == "/short/x" ? 150 : 200));
+  CHECK(left > 0);
+  CHECK(client.Read().status() == 504);
+  CHECK(runner.AtEnd());
+}
+
+}  // namespace lichenlug::dataplane::test
--- /dev/null
+++ b/tests/system/dataplane/streams_test.cpp
@@ -0,0 +1,168 @@
+// Streams that break off, are taken up again, stall or end early.
+#include <catch2/catch.hpp>
+
+#include "world.h"
+
+namespace lichenlug::dataplane::test {
+namespace {
+
+const std::vector<RunnerPlan> kTwo = {{.id = "r1", .models = {}}, {.id = "r2", .models = {}}};
+
+}  // namespace
+
+TEST_CASE("A resumable stream goes on at another runner within one answer") {
+  World world(kTwo);
+  Socket client = world.Client();
+  client.Send(Post("/resume/x", "a1", "b", "Last-Event-Id: 4\r\n"));
+  auto [runner, which] = world.AcceptAny();
+  CHECK(runner.Read().Header("Last-Event-Id") == "4");
+  runner.Send(StreamHead("a1", "first") + Chunk(Event(5, "five") + Event(6, "six") + "id: 7\ndata: sev"));
+  const Message head = client.ReadHead();
+  CHECK(head.Header("Lichenlug-Runner-Stamp") == "first");
+  CHECK(client.ReadChunk() == Event(5, "five") + Event(6, "six"));
+  runner.Reset();
+  Socket second = world.runner(1 - which).Accept();
+  const Message request = second.Read();
+  CHECK(request.Header("Last-Event-Id") == "6");
+  CHECK(request.Header("Lichenlug-Try-Id") == "a1");
+  CHECK(request.body == "b");
+  // A runner that repeats what has gone on already.
+  second.Send(StreamHead("a1", "second") + Chunk(Event(6, "six") + Event(7, "seven")) + "0\r\n\r\n");
+  CHECK(client.ReadChunk() == Event(7, "seven"));
+  CHECK(client.ReadChunk().empty());
+  CHECK(client.last_chunk_seen());
+}
+
+TEST_CASE("A stream that cannot go on is cut, and never looks whole") {
+  const std::string target = GENERATE("/stream/x", "/resume/x");
+  World world(kTwo);
+  Socket client = world.Client();
+  client.Send(Post(target, "a1", "b"));
+  auto [runner, which] = world.AcceptAny();
+  runner.Read();
+  runner.Send(StreamHead("a1") + Chunk(Event(1, "one")));
+  CHECK(client.ReadHead().status() == 200);
+  CHECK(client.ReadChunk() == Event(1, "one"));
+  runner.Close();
+  if (target ==
+      "/resume/x") {  // where it is taken up the runner answers with a failure, and the tries are used up
+    Socket second = world.runner(1 - which).Accept();
+    second.Read();
+    second.Send(Answer(500, "a1", "no", "Connection: close\r\n"));
+  }
+  CHECK(client.ReadChunk().empty());
+  CHECK_FALSE(client.last_chunk_seen());
+}
+
+TEST_CASE("A stream that breaks before its first event is repeated only if the route allows it") {
+  World world(kTwo);
+  Socket client = world.Client();
+  const bool resumable = GENERATE(true, false);
+  client.Send(Post(resumable ? "/resume/x" : "/stream/x", "a1", "b"));
+  auto [runner, which] = world.AcceptAny();
+  runner.Read();
+  runner.Send(StreamHead("a1", "first") + Chunk(": a comment\n\nid: 1\ndata: on"));
+  runner.Close();
+  if (!resumable) {
+    CHECK(client.Read().status() == 502);
+    return;
+  }
+  Socket second = world.runner(1 - which).Accept();
+  CHECK(second.Read().Header("Last-Event-Id").empty());
+  second.Send(StreamHead("a1", "second") + Chunk(Event(1, "one")) + "0\r\n\r\n");
+  const Message answer = client.Read();
+  CHECK(answer.Header("Lichenlug-Runner-Stamp") == "second");
+  CHECK(answer.whole);
+  CHECK(answer.body == Event(1, "one"));
+}
+
+TEST_CASE("A stream with no event, or with an unfinished last one, goes on as its runner ended it") {
+  const std::string body = GENERATE(std::string(), std::string(": end\n\n"), Event(1, "one") + "data: rest");
+  World world;
+  Socket client = world.Client();
+  client.Send(Post("/stream/x", "a1", "b"));
+  Socket runner = world.runner(0).Accept();
+  runner.Read();
+  runner.Send(StreamHead("a1") + (body.empty() ? "" : Chunk(body)) + "0\r\n\r\n");
+  const Message answer = client.Read();
+  CHECK(answer.status() == 200);
+  CHECK(answer.whole);
+  CHECK(answer.body == body);
+}
+
+TEST_CASE("A stream's runner may answer with a plain failure") {
+  World world;
+  Socket client = world.Client();
+  client.Send(Post("/stream/x", "a1", "b"));
+  Socket runner = world.runner(0).Accept();
+  runner.Read();
+  runner.Send(Answer(500, "a1", "no"));
+  const Message answer = client.Read();
+  CHECK(answer.status() == 500);
+  CHECK(answer.body == "no");
+}
+
+TEST_CASE("A client that does not read holds its runner up, and gets all in the end") {
+  World world;
+  Socket client = world.Client();
+  client.Send(Post("/stream/x", "a1", "b"));
+  Socket runner = world.runner(0).Accept();
+  runner.Read();
+  runner.Send(StreamHead("a1"));
+  const std::string text(100'000, 'x');
+  int sent = 0;
+  while (sent < 1000 && runner.CanSend(200)) runner.Send(Chunk(Event(++sent, text)));
+  CHECK(sent > 1);
+  CHECK(sent < 1000);  // some megabytes in the system's buffers
+  std::string got;
+  CHECK(client.ReadHead().status() == 200);
+  const std::size_t all = static_cast<std::size_t>(sent) * Event(1, text).size();
+  while (got.size() < all) got += client.ReadChunk();
+  runner.Send("0\r\n\r\n");
+  CHECK(client.ReadChunk().empty());
+  CHECK(client.last_chunk_seen());
+  std::string expected;
+  for (int i = 1; i <= sent; ++i) expected += Event(i, text);
+  CHECK(got == expected);
+}
+
+TEST_CASE("At its deadline a stream that has begun is cut") {
+  World world;
+  Socket client = world.Client();
+  client.Send(Post("/stream/x", "a1", "b", "Lichenlug-Deadline-Ms: 200\r\n"));
+  Socket runner = world.runner(0).Accept();
+  runner.Read();
+  runner.Send(StreamHead("a1") + Chunk(Event(1, "one")));
+  CHECK(client.ReadHead().status() == 200);
+  CHECK(client.ReadChunk() == Event(1, "one"));
+  CHECK(client.ReadChunk().empty());
+  CHECK_FALSE(client.last_chunk_seen());
+  CHECK(runner.AtEnd());
+}
+
+TEST_CASE("A client that leaves a stream ends it at its runner") {
+  World world;
+  Socket client = world.Client();
+  client.Send(Post("/resume/x", "a1", "b"));
+  Socket runner = world.runner(0).Accept();
+  runner.Read();
+  runner.Send(StreamHead("a1") + Chunk(Event(1, "one")));
+  CHECK(client.ReadHead().status() == 200);
+  client.Reset();
+  CHECK(runner.AtEnd());
+}
+
+TEST_CASE("Usage counts a request once it has begun to run") {
+  World world;
+  Socket client = world.Client();
+  client.Send(Get("/key/x", "a1", "Authorization: Bearer k1\r\n"));
+  Socket runner = world.runner(0).Accept();
+  runner.Read();
+  runner.Send(Answer(200, "a1", "one"));
+  client.Read();
+  CHECK(world.Await([](const Report& report) {
+    return report.usage.size() == 1 && report.usage.begin()->second.at("t1") == 1 && report.served == 1;
+  }));
+}
+
+}  // namespace lichenlug::dataplane::test
--- a/tests/system/dataplane/world.cpp
+++ b/tests/system/dataplane/world.cpp
@@ -31,6 +31,8 @@
   AddRoute(&configuration, "unsafe", "unsafe", "plain");
   AddRoute(&configuration, "stream", "stream", "plain");
   AddRoute(&configuration, "resume", "stream", "plain")->set_resumable(true);
+  configuration.mutable_routes()->rbegin()->set_tries(2);
+  AddRoute(&configuration, "once", "unsafe", "plain")->set_tries(1);
   AddRoute(&configuration, "short", "safe", "plain")->set_deadline_ms(150);
   AddRoute(&configuration, "key", "safe", "plain")->set_anonymous(false);
   AddRoute(&configuration, "model", "safe", "engine");
@@ -88,6 +90,7 @@
   }
   snapshot->runners = std::move(records);
   snapshot->zone = "z1";
+  snapshot->bounds.retry_budget = false;  // a new process has none yet
   plane_->Install(std::move(snapshot));
 }
 
--- a/tests/system/dataplane/world.h
+++ b/tests/system/dataplane/world.h
@@ -28,6 +28,7 @@
 
   DataPlane& plane() { return *plane_; }
   Listening& runner(std::size_t at) { return *listening_[at]; }
+  void CloseRunner(std::size_t at) { listening_[at]->Close(); }
   Socket Client() const { return Socket::ConnectTo(port_); }
   void Install(messages::Configuration configuration);
   std::size_t RunnerIndex(const std::string& runner_id) const;
