--- a/src/controlplane/http_client.cpp
+++ b/src/controlplane/http_client.cpp
@@ -64,6 +64,8 @@
   evhttp_add_header(headers, "Host", address.c_str());
   evhttp_add_header(headers, "Connection", "close");
   if (!call.body.empty()) evhttp_add_header(headers, "Content-Type", "application/json");
+  if (!call.expect_runner.empty())
+    evhttp_add_header(headers, "Lichenlug-Expect-Runner", call.expect_runner.c_str());
   if (call.address.empty()) {
     evhttp_add_header(headers, "Lichenlug-Duty-Holder", holder_.c_str());
     evhttp_add_header(headers, "Lichenlug-Duty-Fence", std::to_string(call.fence).c_str());
