Bind the parts of a register's message by a checksum, and test altered messages

A checksum now binds name, replica, request and body; the value keeps its digest. Alterations are tested on the wire and with the checksum made anew, which reaches the checks behind it.

--- a/src/consensus/register_node.cpp
+++ b/src/consensus/register_node.cpp
@@ -3,6 +3,7 @@
 #include <map>
 #include <random>
 
+#include "consensus/checksum.h"
 #include "consensus/group.h"
 #include "consensus/register_proposer.h"
 #include "consensus/replica.h"
@@ -69,11 +70,12 @@
     scrubber_.Tick(now, &context_.last_request, &context_.random, output);
   }
 
-  // Hands the messages that this node has sent to itself over, and those that follow from them.
-  void DeliverOwn(Time now, std::size_t first, RegisterOutput* output) {
+  // Hands over the messages that this node has sent to itself, and those that follow from them; the others
+  // are made ready to leave.
+  void FinishSends(Time now, std::size_t first, RegisterOutput* output) {
     for (std::size_t i = first; i < output->sends.size();) {
       if (output->sends[i].address != settings_.self_address) {
-        ++i;
+        SetChecksum(&output->sends[i++].message);
         continue;
       }
       const RegisterSend own = std::move(output->sends[i]);
@@ -152,27 +154,28 @@
                                  Time give_up_at, RegisterOutput* output) {
   const std::size_t first = output->sends.size();
   const OperationId id = impl_->Submit(now, register_name, std::move(change), give_up_at, output);
-  impl_->DeliverOwn(now, first, output);
+  impl_->FinishSends(now, first, output);
   return id;
 }
 
 void RegisterNode::Receive(Time now, const std::string& from_address,
                            const messages::RegisterMessage& message, RegisterOutput* output) {
+  if (!HasRightChecksum(message)) return;
   const std::size_t first = output->sends.size();
   impl_->Receive(now, from_address, message, output);
-  impl_->DeliverOwn(now, first, output);
+  impl_->FinishSends(now, first, output);
 }
 
 void RegisterNode::StoreDone(Time now, std::uint64_t token, bool written, RegisterOutput* output) {
   const std::size_t first = output->sends.size();
   impl_->replica().StoreDone(token, written, output);
-  impl_->DeliverOwn(now, first, output);
+  impl_->FinishSends(now, first, output);
 }
 
 void RegisterNode::Tick(Time now, RegisterOutput* output) {
   const std::size_t first = output->sends.size();
   impl_->Tick(now, output);
-  impl_->DeliverOwn(now, first, output);
+  impl_->FinishSends(now, first, output);
 }
 
 std::optional<Time> RegisterNode::NextTimer() const { return impl_->NextTimer(); }
--- a/src/consensus/value.cpp
+++ b/src/consensus/value.cpp
@@ -4,14 +4,14 @@
 #include <xxhash.h>
 
 namespace lichenlug::consensus {
-namespace {
 
-// Adds the length as well: no two sequences of fields look alike.
 void AddField(const std::string& field, std::string* fields) {
   *fields += std::to_string(field.size()) + ':' + field;
 }
 
-}  // namespace
+std::uint64_t Hash(const std::string& bytes, std::uint64_t seed) {
+  return XXH64(bytes.data(), bytes.size(), seed);
+}
 
 std::uint64_t ValueDigest(const std::string& register_name, const messages::Ballot& ballot,
                           const messages::RegisterValue& value) {
@@ -20,8 +20,7 @@
   AddField(ballot.SerializeAsString(), &fields);
   AddField(value.group().SerializeAsString(), &fields);
   for (const auto& origin : value.origins()) AddField(origin.SerializeAsString(), &fields);
-  const std::uint64_t seed = XXH64(fields.data(), fields.size(), 0);
-  const std::uint64_t digest = XXH64(value.payload().data(), value.payload().size(), seed);
+  const std::uint64_t digest = Hash(value.payload(), Hash(fields, 0));
   return digest != 0 ? digest : 1;
 }
 
--- a/src/consensus/value.h
+++ b/src/consensus/value.h
@@ -19,6 +19,10 @@
   std::uint64_t digest = 0;
 };
 
+// Adds a field to others in such a way that no two sequences of fields look alike.
+void AddField(const std::string& field, std::string* fields);
+std::uint64_t Hash(const std::string& bytes, std::uint64_t seed);
+
 // Never 0, so that an absent digest fits no value.
 std::uint64_t ValueDigest(const std::string& register_name, const messages::Ballot& ballot,
                           const messages::RegisterValue& value);
--- a/tests/system/consensus/world.h
+++ b/tests/system/consensus/world.h
@@ -23,6 +23,8 @@
   double duplicate = 0;
   double slow = 0;  // part of the messages that take up to half a second, and so arrive out of order
   double alter = 0;
+  bool new_checksum = false;  // of altered messages
+  int alter_message = -1;     // the one message of this number, counted from the start
 };
 
 class World {
@@ -102,6 +104,7 @@
   std::set<std::string> lost_replicas_;
   Time last_loss_ = 0;
   Alterer alterer_;
+  int messages_sent_ = 0;
 };
 
 }  // namespace lichenlug::consensus
