Hand the duties of drained and restarted holders over at once; log only real changes

A holder that drained left its duty, but stayed first in the agreed order as a live member until its end (8.7 s without a holder); a holder that was restarted was waited for as if it might still act (10 s). A restarted former owner, which may not take a duty for a lease, also stood before the others. Each renewal was told as a change, one log line a second each.

Change: members that are not ready come last in the order, and a drain is told to the members at once; an owner that is live in a later life is replaced without the lease's wait (its process is over); the owner's machine is never counted before others; the objection counter in incarnations is not taken for a new life; a renewal is no change. The next step of a placement follows an answer at once, no longer at a 250 ms tick. Ruled out: a shorter lease (the takeover's safety is the lease).

Tests: five of tests/system/duties fail without the change (holder missing after 1.5 s; 60 operations in 20 s).

--- a/src/controlplane/control_plane.cpp
+++ b/src/controlplane/control_plane.cpp
@@ -495,6 +495,11 @@
   LOG(INFO) << "ends: what is in work is finished first";
   data_plane_->BeginDrain();
   duties_.Resign(drain_began_);
+  // The others are told at once, so that no duty waits for this dispatcher.
+  ready_ = false;
+  membership_ring::MembershipOutput output;
+  membership_.UpdateSelf(drain_began_, ready_, replica_id_, &output);
+  Carry(std::move(output));
 }
 
 // Stays a member, and hears of drained runners, until its last request is answered.
--- a/src/controlplane/duty_service.cpp
+++ b/src/controlplane/duty_service.cpp
@@ -172,6 +172,10 @@
   for (duties::RegisterOperation& operation : output.operations) {
     registers_->Submit(operation.register_name, std::move(operation.change), operation.give_up_at,
                        [this, register_name, tag = operation.tag](const consensus::Completion& completion) {
+                         const bool is_answered = completion.outcome == consensus::Outcome::kChosen ||
+                                                  completion.outcome == consensus::Outcome::kKept;
+                         LOG_IF_EVERY_N(WARNING, !is_answered, 10)
+                             << register_name << ": no majority of its replicas answered in time";
                          duties::OwnershipOutput next;
                          OwnershipOf(register_name).Completed(EventLoop::Now(), tag, completion, &next);
                          Carry(register_name, std::move(next));
@@ -194,6 +198,9 @@
   if (resigned_) return;
   ActOnUsage(now, wall_now);
   ActOnPlacement(now);
+  for (const auto& [service, placement] : placements_) {
+    if (const auto timer = placement->NextTimer()) next_act_ = std::min(next_act_, std::max(*timer, now));
+  }
 }
 
 std::optional<Time> DutyService::NextTimer() const {
@@ -247,6 +254,7 @@
     for (const duties::HttpCall& call : calls) {
       client_->Call(call, [this, name = service.name(), tag = call.tag](const duties::HttpResult& result) {
         PlacementOf(name).Completed(EventLoop::Now(), tag, result);
+        next_act_ = 0;  // the next step follows an answer at once
       });
     }
   }
--- a/src/duties/agreed_order.cpp
+++ b/src/duties/agreed_order.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <cstdint>
-#include <utility>
+#include <tuple>
 
 namespace lichenlug::duties {
 namespace {
@@ -28,7 +28,7 @@
   const auto has_no_store = [](const Member& member) { return member.replica_id.empty(); };
   if (!std::all_of(live.begin(), live.end(), has_no_store)) std::erase_if(candidates, has_no_store);
   const auto rank = [&](const Member& member) {
-    return std::pair(RankOf(register_name, member.name), member.name);
+    return std::tuple(!member.ready, RankOf(register_name, member.name), member.name);
   };
   std::sort(candidates.begin(), candidates.end(),
             [&](const Member& left, const Member& right) { return rank(left) < rank(right); });
--- /dev/null
+++ b/src/duties/candidates.cpp
@@ -0,0 +1,57 @@
+#include "duties/candidates.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/clock.h"
+#include "duties/agreed_order.h"
+
+namespace lichenlug::duties {
+namespace {
+
+constexpr std::uint64_t kLeastBetweenLives = 100 * kMillisecond;
+
+// A life begins with the time of its start as its incarnation, in microseconds; each objection of the member
+// to a suspicion raises it by one.
+bool IsSameLife(std::uint64_t left, std::uint64_t right) {
+  return std::max(left, right) - std::min(left, right) < kLeastBetweenLives;
+}
+
+}  // namespace
+
+Candidates::Candidates(std::string register_name, std::string self_name)
+    : register_name_(std::move(register_name)), self_name_(std::move(self_name)) {}
+
+void Candidates::SetMembers(const std::vector<Member>& live) {
+  live_ = live;
+  order_ = AgreedOrder(register_name_, live);
+  for (const Member& member : live) {
+    std::uint64_t& latest = incarnations_[member.name];
+    const bool is_restarted =
+        latest != 0 && member.incarnation > latest && !IsSameLife(member.incarnation, latest);
+    if (is_restarted) ended_lives_[member.name] = latest;
+    latest = std::max(latest, member.incarnation);
+  }
+}
+
+bool Candidates::IsServing(const Holder& owner) const {
+  return std::any_of(live_.begin(), live_.end(), [&owner](const Member& member) {
+    return member.name == owner.name && IsSameLife(member.incarnation, owner.incarnation) && member.ready;
+  });
+}
+
+bool Candidates::HasEnded(const Holder& owner) const {
+  const auto ended = ended_lives_.find(owner.name);
+  return ended != ended_lives_.end() && owner.incarnation <= ended->second;
+}
+
+std::optional<int> Candidates::Position(const Holder& owner) const {
+  int position = 0;
+  for (const Member& member : order_) {
+    if (member.name == self_name_) return position;
+    if (member.name != owner.name) ++position;
+  }
+  return std::nullopt;
+}
+
+}  // namespace lichenlug::duties
--- a/src/duties/ownership.cpp
+++ b/src/duties/ownership.cpp
@@ -4,7 +4,7 @@
 #include <random>
 #include <utility>
 
-#include "duties/agreed_order.h"
+#include "duties/candidates.h"
 #include "duties/ownership_changes.h"
 
 namespace lichenlug::duties {
@@ -39,12 +39,12 @@
   explicit Impl(OwnershipSettings settings)
       : settings_(std::move(settings)),
         self_{settings_.self_name, settings_.self_incarnation},
-        random_(settings_.seed) {}
+        random_(settings_.seed),
+        candidates_(settings_.register_name, settings_.self_name) {}
 
   void SetMembers(Time now, const std::vector<Member>& live, bool wanted) {
     Begin(now);
-    order_ = AgreedOrder(settings_.register_name, live);
-    live_ = live;
+    candidates_.SetMembers(live);
     wanted_ = wanted;
   }
 
@@ -124,24 +124,9 @@
   }
 
   Time LeaseEnd() const { return *lease_started_at_ + settings_.lease - kMargin; }
-  bool OwnsInState() const { return RenewalOf(state_).owner == self_; }
+  bool OwnsInState() const { return Owner() == self_; }
 
-  bool OwnerIsLive() const {
-    const Holder owner = RenewalOf(state_).owner;
-    return std::any_of(live_.begin(), live_.end(), [&](const Member& member) {
-      return Holder{member.name, member.incarnation} == owner;
-    });
-  }
-
-  // How many live candidates come before this dispatcher, an owner left out; none: it is no candidate.
-  std::optional<int> Position() const {
-    int position = 0;
-    for (const Member& member : order_) {
-      if (member.name == self_.name) return position;
-      if (Holder{member.name, member.incarnation} != RenewalOf(state_).owner) ++position;
-    }
-    return std::nullopt;
-  }
+  Holder Owner() const { return RenewalOf(state_).owner; }
 
   std::optional<Plan> MakePlan() const {
     const Time retry_at = failures_ > 0 ? ended_at_ + retry_after_ : 0;
@@ -161,15 +146,15 @@
   // The first candidate takes over. The second one does later, should the first be live but unable; and an
   // owner that is live but does not renew is replaced later too.
   std::optional<Plan> PlanTakeOver() const {
-    const std::optional<int> position = Position();
-    const bool owner_is_live = OwnerIsLive();
+    const std::optional<int> position = candidates_.Position(Owner());
+    const bool owner_is_live = candidates_.IsServing(Owner());
     if (!position || *position > (owner_is_live ? 0 : 1)) return std::nullopt;
     const bool is_slow = owner_is_live || *position > 0;
     const Time read_at = started_at_ + (is_slow ? settings_.lease : kReadEvery);
     if (!observed_since_) return Plan{Kind::kRead, *position > 0 ? read_at : 0};
 
     Time take_at = *observed_since_ + (is_slow ? 2 * settings_.lease : 0);
-    if (!state_.owner().empty()) take_at += settings_.lease + kMargin;
+    if (!state_.owner().empty() && !candidates_.HasEnded(Owner())) take_at += settings_.lease + kMargin;
     if (state_.epoch() > 0) take_at = std::max(take_at, may_take_at_);
     return take_at <= read_at ? Plan{Kind::kTakeOver, take_at} : Plan{Kind::kRead, read_at};
   }
@@ -210,8 +195,10 @@
   void Observe(Time now, const OwnershipState& state) {
     const bool owned = OwnsInState();
     if (!observed_since_ || RenewalOf(state) != RenewalOf(state_)) observed_since_ = now;
+    const bool is_renewal =
+        RenewalOf(state).owner == RenewalOf(state_).owner && state.epoch() == state_.epoch();
+    has_news_ = has_news_ || !is_renewal;
     state_ = state;
-    has_news_ = true;
     if (owned && !OwnsInState()) Lost();
     DropChosenTallies();
   }
@@ -243,8 +230,7 @@
   Holder self_;
   std::mt19937_64 random_;
 
-  std::vector<Member> live_;
-  std::vector<Member> order_;
+  Candidates candidates_;
   bool wanted_ = false;
   bool resigned_ = false;
   Time resigned_at_ = 0;
--- a/src/duties/ownership.h
+++ b/src/duties/ownership.h
@@ -29,7 +29,7 @@
 };
 struct OwnershipOutput {
   std::vector<RegisterOperation> operations;
-  bool changed = false;  // Holds() or the state
+  bool changed = false;  // Holds(), the owner or the epoch; a renewal is none
 };
 
 struct OwnershipSettings {
@@ -46,8 +46,8 @@
   ~Ownership();
 
   // `live` holds this dispatcher too. `wanted`: there is work for this duty; without, a lease that is held
-  // lapses. Candidates are the live members with a store, in the agreed order (by a hash of register and
-  // name).
+  // lapses. Candidates are the live members with a store, in the agreed order (those that are ready first,
+  // then by a hash of register and name).
   void SetMembers(Time now, const std::vector<Member>& live, bool wanted);
   void Tick(Time now, OwnershipOutput* output);
   void Completed(Time now, std::uint64_t tag, const consensus::Completion& completion,
--- a/src/duties/usage.cpp
+++ b/src/duties/usage.cpp
@@ -126,7 +126,7 @@
     if (next == nullptr) return;
     call_ = Call{++last_tag_, epoch_, next->window(), now + kCallTime};
     next_call_at_ = now + kCallEvery;
-    output->calls.push_back({last_tag_, "", "POST", kUsagePath, WriteUsage(*next), epoch_, kCallTime});
+    output->calls.push_back({last_tag_, "", "POST", kUsagePath, WriteUsage(*next), epoch_, kCallTime, ""});
   }
 
   void Forget(std::int64_t before) {
--- a/src/duties/usage.h
+++ b/src/duties/usage.h
@@ -23,7 +23,8 @@
   std::string body;         // JSON
   std::uint64_t fence = 0;  // sent in the headers to the platform
   Time give_up_after = kSecond;
-  std::string expect_runner;  // id of the runner that is meant: any other one at this address refuses the call
+  std::string
+      expect_runner;  // id of the runner that is meant: any other one at this address refuses the call
 };
 struct HttpResult {
   int status = 0;  // 0: no answer
--- a/tests/system/duties/ownership_test.cpp
+++ b/tests/system/duties/ownership_test.cpp
@@ -160,6 +160,86 @@
   CheckActs(world.acts);
 }
 
+// A first holder that drains stays a live member for seconds, and comes first by its hash.
+TEST_CASE("a duty left by one that drains is taken by the next one at once") {
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    OwnershipWorld world(3, seed);
+    world.RunFor(10 * kSecond);
+    const std::size_t first = world.Holder().value();
+    world.nodes[first].is_ready = false;
+    world.Resign(first);
+    world.TellMembers();
+    world.RunFor(1500 * kMillisecond);
+    REQUIRE(world.Holder());
+    CHECK(*world.Holder() != first);
+    CheckActs(world.acts);
+  }
+}
+
+TEST_CASE("one that drains does not stand before the others when a holder dies") {
+  OwnershipWorld world(3, 5);
+  world.RunFor(10 * kSecond);
+  const std::size_t first = world.Holder().value();
+  const std::size_t second = (first + 1) % 3, third = (first + 2) % 3;
+  for (const std::size_t drains : {second, third}) {
+    OwnershipWorld again(3, 5);
+    again.RunFor(10 * kSecond);
+    again.nodes[drains].is_ready = false;
+    again.Resign(drains);
+    again.Kill(first);
+    again.TellMembers();
+    again.RunFor(OwnershipWorld::kLease + 1500 * kMillisecond);
+    CHECK(again.Holder() == (drains == second ? third : second));
+    CheckActs(again.acts);
+  }
+}
+
+TEST_CASE("a holder that is live again in a later life is replaced without the wait for its lease") {
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    OwnershipWorld world(3, seed);
+    world.RunFor(10 * kSecond);
+    const std::size_t first = world.Holder().value();
+    world.Kill(first);
+    world.RunFor(500 * kMillisecond);
+    world.Start(first);
+    world.TellMembers();
+    world.RunFor(1200 * kMillisecond);
+    REQUIRE(world.Holder());
+    CHECK(*world.Holder() != first);
+    CheckActs(world.acts);
+  }
+}
+
+// The holder is not the first in the order here, and the one before it looks seldom while the holder is live.
+TEST_CASE("a holder that objected to a suspicion is in the same life still") {
+  OwnershipWorld world(3, 6);
+  world.RunFor(10 * kSecond);
+  const std::size_t first = world.Holder().value();
+  world.Kill(first);
+  world.TellMembers();
+  world.RunFor(10 * kSecond);
+  const std::size_t second = world.Holder().value();
+  world.Start(first);
+  world.TellMembers();
+  world.RunFor(10 * kSecond);
+  REQUIRE(world.Holder() == second);
+  world.objections = 3;
+  world.TellMembers();
+  world.operations = 0;
+  world.RunFor(20 * kSecond);
+  CHECK(world.Holder() == second);
+  CHECK(world.operations <= 20 + 10);
+  CHECK(world.nodes[second].ownership->epoch() == 2);
+}
+
+TEST_CASE("a renewal is no change to tell") {
+  OwnershipWorld world(3, 7);
+  world.RunFor(10 * kSecond);
+  world.changes_told = 0;
+  world.RunFor(60 * kSecond);
+  CHECK(world.changes_told == 0);
+}
+
 TEST_CASE("a duty that is not wanted is not taken, and one held lapses") {
   OwnershipWorld world(3, 5);
   for (auto& node : world.nodes) node.wanted = false;
--- a/tests/system/duties/ownership_world.h
+++ b/tests/system/duties/ownership_world.h
@@ -28,6 +28,7 @@
     bool is_cut_off = false;    // from the register
     bool is_suspected = false;  // the others think that it is dead
     bool wanted = true;
+    bool is_ready = true;
     double clock_rate = 1;
     Time clock_offset = 0;
     std::vector<std::pair<std::uint64_t, consensus::Completion>> held_back;  // came while it was frozen
@@ -56,7 +57,7 @@
     node = Node();
     node.clock_rate = rate;
     node.clock_offset = offset;
-    node.incarnation = ++incarnations_;
+    node.incarnation = static_cast<std::uint64_t>(now) + ++incarnations_;  // as of a clock at its start
     node.is_running = true;
     OwnershipSettings settings;
     settings.register_name = "duties/0";
@@ -94,7 +95,8 @@
       if (!Runs(i) || (nodes[i].is_suspected && i != observer)) continue;
       Member member;
       member.name = Name(i);
-      member.incarnation = nodes[i].incarnation;
+      member.incarnation = nodes[i].incarnation + objections;
+      member.ready = nodes[i].is_ready;
       member.replica_id = i < stores ? "replica-" + std::to_string(i) : "";
       live.push_back(member);
     }
@@ -134,18 +136,20 @@
   Time Random(Time most) { return static_cast<Time>(random_() % static_cast<std::uint64_t>(most)); }
 
   Time now = 1000 * kSecond;
-  std::size_t stores = 100;  // so many of the first have one
+  std::size_t stores = 100;      // so many of the first have one
+  std::uint64_t objections = 0;  // raise the incarnations that members are told with
   std::vector<Node> nodes;
   std::vector<Act> acts;
   std::string payload;  // of the register
   bool is_rough = false;
-  std::size_t operations = 0;
+  std::size_t operations = 0, changes_told = 0;
   std::function<void()> on_change;  // after each change of the payload
 
  private:
   void At(Time when, std::function<void()> event) { events_[{when, ++event_number_}] = std::move(event); }
 
   void Take(std::size_t i, OwnershipOutput* output) {
+    if (output->changed) ++changes_told;
     for (RegisterOperation& operation : output->operations) Submit(i, operation);
   }
 
