Keep the founding group for ever, and let one register node propose and replicate

(1) A process of a later start took the founding group from its settings, whose seeds had been exchanged; it is now kept in the store or asked of peers (GroupHints), and nobody proposes or votes before it is known. (2) The proposer without a store looped messages for its own address to itself, so the replica beside it was never asked, and reads never reached it; one node now does both, and replaces a proposer once the store is open. Ruled out: the joint group itself.

--- a/src/controlplane/control_plane.cpp
+++ b/src/controlplane/control_plane.cpp
@@ -23,6 +23,8 @@
 constexpr Time kGroupChangeGiveUp = 2 * kSecond;
 constexpr Time kReportEvery = 500 * kMillisecond;
 constexpr Time kHintEvery = 500 * kMillisecond;
+constexpr Time kAskEvery = 100 * kMillisecond;  // for groups, while nothing is known of them
+constexpr std::size_t kAsked = 3;               // members at a time
 constexpr Time kDrainPoll = 100 * kMillisecond;
 constexpr Time kReadyFalseFor = 2500 * kMillisecond;  // the platform needs two misses, a second apart
 constexpr Time kExitReserve = 700 * kMillisecond;     // before SIGKILL
@@ -200,9 +202,7 @@
     case messages::Envelope::kDuties:
       return duties_.Receive(WallNow(), envelope.duties());
     case messages::Envelope::kGroupHints:
-      for (const auto& hint : envelope.group_hints().groups())
-        registers_->LearnGroup(hint.register_name(), hint.group());
-      return;
+      return ReceiveGroupHints(from, envelope.group_hints());
     case messages::Envelope::BODY_NOT_SET:
       return;
   }
@@ -347,6 +347,7 @@
   if (now >= next_report_) ReportDataPlane(now);
   if (due(duties_.NextTimer())) duties_.Tick(now, WallNow());
   ConfirmConfiguration(now);
+  if (!registers_->KnowsFounding() && now >= next_ask_) AskForGroups(now);
   if (now >= next_groups_) KeepGroups(now);
   if (draining_) DrainStep(now);
 }
@@ -365,6 +366,7 @@
     if (timer) next = std::min(next, *timer);
   }
   if (!confirmed_ && !reading_) next = std::min(next, next_read_);
+  if (!registers_->KnowsFounding()) next = std::min(next, next_ask_);
   if (draining_) next = std::min(next, EventLoop::Now() + kDrainPoll);
   loop_->SetTimer(next, [this] { Wake(); });
 }
@@ -435,9 +437,28 @@
   }
 }
 
+void ControlPlane::ReceiveGroupHints(const std::string& from_address, const messages::GroupHints& hints) {
+  registers_->LearnFounding(hints.founding());
+  for (const auto& hint : hints.groups()) registers_->LearnGroup(hint.register_name(), hint.group());
+  if (hints.wants_reply()) SendGroupHints(from_address);
+}
+
+// A process of a later start, without a store or with an empty one, asks others for the groups.
+void ControlPlane::AskForGroups(Time now) {
+  next_ask_ = now + kAskEvery;
+  for (std::size_t i = 0; i < kAsked && i < live_.size(); ++i) {
+    const Member& member = live_[hint_turn_++ % live_.size()];
+    if (member.address == settings_.internal_address) continue;
+    messages::Envelope envelope;
+    envelope.mutable_group_hints()->set_wants_reply(true);
+    Send(member.address, std::move(envelope));
+  }
+}
+
 void ControlPlane::SendGroupHints(const std::string& address) {
-  if (address == settings_.internal_address) return;
+  if (address == settings_.internal_address || !registers_->KnowsFounding()) return;
   messages::Envelope envelope;
+  *envelope.mutable_group_hints()->mutable_founding() = registers_->founding();
   for (const std::string& name : AllRegisters()) {
     const messages::ReplicaGroup group = registers_->KnownGroup(name);
     if (group.version() == 0) continue;
@@ -445,7 +466,7 @@
     hint->set_register_name(name);
     *hint->mutable_group() = group;
   }
-  if (envelope.has_group_hints()) Send(address, std::move(envelope));
+  Send(address, std::move(envelope));
 }
 
 // ---- Data plane ----------------------------------------------------------------------------------------
--- a/src/controlplane/control_plane.h
+++ b/src/controlplane/control_plane.h
@@ -54,7 +54,9 @@
   void ConfirmConfiguration(Time now);
   void ReadConfiguration(bool push);
   void KeepGroups(Time now);
+  void ReceiveGroupHints(const std::string& from_address, const messages::GroupHints& hints);
   void SendGroupHints(const std::string& address);
+  void AskForGroups(Time now);
   void ReportDataPlane(Time now);
   void PublishSnapshot(Time now);
   void UpdateReadiness(Time now);
@@ -89,7 +91,7 @@
   bool ready_ = false;
   bool draining_ = false;
   Time drain_began_ = 0;
-  Time next_read_ = 0, next_groups_ = 0, next_report_ = 0, next_hint_ = 0;
+  Time next_read_ = 0, next_groups_ = 0, next_report_ = 0, next_hint_ = 0, next_ask_ = 0;
   std::optional<Time>
       check_accepted_at_;  // a replica here accepted a configuration that has not been learned yet
   std::size_t hint_turn_ = 0;
--- a/src/controlplane/register_service.cpp
+++ b/src/controlplane/register_service.cpp
@@ -2,6 +2,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -11,7 +12,8 @@
 
 namespace {
 
-constexpr Time kOpenAgainAfter = 500 * kMillisecond;
+constexpr std::size_t kMostHints = 64;
+constexpr const char* kFoundingKey = "system/founding_group";
 
 std::string FounderIdentity(const std::string& address) { return "founder:" + address; }
 
@@ -21,26 +23,22 @@
   return "replica:" + std::to_string(high << 32 | low);
 }
 
-std::vector<messages::ReplicaIdentity> FoundingGroup(const NodeSettings& settings) {
-  std::vector<messages::ReplicaIdentity> group;
+messages::ReplicaGroup GroupOfSeeds(const NodeSettings& settings) {
+  messages::ReplicaGroup group;
   for (const std::string& address : settings.seed_addresses) {
-    messages::ReplicaIdentity& member = group.emplace_back();
-    member.set_replica_id(FounderIdentity(address));
-    member.set_address(address);
+    messages::ReplicaIdentity* member = group.add_members();
+    member->set_replica_id(FounderIdentity(address));
+    member->set_address(address);
   }
   return group;
 }
 
-bool IsForReplica(const messages::RegisterMessage& message) {
-  return message.has_prepare() || message.has_accept();
-}
-
 }  // namespace
 
 RegisterService::RegisterService(EventLoop* loop, const NodeSettings& settings, std::uint64_t incarnation,
                                  std::uint64_t seed, SendFunction send)
     : loop_(loop), settings_(settings), incarnation_(incarnation), seed_(seed), send_(std::move(send)) {
-  proposer_ = std::make_unique<consensus::RegisterNode>(NodeSettingsFor("proposer", ""));
+  if (settings_.first_run) LearnFounding(GroupOfSeeds(settings_));
 }
 
 RegisterService::~RegisterService() { store_.reset(); }
@@ -52,84 +50,123 @@
   node.self_address = settings_.internal_address;
   node.self_name = settings_.name;
   node.replica_id = replica_id;
-  node.founding_group = FoundingGroup(settings_);
+  node.founding_group = {founding_.members().begin(), founding_.members().end()};
   node.seed = seed_;
   return node;
 }
 
-void RegisterService::OpenStore(std::function<void(const std::string& replica_id)> opened) {
+void RegisterService::LearnFounding(const messages::ReplicaGroup& founding) {
+  if (KnowsFounding() || founding.members_size() == 0) return;
+  founding_ = founding;
+  node_ = std::make_unique<consensus::RegisterNode>(NodeSettingsFor("proposer", ""));
+  StartReplica();
+}
+
+void RegisterService::OpenStore(std::function<void(const std::string& replica_id)> started) {
   if (settings_.store_folder.empty()) return;
+  replica_started_ = std::move(started);
   const std::string identity =
       settings_.first_run ? FounderIdentity(settings_.internal_address) : RandomIdentity();
   store_ = std::make_unique<storage::RecordStore>(settings_.store_folder, identity);
-  store_->Open([this, opened = std::move(opened)](storage::RecordStore::OpenResult result) {
-    loop_->Post([this, result = std::move(result), opened] { StoreOpened(result, opened); });
+  store_->Open([this](storage::RecordStore::OpenResult result) {
+    loop_->Post([this, result = std::move(result)]() mutable { StoreOpened(std::move(result)); });
   });
 }
 
-void RegisterService::StoreOpened(storage::RecordStore::OpenResult result,
-                                  std::function<void(const std::string& replica_id)> opened) {
+void RegisterService::StoreOpened(storage::RecordStore::OpenResult result) {
   if (!result.opened) {
     LOG(ERROR) << "store: " << result.error;
     return;
   }
-  auto replica = std::make_unique<consensus::RegisterNode>(NodeSettingsFor("replica", result.replica_id));
-  if (!replica->Restore(result.records)) {
+  LOG(INFO) << "store: opened as " << result.replica_id << (result.created ? " (new)" : "");
+  const auto kept = std::find_if(result.records.begin(), result.records.end(),
+                                 [](const auto& record) { return record.first == kFoundingKey; });
+  messages::ReplicaGroup founding;
+  if (kept != result.records.end()) {
+    founding_kept_ = founding.ParseFromString(kept->second);
+    result.records.erase(kept);
+  }
+  opened_store_ = std::move(result);
+  if (founding_kept_) LearnFounding(founding);
+  StartReplica();
+}
+
+// Needs the store and the founding group, whichever comes last.
+void RegisterService::StartReplica() {
+  if (!opened_store_ || !KnowsFounding() || replicates_) return;
+  const std::string replica_id = opened_store_->replica_id;
+  auto replica = std::make_unique<consensus::RegisterNode>(NodeSettingsFor("replica", replica_id));
+  if (!replica->Restore(opened_store_->records)) {
     LOG(ERROR) << "store: a record in " << settings_.store_folder
                << " can't be read; empty the folder, then this machine joins again as a new replica";
     return;
   }
-  replica_ = std::move(replica);
-  LOG(INFO) << "store: opened as " << result.replica_id << (result.created ? " (new)" : "");
-  opened(result.replica_id);
+  opened_store_.reset();
+  for (const auto& [name, group] : hints_) replica->LearnGroup(name, group);
+  node_ = std::move(replica);
+  replicates_ = true;
+  EndOperations();
+  KeepFounding();
+  replica_started_(replica_id);
+}
+
+void RegisterService::KeepFounding() {
+  if (founding_kept_) return;
+  founding_kept_ = true;
+  store_->Write(kFoundingKey, founding_.SerializeAsString(), [](bool) {});
 }
 
 void RegisterService::Submit(const std::string& register_name, consensus::ChangeFunction change,
                              Time give_up_at, Done done) {
+  if (!node_) return loop_->Post([done = std::move(done)] { done({}); });
   consensus::RegisterOutput output;
   const auto operation =
-      proposer_->Submit(EventLoop::Now(), register_name, std::move(change), give_up_at, &output);
+      node_->Submit(EventLoop::Now(), register_name, std::move(change), give_up_at, &output);
   waiting_.emplace(operation, std::move(done));
-  Carry(proposer_.get(), std::move(output));
+  Carry(std::move(output));
+}
+
+void RegisterService::EndOperations() {
+  const auto waiting = std::exchange(waiting_, {});
+  for (const auto& [operation, done] : waiting) {
+    consensus::Completion completion;
+    completion.outcome = consensus::Outcome::kUnknown;
+    done(completion);
+  }
 }
 
 void RegisterService::Receive(const std::string& from_address, const messages::RegisterMessage& message) {
-  consensus::RegisterNode* node = IsForReplica(message) ? replica_.get() : proposer_.get();
-  if (node == nullptr) return;
+  if (!node_) return;
   if (message.has_accept() && message.register_name() == configuration::kRegisterName &&
       configuration_accepted_)
     configuration_accepted_();
   consensus::RegisterOutput output;
-  node->Receive(EventLoop::Now(), from_address, message, &output);
-  Carry(node, std::move(output));
+  node_->Receive(EventLoop::Now(), from_address, message, &output);
+  Carry(std::move(output));
 }
 
 void RegisterService::Tick(Time now) {
-  for (consensus::RegisterNode* node : {proposer_.get(), replica_.get()}) {
-    if (node == nullptr) continue;
-    consensus::RegisterOutput output;
-    node->Tick(now, &output);
-    Carry(node, std::move(output));
-  }
+  if (!node_) return;
+  consensus::RegisterOutput output;
+  node_->Tick(now, &output);
+  Carry(std::move(output));
 }
 
-std::optional<Time> RegisterService::NextTimer() const { return proposer_->NextTimer(); }
+std::optional<Time> RegisterService::NextTimer() const { return node_ ? node_->NextTimer() : std::nullopt; }
 
 void RegisterService::LearnGroup(const std::string& register_name, const messages::ReplicaGroup& group) {
-  proposer_->LearnGroup(register_name, group);
+  if (hints_.size() >= kMostHints && hints_.count(register_name) == 0) return;
+  messages::ReplicaGroup& held = hints_[register_name];
+  if (group.version() > held.version()) held = group;
+  if (node_) node_->LearnGroup(register_name, group);
 }
 
 messages::ReplicaGroup RegisterService::KnownGroup(const std::string& register_name) const {
-  return proposer_->KnownGroup(register_name);
+  return node_ ? node_->KnownGroup(register_name) : messages::ReplicaGroup();
 }
 
-void RegisterService::Carry(consensus::RegisterNode* node, consensus::RegisterOutput output) {
+void RegisterService::Carry(consensus::RegisterOutput output) {
   for (consensus::RegisterSend& send : output.sends) {
-    if (send.address == settings_.internal_address) {
-      loop_->Post(
-          [this, message = std::move(send.message)] { Receive(settings_.internal_address, message); });
-      continue;
-    }
     messages::Envelope envelope;
     *envelope.mutable_consensus() = std::move(send.message);
     send_(send.address, std::move(envelope));
@@ -139,7 +176,6 @@
       loop_->Post([this, token, written] { WriteDone(token, written); });
     });
   }
-  if (node != proposer_.get()) return;
   for (const consensus::Completion& completion : output.completions) {
     const auto found = waiting_.find(completion.operation);
     if (found == waiting_.end()) continue;
@@ -154,8 +190,8 @@
     LOG_EVERY_N(WARNING, 20) << "store: a record can't be written; free space on the disk";
   }
   consensus::RegisterOutput output;
-  replica_->StoreDone(EventLoop::Now(), token, written, &output);
-  Carry(replica_.get(), std::move(output));
+  node_->StoreDone(EventLoop::Now(), token, written, &output);
+  Carry(std::move(output));
 }
 
 }  // namespace lichenlug::controlplane
--- a/src/controlplane/register_service.h
+++ b/src/controlplane/register_service.h
@@ -1,5 +1,10 @@
-// The registers at work in this process: a proposer, the replica where there is a disk, and the callbacks of
-// operations. The replica is a node of its own, so that a disk that hangs at the start holds up no proposal.
+// The registers at work in this process: the register node, its store, and the callbacks of operations. Until
+// the store is open the node only proposes, so that a disk that hangs at the start holds up nothing else;
+// then a node with a replica takes its place, and operations under way end as unknown.
+//
+// All nodes have to agree on the founding group of the registers for ever. It is the seeds of the very first
+// start; later settings may name other seeds. So a process of a later start takes it from its store or from a
+// peer, and neither proposes nor votes before it knows it.
 #pragma once
 
 #include <functional>
@@ -26,8 +31,8 @@
                   std::uint64_t seed, SendFunction send);
   ~RegisterService();
 
-  // Opens the store, if there is one, and retries until it opens; `opened` is told the replica's identity.
-  void OpenStore(std::function<void(const std::string& replica_id)> opened);
+  // Opens the store, if there is one; `started` is told the replica's identity once it votes.
+  void OpenStore(std::function<void(const std::string& replica_id)> started);
 
   void Submit(const std::string& register_name, consensus::ChangeFunction change, Time give_up_at, Done done);
   void Receive(const std::string& from_address, const messages::RegisterMessage& message);
@@ -39,13 +44,18 @@
     configuration_accepted_ = std::move(accepted);
   }
 
+  bool KnowsFounding() const { return founding_.members_size() > 0; }
+  const messages::ReplicaGroup& founding() const { return founding_; }
+  void LearnFounding(const messages::ReplicaGroup& founding);
   void LearnGroup(const std::string& register_name, const messages::ReplicaGroup& group);
   messages::ReplicaGroup KnownGroup(const std::string& register_name) const;
 
  private:
-  void StoreOpened(storage::RecordStore::OpenResult result,
-                   std::function<void(const std::string& replica_id)> opened);
-  void Carry(consensus::RegisterNode* node, consensus::RegisterOutput output);
+  void StoreOpened(storage::RecordStore::OpenResult result);
+  void StartReplica();
+  void KeepFounding();
+  void EndOperations();
+  void Carry(consensus::RegisterOutput output);
   void WriteDone(std::uint64_t token, bool written);
   consensus::RegisterNodeSettings NodeSettingsFor(const std::string& role,
                                                   const std::string& replica_id) const;
@@ -55,8 +65,13 @@
   std::uint64_t incarnation_;
   std::uint64_t seed_;
   SendFunction send_;
-  std::unique_ptr<consensus::RegisterNode> proposer_;
-  std::unique_ptr<consensus::RegisterNode> replica_;
+  messages::ReplicaGroup founding_;
+  std::optional<storage::RecordStore::OpenResult> opened_store_;  // until the replica starts
+  std::function<void(const std::string& replica_id)> replica_started_;
+  bool founding_kept_ = false;                                     // in the store
+  std::unique_ptr<consensus::RegisterNode> node_;                  // none before the founding group is known
+  bool replicates_ = false;                                        // node_ has a replica
+  std::unordered_map<std::string, messages::ReplicaGroup> hints_;  // by register, for the next node
   std::unordered_map<consensus::OperationId, Done> waiting_;
   std::function<void()> configuration_accepted_;
   std::unique_ptr<storage::RecordStore> store_;  // last: its thread ends before what its callbacks use
