Split the HTTP connection and the exchange, and watch runners for reading only

Files had grown past what reads well: messages on the wire, writing, and the passing on of streams get files of their own.

Connecting left Asio's reactor watching a runner's connection for room to write, so that each wait for bytes could wake up twice. A paced connection is registered anew once it is up.

--- a/src/dataplane/exchange.cpp
+++ b/src/dataplane/exchange.cpp
@@ -10,9 +10,6 @@
 
 using routing::AttemptOutcome;
 
-constexpr std::size_t kMostEvent = 1u << 20;  // held back until it is whole
-constexpr std::size_t kMostUnsent =
-    64 * 1024;  // for a client that does not read: then its runner has to wait
 // The decision module may give a request up a little before its deadline.
 constexpr Time kDeadlineSlack = 20 * kMillisecond;
 constexpr Time kLeastRetryAfter = 50 * kMillisecond;
@@ -38,7 +35,7 @@
       context_(context),
       runners_(runners),
       table_(table),
-      events_(kMostEvent) {
+      events_(kMostHeldEvent) {
   alarm_ = context_->deadlines.Add(deadline_, [this] { DeadlineCame(); });
 }
 
@@ -212,87 +209,6 @@
   if (final) Cut();
 }
 
-// ---- Streams ----
-
-bool Exchange::Resumable() const {
-  return events_mode_ && match_.route->resumable() && last_id_ && context_->Now() < deadline_;
-}
-
-void Exchange::StreamBegan(Attempt& attempt, const HttpMessage& head, bool events) {
-  const auto self = shared_from_this();
-  if (head_sent_ && !events) return AttemptFailed(attempt, AttemptOutcome::kBroken);
-  StopOthers(attempt);
-  streaming_ = &attempt;
-  events_ = EventStream(kMostEvent);
-  if (head_sent_) return;  // the first runner's head stands
-  stream_head_ = head;
-  stream_head_.body.clear();
-  events_mode_ = events;
-  chunked_ = events || !head.has_length || head.length == 0;
-  if (!events) SendStream(attempt, {});
-}
-
-// Adds the whole events that `bytes` completes, but none that went on before.
-void Exchange::PassEvents(std::string_view bytes, std::string* out, bool* first) {
-  const bool fits = events_.Feed(bytes, [&](const EventStream::Event& event) {
-    if (event.id && last_id_ && *event.id <= *last_id_) return;
-    out->append(event.text);
-    if (event.id) last_id_ = event.id;
-    *first = *first || event.has_field;
-  });
-  if (!fits) out->clear();
-}
-
-void Exchange::StreamBytes(Attempt& attempt, std::string_view bytes) {
-  const auto self = shared_from_this();
-  if (!events_mode_) return SendStream(attempt, bytes);
-  std::string& out = context_->events_buffer;
-  out.assign(prelude_);
-  prelude_.clear();
-  bool first = false;
-  PassEvents(bytes, &out, &first);
-  if (events_.rest().size() > kMostEvent) return AttemptFailed(attempt, AttemptOutcome::kBroken);
-  if (out.empty()) return;
-  if (!head_sent_ && !first) return void(prelude_ = out);
-  SendStream(attempt, out);
-}
-
-// Sends the head where it has not gone yet, then the bytes.
-void Exchange::SendStream(const Attempt& attempt, std::string_view bytes) {
-  std::string& framed = context_->framed_buffer;
-  framed.clear();
-  if (chunked_ && !bytes.empty())
-    AppendChunk(bytes, &framed);
-  else
-    framed = bytes;
-  if (!head_sent_) {
-    head_sent_ = true;
-    CountStart(attempt);
-    if (sink_ != nullptr)
-      sink_->SendHead(stream_head_, chunked_ ? Framing::kChunked : Framing::kLength, stream_head_.length,
-                      framed);
-  } else if (sink_ != nullptr) {
-    sink_->SendBody(framed);
-  }
-  if (sink_ == nullptr || sink_->unsent() <= kMostUnsent) return;
-  for (const auto& known : attempts_)
-    if (known.get() == &attempt) known->PauseReading(true);
-}
-
-void Exchange::StreamEnded(Attempt& attempt) {
-  const auto self = shared_from_this();
-  const std::string rest = std::exchange(prelude_, {}).append(events_.rest());
-  if (!head_sent_ || !rest.empty()) SendStream(attempt, rest);
-  const auto removed = Remove(attempt);
-  if (sink_ != nullptr) {
-    if (chunked_) sink_->SendBody(kLastChunk);
-    std::exchange(sink_, nullptr)->EndAnswer();
-  }
-  ++context_->counters.served;
-  table_->AttemptEnded(number_, attempt.number(), AttemptOutcome::kServed, /*final=*/true);
-  Leave();
-}
-
 // ---- The end ----
 
 // What may have run is promised nothing; what has begun can only be cut.
--- a/src/dataplane/exchange.h
+++ b/src/dataplane/exchange.h
@@ -19,6 +19,8 @@
 
 class ExchangeTable;
 
+inline constexpr std::size_t kMostHeldEvent = 1u << 20;  // of an event, until it is whole
+
 class Exchange : public AttemptOwner, public std::enable_shared_from_this<Exchange> {
  public:
   struct Origin {
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cassert>
 #include <climits>
 
 namespace lichenlug {
@@ -10,14 +9,6 @@
 
 constexpr std::size_t kMostPending = kMostBody + kMostHead;
 constexpr std::size_t kReadSize = 16 * 1024;
-constexpr int kMostReads = 128;  // in one go: a side that never stops sending must not starve the others
-
-char LowerChar(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c + ('a' - 'A')) : c; }
-
-std::string Lower(std::string text) {
-  std::transform(text.begin(), text.end(), text.begin(), LowerChar);
-  return text;
-}
 
 // Bytes lie here only between a read and their parsing or keeping.
 char* ReadBuffer() {
@@ -25,44 +16,8 @@
   return buffer.data();
 }
 
-void AppendHeaders(const std::vector<std::pair<std::string, std::string>>& headers, std::string* out) {
-  for (const auto& [name, value] : headers) out->append(name).append(": ").append(value).append("\r\n");
-}
-
 }  // namespace
 
-bool SameName(std::string_view one, std::string_view other) {
-  return std::equal(one.begin(), one.end(), other.begin(), other.end(),
-                    [](char a, char b) { return a == b || LowerChar(a) == LowerChar(b); });
-}
-
-const std::string* HttpMessage::Header(std::string_view name) const {
-  for (const auto& [known, value] : headers)
-    if (SameName(known, name)) return &value;
-  return nullptr;
-}
-
-std::string FormatRequest(std::string_view method, std::string_view target, std::string_view host,
-                          const std::vector<std::pair<std::string, std::string>>& headers,
-                          std::string_view body) {
-  std::string out;
-  out.append(method).append(" ").append(target).append(" HTTP/1.1\r\nHost: ").append(host).append("\r\n");
-  AppendHeaders(headers, &out);
-  if (!body.empty() || method == "POST")
-    out.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
-  return out.append("\r\n").append(body);
-}
-
-std::string FormatAnswer(int status, const std::vector<std::pair<std::string, std::string>>& headers,
-                         std::string_view body, bool keep_alive) {
-  std::string out = "HTTP/1.1 " + std::to_string(status) + " ";
-  out.append(http_status_str(static_cast<http_status>(status))).append("\r\n");
-  AppendHeaders(headers, &out);
-  if (!keep_alive) out.append("Connection: close\r\n");
-  out.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n\r\n");
-  return out.append(body);
-}
-
 // What http-parser calls. A result other than 0 stops it with an error.
 struct HttpConnection::Callbacks {
   static HttpConnection& Of(http_parser* p) { return *static_cast<HttpConnection*>(p->data); }
@@ -99,7 +54,7 @@
     if (c.in_value_ && !c.cut_) return 1;
     // Trailers come when the head has been acted on; they may be dropped (RFC 9110) and are.
     if (!c.in_value_ && !c.in_trailers_)
-      c.message_.headers.emplace_back(c.options_.keep_name_case ? c.field_ : Lower(c.field_), "");
+      c.message_.headers.emplace_back(c.options_.keep_name_case ? c.field_ : LowerCase(c.field_), "");
     c.in_value_ = true, c.cut_ = at + size == c.bytes_end_;
     if (!c.in_trailers_) c.message_.headers.back().second.append(at, size);
     return HeadFits(c, size + 4) ? 0 : 1;
@@ -107,7 +62,8 @@
   static bool CodingKnown(const HttpMessage& message) {
     int codings = 0;
     for (const auto& [name, value] : message.headers)
-      if (SameName(name, "transfer-encoding") && (++codings > 1 || Lower(value) != "chunked")) return false;
+      if (SameName(name, "transfer-encoding") && (++codings > 1 || LowerCase(value) != "chunked"))
+        return false;
     return true;
   }
   static int Head(http_parser* p) {
@@ -167,10 +123,20 @@
       if (!self->ended_) done(error);
     });
   socket_.async_connect(to, [self = shared_from_this(), done = std::move(done)](std::error_code e) {
-    if (!self->ended_) done(e);
+    if (self->ended_) return;
+    if (!e && self->options_.reading == Reading::kPaced)
+      self->WatchReadingOnly(self->socket_.local_endpoint(e));
+    done(e);
   });
 }
 
+// Connecting leaves the reactor watching for room to write, too: each wait for bytes would wake up twice.
+void HttpConnection::WatchReadingOnly(const asio::ip::tcp::endpoint& local) {
+  std::error_code ignored;
+  const auto descriptor = socket_.release(ignored);
+  if (!ignored) socket_.assign(local.protocol(), descriptor, ignored);
+}
+
 void HttpConnection::Start() {
   std::error_code ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -287,54 +253,6 @@
   });
 }
 
-void HttpConnection::Write(std::string bytes, std::function<void(std::error_code)> done) {
-  assert(Written());  // one at a time
-  out_ = std::move(bytes), out_at_ = 0;
-  Flush(std::move(done));
-}
-
-// Gives the system what it takes at once, so that Written() is known whichever event is served next: an
-// operation's handler could come after that of an end which the other side sent before.
-void HttpConnection::Flush(std::function<void(std::error_code)> done) {
-  if (ended_) return;
-  std::error_code error;
-  while (!Written() && !error) out_at_ += socket_.write_some(asio::buffer(out_) + out_at_, error);
-  if (error == asio::error::would_block || error == asio::error::interrupted)
-    return socket_.async_wait(
-        asio::ip::tcp::socket::wait_write,
-        [self = shared_from_this(), done = std::move(done)](std::error_code) { self->Flush(done); });
-  asio::post(socket_.get_executor(), [self = shared_from_this(), error, done = std::move(done)] {
-    if (!self->ended_ && done) done(error);
-  });
-}
-
-void HttpConnection::Send(std::string_view bytes) {
-  if (ended_) return;
-  if (!Written()) return void(out_.append(bytes));
-  std::error_code error;
-  while (!bytes.empty() && !error) bytes.remove_prefix(socket_.write_some(asio::buffer(bytes), error));
-  if (bytes.empty()) return;
-  out_.assign(bytes), out_at_ = 0;
-  GoOnSending(error);
-}
-
-void HttpConnection::GoOnSending(std::error_code error) {
-  const bool full = error == asio::error::would_block || error == asio::error::interrupted;
-  if (!full) {
-    Read(kMostReads);  // what the other side said before its end
-    eof_ = reset_ = true;
-    return ParseLater();
-  }
-  socket_.async_wait(asio::ip::tcp::socket::wait_write, [self = shared_from_this()](std::error_code) {
-    if (self->ended_) return;
-    std::error_code failure;
-    while (!self->Written() && !failure)
-      self->out_at_ += self->socket_.write_some(asio::buffer(self->out_) + self->out_at_, failure);
-    if (failure) return self->GoOnSending(failure);
-    if (self->events_.on_drained) self->events_.on_drained();
-  });
-}
-
 void HttpConnection::Finish(std::function<void()> ended) {
   finishing_ = resting_ = true, finished_ = std::move(ended);
   pending_.clear();
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -10,33 +10,13 @@
 #include <string>
 #include <string_view>
 #include <system_error>
-#include <utility>
-#include <vector>
+
+#include "net/http_message.h"
 
 namespace lichenlug {
 
 inline constexpr std::size_t kMostBody = 64 * 1024, kMostHead = 16 * 1024;
 
-struct HttpMessage {
-  std::string method, target, body;
-  int status = 0;
-  bool keep_alive = true;
-  int minor_version = 1;     // of HTTP/1
-  bool has_length = false;   // the head tells of a body: by its length or in chunks
-  std::uint64_t length = 0;  // the Content-Length; 0 for one in chunks
-  std::vector<std::pair<std::string, std::string>> headers;  // names in lower case, unless kept as they came
-
-  const std::string* Header(std::string_view name) const;  // whichever its case; null: absent
-};
-
-bool SameName(std::string_view one, std::string_view other);  // of headers, ignoring case
-
-std::string FormatRequest(std::string_view method, std::string_view target, std::string_view host,
-                          const std::vector<std::pair<std::string, std::string>>& headers,
-                          std::string_view body);
-std::string FormatAnswer(int status, const std::vector<std::pair<std::string, std::string>>& headers,
-                         std::string_view body, bool keep_alive);
-
 // How a connection reads while it cannot hand over what comes.
 enum class Reading {
   kDrain,  // all that is there at each wake-up; what goes beyond the bound of the buffer is dropped
@@ -100,12 +80,15 @@
  private:
   struct Callbacks;
   void AwaitBytes();
+  // In one go: a side that never stops sending must not starve the others.
+  static constexpr int kMostReads = 128;
   void Read(int most_reads);
   void Parse();
   void Flush(std::function<void(std::error_code)> done);
   void ParseLater();
   void Tell(End end);
   bool Held() const;  // kPaced: nothing may be read now
+  void WatchReadingOnly(const asio::ip::tcp::endpoint& local);
   void GoOnSending(std::error_code error);
   std::size_t MostPending() const;
 
--- /dev/null
+++ b/src/net/http_message.h
@@ -0,0 +1,33 @@
+// An HTTP/1.1 message, and its words on the wire.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace lichenlug {
+
+struct HttpMessage {
+  std::string method, target, body;
+  int status = 0;
+  bool keep_alive = true;
+  int minor_version = 1;     // of HTTP/1
+  bool has_length = false;   // the head tells of a body: by its length or in chunks
+  std::uint64_t length = 0;  // the Content-Length; 0 for one in chunks
+  std::vector<std::pair<std::string, std::string>> headers;  // names in lower case, unless kept as they came
+
+  const std::string* Header(std::string_view name) const;  // whichever its case; null: absent
+};
+
+std::string LowerCase(std::string text);                      // of ASCII letters
+bool SameName(std::string_view one, std::string_view other);  // of headers, ignoring case
+
+std::string FormatRequest(std::string_view method, std::string_view target, std::string_view host,
+                          const std::vector<std::pair<std::string, std::string>>& headers,
+                          std::string_view body);
+std::string FormatAnswer(int status, const std::vector<std::pair<std::string, std::string>>& headers,
+                         std::string_view body, bool keep_alive);
+
+}  // namespace lichenlug
--- /dev/null
+++ b/src/net/http_send.cpp
@@ -0,0 +1,56 @@
+// How an HTTP connection writes.
+#include <cassert>
+
+#include "net/http_connection.h"
+
+namespace lichenlug {
+
+void HttpConnection::Write(std::string bytes, std::function<void(std::error_code)> done) {
+  assert(Written());  // one at a time
+  out_ = std::move(bytes), out_at_ = 0;
+  Flush(std::move(done));
+}
+
+// Gives the system what it takes at once, so that Written() is known whichever event is served next: an
+// operation's handler could come after that of an end which the other side sent before.
+void HttpConnection::Flush(std::function<void(std::error_code)> done) {
+  if (ended_) return;
+  std::error_code error;
+  while (!Written() && !error) out_at_ += socket_.write_some(asio::buffer(out_) + out_at_, error);
+  if (error == asio::error::would_block || error == asio::error::interrupted)
+    return socket_.async_wait(
+        asio::ip::tcp::socket::wait_write,
+        [self = shared_from_this(), done = std::move(done)](std::error_code) { self->Flush(done); });
+  asio::post(socket_.get_executor(), [self = shared_from_this(), error, done = std::move(done)] {
+    if (!self->ended_ && done) done(error);
+  });
+}
+
+void HttpConnection::Send(std::string_view bytes) {
+  if (ended_) return;
+  if (!Written()) return void(out_.append(bytes));
+  std::error_code error;
+  while (!bytes.empty() && !error) bytes.remove_prefix(socket_.write_some(asio::buffer(bytes), error));
+  if (bytes.empty()) return;
+  out_.assign(bytes), out_at_ = 0;
+  GoOnSending(error);
+}
+
+void HttpConnection::GoOnSending(std::error_code error) {
+  const bool full = error == asio::error::would_block || error == asio::error::interrupted;
+  if (!full) {
+    Read(kMostReads);  // what the other side said before its end
+    eof_ = reset_ = true;
+    return ParseLater();
+  }
+  socket_.async_wait(asio::ip::tcp::socket::wait_write, [self = shared_from_this()](std::error_code) {
+    if (self->ended_) return;
+    std::error_code failure;
+    while (!self->Written() && !failure)
+      self->out_at_ += self->socket_.write_some(asio::buffer(self->out_) + self->out_at_, failure);
+    if (failure) return self->GoOnSending(failure);
+    if (self->events_.on_drained) self->events_.on_drained();
+  });
+}
+
+}  // namespace lichenlug
