Let a replica move to another address, and split the tests of a node

A disk may return at another address: the group then has to take the new address of the same replica.

--- a/src/consensus/group.cpp
+++ b/src/consensus/group.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace lichenlug::consensus {
 namespace {
@@ -20,6 +21,12 @@
   return identities;
 }
 
+std::set<std::pair<std::string, std::string>> Places(const auto& members) {
+  std::set<std::pair<std::string, std::string>> places;
+  for (const auto& member : members) places.emplace(member.replica_id(), member.address());
+  return places;
+}
+
 }  // namespace
 
 bool IsQuorum(const messages::ReplicaGroup& group, const Vote& vote) {
@@ -30,9 +37,9 @@
 
 std::vector<messages::ReplicaIdentity> AllMembers(const messages::ReplicaGroup& group) {
   std::vector<messages::ReplicaIdentity> all(group.members().begin(), group.members().end());
-  const auto identities = Identities(group.members());
+  const auto places = Places(group.members());
   for (const auto& member : group.next_members()) {
-    if (!identities.contains(member.replica_id())) all.push_back(member);
+    if (!places.contains({member.replica_id(), member.address()})) all.push_back(member);
   }
   return all;
 }
@@ -51,7 +58,7 @@
 }
 
 bool ConsistsOf(const messages::ReplicaGroup& group, const std::vector<messages::ReplicaIdentity>& members) {
-  return !IsJoint(group) && Identities(group.members()) == Identities(members);
+  return !IsJoint(group) && Places(group.members()) == Places(members);
 }
 
 messages::ReplicaGroup FoundingGroup(const std::vector<messages::ReplicaIdentity>& members) {
--- a/src/consensus/group.h
+++ b/src/consensus/group.h
@@ -19,14 +19,14 @@
 
 bool IsJoint(const messages::ReplicaGroup& group);
 
-// Members and next members, each once.
+// Members and next members, each once; one that moves to another address is there with both.
 std::vector<messages::ReplicaIdentity> AllMembers(const messages::ReplicaGroup& group);
 
 // At least one member, at most kMaxMembers, none without an identity or named twice.
 bool IsValidMembership(const std::vector<messages::ReplicaIdentity>& members);
 bool IsValidGroup(const messages::ReplicaGroup& group);
 
-// Whether the group is not joint and consists of exactly these replicas.
+// Whether the group is not joint and consists of exactly these replicas, at these addresses.
 bool ConsistsOf(const messages::ReplicaGroup& group, const std::vector<messages::ReplicaIdentity>& members);
 
 messages::ReplicaGroup FoundingGroup(const std::vector<messages::ReplicaIdentity>& members);
--- /dev/null
+++ b/tests/system/consensus/cluster.h
@@ -0,0 +1,100 @@
+// Nodes for tests of single steps, without faults in between.
+#pragma once
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "consensus/register_node.h"
+
+namespace lichenlug::consensus {
+
+inline const std::string kName = "configuration";
+
+inline messages::ReplicaIdentity Identity(const std::string& name) {
+  messages::ReplicaIdentity identity;
+  identity.set_replica_id("store-" + name);
+  identity.set_address(name + ":7660");
+  identity.set_name(name);
+  return identity;
+}
+
+inline RegisterNodeSettings Settings(const std::string& name, const std::vector<std::string>& founders,
+                                     bool store) {
+  RegisterNodeSettings settings;
+  settings.proposer = name + "#1";
+  settings.self_address = name + ":7660";
+  settings.self_name = name;
+  if (store) settings.replica_id = "store-" + name;
+  for (const auto& founder : founders) settings.founding_group.push_back(Identity(founder));
+  settings.scrub_every = 0;
+  return settings;
+}
+
+inline ChangeFunction Sets(const std::string& payload) {
+  return [payload](const std::string&) -> Change { return NewPayload{payload}; };
+}
+inline ChangeFunction Reads(int reason = 0) {
+  return [reason](const std::string&) -> Change { return KeepPayload{reason}; };
+}
+
+// Some nodes whose messages and writes are handed over at once, except to those that are down.
+struct Cluster {
+  explicit Cluster(const std::vector<std::string>& names) {
+    for (const auto& name : names) Add(name, names, true);
+  }
+
+  void Add(const std::string& name, const std::vector<std::string>& founders, bool store) {
+    nodes[name + ":7660"] = std::make_unique<RegisterNode>(Settings(name, founders, store));
+  }
+  RegisterNode& node(const std::string& name) { return *nodes.at(name + ":7660"); }
+
+  void Run(const std::string& name, RegisterOutput output) { Hand(name + ":7660", std::move(output)); }
+
+  void Hand(const std::string& from, RegisterOutput output) {
+    completions.insert(completions.end(), output.completions.begin(), output.completions.end());
+    for (const auto& write : output.writes) {
+      ++writes;
+      records[from][write.key] = write.value;
+      RegisterOutput next;
+      nodes.at(from)->StoreDone(now, write.token, true, &next);
+      Hand(from, std::move(next));
+    }
+    for (const auto& send : output.sends) {
+      if (down.contains(send.address) || !nodes.contains(send.address)) continue;
+      bytes += send.message.ByteSizeLong();
+      RegisterOutput next;
+      nodes.at(send.address)->Receive(now, from, send.message, &next);
+      Hand(send.address, std::move(next));
+    }
+  }
+
+  Completion Call(const std::string& name, ChangeFunction change) {
+    RegisterOutput output;
+    node(name).Submit(now, kName, std::move(change), now + kSecond, &output);
+    Run(name, std::move(output));
+    while (completions.empty() && now < 10 * kSecond) {
+      now = std::max(now + 1, node(name).NextTimer().value_or(now + kSecond));
+      RegisterOutput next;
+      node(name).Tick(now, &next);
+      Run(name, std::move(next));
+    }
+    REQUIRE(completions.size() == 1);
+    const Completion completion = completions.front();
+    completions.clear();
+    return completion;
+  }
+
+  std::map<std::string, std::unique_ptr<RegisterNode>> nodes;
+  std::map<std::string, std::map<std::string, std::string>> records;
+  std::set<std::string> down;
+  std::vector<Completion> completions;
+  int writes = 0;
+  std::size_t bytes = 0;
+  Time now = kSecond;
+};
+
+}  // namespace lichenlug::consensus
--- a/tests/system/consensus/group_test.cpp
+++ b/tests/system/consensus/group_test.cpp
@@ -46,6 +46,17 @@
   CHECK(Quorum(joint, {"a", "b", "d", "e"}));
 }
 
+TEST_CASE("a replica that moves to another address is asked at both") {
+  auto moved = Members({"a", "b", "c"});
+  moved[2].set_address("elsewhere:1");
+  const auto group = FoundingGroup(Members({"a", "b", "c"}));
+  CHECK_FALSE(ConsistsOf(group, moved));
+  const auto joint = JointGroup(group, moved);
+  CHECK(AllMembers(joint).size() == 4);
+  CHECK(Quorum(joint, {"b", "c"}));
+  CHECK(ConsistsOf(FinalGroup(joint), moved));
+}
+
 TEST_CASE("the final group is the next members under the next version") {
   const auto joint = JointGroup(FoundingGroup(Members({"a", "b", "c"})), Members({"c", "d", "e"}));
   const auto group = FinalGroup(joint);
