Give adapters short turns and copies of their model; keep runners free of waiting loads

A plan also follows each answer (fleets up to 200), not only the 200 ms tick. Ruled out: the weight store's ceiling as such (11 loads left while adapters waited); demand reports (they came).

--- a/src/placement/eviction.cpp
+++ b/src/placement/eviction.cpp
@@ -15,14 +15,30 @@
 constexpr double kBusySpareCopy = 1.5, kBusySpareShare = 0.2;  // the others bear its demand
 constexpr double kBusyCopy = 10;
 constexpr double kRareLast = 15, kRareArrival = 10;  // the only copy of one that is seldom asked for
-constexpr Time kLeastStay = 15 * kSecond;  // from its assignment, so that such models take turns slowly
+constexpr Time kLeastStay = 15 * kSecond;        // from its assignment, so that such models take turns slowly
+constexpr Time kLeastAdapterStay = 3 * kSecond;  // an adapter is there again in some ms
+constexpr double kAdapter = 2, kAdapterArrival = 2, kAdapterRunning = 5;  // the only copy, in demand
+constexpr double kLastAdapter = 5;  // for each that the unload of a model's copy would leave nowhere
 constexpr double kSparedFill = 0.5;
-constexpr double kBusyArrivals = 0.3;  // a second: its only copy is never unloaded
+constexpr double kStillUnserved = 0.5;  // requests; what remains of the count fades, and never ends
+constexpr double kBusyArrivals = 0.3;   // a second: its only copy is never unloaded
 
 double IdleTime(const PlanContext& context, const Demand& demand) {
   return demand.last_asked == 0 ? 1e12 : static_cast<double>(context.now - demand.last_asked);
 }
 
+bool IsNew(const PlanContext& context, const Key& key, Time least_stay) {
+  if (!context.placed) return false;
+  const auto placed = context.placed->find(key);
+  return placed != context.placed->end() && context.now - placed->second < least_stay;
+}
+
+// The only copy of an adapter that is asked for. Such adapters take turns, as their loads are short.
+double ValueOfLastAdapter(const PlanContext& context, const Key& key, const Demand& demand) {
+  if (IsNew(context, key, kLeastAdapterStay)) return kNever;
+  return kAdapter + kAdapterArrival * demand.arrivals_per_s + kAdapterRunning * demand.running;
+}
+
 double ValueOf(const PlanContext& context, const Key& key) {
   if (!context.catalog->Knows(key)) return kUnknownModel;
   const Demand& demand = key.is_model() ? context.demand->OfModel(key.model) : context.demand->Of(key);
@@ -34,15 +50,26 @@
     const bool spare = left <= kSparedFill * context.catalog->slots();
     return spare ? kBusySpareCopy + kBusySpareShare * share : kBusyCopy + share;
   }
-  if (demand.running > 0.5 || demand.arrivals_per_s >= kBusyArrivals || demand.unserved > 0) return kNever;
-  if (demand.present() && context.placed) {
-    const auto placed = context.placed->find(key);
-    if (placed != context.placed->end() && context.now - placed->second < kLeastStay) return kNever;
-  }
+  if (!key.is_model() && demand.present()) return ValueOfLastAdapter(context, key, demand);
+  if (demand.running > 0.5 || demand.arrivals_per_s >= kBusyArrivals || demand.unserved > kStillUnserved)
+    return kNever;
+  if (demand.present() && IsNew(context, key, kLeastStay)) return kNever;
   if (demand.present()) return kRareLast + kRareArrival * demand.arrivals_per_s;
   return kIdleLast + kJustIdleLast * std::exp(-IdleTime(context, demand) / kIdleFade);
 }
 
+// Adapters go with their model.
+double ValueOfLastAdapters(const PlanContext& context, const RunnerView& runner, const Key& key) {
+  if (!key.is_model()) return 0;
+  double value = 0;
+  for (const std::string& adapter : runner.held.models().at(key.model)) {
+    const Key held{key.model, adapter};
+    if (context.demand->Of(held).present() && context.view->HoldersOf(held).size() <= 1)
+      value += kLastAdapter;
+  }
+  return value;
+}
+
 std::vector<Key> Candidates(const RunnerView& runner, const Key& target) {
   std::vector<Key> keys;
   for (const auto& [model, adapters] : runner.held.models()) {
@@ -77,7 +104,7 @@
   if (context.catalog->Fits(left, target)) return victims;
   std::vector<std::pair<double, Key>> candidates;
   for (const Key& key : Candidates(runner, target)) {
-    const double value = ValueOf(context, key);
+    const double value = ValueOf(context, key) + ValueOfLastAdapters(context, runner, key);
     if (value <= most) candidates.emplace_back(value, key);
   }
   std::sort(candidates.begin(), candidates.end());
--- a/src/placement/eviction.h
+++ b/src/placement/eviction.h
@@ -1,6 +1,7 @@
 // What has to go from a runner before it can load something, and what that costs.
 #pragma once
 
+#include <limits>
 #include <optional>
 #include <vector>
 
@@ -13,7 +14,8 @@
   const Catalog* catalog = nullptr;
   const DemandTable* demand = nullptr;
   FleetView* view = nullptr;
-  const std::map<Key, Time>* placed = nullptr;  // when what stood nowhere was last assigned to a runner
+  const std::map<Key, Time>* placed = nullptr;       // when what stood nowhere was last assigned to a runner
+  int loads_left = std::numeric_limits<int>::max();  // that the weight store allows and no intent waits for
 };
 
 struct Victims {
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -10,6 +10,7 @@
 constexpr Time kForgetRunner = 30 * kSecond;
 constexpr Time kAnswerMargin = 2 * kSecond;  // a call whose end isn't told this long after it had to end
 constexpr Time kRefuseFor = 10 * kSecond;
+constexpr std::size_t kPromptFleet = 200;  // so few runners are planned for after each answer
 constexpr std::size_t kMostDisks = 40000, kMostRunners = 20000;
 
 }  // namespace
@@ -93,6 +94,8 @@
   const PendingCall call = it->second;
   calls_.erase(it);
   next_timer_ = now;
+  if (runners_.size() <= kPromptFleet)
+    next_plan_ = std::max(settle_until_, std::min(next_plan_, now));  // its runner may be free again
   if (call.kind == PendingCall::Kind::kFleet) {
     if (call.epoch == epoch_) scaler_.Ended(now, FleetSizeTaken(result));
     if (FleetSizeFenced(result)) fenced_epoch_ = std::max(fenced_epoch_, call.epoch);
--- a/src/placement/placement_impl.h
+++ b/src/placement/placement_impl.h
@@ -48,6 +48,7 @@
   // steps.cpp
   void Plan(Time now, const Input& input, Calls* calls);
   void DropIntents(Time now);
+  int LoadsLeft(Time now) const;
   FleetView View(Time now) const;
   void Execute(Time now, Calls* calls);
   void Step(Time now, const std::string& id, Runner* runner, Calls* calls);
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -68,7 +68,8 @@
   std::size_t pending = 0;
   for (const RunnerView& runner : context.view->runners) pending += runner.expected != runner.held ? 1 : 0;
   const std::size_t most = std::max<std::size_t>(1, context.view->runners.size() / kRunnersPerOptional);
-  Pass pass{&context, &assignments, most > pending ? most - pending : 0};
+  int loads_left = context.loads_left;
+  Pass pass{&context, &assignments, most > pending ? most - pending : 0, &loads_left};
   PlaceMissing(pass);
   PlaceCopies(&pass);
   std::erase_if(short_since_, [&](const auto& entry) { return !wishes_.count(entry.first); });
@@ -87,7 +88,7 @@
       continue;
     }
     if (Place(pass, key, Urgency::kAsked, kAnyFill)) continue;
-    wish.hindrance = "no runner is free, or all hold what is in demand";
+    wish.hindrance = "no runner is free, all hold what is in demand, or the weight store's turn comes later";
     if (!key.is_model() && !context.view->HoldersOf({key.model, ""}).empty()) crowded_[key.model] = true;
   }
 }
@@ -100,11 +101,11 @@
     const double fill = FillOf(context, holders);
     const Wish wish = wishes_[key] = WishFor(context, key, DemandOf(context, key), fill);
     if (!Ripe(context.now, key, wish, holders.size())) continue;
-    const bool urgent = wish.urgency == Urgency::kOverload;
+    const bool urgent = wish.urgency <= Urgency::kOverload;
     for (std::size_t copies = holders.size(); copies < wish.copies; ++copies) {
       if (!urgent && pass->optional_left == 0) break;
       if (!Place(*pass, key, wish.urgency, wish.most_fill)) {
-        wishes_[key].hindrance = "no runner with less load has room";
+        wishes_[key].hindrance = "no runner with less load has room, or the weight store's turn comes later";
         break;
       }
       if (!urgent) --pass->optional_left;
@@ -121,7 +122,7 @@
     const auto wanted = static_cast<std::size_t>(std::ceil(demand.running / (kAim * slots)));
     return {std::max(copies + 1, wanted), Urgency::kOverload, fill * kLess, ""};
   }
-  if (key.is_model() && crowded_.count(key.model)) return {copies + 1, Urgency::kOverload, kAnyFill, ""};
+  if (key.is_model() && crowded_.count(key.model)) return {copies + 1, Urgency::kAsked, kAnyFill, ""};
   if (fill > kFull && share > kLargeShare) return {copies + 1, Urgency::kRelief, fill * kClearlyLess, ""};
   if (fill > kBusy && share > kLargeShare) return {copies + 1, Urgency::kSpare, fill * kClearlyLess, ""};
   if (copies == 1 && demand.arrivals_per_s > kSafeArrivals) return {2, Urgency::kSpare, kFull, ""};
@@ -145,12 +146,14 @@
 
 bool Planner::Place(const Pass& pass, const Key& key, Urgency urgency, double most_fill) {
   const PlanContext& context = *pass.context;
+  if (key.is_model() && *pass.loads_left <= 0) return false;
   std::optional<std::size_t> best;
   double best_cost = 0;
   for (std::size_t i = 0; i < context.view->runners.size(); ++i) {
     const RunnerView& runner = context.view->runners[i];
     if (!runner.available || runner.expected.Holds(key)) continue;
-    if (!key.is_model() && !runner.held.Holds({key.model, ""})) continue;
+    const Key model{key.model, ""};  // held, and not about to go
+    if (!key.is_model() && !(runner.held.Holds(model) && runner.expected.Holds(model))) continue;
     if (runner.load / context.catalog->slots() > most_fill) continue;
     const auto victims = FindVictims(context, runner, key, MostValue(urgency));
     if (!victims) continue;
@@ -161,6 +164,7 @@
     best_cost = cost;
   }
   if (!best) return false;
+  if (key.is_model()) --*pass.loads_left;
   context.view->runners[*best].available = false;
   context.view->Expect(*best, key);
   if (urgency == Urgency::kAsked) placed_[key] = context.now;
--- a/src/placement/planner.h
+++ b/src/placement/planner.h
@@ -41,6 +41,7 @@
     const PlanContext* context;
     std::vector<Assignment>* assignments;
     std::size_t optional_left;  // copies that aren't urgent, in work at once
+    int* loads_left;            // of models: one that has to wait would keep its runner from adapters
   };
   bool Refused(Time now, const Key& key) const;
   bool Place(const Pass& pass, const Key& key, Urgency urgency, double most_fill);
--- a/src/placement/steps.cpp
+++ b/src/placement/steps.cpp
@@ -11,6 +11,7 @@
 constexpr std::size_t kLargeFleet = 1000;
 constexpr Time kIntentLasts = 15 * kSecond;
 constexpr int kMostFailures = 3;
+constexpr std::size_t kLeastPrepared = 2, kRunnersPerPrepared = 4;  // make room before the store's turn comes
 constexpr Time kStepEvery = 50 * kMillisecond;
 
 }  // namespace
@@ -25,7 +26,7 @@
   DropIntents(now);
   view_ = View(now);
   EstimateLoads(demand_, catalog_.slots(), &view_);
-  const PlanContext context{now, &catalog_, &demand_, &view_, &planner_.placed()};
+  const PlanContext context{now, &catalog_, &demand_, &view_, &planner_.placed(), LoadsLeft(now)};
   for (const Assignment& assignment : planner_.Plan(context))
     runners_.at(view_.runners[assignment.runner].id).intent = assignment.intent;
   if (!settings_.scale || !input.service->has_fleet()) return;
@@ -36,6 +37,16 @@
   Send(now, pending, FleetCall(settings_.service, change->zone, change->size, epoch_), calls);
 }
 
+// Intents whose load has not begun have a claim on the weight store already.
+int Placement::Impl::LoadsLeft(Time now) const {
+  const auto waiting = std::count_if(runners_.begin(), runners_.end(), [](const auto& entry) {
+    const auto& [id, runner] = entry;
+    return runner.intent && runner.intent->target.is_model() && runner.ledger.unsettled_load() == 0;
+  });
+  const std::size_t prepared = std::max(kLeastPrepared, runners_.size() / kRunnersPerPrepared);
+  return budget_.Left(now) + static_cast<int>(prepared) - static_cast<int>(waiting);
+}
+
 void Placement::Impl::DropIntents(Time now) {
   for (auto& [id, runner] : runners_) {
     if (!runner.intent) continue;
--- /dev/null
+++ b/tests/system/placement/adapters_test.cpp
@@ -0,0 +1,41 @@
+// Adapters of one model that many ask for, against many models that few ask for.
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "simulated_fleet.h"
+
+namespace lichenlug::placement {
+namespace {
+
+constexpr int kAdapters = 30;  // more than the places of three runners
+
+// Which of the adapters stood at some time while all are asked for.
+std::set<std::string> AdaptersServed(SimulatedFleet* fleet, const std::string& model, Time span) {
+  std::set<std::string> served;
+  for (const Time until = fleet->now() + span; fleet->now() < until;) {
+    fleet->Run(50 * kMillisecond);
+    for (int i = 1; i <= kAdapters; ++i) {
+      const std::string adapter = "a" + std::to_string(i);
+      if (fleet->Stands({model, adapter})) served.insert(adapter);
+    }
+  }
+  return served;
+}
+
+TEST_CASE("adapters in demand get enough copies of their model, although all others are asked for too") {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    SimulationOptions options;
+    options.seed = seed;
+    options.adapters = kAdapters;
+    SimulatedFleet fleet(options);
+    for (int i = 1; i < options.models; ++i) fleet.Ask({fleet.ModelName(i), ""}, 0.1);
+    fleet.Run(5 * kSecond);
+    for (int i = 1; i <= kAdapters; ++i) fleet.Ask({fleet.ModelName(0), "a" + std::to_string(i)}, 1);
+    INFO("seed " << seed);
+    CHECK(AdaptersServed(&fleet, fleet.ModelName(0), 10 * kSecond).size() == kAdapters);
+    for (const std::string& broken : fleet.broken()) FAIL(broken);
+  }
+}
+
+}  // namespace
+}  // namespace lichenlug::placement
