Hold requests for a load that ends in time, and pass over runners that reject

Ruled out: too few places (no runner was full in the trace: rejections were bound to one model at one runner), lost connections (none in the trace), the waiting time of the decision module alone (17 of 593 trace lines).

Change: a request whose objective leaves time for the load is held for it, and so is one whose client was refused before (known by the time it has left); Retry-After is learned from earlier loads, less what has passed since the first vain request; a model or adapter newly found missing is told to placement at once, and placement's timers are heeded; a runner that rejects is passed over for that model for 2 s while another holds it, and not taken for a full one if hardly used.

--- a/src/controlplane/control_plane.cpp
+++ b/src/controlplane/control_plane.cpp
@@ -117,7 +117,9 @@
               }),
       operator_api_(registers_.get(), [this](const messages::ConfigurationState& state,
                                              bool changed) { Learn(state, changed); }),
-      runners_(std::make_shared<std::vector<messages::RunnerRecord>>()) {}
+      runners_(std::make_shared<std::vector<messages::RunnerRecord>>()) {
+  data_plane_->OnNewlyUnserved([this] { loop_->Post([this] { ReportDataPlane(EventLoop::Now()); }); });
+}
 
 ControlPlane::~ControlPlane() { transport_.reset(); }
 
--- a/src/controlplane/duty_service.cpp
+++ b/src/controlplane/duty_service.cpp
@@ -4,6 +4,7 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace lichenlug::controlplane {
@@ -159,6 +160,9 @@
   if (older) return;
   held.report = report;
   held.heard_at = now;
+  const auto& models = held.report.models();
+  if (std::any_of(models.begin(), models.end(), [](const auto& model) { return model.unserved() > 0; }))
+    next_act_ = std::min(next_act_, now);
 }
 
 std::vector<messages::DemandReport> DutyService::RecentDemand(Time now) {
@@ -194,6 +198,7 @@
   if (resigned_) return;
   ActOnUsage(now, wall_now);
   ActOnPlacement(now);
+  for (const auto& [service, placement] : placements_) ActBy(placement->NextTimer());
 }
 
 std::optional<Time> DutyService::NextTimer() const {
@@ -247,11 +252,16 @@
     for (const duties::HttpCall& call : calls) {
       client_->Call(call, [this, name = service.name(), tag = call.tag](const duties::HttpResult& result) {
         PlacementOf(name).Completed(EventLoop::Now(), tag, result);
+        ActBy(PlacementOf(name).NextTimer());
       });
     }
   }
 }
 
+void DutyService::ActBy(std::optional<Time> time) {
+  if (time) next_act_ = std::min(next_act_, *time);
+}
+
 void DutyService::Resign(Time now) {
   resigned_ = true;
   for (auto& [name, ownership] : ownerships_) {
--- a/src/controlplane/duty_service.h
+++ b/src/controlplane/duty_service.h
@@ -63,6 +63,7 @@
   void Carry(const std::string& register_name, duties::OwnershipOutput output);
   void ActOnUsage(Time now, Time wall_now);
   void ActOnPlacement(Time now);
+  void ActBy(std::optional<Time> time);  // at the latest
   void CarryUsage(duties::UsageDuty::Output output);
   void MergeDemand(Time now, const messages::DemandReport& report);
   std::vector<messages::DemandReport> RecentDemand(Time now);
--- a/src/dataplane/context.h
+++ b/src/dataplane/context.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -52,6 +53,7 @@
   std::shared_ptr<const routing::Router> router;      // null: no configuration yet
   UsageCounter usage;
   Counters counters;
+  std::function<void()> on_newly_unserved;  // a model or adapter was found not to be there
   bool draining = false;
   std::string events_buffer, framed_buffer;  // of one call, kept so that an event needs no memory of its own
 };
--- a/src/dataplane/data_plane.cpp
+++ b/src/dataplane/data_plane.cpp
@@ -52,7 +52,7 @@
   bool Start(std::string* error) {
     if (!listener_.Listen(settings_.listen_address, error)) return false;
     listener_.Start();
-    Publish();
+    PublishRegularly();
     thread_ = std::thread([this] { io_.run(); });
     return true;
   }
@@ -61,6 +61,13 @@
     asio::post(io_, [this, snapshot = std::move(snapshot)] { Installed(snapshot); });
   }
 
+  void OnNewlyUnserved(std::function<void()> tell) {
+    context_.on_newly_unserved = [this, tell = std::move(tell)] {
+      Publish();
+      tell();
+    };
+  }
+
   Report TakeReport() {
     const std::lock_guard lock(mutex_);
     return report_;
@@ -100,7 +107,11 @@
       const std::lock_guard lock(mutex_);
       report_ = std::move(report);
     }
-    context_.deadlines.Add(context_.Now() + kPublishEvery, [this] { Publish(); });
+  }
+
+  void PublishRegularly() {
+    Publish();
+    context_.deadlines.Add(context_.Now() + kPublishEvery, [this] { PublishRegularly(); });
   }
 
   // New connections come until the platform has noticed; so it serves on. In the second half of the grace the
@@ -134,6 +145,7 @@
 void DataPlane::Install(std::shared_ptr<const routing::Snapshot> snapshot) {
   impl_->Install(std::move(snapshot));
 }
+void DataPlane::OnNewlyUnserved(std::function<void()> tell) { impl_->OnNewlyUnserved(std::move(tell)); }
 Report DataPlane::TakeReport() { return impl_->TakeReport(); }
 void DataPlane::BeginDrain() { impl_->BeginDrain(); }
 bool DataPlane::Drained() { return impl_->Drained(); }
--- a/src/dataplane/data_plane.h
+++ b/src/dataplane/data_plane.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -39,7 +40,10 @@
   bool Start(std::string* error);  // listens and begins; requests get 503 until a snapshot with a
                                    // configuration is there
   void Install(std::shared_ptr<const routing::Snapshot> snapshot);  // any thread
-  Report TakeReport();                                              // any thread; brief
+  // Before Start(). `tell` is called, on the data plane's thread, when a model or adapter that is asked for
+  // was found not to be there: a report of now waits to be taken.
+  void OnNewlyUnserved(std::function<void()> tell);
+  Report TakeReport();  // any thread; brief
   // SIGTERM: serves on what is there and what comes; closes connections as they fall idle near the end of the
   // grace.
   void BeginDrain();
--- a/src/dataplane/exchange.cpp
+++ b/src/dataplane/exchange.cpp
@@ -34,6 +34,7 @@
       router_(std::move(origin.router)),
       service_(std::move(origin.service)),
       deadline_(origin.deadline),
+      came_back_(origin.came_back),
       sink_(origin.sink),
       context_(context),
       runners_(runners),
@@ -57,6 +58,7 @@
   arrival.output_tokens = request_->output_tokens;
   arrival.kind = match_.kind;
   arrival.repeatable = match_.repeatable;
+  arrival.came_back = came_back_;
   arrival.precedence = match_.precedence;
   arrival.tries = std::max(1, static_cast<int>(match_.route->tries()));
   arrival.objective = static_cast<Time>(match_.route->objective_ms() * kMillisecond);
--- a/src/dataplane/exchange.h
+++ b/src/dataplane/exchange.h
@@ -28,6 +28,7 @@
     std::shared_ptr<const routing::Router> router;  // what `match` points into
     std::string service;
     Time deadline = 0;
+    bool came_back = false;      // its client was refused before, as far as can be told
     AnswerSink* sink = nullptr;  // until the exchange has ended
   };
 
@@ -73,6 +74,7 @@
   const std::shared_ptr<const routing::Router> router_;
   const std::string service_;
   const Time deadline_;
+  const bool came_back_;
   AnswerSink* sink_;
   Context* const context_;
   RunnerPool* const runners_;
--- a/src/dataplane/exchange_table.cpp
+++ b/src/dataplane/exchange_table.cpp
@@ -5,6 +5,10 @@
 namespace lichenlug::dataplane {
 namespace {
 
+// Clients of a route wait alike. One that came back has spent on its first try at least the time that it was
+// told to wait.
+constexpr double kCameBackPart = 0.98;
+constexpr std::size_t kMostRoutes = 4096;
 constexpr Time kLongestDeadline = 600 * kSecond;  // where neither the client nor the route names one
 
 }  // namespace
@@ -27,7 +31,9 @@
   Time patience = request.patience.value_or(kLongestDeadline);
   if (match.route->deadline_ms() > 0)
     patience = std::min(patience, static_cast<Time>(match.route->deadline_ms() * kMillisecond));
-  origin.deadline = arrived + std::min(patience, kLongestDeadline);
+  patience = std::min(patience, kLongestDeadline);
+  origin.deadline = arrived + patience;
+  origin.came_back = CameBack(match.route->name(), patience);
   origin.service =
       routing::Router::ServiceOf(*match.route, std::uniform_real_distribution<double>(0, 1)(random_));
   origin.match = match, origin.router = context_->router, origin.sink = sink;
@@ -41,6 +47,13 @@
   return number;
 }
 
+bool ExchangeTable::CameBack(const std::string& route, Time patience) {
+  if (longest_patience_.size() >= kMostRoutes) longest_patience_.clear();
+  Time& longest = longest_patience_[route];
+  longest = std::max(longest, patience);
+  return static_cast<double>(patience) < kCameBackPart * static_cast<double>(longest);
+}
+
 std::shared_ptr<Exchange> ExchangeTable::Find(routing::RequestNumber number) const {
   const auto found = exchanges_.find(number);
   return found == exchanges_.end() ? nullptr : found->second;
@@ -95,6 +108,7 @@
   }
   pending_.clear();
   executing_ = false;
+  if (decisions_.TakeNewlyUnserved() && context_->on_newly_unserved) context_->on_newly_unserved();
   ArmTimer();
 }
 
--- a/src/dataplane/exchange_table.h
+++ b/src/dataplane/exchange_table.h
@@ -37,6 +37,7 @@
   void Erase(routing::RequestNumber number);
 
  private:
+  bool CameBack(const std::string& route, Time patience);
   std::shared_ptr<Exchange> Find(routing::RequestNumber number) const;
   void Execute();
   void Execute(const routing::Decision& decision);
@@ -51,6 +52,7 @@
   std::vector<routing::Decision> pending_;  // decisions to be executed, in order
   bool executing_ = false;
   std::size_t body_bytes_ = 0;
+  std::unordered_map<std::string, Time> longest_patience_;  // by route
   routing::RequestNumber last_number_ = 0;
   Deadlines::Key timer_;
 };
--- a/src/routing/decisions.cpp
+++ b/src/routing/decisions.cpp
@@ -34,15 +34,15 @@
   void Arrived(const Arrival& arrival, std::vector<Decision>* decisions) {
     const auto found = services_.find(arrival.service);
     const bool known = found != services_.end() && found->second->configured;
+    if (known) ExpireWithheld(found->second.get(), decisions);  // no timer tells while there are no requests
     flow_.Arrived(now_, arrival, priorities_.PriorityOf(arrival.precedence),
                   known ? found->second.get() : nullptr, decisions);
   }
 
   void Tick(std::vector<Decision>* decisions) {
     for (auto& [name, service] : services_) {
-      RunnerTable::Changes changes;
-      service->runners.Expire(now_, &changes);
-      flow_.TellChanges(now_, service.get(), changes, decisions);
+      ExpireWithheld(service.get(), decisions);
+      flow_.ServeHeld(now_, service.get(), decisions);
       flow_.FireTimers(now_, service.get(), decisions);
     }
   }
@@ -53,7 +53,9 @@
       if (at && (!next || *at < *next)) next = at;
     };
     for (const auto& [name, service] : services_) {
-      take(service->runners.NextExpiry());
+      const bool at_work = !service->held.empty() || (service->brain && !service->brain->idle());
+      if (at_work) take(service->runners.NextExpiry());
+      take(flow_.NextHeldEnd(*service));
       if (service->brain) take(service->brain->NextTimer());
     }
     return next;
@@ -63,6 +65,12 @@
   const RequestFlow& flow() const { return flow_; }
 
  private:
+  void ExpireWithheld(ServiceState* service, std::vector<Decision>* decisions) {
+    RunnerTable::Changes changes;
+    service->runners.Expire(now_, &changes);
+    flow_.TellChanges(now_, service, changes, decisions);
+  }
+
   void Configure() {
     for (auto& [name, service] : services_) service->configured = false;
     if (!snapshot_->configuration) return;
@@ -85,6 +93,7 @@
       RunnerTable::Changes changes;
       service->runners.Update(by_service[name], &changes);
       flow_.TellChanges(now_, service.get(), changes, decisions);
+      flow_.ServeHeld(now_, service.get(), decisions);
     }
   }
 
@@ -139,4 +148,6 @@
   return impl_->flow().demand().Recent(now);
 }
 
+bool Decisions::TakeNewlyUnserved() { return impl_->flow().TakeNewlyUnserved(); }
+
 }  // namespace lichenlug::routing
--- a/src/routing/decisions.h
+++ b/src/routing/decisions.h
@@ -30,6 +30,7 @@
   double output_tokens = 0;  // at most
   RouteKind kind = RouteKind::kUnsafe;
   bool repeatable = false;
+  bool came_back = false;  // its client was refused before, as far as can be told
   int precedence = 0;
   int tries = 1;
   Time objective = 0;  // span until the answer, or a stream's first event, loses worth
@@ -89,6 +90,9 @@
     double arrivals_per_s = 0, running = 0, unserved = 0;
   };
   std::vector<Demand> DemandNow(Time now) const;  // of models asked for of late
+  // Whether a model or adapter was found not to be there since this was asked last: placement should hear of
+  // it at once.
+  bool TakeNewlyUnserved();
 
  private:
   class Impl;
--- a/src/routing/demand_table.cpp
+++ b/src/routing/demand_table.cpp
@@ -15,7 +15,13 @@
 
 void DemandTable::CountArrival(Time now, const DemandKey& key) { Touch(now, key).arrivals.Add(now); }
 
-void DemandTable::CountUnserved(Time now, const DemandKey& key) { Touch(now, key).unserved.Add(now); }
+void DemandTable::CountUnserved(Time now, const DemandKey& key) {
+  Entry& entry = Touch(now, key);
+  entry.unserved.Add(now);
+  if (entry.told_unserved != 0 && now - entry.told_unserved < kMemory) return;
+  entry.told_unserved = now;
+  newly_unserved_ = true;
+}
 
 void DemandTable::ChangeRunning(const DemandKey& key, int change) {
   const auto found = entries_.find(key);
--- a/src/routing/demand_table.h
+++ b/src/routing/demand_table.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include "base/clock.h"
@@ -26,13 +27,16 @@
   void CountUnserved(Time now, const DemandKey& key);  // refused, as no runner holds it
   void ChangeRunning(const DemandKey& key, int change);
 
+  // Whether a key came to be unserved, for the first time of late, since this was asked last.
+  bool TakeNewlyUnserved() { return std::exchange(newly_unserved_, false); }
+
   std::vector<Decisions::Demand> Recent(Time now) const;
 
  private:
   struct Entry {
     Entry();
     RateMeter arrivals, unserved;
-    Time seen = 0;
+    Time seen = 0, told_unserved = 0;
     int running = 0;
   };
 
@@ -40,6 +44,7 @@
   void ForgetOldest();
 
   std::size_t most_keys_;
+  bool newly_unserved_ = false;
   std::map<DemandKey, Entry> entries_;
 };
 
--- /dev/null
+++ b/src/routing/held_requests.cpp
@@ -0,0 +1,70 @@
+// Requests whose model or adapter no ready runner holds: held where its load is likely to end in time.
+#include <algorithm>
+#include <utility>
+
+#include "routing/request_flow.h"
+
+namespace lichenlug::routing {
+namespace {
+
+// Of its objective, on the safe side, the answer of a request held for a load has to have begun by.
+constexpr double kObjectivePart = 0.9;
+// A client that was refused before comes no third time: a late answer is worth more to it than a refusal.
+// What is left of its time is for the run, and to tell it in time that nothing came.
+constexpr double kCameBackPart = 0.4;
+
+}  // namespace
+
+void RequestFlow::NoteMissing(Time now, const Request& request) {
+  ServiceState* const service = request.service;
+  if (request.needs == 0 || service->runners.AnyReady(request.needs)) return;
+  if (MayHaveRun(request) || !service->Knows(request.key.model)) return;
+  demand_.CountUnserved(now, request.key);
+  service->forecast.NoteMissing(now, request.needs,
+                                service->LoadTime(request.key.model, request.key.adapter));
+}
+
+bool RequestFlow::Hold(Time now, Request* request) {
+  ServiceState* const service = request->service;
+  if (!service->Knows(request->key.model)) return false;
+  const Time left = request->deadline - now;
+  const auto patience = static_cast<Time>(kCameBackPart * static_cast<double>(left));
+  const auto in_objective = static_cast<Time>(kObjectivePart * static_cast<double>(request->alike.objective));
+  const Time ready_in = RetryAfter(now, *request);
+  const bool in_time = ready_in < std::min(in_objective, patience);
+  if (!in_time && !request->came_back) return false;
+  request->held_until = now + (request->came_back ? patience : std::min(in_objective, patience));
+  service->held.push_back(request->number);
+  return true;
+}
+
+void RequestFlow::ServeHeld(Time now, ServiceState* service, std::vector<Decision>* decisions) {
+  service->forecast.NoteRunners(now, service->runners);
+  std::vector<RequestNumber> done;
+  std::erase_if(service->held, [&](RequestNumber number) {
+    const Request& request = requests_.at(number);
+    const bool over = service->runners.AnyReady(request.needs) || request.held_until <= now;
+    if (over) done.push_back(number);
+    return over;
+  });
+  for (RequestNumber number : done) {
+    Request* request = Find(number);
+    if (service->runners.AnyReady(request->needs)) {
+      Begin(now, request, decisions);
+      continue;
+    }
+    End(now, request, RetryAfter(now, *request), decisions);
+    ForgetEnded(number);
+  }
+}
+
+std::optional<Time> RequestFlow::NextHeldEnd(const ServiceState& service) const {
+  std::optional<Time> next;
+  for (RequestNumber number : service.held) {
+    const Time end = requests_.at(number).held_until;
+    next = std::min(next.value_or(end), end);
+  }
+  return next;
+}
+
+}  // namespace lichenlug::routing
--- /dev/null
+++ b/src/routing/load_forecast.cpp
@@ -0,0 +1,44 @@
+#include "routing/load_forecast.h"
+
+#include <algorithm>
+
+namespace lichenlug::routing {
+namespace {
+
+constexpr std::size_t kMostMissing = 4096;
+constexpr Time kForgetAfter = 15 * kSecond;  // asked for no more: placement forgets it as well
+constexpr double kRemembered = 20;           // loads that the delay is a mean of
+constexpr double kSafety = 1.25;             // a client that comes too early is refused again
+constexpr Time kLeast = 200 * kMillisecond;  // of what is overdue
+
+}  // namespace
+
+void LoadForecast::NoteMissing(Time now, Holding holding, Time load) {
+  if (missing_.size() >= kMostMissing && !missing_.contains(holding)) return;
+  const auto [found, fresh] = missing_.try_emplace(holding, Missing{now, now, load});
+  if (!fresh && now - found->second.last_asked > kForgetAfter) found->second.since = now;
+  found->second.last_asked = now;
+  found->second.load = load;
+}
+
+void LoadForecast::NoteRunners(Time now, const RunnerTable& runners) {
+  std::erase_if(missing_, [&](const auto& item) {
+    const auto& [holding, missing] = item;
+    if (now - missing.last_asked > kForgetAfter) return true;
+    if (!runners.AnyReady(holding)) return false;
+    DelayOf(missing.load)
+        .Add(static_cast<double>(std::max<Time>(0, now - missing.since - missing.load)), kRemembered);
+    return true;
+  });
+}
+
+Time LoadForecast::Remaining(Time now, Holding holding, Time load) const {
+  const RunningMean& delay = DelayOf(load);
+  const double safety = delay.weight > 1 ? kSafety : 1;
+  const Time whole = load + static_cast<Time>(safety * delay.value);
+  const auto found = missing_.find(holding);
+  if (found == missing_.end()) return whole;
+  return std::max(whole - (now - found->second.since), kLeast);
+}
+
+}  // namespace lichenlug::routing
--- a/src/routing/request_actions.cpp
+++ b/src/routing/request_actions.cpp
@@ -22,7 +22,7 @@
   Request* request = Find(action.id);
   const int number = request == nullptr ? 0 : static_cast<int>(std::ssize(request->attempts));
   if (request == nullptr || request->ended || !MayReachAnother(now, *request)) {
-    if (request != nullptr) End(now, request, RetryAfter(now, request), decisions);
+    if (request != nullptr) End(now, request, RetryAfter(now, *request), decisions);
     rookgw::AttemptEnded unsent;
     unsent.id = action.id;
     unsent.attempt = number;
@@ -35,6 +35,7 @@
   if (std::ranges::any_of(request->attempts, &Attempt::reached)) service->budget.CountRepeat(now);
   request->attempts.push_back({.runner_id = action.worker, .sent = now});
   demand_.ChangeRunning(request->key, +1);
+  service->runners.CountOpen(action.worker, +1);
   decisions->emplace_back(StartAttempt{.request = action.id,
                                        .attempt = number,
                                        .runner_id = action.worker,
@@ -43,7 +44,10 @@
 }
 
 void RequestFlow::Do(Time now, const rookgw::Decline& action, std::vector<Decision>* decisions) {
-  if (Request* request = Find(action.id)) End(now, request, action.retry_after, decisions);
+  if (Request* request = Find(action.id)) {
+    const bool missing = !request->service->runners.AnyReady(request->needs);
+    End(now, request, missing ? RetryAfter(now, *request) : action.retry_after, decisions);
+  }
   ForgetEnded(action.id);
 }
 
@@ -60,6 +64,7 @@
   if (attempt == nullptr) return;
   attempt->fate = Fate::kMayHaveRun;
   demand_.ChangeRunning(request->key, -1);
+  service->runners.CountOpen(attempt->runner_id, -1);
   decisions->emplace_back(CancelAttempt{action.id, action.attempt});
   rookgw::AttemptEnded event;
   event.id = action.id;
--- a/src/routing/request_flow.cpp
+++ b/src/routing/request_flow.cpp
@@ -63,20 +63,28 @@
   request.priority = priority;
   request.repeatable = arrival.repeatable;
   request.stream = arrival.kind == RouteKind::kStream;
+  request.came_back = arrival.came_back;
+  request.alike = ClassKey::Of(arrival);
   service->budget.CountRequest(now);
   if (request.needs != 0 && service->Knows(arrival.model)) demand_.CountArrival(now, request.key);
-  if (request.needs != 0 && !service->runners.AnyReady(request.needs)) {
-    End(now, &request, RetryAfter(now, &request), decisions);
-    return ForgetEnded(arrival.request);
-  }
-  ServiceBrain& brain = service->Brain(now, arrival, random_(), dispatchers_.live());
+  if (request.needs == 0 || service->runners.AnyReady(request.needs)) return Begin(now, &request, decisions);
+  NoteMissing(now, request);
+  if (Hold(now, &request)) return;
+  End(now, &request, RetryAfter(now, request), decisions);
+  ForgetEnded(arrival.request);
+}
+
+// Hands it to the decision module.
+void RequestFlow::Begin(Time now, Request* request, std::vector<Decision>* decisions) {
+  ServiceState* const service = request->service;
+  ServiceBrain& brain = service->Brain(now, request->alike, random_(), dispatchers_.live());
   FireTimers(now, service, decisions);  // none fires while there are no requests
   rookgw::RequestArrived event;
-  event.id = arrival.request;
-  if (request.needs != 0) event.key = request.needs;
-  event.needs = request.needs;
-  event.valid_until = arrival.deadline;
-  event.cls = brain.ClassOf(ClassKey::Of(arrival));
+  event.id = request->number;
+  if (request->needs != 0) event.key = request->needs;
+  event.needs = request->needs;
+  event.valid_until = request->deadline;
+  event.cls = brain.ClassOf(request->alike);
   Run(now, service, event, decisions);
 }
 
@@ -102,6 +110,7 @@
   attempt->fate = NeverRan(outcome) ? Fate::kNeverRan : Fate::kMayHaveRun;
   attempt->reached = outcome != AttemptOutcome::kConnectFailed;
   demand_.ChangeRunning(request->key, -1);
+  service->runners.CountOpen(attempt->runner_id, -1);
   if (outcome == AttemptOutcome::kServed) service->run_time.Add(static_cast<double>(now - attempt->sent));
   rookgw::AttemptEnded event;
   event.id = number;
@@ -109,10 +118,13 @@
   event.worker = attempt->runner_id;
   event.outcome = ModuleOutcome(outcome, attempt->begun);
   event.took = now - attempt->sent;
-  NoteRunner(now, *request, *attempt, outcome, decisions);
+  if (NoteRunner(now, *request, *attempt, outcome, decisions)) event.outcome = rookgw::Outcome::kMoot;
   const bool answered = final || outcome == AttemptOutcome::kServed || request->ended;
   event.complete = answered || !MayTryAgain(now, *request, outcome);
-  if (event.complete && !answered) End(now, request, RetryAfter(now, request), decisions);
+  if (event.complete && !answered) {
+    NoteMissing(now, *request);
+    End(now, request, RetryAfter(now, *request), decisions);
+  }
   request->ended = request->ended || event.complete;
   Run(now, service, event, decisions);
   ForgetEnded(number);
@@ -121,7 +133,8 @@
 void RequestFlow::Gone(Time now, RequestNumber number, std::vector<Decision>* decisions) {
   Request* request = Find(number);
   if (request == nullptr || std::exchange(request->ended, true)) return;
-  Run(now, request->service, rookgw::RequestGone{number}, decisions);
+  std::erase(request->service->held, number);
+  if (request->service->brain) Run(now, request->service, rookgw::RequestGone{number}, decisions);
   ForgetEnded(number);
 }
 
@@ -166,14 +179,19 @@
   Translate(now, service, actions, decisions);
 }
 
-void RequestFlow::NoteRunner(Time now, const Request& request, const Attempt& attempt, AttemptOutcome outcome,
+// Says whether the rejection of an attempt tells nothing of the runner's room.
+bool RequestFlow::NoteRunner(Time now, const Request& request, const Attempt& attempt, AttemptOutcome outcome,
                              std::vector<Decision>* decisions) {
   RunnerTable::Changes changes;
   RunnerTable& runners = request.service->runners;
   if (outcome == AttemptOutcome::kModelMissing)
     runners.Withhold(now, attempt.runner_id, request.needs, &changes);
   if (outcome == AttemptOutcome::kWrongRunner) runners.MarkGone(attempt.runner_id, &changes);
+  const bool order_under_way =
+      outcome == AttemptOutcome::kNotRun &&
+      runners.NoteRejected(now, attempt.runner_id, request.needs, dispatchers_.live(), &changes);
   TellChanges(now, request.service, changes, decisions);
+  return order_under_way;
 }
 
 bool RequestFlow::MayTryAgain(Time now, const Request& request, AttemptOutcome outcome) const {
@@ -198,14 +216,13 @@
     decisions->emplace_back(Refuse{request->number, Bounded(now, request->deadline, retry_after)});
 }
 
-// Where no ready runner holds what it needs, when that may be loaded, and the demand is noted for placement;
-// else when a run should have ended, spread so that refused clients do not come back together.
-Time RequestFlow::RetryAfter(Time now, Request* request) {
-  const ServiceState& service = *request->service;
-  if (request->needs != 0 && !service.runners.AnyReady(request->needs)) {
-    if (!MayHaveRun(*request) && service.Knows(request->key.model)) demand_.CountUnserved(now, request->key);
-    return service.LoadTime(request->key.model, request->key.adapter);
-  }
+// Where no ready runner holds what it needs, when that may be loaded; else when a run should have ended,
+// spread so that refused clients do not come back together.
+Time RequestFlow::RetryAfter(Time now, const Request& request) {
+  const ServiceState& service = *request.service;
+  if (request.needs != 0 && !service.runners.AnyReady(request.needs))
+    return service.forecast.Remaining(now, request.needs,
+                                      service.LoadTime(request.key.model, request.key.adapter));
   if (service.run_time.weight == 0) return kUnknownRetryAfter;
   const double spread = std::uniform_real_distribution<double>(0.5, 1)(random_);
   return std::clamp(static_cast<Time>(spread * service.run_time.value), kLeastRetryAfter, kMostRetryAfter);
--- a/src/routing/request_flow.h
+++ b/src/routing/request_flow.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <random>
 #include <string>
 #include <unordered_map>
@@ -22,6 +23,7 @@
 
   DispatcherCount& dispatchers() { return dispatchers_; }
   const DemandTable& demand() const { return demand_; }
+  bool TakeNewlyUnserved() { return demand_.TakeNewlyUnserved(); }
   bool Uses(const ServiceState& service) const;  // a request of it is still held
   void SetBounds(const Bounds& bounds) { bounds_ = bounds; }
 
@@ -37,6 +39,10 @@
   void TellChanges(Time now, ServiceState* service, const RunnerTable::Changes& changes,
                    std::vector<Decision>* decisions);
   void FireTimers(Time now, ServiceState* service, std::vector<Decision>* decisions);
+  // Requests that are held for a load: sent once a ready runner holds what they need, ended when their time
+  // is up.
+  void ServeHeld(Time now, ServiceState* service, std::vector<Decision>* decisions);
+  std::optional<Time> NextHeldEnd(const ServiceState& service) const;
 
  private:
   enum class Fate : std::uint8_t { kOut, kNeverRan, kMayHaveRun };
@@ -51,10 +57,12 @@
     RequestNumber number = 0;
     ServiceState* service = nullptr;
     DemandKey key;
+    ClassKey alike;
     Holding needs = 0;
     Time deadline = 0;
+    Time held_until = 0;  // for a load; 0: never held
     int tries = 1, priority = 5;
-    bool repeatable = false, stream = false;
+    bool repeatable = false, stream = false, came_back = false;
     bool ended = false;  // its end was told; kept until its attempts are closed
     std::vector<Attempt> attempts;
   };
@@ -65,6 +73,9 @@
   static bool HasOpen(const Request& request);
   bool MayReachAnother(Time now, const Request& request) const;
 
+  void Begin(Time now, Request* request, std::vector<Decision>* decisions);
+  void NoteMissing(Time now, const Request& request);
+  bool Hold(Time now, Request* request);
   void Run(Time now, ServiceState* service, const rookgw::Event& event, std::vector<Decision>* decisions);
   void Translate(Time now, ServiceState* service, const std::vector<rookgw::Action>& actions,
                  std::vector<Decision>* decisions);
@@ -74,11 +85,11 @@
   void Do(Time now, ServiceState* service, const rookgw::CancelAttempt& action,
           std::vector<Decision>* decisions);
 
-  void NoteRunner(Time now, const Request& request, const Attempt& attempt, AttemptOutcome outcome,
+  bool NoteRunner(Time now, const Request& request, const Attempt& attempt, AttemptOutcome outcome,
                   std::vector<Decision>* decisions);
   bool MayTryAgain(Time now, const Request& request, AttemptOutcome outcome) const;
   void End(Time now, Request* request, Time retry_after, std::vector<Decision>* decisions);
-  Time RetryAfter(Time now, Request* request);
+  Time RetryAfter(Time now, const Request& request);
   static Time Bounded(Time now, Time deadline, Time retry_after);
   void ForgetEnded(RequestNumber number);
 
--- a/src/routing/runner_table.cpp
+++ b/src/routing/runner_table.cpp
@@ -13,6 +13,8 @@
 using rookgw::ListedWorker;
 
 constexpr Time kWithholdFor = 1500 * kMillisecond;
+constexpr Time kRejectedFor = 2 * kSecond;  // an unload waits for the runs of what it drops
+constexpr Time kFullFor = 400 * kMillisecond;
 constexpr double kColdPart = 0.6;  // of its slots are counted on while a runner is slow from its start
 
 ListedWorker::State StateOf(const messages::RunnerRecord& record, bool gone) {
@@ -54,7 +56,8 @@
     if (!fresh && SameRecord(*record, runner.record)) continue;
     if (!fresh && record->call_count() > runner.record.call_count()) {
       runner.gone = false;
-      runner.withheld.clear();
+      std::erase_if(runner.withheld,
+                    [&](const Withheld& item) { return item.until_newer || !Lists(*record, item.holding); });
     }
     runner.record = *record;
     Publish(&runner, changes);
@@ -73,10 +76,33 @@
 void RunnerTable::Withhold(Time now, const std::string& runner_id, Holding holding, Changes* changes) {
   const auto found = runners_.find(runner_id);
   if (found == runners_.end() || holding == 0) return;
-  auto& withheld = found->second.withheld;
-  std::erase_if(withheld, [&](const Withheld& item) { return item.holding == holding; });
-  withheld.push_back({holding, now + kWithholdFor});
-  Publish(&found->second, changes);
+  WithholdFor(&found->second, {holding, now + kWithholdFor}, changes);
+}
+
+bool RunnerTable::NoteRejected(Time now, const std::string& runner_id, Holding holding, int live_dispatchers,
+                               Changes* changes) {
+  const auto found = runners_.find(runner_id);
+  if (found == runners_.end() || holding == 0) return false;
+  Runner& runner = found->second;
+  const bool may_be_full = runner.open * std::max(1, live_dispatchers) >= runner.record.slots();
+  const bool listed = std::ranges::binary_search(runner.listed.holds, holding);
+  const auto holders = ready_holders_.find(holding);
+  const bool others = listed && holders != ready_holders_.end() && holders->second > 1;
+  if (others)
+    WithholdFor(&runner, {holding, now + (may_be_full ? kFullFor : kRejectedFor), /*until_newer=*/false},
+                changes);
+  return others && !may_be_full;
+}
+
+void RunnerTable::CountOpen(const std::string& runner_id, int change) {
+  const auto found = runners_.find(runner_id);
+  if (found != runners_.end()) found->second.open = std::max(0, found->second.open + change);
+}
+
+void RunnerTable::WithholdFor(Runner* runner, const Withheld& withheld, Changes* changes) {
+  std::erase_if(runner->withheld, [&](const Withheld& item) { return item.holding == withheld.holding; });
+  runner->withheld.push_back(withheld);
+  Publish(runner, changes);
 }
 
 void RunnerTable::MarkGone(const std::string& runner_id, Changes* changes) {
@@ -131,6 +157,15 @@
   return listed;
 }
 
+bool RunnerTable::Lists(const messages::RunnerRecord& record, Holding holding) {
+  return std::ranges::any_of(record.models(), [holding](const messages::HeldModel& model) {
+    return HoldingOf(model.name(), {}) == holding ||
+           std::ranges::any_of(model.adapters(), [&](const std::string& adapter) {
+             return HoldingOf(model.name(), adapter) == holding;
+           });
+  });
+}
+
 void RunnerTable::Publish(Runner* runner, Changes* changes) {
   ListedWorker listed = Describe(*runner);
   if (SameListing(listed, runner->listed)) return;
--- a/src/routing/runner_table.h
+++ b/src/routing/runner_table.h
@@ -31,6 +31,12 @@
 
   // The runner says that it doesn't hold it: not asked again before a newer record, or for a moment.
   void Withhold(Time now, const std::string& runner_id, Holding holding, Changes* changes);
+  // The runner has rejected a request for what it says it holds: it is not asked for it for a moment, if
+  // another ready runner holds it. Says whether an order for it must be under way, most likely its unload:
+  // with so few of this dispatcher's requests the runner can't be full.
+  bool NoteRejected(Time now, const std::string& runner_id, Holding holding, int live_dispatchers,
+                    Changes* changes);
+  void CountOpen(const std::string& runner_id, int change);  // attempts of this dispatcher
   // Another runner answers at its address: gone until a newer record.
   void MarkGone(const std::string& runner_id, Changes* changes);
   void Expire(Time now, Changes* changes);  // gives back what was withheld for long enough
@@ -44,15 +50,19 @@
   struct Withheld {
     Holding holding = 0;
     Time until = 0;
+    bool until_newer = true;  // or a newer record before
   };
   struct Runner {
     messages::RunnerRecord record;
     bool gone = false;  // until a record with a higher call count
     std::vector<Withheld> withheld;
+    int open = 0;                 // attempts of this dispatcher
     rookgw::ListedWorker listed;  // as last told
   };
 
   rookgw::ListedWorker Describe(const Runner& runner) const;
+  static bool Lists(const messages::RunnerRecord& record, Holding holding);
+  void WithholdFor(Runner* runner, const Withheld& withheld, Changes* changes);
   void Publish(Runner* runner, Changes* changes);
   void CountHolder(const rookgw::ListedWorker& listed, int change);
 
--- a/src/routing/service_brain.cpp
+++ b/src/routing/service_brain.cpp
@@ -11,6 +11,9 @@
 constexpr std::size_t kMostClasses = 64;  // later ones are taken for the likest
 // A refusal within this part of the objective still leaves the client's next try its worth.
 constexpr int kHeldPart = 4;
+// A client that comes back comes no third time, and even a late answer has worth to it.
+constexpr int kCameBackObjectives = 3;
+constexpr Time kMostCameBackWait = kSecond;
 // A late answer has a worth too, so no request is given up because its run is longer than its objective.
 constexpr double kNeverHopeless = 1e6;
 constexpr double kLateValue = 0.5;
@@ -23,8 +26,10 @@
 rookgw::ClassSettings SettingsOf(const ClassKey& key) {
   rookgw::ClassSettings settings;
   settings.name = std::to_string(key.objective) + (key.repeatable ? " repeatable" : " once") +
-                  (key.stream ? " stream " : " whole ") + std::to_string(key.precedence);
-  settings.aim = key.objective / kHeldPart;
+                  (key.stream ? " stream " : " whole ") + std::to_string(key.precedence) +
+                  (key.came_back ? " again" : "");
+  settings.aim = key.came_back ? std::min(kCameBackObjectives * key.objective, kMostCameBackWait)
+                               : key.objective / kHeldPart;
   settings.stretch = kNeverHopeless;
   settings.late_value = kLateValue;
   settings.worth = std::exp2(-kPrecedenceStep * std::min(key.precedence, kMostPrecedence));
@@ -66,7 +71,8 @@
   return {.objective = std::max<Time>(0, arrival.objective),
           .repeatable = arrival.repeatable,
           .stream = arrival.kind == RouteKind::kStream,
-          .precedence = std::max(0, arrival.precedence)};
+          .precedence = std::max(0, arrival.precedence),
+          .came_back = arrival.came_back};
 }
 
 ServiceBrain::ServiceBrain(Time now, const Setup& setup)
--- a/src/routing/service_brain.h
+++ b/src/routing/service_brain.h
@@ -20,6 +20,7 @@
   bool repeatable = false;
   bool stream = false;
   int precedence = 0;
+  bool came_back = false;
 
   auto operator<=>(const ClassKey&) const = default;
   static ClassKey Of(const Arrival& arrival);
--- a/src/routing/service_state.cpp
+++ b/src/routing/service_state.cpp
@@ -1,12 +1,8 @@
 #include "routing/service_state.h"
 
-#include <vector>
-
 namespace lichenlug::routing {
 namespace {
 
-constexpr Time kUntilOrdered = 500 * kMillisecond;  // placement has to hear of it first
-constexpr Time kAdapterLoad = 300 * kMillisecond;
 // Signs of life are frequent at an engine; a whole answer of other services may take longer.
 constexpr Time kEngineSilence = kSecond, kOtherSilence = 2 * kSecond;
 
@@ -20,14 +16,14 @@
     load_times[model.name()] = static_cast<Time>(model.load_s() * kSecond);
 }
 
-ServiceBrain& ServiceState::Brain(Time now, const Arrival& first, std::uint64_t seed, int live_dispatchers) {
+ServiceBrain& ServiceState::Brain(Time now, const ClassKey& first, std::uint64_t seed, int live_dispatchers) {
   if (brain) return *brain;
   brain = std::make_unique<ServiceBrain>(
       now, ServiceBrain::Setup{.seed = seed,
                                .live_dispatchers = live_dispatchers,
                                .zoned = zoned,
                                .silence = has_engine ? kEngineSilence : kOtherSilence,
-                               .first_class = ClassKey::Of(first)});
+                               .first_class = first});
   const RunnerTable::Changes all = runners.All();
   std::vector<rookgw::Action> none;  // no request is there yet
   brain->Tell(now,
@@ -37,9 +33,9 @@
 }
 
 Time ServiceState::LoadTime(const std::string& model, const std::string& adapter) const {
-  if (!adapter.empty() && runners.AnyReady(HoldingOf(model, {}))) return kAdapterLoad;
+  if (!adapter.empty() && runners.AnyReady(HoldingOf(model, {}))) return 0;
   const auto found = load_times.find(model);
-  return kUntilOrdered + (found == load_times.end() ? 0 : found->second);
+  return found == load_times.end() ? 0 : found->second;
 }
 
 }  // namespace lichenlug::routing
--- a/src/routing/service_state.h
+++ b/src/routing/service_state.h
@@ -5,11 +5,13 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "base/clock.h"
 #include "base/estimators.h"
 #include "messages/generated/configuration.pb.h"
 #include "routing/decisions.h"
+#include "routing/load_forecast.h"
 #include "routing/retry_budget.h"
 #include "routing/runner_table.h"
 #include "routing/service_brain.h"
@@ -24,16 +26,19 @@
   void Configure(const messages::Service& service);
 
   // The module, made for the first request.
-  ServiceBrain& Brain(Time now, const Arrival& first, std::uint64_t seed, int live_dispatchers);
+  ServiceBrain& Brain(Time now, const ClassKey& first, std::uint64_t seed, int live_dispatchers);
 
   // Models that the operator has given the service; a service without an engine has none.
   bool Knows(const std::string& model) const { return load_times.contains(model); }
-  // When a request that no ready runner can serve had best come again: when what it needs may be loaded.
+  // What the load of what no ready runner holds takes by itself: nothing for an adapter of a model that is
+  // there.
   Time LoadTime(const std::string& model, const std::string& adapter) const;
 
   std::string name;
   RunnerTable runners;
   RetryBudget budget;
+  LoadForecast forecast;
+  std::vector<RequestNumber> held;  // for what may be loaded in time, the first to come first
   std::unique_ptr<ServiceBrain> brain;
   RunningMean run_time;  // of answers, in microseconds
   bool configured = false, has_engine = false;
--- a/tests/system/routing/attempts_test.cpp
+++ b/tests/system/routing/attempts_test.cpp
@@ -111,6 +111,45 @@
   CHECK(used.contains(first.runner_id));
 }
 
+TEST_CASE("a hardly used runner that rejects a model is passed over for it while another holds it",
+          "[attempts]") {
+  World world = Runners(2);
+  for (const char* id : {"r0", "r1"}) world.Runner(id).add_models()->set_name("m2");
+  Dispatcher dispatcher(world);
+  const StartAttempt first = First(&dispatcher, true);
+  REQUIRE(Only<StartAttempt>(dispatcher.Ended(first, AttemptOutcome::kNotRun)).size() == 1);
+  // Its order may still be under way when it next says what it holds.
+  world.Runner(first.runner_id).set_call_count(2);
+  dispatcher.Install(world);
+  const auto used = [&](const std::string& model) {
+    std::set<std::string> runners;
+    for (int i = 0; i < 40; ++i) runners.insert(dispatcher.Send(model));
+    return runners;
+  };
+  REQUIRE_FALSE(used("m1").contains(first.runner_id));
+  CHECK(used("m2").contains(first.runner_id));
+  SECTION("until it holds it anew") {
+    messages::RunnerRecord& runner = world.Runner(first.runner_id);
+    const auto models = runner.models();
+    runner.clear_models();
+    runner.set_call_count(3);
+    dispatcher.Install(world);
+    *runner.mutable_models() = models;
+    runner.set_call_count(4);
+    dispatcher.Install(world);
+  }
+  SECTION("for some time") { dispatcher.Wait(2100 * kMillisecond); }
+  CHECK(used("m1").contains(first.runner_id));
+}
+
+TEST_CASE("an only holder that rejects is asked again", "[attempts]") {
+  Dispatcher dispatcher(Runners(1));
+  const StartAttempt first = First(&dispatcher, true);
+  REQUIRE(dispatcher.Ended(first, AttemptOutcome::kNotRun).empty());
+  REQUIRE(Only<Refuse>(dispatcher.Wait(100 * kMillisecond)).size() == 1);
+  CHECK(dispatcher.Send("m1") == first.runner_id);
+}
+
 TEST_CASE("when the last runner turns out not to hold the model, the demand is counted", "[attempts]") {
   Dispatcher dispatcher(Runners(1));
   const auto refused =
--- /dev/null
+++ b/tests/system/routing/held_requests_test.cpp
@@ -0,0 +1,135 @@
+// Requests for a model or adapter that no ready runner holds: held where its load is likely to end in time,
+// else refused with the time of the load's likely end.
+#include <catch2/catch.hpp>
+
+#include "world.h"
+
+namespace lichenlug::routing {
+namespace {
+
+World OneRunner() {
+  World world;
+  world.AddRunner("r1", "pool", 64, {"m1"});
+  return world;
+}
+
+void Load(World* world, Dispatcher* dispatcher, const std::string& adapter,
+          std::vector<Decision>* decisions) {
+  messages::RunnerRecord& runner = world->Runner("r1");
+  runner.mutable_models(0)->add_adapters(adapter);
+  runner.set_call_count(runner.call_count() + 1);
+  *decisions = dispatcher->Install(*world);
+}
+
+// A request whose objective leaves time for a load.
+Arrival Patient(RequestNumber number, Time now, const std::string& model) {
+  Arrival arrival = Asking(number, now, model);
+  arrival.objective = 4 * kSecond;
+  arrival.deadline = now + 20 * kSecond;
+  return arrival;
+}
+
+TEST_CASE("a request whose objective leaves time for the load is held until a runner holds the adapter",
+          "[held]") {
+  World world = OneRunner();
+  Dispatcher dispatcher(world);
+  REQUIRE(dispatcher.Arrived(Patient(1, dispatcher.now, "m1/a1")).empty());
+  REQUIRE(dispatcher.Wait(1200 * kMillisecond).empty());
+  CHECK(dispatcher.decisions.DemandNow(dispatcher.now)[0].unserved > 0);
+  std::vector<Decision> decisions;
+  Load(&world, &dispatcher, "a1", &decisions);
+  const auto started = Only<StartAttempt>(decisions);
+  REQUIRE(started.size() == 1);
+  CHECK(started[0].request == 1);
+  CHECK(started[0].runner_id == "r1");
+}
+
+TEST_CASE("a held request whose load does not come is refused within its objective", "[held]") {
+  Dispatcher dispatcher(OneRunner());
+  REQUIRE(dispatcher.Arrived(Patient(1, dispatcher.now, "m1/a1")).empty());
+  REQUIRE(dispatcher.Wait(3500 * kMillisecond).empty());
+  const auto end = dispatcher.Wait(200 * kMillisecond);
+  REQUIRE(end.size() == 1);
+  REQUIRE(Only<Refuse>(end).size() == 1);
+  CHECK(Only<Refuse>(end)[0].retry_after > 0);
+  CHECK(dispatcher.decisions.NextTimer() == std::nullopt);
+}
+
+TEST_CASE("a request is not held for a load that takes longer than its objective", "[held]") {
+  Dispatcher dispatcher(OneRunner());
+  Arrival arrival = Patient(1, dispatcher.now, "unloaded");  // 2 s, and some for the order
+  arrival.objective = 2600 * kMillisecond;
+  CHECK(Only<Refuse>(dispatcher.Arrived(arrival)).size() == 1);
+  arrival.request = 2;
+  arrival.objective = 3 * kSecond;
+  CHECK(dispatcher.Arrived(arrival).empty());
+}
+
+TEST_CASE("a client that came back is held for a late answer, with time left for the run", "[held]") {
+  World world = OneRunner();
+  Dispatcher dispatcher(world);
+  Arrival arrival = Asking(1, dispatcher.now, "m1/a1");
+  arrival.came_back = true;
+  arrival.deadline = dispatcher.now + 5 * kSecond;
+  REQUIRE(dispatcher.Arrived(arrival).empty());
+  SECTION("served once the adapter is there") {
+    REQUIRE(dispatcher.Wait(1900 * kMillisecond).empty());
+    std::vector<Decision> decisions;
+    Load(&world, &dispatcher, "a1", &decisions);
+    CHECK(Only<StartAttempt>(decisions).size() == 1);
+  }
+  SECTION("refused before half of its time is gone") {
+    CHECK(Only<Refuse>(dispatcher.Wait(2100 * kMillisecond)).size() == 1);
+  }
+  SECTION("forgotten with its client") {
+    CHECK(dispatcher.Gone(1).empty());
+    CHECK(dispatcher.decisions.NextTimer() == std::nullopt);
+  }
+}
+
+TEST_CASE("a client that came back for a model that the operator has not given is refused at once",
+          "[held]") {
+  Dispatcher dispatcher(OneRunner());
+  Arrival arrival = Asking(1, dispatcher.now, "nobody's");
+  arrival.came_back = true;
+  CHECK(Only<Refuse>(dispatcher.Arrived(arrival)).size() == 1);
+}
+
+TEST_CASE("the time to come back is learned from earlier loads", "[held]") {
+  World world = OneRunner();
+  Dispatcher dispatcher(world);
+  for (int i = 0; i < 20; ++i) {
+    const std::string adapter = "a" + std::to_string(i);
+    REQUIRE(
+        Only<Refuse>(dispatcher.Arrived(Asking(dispatcher.next++, dispatcher.now, "m1/" + adapter))).size() ==
+        1);
+    dispatcher.now += kSecond;
+    std::vector<Decision> decisions;
+    Load(&world, &dispatcher, adapter, &decisions);
+  }
+  const auto refused = Only<Refuse>(dispatcher.Arrived(Asking(dispatcher.next++, dispatcher.now, "m1/late")));
+  REQUIRE(refused.size() == 1);
+  CHECK(refused[0].retry_after > kSecond);
+  CHECK(refused[0].retry_after < 1500 * kMillisecond);
+  // One that asks later has less to wait.
+  dispatcher.now += 500 * kMillisecond;
+  const auto later = Only<Refuse>(dispatcher.Arrived(Asking(dispatcher.next++, dispatcher.now, "m1/late")));
+  REQUIRE(later.size() == 1);
+  CHECK(later[0].retry_after == refused[0].retry_after - 500 * kMillisecond);
+}
+
+TEST_CASE("a model or adapter that comes to be missing is news once", "[held]") {
+  Dispatcher dispatcher(OneRunner());
+  CHECK_FALSE(dispatcher.decisions.TakeNewlyUnserved());
+  dispatcher.Arrived(Asking(1, dispatcher.now, "m1/a1"));
+  CHECK(dispatcher.decisions.TakeNewlyUnserved());
+  dispatcher.Arrived(Asking(2, dispatcher.now, "m1/a1"));
+  CHECK_FALSE(dispatcher.decisions.TakeNewlyUnserved());
+  dispatcher.Arrived(Asking(3, dispatcher.now, "m1/a2"));
+  CHECK(dispatcher.decisions.TakeNewlyUnserved());
+  dispatcher.Arrived(Asking(4, dispatcher.now, "m1"));
+  CHECK_FALSE(dispatcher.decisions.TakeNewlyUnserved());
+}
+
+}  // namespace
+}  // namespace lichenlug::routing
