--- a/src/controlplane/duty_service.cpp
+++ b/src/controlplane/duty_service.cpp
@@ -176,6 +176,10 @@
   for (duties::RegisterOperation& operation : output.operations) {
     registers_->Submit(operation.register_name, std::move(operation.change), operation.give_up_at,
                        [this, register_name, tag = operation.tag](const consensus::Completion& completion) {
+                         const bool is_answered = completion.outcome == consensus::Outcome::kChosen ||
+                                                  completion.outcome == consensus::Outcome::kKept;
+                         LOG_IF_EVERY_N(WARNING, !is_answered, 10)
+                             << register_name << ": no majority of its replicas answered in time";
                          duties::OwnershipOutput next;
                          OwnershipOf(register_name).Completed(EventLoop::Now(), tag, completion, &next);
                          Carry(register_name, std::move(next));
