--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Shortcuts; CMake does the work.
-.PHONY: build test lint run lab demo
+.PHONY: build test lint run lab demo system system-demo system-test
 
 build:
 	cmake -B build -DCMAKE_BUILD_TYPE=Release
@@ -21,3 +21,16 @@
 # Three dispatchers and six boxes on loopback; a box and a dispatcher are lost half-way. Ends by itself.
 demo: build lab
 	build-lab/lab/lichenlug-lab fleet lab/fleets/demo.toml
+
+# The model router with the stand-ins of its rig.
+system:
+	cmake -B build-system -DCMAKE_BUILD_TYPE=Release -DLICHENLUG_SYSTEM=ON -DROOKGW_BUILD_LAB=ON
+	cmake --build build-system -j$$(nproc) --target lichenlugd lichenlugctl lichenlug-lab-system
+
+# Four dispatchers and six runners on loopback; a dispatcher is lost, a runner drains. Ends by itself.
+system-demo: system
+	build-system/lab/system/lichenlug-lab-system
+
+# The tests of the model router, those with real processes among them.
+system-test:
+	CTEST_OPTIONS="-R ^system" tests/run
--- a/cmake/system.cmake
+++ b/cmake/system.cmake
@@ -57,3 +57,7 @@
 endfunction()
 system_program(lichenlugd daemon system_controlplane)
 system_program(lichenlugctl ctl system_configuration system_storage system_consensus)
+
+if(ROOKGW_BUILD_TESTS OR ROOKGW_BUILD_LAB)
+  add_subdirectory(lab/system)
+endif()
--- /dev/null
+++ b/lab/system/demo.cpp
@@ -0,0 +1,148 @@
+// lichenlug-lab-system: plays a small system of real processes on loopback, with a lost dispatcher and a
+// drained runner, says what happens, ends by itself and judges it.
+#include <CLI/CLI.hpp>
+#include <cstdio>
+#include <iostream>
+#include <stdexcept>
+
+#include "lab/system/sample.h"
+#include "lab/system/system.h"
+
+namespace {
+
+using namespace lichenlug::standins;
+using lichenlug::kMillisecond;
+using lichenlug::kSecond;
+using lichenlug::Time;
+
+constexpr Time kStartPatience = 20 * kSecond, kPatience = 10 * kSecond;
+constexpr std::size_t kLost = 1, kDrained = 2;  // the dispatcher that is killed, the runner that drains
+constexpr int kStreamsOfEachKind = 8;
+
+class Demo {
+ public:
+  explicit Demo(const SystemPlan& plan) : system_(plan), began_(system_.loop().Now()) {}
+
+  int Play(Time length) {
+    Found();
+    system_.clients().KeepUp(Requests());
+    const Time part = length / 5;
+    Phase(part, "clients keep 24 requests under way: plain ones, streams, streams that can be resumed");
+    LoseDispatcher(part);
+    DrainRunner();
+    Phase(2 * part, "requests go on without that runner");
+    system_.clients().StopNew();
+    Require(system_.loop().RunUntil([&] { return system_.clients().under_way() == 0; }, kPatience),
+            "what was under way has ended");
+    return Summary();
+  }
+
+ private:
+  void Say(const std::string& line) {
+    const double at = static_cast<double>(system_.loop().Now() - began_) / kSecond;
+    std::printf("%6.2f s  %s\n", at, line.c_str());
+    std::fflush(stdout);
+  }
+
+  void Require(bool holds, const std::string& what) {
+    if (holds) return Say(what);
+    std::fputs(system_.Logs().c_str(), stderr);
+    throw std::runtime_error("not within its time: " + what);
+  }
+
+  void Phase(Time length, const std::string& what) {
+    const ClientFigures before = system_.clients().figures();
+    Say(what);
+    system_.loop().RunFor(length);
+    const ClientFigures& now = system_.clients().figures();
+    Say("  meanwhile " + std::to_string(now.served - before.served) + " served, " +
+        std::to_string(now.refused - before.refused) + " refused, " +
+        std::to_string(now.cut - before.cut + now.failed - before.failed) + " cut or failed, " +
+        std::to_string(now.resumed - before.resumed) + " resumed");
+  }
+
+  void Found() {
+    Say("three dispatchers with disks and one without start, and six runners report to them");
+    system_.StartDispatchers();
+    system_.StartRunners();
+    Require(system_.TakeFirstConfiguration(kStartPatience), "the first configuration is taken");
+    Require(system_.WaitReady(kStartPatience), "all dispatchers are ready");
+  }
+
+  static std::vector<ClientRequest> Requests() {
+    std::vector<ClientRequest> requests;
+    for (int number = 0; number < kStreamsOfEachKind; ++number) {
+      for (const auto& [kind, path] : {std::pair{ClientKind::kPlain, sample::kPlainPath},
+                                       {ClientKind::kStream, sample::kStreamPath},
+                                       {ClientKind::kResumable, sample::kResumePath}}) {
+        ClientRequest request;
+        request.kind = kind;
+        request.path = std::string(path) + "demo";
+        request.model = number == 0 ? sample::kRareModel : sample::kBusyModel;
+        request.key = number % 2 == 0 ? sample::kKey : sample::kOtherKey;
+        request.events = 10 + 5 * number;
+        requests.push_back(request);
+      }
+    }
+    return requests;
+  }
+
+  void LoseDispatcher(Time away) {
+    Dispatcher& lost = system_.dispatcher(kLost);
+    Require(lost.Kill(kPatience), lost.name() + " is killed");
+    Phase(away, "the others go on without it");
+    lost.Start();
+    Say(lost.name() + " is started again");
+    Require(system_.WaitReady(kPatience), lost.name() + " is ready again");
+  }
+
+  void DrainRunner() {
+    Runner& runner = system_.runner(kDrained);
+    runner.Drain(system_.dispatcher(0).control_address());
+    Require(system_.loop().RunUntil([&] { return runner.drain_acknowledged(); }, kPatience),
+            "the drain of " + runner.settings().id + " is acknowledged by " + system_.dispatcher(0).name());
+  }
+
+  int Summary() {
+    const ClientFigures& figures = system_.clients().figures();
+    const auto& broken = system_.ledger().broken();
+    std::printf(
+        "\n%llu requests: %llu served, %llu refused, %llu cut, %llu failed; %llu tries, %llu resumed\n",
+        static_cast<unsigned long long>(figures.sent), static_cast<unsigned long long>(figures.served),
+        static_cast<unsigned long long>(figures.refused), static_cast<unsigned long long>(figures.cut),
+        static_cast<unsigned long long>(figures.failed), static_cast<unsigned long long>(figures.tries),
+        static_cast<unsigned long long>(figures.resumed));
+    for (std::size_t index = 0; index < system_.runner_count(); ++index) {
+      const Runner& runner = system_.runner(index);
+      std::printf("  %s answered %llu and took %llu orders\n", runner.settings().id.c_str(),
+                  static_cast<unsigned long long>(runner.served()),
+                  static_cast<unsigned long long>(runner.orders()));
+    }
+    std::printf("%zu usage reports taken by the platform\n", system_.platform().usage().size());
+    std::printf("%zu rules broken\n", broken.size());
+    for (const std::string& what : broken) std::printf("  %s\n", what.c_str());
+    return broken.empty() && figures.served > 0 ? 0 : 1;
+  }
+
+  System system_;
+  Time began_;
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app("lichenlug-lab-system: a small system of real processes on loopback");
+  SystemPlan plan;
+  plan.program = LICHENLUGD_PATH;
+  double seconds = 15;
+  app.add_option("--program", plan.program, "The dispatcher's program")->capture_default_str();
+  app.add_option("--seconds", seconds, "How long requests are sent")->capture_default_str();
+  app.add_option("--runners", plan.runners, "Runners")->capture_default_str()->check(CLI::Range(3, 100));
+  CLI11_PARSE(app, argc, argv);
+  try {
+    return Demo(plan).Play(static_cast<Time>(seconds * kSecond));
+  } catch (const std::exception& error) {
+    std::cerr << "lichenlug-lab-system: " << error.what() << '\n';
+    return 1;
+  }
+}
--- /dev/null
+++ b/lab/system/dispatcher.h
@@ -0,0 +1,74 @@
+// One real dispatcher: a `lichenlugd` process on a loopback address of its own, with its settings file, store
+// folder and log in a folder.
+#pragma once
+
+#include <filesystem>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "lab/fleet/process.h"
+#include "lab/system/loop.h"
+
+namespace lichenlug::standins {
+
+// Periods and bounds of the deployment, shorter than usual, so that plays and tests are short.
+struct DeploymentTimes {
+  int heartbeat_ms = 400;
+  int drain_ms = 1000;
+  int configuration_ms = 2000;
+  int lease_ms = 1500;
+  int catch_up_s = 2;
+  int grace_s = 8;
+  int window_s = 2;
+  int usage_late_s = 4;
+};
+
+struct DispatcherSettings {
+  std::string name, ip, zone;
+  std::vector<std::string> seeds;  // control addresses
+  std::string platform_address;
+  bool has_disk = true;
+  DeploymentTimes times;
+};
+
+class Dispatcher {
+ public:
+  Dispatcher(Loop* loop, std::filesystem::path program, std::filesystem::path folder,
+             DispatcherSettings settings);
+
+  // Each writes the settings file anew. The first start of the whole system is the only one with `first_run`.
+  void Start(bool first_run = false);
+  void StartWith(const std::string& settings_text);
+  bool Kill(Time patience);                       // SIGKILL; false: it has not ended in time
+  void Terminate();                               // SIGTERM; it ends by itself
+  void Reload(const std::string& settings_text);  // puts that text into the file and sends SIGHUP
+  bool Ended(Time patience);                      // waits for its end
+  void WipeStore();                               // of an ended process
+
+  bool Running() { return process_.Running(); }
+  bool EndedWell() const;  // the last life ended by itself, with exit code 0
+  std::string Log() const;
+  bool LogHolds(const std::string& text) const { return Log().find(text) != std::string::npos; }
+
+  const std::string& name() const { return settings_.name; }
+  std::string front_address() const;
+  std::string ready_address() const;
+  std::string control_address() const;
+  std::string internal_address() const;
+  std::filesystem::path store_folder() const { return folder_ / "store"; }
+  std::filesystem::path settings_path() const { return folder_ / "node.json"; }
+  std::string SettingsText(bool first_run) const;
+  const DispatcherSettings& settings() const { return settings_; }
+
+ private:
+  Loop* loop_;
+  std::filesystem::path program_, folder_;
+  DispatcherSettings settings_;
+  lab::Process process_;
+};
+
+// The control address of a dispatcher at `ip`.
+std::string ControlAddress(const std::string& ip);
+
+}  // namespace lichenlug::standins
--- /dev/null
+++ b/lab/system/http_call.h
@@ -0,0 +1,34 @@
+// One HTTP call on a connection of its own.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/clock.h"
+#include "lab/system/loop.h"
+#include "net/http_connection.h"
+
+namespace lichenlug::standins {
+
+using Headers = std::vector<std::pair<std::string, std::string>>;
+
+struct HttpCall {
+  std::string method = "GET", path = "/", body;
+  Headers headers = {};
+  Time patience = kSecond;
+};
+
+// "ip:port".
+asio::ip::tcp::endpoint EndpointOf(const std::string& address);
+std::string AddressOf(const asio::ip::tcp::endpoint& endpoint);
+
+// `done` is told the answer, once; its status is 0 where no whole answer came in time.
+void Call(asio::io_context& io, const std::string& address, const HttpCall& call,
+          std::function<void(HttpMessage)> done);
+
+// The same, serving the loop until the answer is there.
+HttpMessage CallAndWait(Loop* loop, const std::string& address, const HttpCall& call);
+
+}  // namespace lichenlug::standins
--- /dev/null
+++ b/lab/system/ingress.h
@@ -0,0 +1,39 @@
+// The platform's stand-in towards clients: asks each dispatcher whether it is ready, and hands connections to
+// those that are.
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lab/system/loop.h"
+
+namespace lichenlug::standins {
+
+class Ingress {
+ public:
+  struct Dispatcher {
+    std::string ready_address, front_address;
+    int misses = 0;
+    bool in = false;  // gets new connections
+  };
+
+  Ingress(Loop* loop, std::vector<Dispatcher> dispatchers);
+
+  std::string Next();  // the front address of the next one; empty: none is in
+  bool AllIn() const;
+  const std::vector<Dispatcher>& dispatchers() const { return dispatchers_; }
+
+ private:
+  void Ask();
+  void Answered(std::size_t index, int status);
+
+  Loop* loop_;
+  std::vector<Dispatcher> dispatchers_;
+  std::size_t turn_ = 0;
+  asio::steady_timer timer_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace lichenlug::standins
--- /dev/null
+++ b/lab/system/ledger.h
@@ -0,0 +1,36 @@
+// What the stand-ins have seen: the requests that runners ran and the rules that were broken.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace lichenlug::standins {
+
+class Ledger {
+ public:
+  void Broken(std::string what) { broken_.push_back(std::move(what)); }
+  const std::vector<std::string>& broken() const { return broken_; }
+
+  // A runner begins to run a try. One that is not `repeatable` begins once at most.
+  void RunBegan(const std::string& attempt_id, const std::string& tenant, bool repeatable) {
+    ++begun_[tenant];
+    if (!begun_attempts_.insert(attempt_id).second && !repeatable)
+      Broken("try " + attempt_id + " was run twice");
+  }
+  std::uint64_t begun(const std::string& tenant) const {
+    const auto found = begun_.find(tenant);
+    return found == begun_.end() ? 0 : found->second;
+  }
+
+ private:
+  std::vector<std::string> broken_;
+  std::set<std::string> begun_attempts_;
+  std::map<std::string, std::uint64_t> begun_;  // by tenant
+};
+
+}  // namespace lichenlug::standins
--- /dev/null
+++ b/lab/system/loop.h
@@ -0,0 +1,44 @@
+// The one event loop of the stand-ins. All of them run on the thread that waits here, so none needs a lock,
+// and a test waits for events with a deadline instead of sleeping.
+#pragma once
+
+#include <algorithm>
+#include <asio.hpp>
+#include <chrono>
+#include <functional>
+
+#include "base/clock.h"
+
+namespace lichenlug::standins {
+
+class Loop {
+ public:
+  using Condition = std::function<bool()>;
+
+  asio::io_context& io() { return io_; }
+  Time Now() const { return clock_.Now(); }
+
+  // Serves events until `condition` holds; false: it did not within `patience`.
+  bool RunUntil(const Condition& condition, Time patience) {
+    const Time give_up_at = Now() + patience;
+    while (!condition()) {
+      const Time left = give_up_at - Now();
+      if (left <= 0) return false;
+      if (io_.stopped()) io_.restart();
+      io_.run_one_for(std::chrono::microseconds(std::min(left, kLongestStep)));
+    }
+    return true;
+  }
+
+  void RunFor(Time span) {
+    RunUntil([] { return false; }, span);
+  }
+
+ private:
+  static constexpr Time kLongestStep = 10 * kMillisecond;  // conditions also look at processes and files
+
+  asio::io_context io_;
+  Clock clock_;
+};
+
+}  // namespace lichenlug::standins
--- /dev/null
+++ b/lab/system/operator.cpp
@@ -0,0 +1,69 @@
+#include "lab/system/operator.h"
+
+#include <utility>
+
+#include "lab/system/wire_words.h"
+
+namespace lichenlug::standins {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr Time kFirstPause = 50 * kMillisecond, kLongestPause = 400 * kMillisecond;
+
+// Anything but an answer that ends the call.
+bool IsUnclear(int status) { return status == 0 || status >= 500 || status == 408 || status == 429; }
+
+HttpCall ToCall(const Change& change) {
+  HttpCall call;
+  call.method = change.method == Change::Method::kPut ? "PUT" : "PATCH";
+  call.path = wire::kConfigurationPath;
+  call.headers = {{wire::kContentType, wire::kJsonType}, {wire::kIfMatch, std::to_string(change.if_match)}};
+  call.body = change.body;
+  return call;
+}
+
+}  // namespace
+
+Operator::Operator(Loop* loop, std::vector<std::string> control_addresses)
+    : loop_(loop), addresses_(std::move(control_addresses)) {}
+
+void Operator::SendTo(const std::string& address, const Change& change,
+                      std::function<void(HttpMessage)> done) {
+  Call(loop_->io(), address, ToCall(change), std::move(done));
+}
+
+HttpMessage Operator::SendTo(const std::string& address, const Change& change) {
+  return CallAndWait(loop_, address, ToCall(change));
+}
+
+HttpMessage Operator::Send(const Change& change, Time patience) {
+  const Time give_up_at = loop_->Now() + patience;
+  HttpMessage answer;
+  for (Time pause = kFirstPause; loop_->Now() < give_up_at; pause = std::min(2 * pause, kLongestPause)) {
+    answer = SendTo(addresses_[turn_++ % addresses_.size()], change);
+    if (!IsUnclear(answer.status)) break;
+    loop_->RunFor(pause);
+  }
+  return answer;
+}
+
+Json Operator::ReadFrom(const std::string& address) {
+  HttpCall call;
+  call.path = wire::kConfigurationPath;
+  const HttpMessage answer = CallAndWait(loop_, address, call);
+  return answer.status == 200 ? Json::parse(answer.body, nullptr, false) : Json();
+}
+
+Json Operator::Read(Time patience) {
+  const Time give_up_at = loop_->Now() + patience;
+  while (loop_->Now() < give_up_at) {
+    const Json configuration = ReadFrom(addresses_[turn_++ % addresses_.size()]);
+    if (configuration.is_object()) return configuration;
+    loop_->RunFor(kFirstPause);
+  }
+  return {};
+}
+
+}  // namespace lichenlug::standins
--- /dev/null
+++ b/lab/system/runner.h
@@ -0,0 +1,84 @@
+// A model runner's stand-in: reports to dispatchers, takes orders, and answers requests as plain bodies or as
+// streams of events with rising ids.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "lab/fleet/http_server.h"
+#include "lab/system/ledger.h"
+#include "lab/system/loop.h"
+#include "lab/system/model_store.h"
+
+namespace lichenlug::standins {
+
+struct RunnerSettings {
+  std::string id, service, zone;
+  std::vector<std::string> models;  // held at the start
+  int slots = 16;
+  Time heartbeat_every = 400 * kMillisecond;
+  Time event_pause = 20 * kMillisecond;
+  Time drain_bound = kSecond;  // after an acknowledged drain no request may come any more
+};
+
+class Runner {
+ public:
+  Runner(Loop* loop, RunnerSettings settings, Ledger* ledger);
+
+  void Report(std::vector<std::string> control_addresses);  // begins to send heartbeats
+  void Drain(const std::string& control_address);           // the first one that is told
+  void Delete();                                            // the last call before a planned end
+  void Crash();                                             // ends without a word
+
+  const RunnerSettings& settings() const { return settings_; }
+  std::string address() const;
+  bool acknowledged() const { return acknowledged_at_.has_value(); }  // of any heartbeat yet
+  bool drain_acknowledged() const { return drained_at_.has_value(); }
+  std::optional<Time> last_request_at() const { return last_request_at_; }
+  Time drained_at() const { return *drained_at_; }
+  std::uint64_t served() const { return served_; }
+  std::uint64_t orders() const { return models_.orders_taken(); }
+
+ private:
+  struct Answer;
+  using Connection = lab::HttpServer::Connection;
+
+  void SendHeartbeat();
+  void HeartbeatAnswered(bool draining, const HttpMessage& answer);
+  std::string HeartbeatBody() const;
+  std::string NextDispatcher();
+  void Beat(Time after);
+
+  void Handle(const Connection& connection, const HttpMessage& request);
+  void HandleOrder(const Connection& connection, const HttpMessage& request);
+  void Serve(const Connection& connection, const HttpMessage& request);
+  // The status to refuse a request with, which then has not run; none: it is to be run.
+  std::optional<int> Refusal(const HttpMessage& request) const;
+  void Judge(const HttpMessage& request);
+  void Begin(const std::shared_ptr<Answer>& answer);
+  void SendEvent(const std::shared_ptr<Answer>& answer);
+  void Finish(const std::shared_ptr<Answer>& answer);
+
+  Loop* loop_;
+  RunnerSettings settings_;
+  Ledger* ledger_;
+  ModelStore models_;
+  std::vector<std::string> dispatchers_;
+  std::size_t next_dispatcher_ = 0;
+  std::string report_to_;  // named by the last acknowledgement; empty: none
+  std::uint64_t call_count_ = 0;
+  bool draining_ = false, ended_ = false;
+  std::optional<Time> acknowledged_at_, drained_at_, last_request_at_;
+  std::uint64_t served_ = 0;
+  std::set<std::shared_ptr<Answer>> running_;
+  asio::steady_timer heartbeat_timer_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  lab::HttpServer server_;
+};
+
+}  // namespace lichenlug::standins
--- /dev/null
+++ b/lab/system/runner_answers.cpp
@@ -0,0 +1,127 @@
+// The requests that a runner's stand-in serves.
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+#include <utility>
+
+#include "lab/system/runner.h"
+#include "lab/system/wire_words.h"
+
+namespace lichenlug::standins {
+
+namespace {
+
+constexpr int kMisdirected = 421, kNoId = 400, kFull = 503;
+constexpr char kTextType[] = "text/plain";
+
+std::string HeaderOf(const HttpMessage& request, const char* name) {
+  const std::string* value = request.Header(name);
+  return value == nullptr ? "" : *value;
+}
+
+int Number(const std::string& text, int otherwise) {
+  int number = otherwise;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+// "PROMPT,OUT" names the tokens of the prompt and those of the answer at most.
+int EventsWanted(const HttpMessage& request) {
+  const std::string counts = HeaderOf(request, wire::kTokenCount);
+  const std::size_t comma = counts.find(',');
+  return comma == std::string::npos ? 1 : std::max(1, Number(counts.substr(comma + 1), 1));
+}
+
+std::string Chunk(const std::string& bytes) {
+  char size[24];
+  std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
+  return size + bytes + "\r\n";
+}
+
+}  // namespace
+
+// One request that is being answered.
+struct Runner::Answer {
+  Connection connection;
+  std::string attempt_id, tenant;
+  int next_event = 1, last_event = 1;
+  bool stream = false, resumed = false, begun = false;
+  asio::steady_timer timer;
+};
+
+std::optional<int> Runner::Refusal(const HttpMessage& request) const {
+  if (request.Header(wire::kAttemptId) == nullptr) return kNoId;
+  const std::string expected = HeaderOf(request, wire::kExpectRunner);
+  if (!expected.empty() && expected != settings_.id) return kMisdirected;
+  if (!models_.Holds(HeaderOf(request, wire::kModel))) return kMisdirected;
+  if (running_.size() >= static_cast<std::size_t>(settings_.slots)) return kFull;
+  return std::nullopt;
+}
+
+void Runner::Judge(const HttpMessage& request) {
+  last_request_at_ = loop_->Now();
+  if (drained_at_ && *last_request_at_ > *drained_at_ + settings_.drain_bound)
+    ledger_->Broken(settings_.id + " got a request after the bound of its drain");
+  if (request.Header(wire::kAuthorization) != nullptr)
+    ledger_->Broken(settings_.id + " was shown a client's key");
+  if (request.Header(wire::kTenant) == nullptr)
+    ledger_->Broken(settings_.id + " was not told the tenant of a request");
+  if (request.Header(wire::kDeadline) == nullptr)
+    ledger_->Broken(settings_.id + " was not told the deadline of a request");
+}
+
+void Runner::Serve(const Connection& connection, const HttpMessage& request) {
+  Judge(request);
+  if (const auto status = Refusal(request)) {
+    return lab::Reply(connection, *status, "",
+                      {{wire::kNotRun, "1"},
+                       {wire::kAttemptId, HeaderOf(request, wire::kAttemptId)},
+                       {wire::kRetryAfter, "0.1"}});
+  }
+  const int last_event_id = Number(HeaderOf(request, wire::kLastEventId), 0);
+  const auto answer = std::make_shared<Answer>(
+      Answer{connection, HeaderOf(request, wire::kAttemptId), HeaderOf(request, wire::kTenant),
+             last_event_id + 1, EventsWanted(request),
+             request.target.find("/stream") != std::string::npos ||
+                 request.target.find("/resume") != std::string::npos,
+             last_event_id > 0, false, asio::steady_timer(loop_->io())});
+  running_.insert(answer);
+  SendEvent(answer);
+}
+
+// The head goes out with the first event, which also tells that the request runs.
+void Runner::Begin(const std::shared_ptr<Answer>& answer) {
+  answer->begun = true;
+  if (!answer->resumed) ledger_->RunBegan(answer->attempt_id, answer->tenant, !answer->stream);
+  std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Type: ";
+  head += answer->stream ? wire::kEventStreamType : kTextType;
+  for (const auto& [name, value] : {std::pair<std::string, std::string>{wire::kAttemptId, answer->attempt_id},
+                                    {wire::kRunnerStamp, settings_.id + "." + answer->attempt_id},
+                                    {wire::kVersions, "1"}})
+    head += "\r\n" + name + ": " + value;
+  answer->connection->Send(head + "\r\n\r\n");
+}
+
+void Runner::SendEvent(const std::shared_ptr<Answer>& answer) {
+  answer->timer.expires_after(std::chrono::microseconds(settings_.event_pause));
+  answer->timer.async_wait([this, weak = std::weak_ptr(answer)](std::error_code error) {
+    const auto alive = weak.lock();
+    if (error || !alive) return;
+    if (!alive->connection->socket().is_open()) return void(running_.erase(alive));
+    if (!alive->begun) Begin(alive);
+    if (alive->next_event > alive->last_event) return Finish(alive);
+    const std::string number = std::to_string(alive->next_event++);
+    const std::string data = number + " of " + alive->attempt_id;
+    alive->connection->Send(
+        Chunk(alive->stream ? "id: " + number + "\ndata: " + data + "\n\n" : data + "\n"));
+    SendEvent(alive);
+  });
+}
+
+void Runner::Finish(const std::shared_ptr<Answer>& answer) {
+  answer->connection->Send("0\r\n\r\n");
+  ++served_;
+  running_.erase(answer);
+}
+
+}  // namespace lichenlug::standins
--- /dev/null
+++ b/lab/system/system.cpp
@@ -0,0 +1,162 @@
+#include "lab/system/system.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <stdexcept>
+
+#include "lab/system/http_call.h"
+#include "lab/system/sample.h"
+#include "lab/system/wire_words.h"
+
+namespace lichenlug::standins {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t kMostSeeds = 3;
+constexpr Time kEndPatience = 5 * kSecond;
+const std::vector<std::string> kZones = {"east", "west"};
+
+// A network of 127.0.0.0/8 that no other play on this machine uses: plays run side by side.
+std::string OwnNetwork() {
+  constexpr int kNumbers = 250;
+  static int plays = 0;
+  const int number = static_cast<int>(getpid()) + 7919 * plays++;
+  return "127." + std::to_string(1 + number / kNumbers % kNumbers) + "." + std::to_string(number % kNumbers) +
+         ".";
+}
+
+std::filesystem::path OwnFolder() {
+  std::string pattern = (std::filesystem::temp_directory_path() / "lichenlug-system-XXXXXX").string();
+  if (mkdtemp(pattern.data()) == nullptr) throw std::runtime_error("no temporary folder: " + pattern);
+  return pattern;
+}
+
+}  // namespace
+
+System::System(const SystemPlan& plan) : folder_(OwnFolder()), platform_(loop_.io(), &ledger_) {
+  MakeDispatchers(plan);
+  MakeRunners(plan);
+  std::vector<Ingress::Dispatcher> fronts;
+  for (const auto& dispatcher : dispatchers_)
+    fronts.push_back({dispatcher->ready_address(), dispatcher->front_address(), 0, false});
+  ingress_ = std::make_unique<Ingress>(&loop_, std::move(fronts));
+  operator_ = std::make_unique<Operator>(&loop_, ControlAddresses());
+  clients_ = std::make_unique<Clients>(&loop_, ingress_.get(), &ledger_);
+}
+
+System::~System() {
+  for (const auto& dispatcher : dispatchers_) dispatcher->Kill(kEndPatience);
+  std::error_code ignored;
+  std::filesystem::remove_all(folder_, ignored);
+}
+
+void System::MakeDispatchers(const SystemPlan& plan) {
+  const std::string network = OwnNetwork();
+  const int count = plan.core + plan.diskless;
+  std::vector<std::string> seeds;
+  for (int index = 0; index < count && seeds.size() < kMostSeeds; ++index)
+    seeds.push_back(ControlAddress(network + std::to_string(index + 1)));
+  for (int index = 0; index < count; ++index) {
+    DispatcherSettings settings;
+    settings.name = "dispatcher-" + std::to_string(index + 1);
+    settings.ip = network + std::to_string(index + 1);
+    settings.zone = kZones[static_cast<std::size_t>(index) % kZones.size()];
+    settings.seeds = seeds;
+    settings.platform_address = platform_.address();
+    settings.has_disk = index < plan.core;
+    settings.times = plan.times;
+    dispatchers_.push_back(
+        std::make_unique<Dispatcher>(&loop_, plan.program, folder_ / settings.name, settings));
+  }
+}
+
+void System::MakeRunners(const SystemPlan& plan) {
+  for (int index = 0; index < plan.runners; ++index) {
+    RunnerSettings settings;
+    settings.id = "runner-" + std::to_string(index + 1);
+    settings.service = sample::kService;
+    settings.zone = kZones[static_cast<std::size_t>(index) % kZones.size()];
+    settings.models = {sample::kBusyModel};
+    if (index == 0) settings.models.push_back(sample::kRareModel);
+    settings.heartbeat_every = plan.times.heartbeat_ms * kMillisecond;
+    settings.drain_bound = plan.times.drain_ms * kMillisecond;
+    runners_.push_back(std::make_unique<Runner>(&loop_, settings, &ledger_));
+  }
+}
+
+std::vector<std::string> System::ControlAddresses() const {
+  std::vector<std::string> addresses;
+  for (const auto& dispatcher : dispatchers_) addresses.push_back(dispatcher->control_address());
+  return addresses;
+}
+
+bool System::Found(Time patience) {
+  StartDispatchers();
+  StartRunners();
+  return TakeFirstConfiguration(patience) && WaitReady(patience);
+}
+
+void System::StartDispatchers() {
+  for (const auto& dispatcher : dispatchers_) dispatcher->Start(true);
+}
+
+void System::StartRunners() {
+  for (const auto& runner : runners_) runner->Report(ControlAddresses());
+}
+
+bool System::TakeFirstConfiguration(Time patience) {
+  Change first;
+  first.body = sample::Configuration(1).dump();
+  return operator_->Send(first, patience).status == 200;
+}
+
+bool System::SaysReady(std::size_t dispatcher) {
+  const Json status = Status(dispatcher);
+  return status.is_object() && status.value("ready", false);
+}
+
+// The ingress may not have noticed yet that a dispatcher was away, so each is asked first.
+bool System::WaitReady(Time patience) {
+  const Time give_up_at = loop_.Now() + patience;
+  for (std::size_t index = 0; index < dispatchers_.size(); ++index) {
+    if (!loop_.RunUntil([&] { return SaysReady(index); }, give_up_at - loop_.Now())) return false;
+  }
+  const auto all_in = [this] {
+    return ingress_->AllIn() &&
+           std::all_of(runners_.begin(), runners_.end(), [](const auto& one) { return one->acknowledged(); });
+  };
+  return loop_.RunUntil(all_in, give_up_at - loop_.Now());
+}
+
+bool System::WaitEdition(std::int64_t edition, Time patience) {
+  const Time give_up_at = loop_.Now() + patience;
+  for (std::size_t index = 0; index < dispatchers_.size();) {
+    const Json status = dispatchers_[index]->Running() ? Status(index) : Json();
+    const bool there = !dispatchers_[index]->Running() ||
+                       (status.is_object() && status.value("edition", std::int64_t{0}) >= edition);
+    if (there) {
+      ++index;
+    } else if (loop_.Now() > give_up_at) {
+      return false;
+    }
+  }
+  return true;
+}
+
+Json System::Status(std::size_t dispatcher) {
+  HttpCall call;
+  call.path = wire::kStatusPath;
+  const HttpMessage answer = CallAndWait(&loop_, dispatchers_[dispatcher]->control_address(), call);
+  return answer.status == 200 ? Json::parse(answer.body, nullptr, false) : Json();
+}
+
+std::string System::Logs() const {
+  std::string all;
+  for (const auto& dispatcher : dispatchers_) all += "---- " + dispatcher->name() + "\n" + dispatcher->Log();
+  return all;
+}
+
+}  // namespace lichenlug::standins
--- /dev/null
+++ b/tests/system/processes/control_program_test.cpp
@@ -0,0 +1,120 @@
+// lichenlugctl: what it prints and how it ends.
+#include <sys/wait.h>
+
+#include <fstream>
+#include <sstream>
+
+#include "lab/fleet/process.h"
+#include "world.h"
+
+namespace lichenlug::standins::test {
+namespace {
+
+constexpr int kSuccess = 0, kFailed = 1, kUsage = 2;
+
+struct Ended {
+  int code = -1;
+  std::string output;  // of both streams
+};
+
+// Runs the program to its end in a folder of the test's own.
+class ControlProgram {
+ public:
+  ControlProgram() {
+    std::string pattern = (std::filesystem::temp_directory_path() / "lichenlug-ctl-XXXXXX").string();
+    REQUIRE(mkdtemp(pattern.data()) != nullptr);
+    folder_ = pattern;
+  }
+  ~ControlProgram() {
+    std::error_code ignored;
+    std::filesystem::remove_all(folder_, ignored);
+  }
+
+  Ended Run(Loop* loop, std::vector<std::string> words) {
+    words.insert(words.begin(), LICHENLUGCTL_PATH);
+    const std::filesystem::path output = folder_ / "output";
+    std::filesystem::remove(output);
+    lab::Process process;
+    process.Start(words, {}, output.string());
+    REQUIRE(loop->RunUntil([&] { return !process.Running(); }, kPatience));
+    std::stringstream text;
+    text << std::ifstream(output).rdbuf();
+    return {WIFEXITED(process.status()) ? WEXITSTATUS(process.status()) : -1, text.str()};
+  }
+
+  std::string File(const std::string& content) {
+    const std::filesystem::path path = folder_ / "file.json";
+    std::ofstream(path, std::ios::trunc) << content;
+    return path.string();
+  }
+
+ private:
+  std::filesystem::path folder_;
+};
+
+bool Holds(const Ended& ended, const std::string& text) {
+  return ended.output.find(text) != std::string::npos;
+}
+
+TEST_CASE("config check tells a valid configuration from one that is not", "[control-program]") {
+  Loop loop;
+  ControlProgram program;
+  const Ended valid = program.Run(&loop, {"config", "check", program.File(sample::Configuration(3).dump())});
+  INFO(valid.output);
+  CHECK(valid.code == kSuccess);
+  CHECK(Holds(valid, "valid, edition 3, 3 routes, 1 services, 2 tenants"));
+
+  Json configuration = sample::Configuration(3);
+  configuration["routes"][1]["deadline_ms"] = 0;
+  const Ended invalid = program.Run(&loop, {"config", "check", program.File(configuration.dump())});
+  INFO(invalid.output);
+  CHECK(invalid.code == kFailed);
+  CHECK(Holds(invalid, "deadline_ms"));
+  CHECK(Holds(invalid, "routes[1] (stream)"));
+  CHECK(std::count(invalid.output.begin(), invalid.output.end(), '\n') == 1);
+
+  CHECK(program.Run(&loop, {"config", "check", "/nonexistent.json"}).code == kFailed);
+}
+
+TEST_CASE("wrong usage ends with 2, help and version with 0", "[control-program]") {
+  Loop loop;
+  ControlProgram program;
+  CHECK(program.Run(&loop, {}).code == kUsage);
+  CHECK(program.Run(&loop, {"config"}).code == kUsage);
+  CHECK(program.Run(&loop, {"no-such-command", "x"}).code == kUsage);
+  CHECK(program.Run(&loop, {"--no-such-option"}).code == kUsage);
+  CHECK(program.Run(&loop, {"--help"}).code == kSuccess);
+  CHECK(program.Run(&loop, {"--version"}).code == kSuccess);
+}
+
+TEST_CASE("status shows a dispatcher, store verify a stopped one's store", "[control-program]") {
+  World world(3, 0, 2);
+  REQUIRE(world.Found());
+  System& system = world.system();
+  ControlProgram program;
+  const Ended status = program.Run(&system.loop(), {"status", system.dispatcher(0).control_address()});
+  INFO(status.output);
+  CHECK(status.code == kSuccess);
+  CHECK(Holds(status, "name: dispatcher-1\n"));
+  CHECK(Holds(status, "ready: true\n"));
+  CHECK(Holds(status, "edition: 1\n"));
+  CHECK(Holds(status, "id: runner-2\n"));
+
+  Dispatcher& stopped = system.dispatcher(2);
+  REQUIRE(stopped.Kill(kPatience));
+  const Ended gone = program.Run(&system.loop(), {"status", stopped.control_address()});
+  CHECK(gone.code == kFailed);
+  CHECK(std::count(gone.output.begin(), gone.output.end(), '\n') == 1);
+  const Ended store = program.Run(&system.loop(), {"store", "verify", stopped.store_folder().string()});
+  INFO(store.output);
+  CHECK(store.code == kSuccess);
+  CHECK(Holds(store, "register configuration: "));
+  CHECK(Holds(store, "edition 1, revision 1"));
+  CHECK(Holds(store, "all records can be read\n"));
+  CHECK(program.Run(&system.loop(), {"store", "verify", "/nonexistent"}).code == kFailed);
+  stopped.Start();  // the look at its store has changed nothing
+  REQUIRE(system.WaitReady(kPatience));
+}
+
+}  // namespace
+}  // namespace lichenlug::standins::test
--- /dev/null
+++ b/tests/system/processes/hostile_input_test.cpp
@@ -0,0 +1,141 @@
+// Bytes that no well-behaved peer sends: each is refused or dropped, and the process goes on.
+#include <random>
+
+#include "lab/system/http_call.h"
+#include "world.h"
+
+namespace lichenlug::standins::test {
+namespace {
+
+Json Heartbeat() {
+  return {{wire::kService, sample::kService},
+          {"address", "127.0.0.1:9"},
+          {wire::kZone, "east"},
+          {wire::kEdition, "v1"},
+          {wire::kSlots, 4},
+          {wire::kCondition, "ready"},
+          {"cold_ms", 0},
+          {wire::kStage, "both"},
+          {wire::kModels, Json::array()},
+          {wire::kCallCount, 1}};
+}
+
+std::string With(const char* key, const Json& value) {
+  Json body = Heartbeat();
+  body[key] = value;
+  return body.dump();
+}
+
+std::string Without(const char* key) {
+  Json body = Heartbeat();
+  body.erase(key);
+  return body.dump();
+}
+
+int SendHeartbeat(System& system, const std::string& id, const std::string& body) {
+  HttpCall call;
+  call.method = "PUT";
+  call.path = wire::kRunnersPath + id;
+  call.headers = {{wire::kContentType, wire::kJsonType}};
+  call.body = body;
+  return CallAndWait(&system.loop(), system.dispatcher(0).control_address(), call).status;
+}
+
+TEST_CASE("malformed heartbeats are each refused and enter no runner", "[malformed-heartbeats]") {
+  World world(3, 0, 2);
+  REQUIRE(world.Found());
+  System& system = world.system();
+  const std::vector<std::string> bodies = {"",
+                                           "{",
+                                           "[]",
+                                           "\"ready\"",
+                                           std::string("\0\xff\xfe", 3),
+                                           std::string(2000, '['),
+                                           Without(wire::kService),
+                                           Without("address"),
+                                           Without(wire::kZone),
+                                           Without(wire::kSlots),
+                                           Without(wire::kCondition),
+                                           Without(wire::kCallCount),
+                                           With(wire::kService, 7),
+                                           With("address", "nowhere"),
+                                           With("address", "127.0.0.1:99999"),
+                                           With(wire::kSlots, -1),
+                                           With(wire::kSlots, "four"),
+                                           With(wire::kCondition, "asleep"),
+                                           With(wire::kCallCount, -1),
+                                           With(wire::kModels, "large"),
+                                           With(wire::kModels, Json::array({7})),
+                                           With(wire::kModels, Json::array({{{wire::kName, 7}}}))};
+  for (const std::string& body : bodies) {
+    INFO(body.substr(0, 200));
+    CHECK(SendHeartbeat(system, "odd", body) == 400);
+  }
+  CHECK(SendHeartbeat(system, "", Heartbeat().dump()) == 400);
+  CHECK(SendHeartbeat(system, std::string(300, 'a'), Heartbeat().dump()) == 400);
+  CHECK(SendHeartbeat(system, "runner-1/x?y=%00", "{}") == 400);
+  CHECK(system.Status(0).at("runners").size() == 2);
+  CHECK(world.AllRunning());
+  world.CheckServedEverywhere();
+  world.CheckNoRuleBroken();
+}
+
+std::string Noise(std::mt19937* random, std::size_t size) {
+  std::string bytes(size, '\0');
+  for (char& byte : bytes) byte = static_cast<char>((*random)());
+  return bytes;
+}
+
+// The greeting of the internal transport (a push socket), so that what follows is taken for messages.
+std::string TransportGreeting() { return std::string("\0SP\0\0\x50\0\0", 8); }
+
+std::string TransportMessage(const std::string& body) {
+  std::string size(8, '\0');
+  for (int byte = 0; byte < 8; ++byte) size[7 - byte] = static_cast<char>(body.size() >> (8 * byte));
+  return size + body;
+}
+
+std::vector<std::string> Nonsense() {
+  std::mt19937 random(20);  // the same bytes at each run
+  std::vector<std::string> pieces = {
+      "\r\n\r\n",
+      "GET\r\n\r\n",
+      "GET / HTTP/9.9\r\n\r\n",
+      "PUT /-/timetable HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999999999999999\r\n\r\n",
+      "POST /plain/ HTTP/1.1\r\nHost: models.example\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+      "POST /plain/ HTTP/1.1\r\nHost: models.example\r\nContent-Length: -5\r\n\r\n",
+      "GET /" + std::string(100000, 'a') + " HTTP/1.1\r\n\r\n",
+      "GET / HTTP/1.1\r\n" + std::string(20000, 'x') + ": y\r\n\r\n",
+      std::string(70000, '\0'),
+      TransportGreeting() + TransportMessage(""),
+      TransportGreeting() + TransportMessage(Noise(&random, 3)),
+      TransportGreeting() + TransportMessage(Noise(&random, 5000)),
+      TransportGreeting() + std::string("\xff\xff\xff\xff\xff\xff\xff\xff", 8) + "x",
+      TransportGreeting() + TransportMessage(std::string("\x12\x00\x1a\xff\xff\xff\xff\x0f", 8))};
+  for (const std::size_t size : {1u, 8u, 64u, 1000u, 30000u}) pieces.push_back(Noise(&random, size));
+  return pieces;
+}
+
+TEST_CASE("nonsense on any port ends no process", "[nonsense-bytes]") {
+  World world(3, 0, 2);
+  REQUIRE(world.Found());
+  System& system = world.system();
+  const Dispatcher& target = system.dispatcher(0);
+  for (const std::string& address : {target.front_address(), target.ready_address(), target.control_address(),
+                                     target.internal_address()}) {
+    for (const std::string& bytes : Nonsense()) {
+      INFO(address << " after " << bytes.size() << " bytes");
+      SendRaw(&system.loop(), address, bytes);
+      REQUIRE(system.dispatcher(0).Running());
+    }
+  }
+  REQUIRE(system.WaitReady(kPatience));
+  world.CheckServedEverywhere();
+  CHECK(system.the_operator().Send(world.Patch(1, 2, "added"), kPatience).status == 200);
+  CHECK(world.EditionReadBack() == 2);
+  CHECK(world.AllRunning());
+  world.CheckNoRuleBroken();
+}
+
+}  // namespace
+}  // namespace lichenlug::standins::test
--- /dev/null
+++ b/tests/system/processes/losses_test.cpp
@@ -0,0 +1,75 @@
+// Losses of processes and disks: what was acknowledged stays, and changes go on being taken.
+#include "world.h"
+
+namespace lichenlug::standins::test {
+namespace {
+
+TEST_CASE("what was acknowledged is read back after the whole core was killed", "[whole-core-killed]") {
+  World world;
+  REQUIRE(world.Found());
+  System& system = world.system();
+  constexpr int kRounds = 3;
+  for (int round = 0; round < kRounds; ++round) {
+    const std::int64_t edition = 2 + round;
+    REQUIRE(system.the_operator()
+                .Send(world.Patch(edition - 1, edition, "added-" + std::to_string(edition)), kPatience)
+                .status == 200);
+    for (std::size_t index = 0; index < system.dispatcher_count(); ++index)
+      REQUIRE(system.dispatcher(index).Kill(kPatience));
+    for (std::size_t index = 0; index < system.dispatcher_count(); ++index) system.dispatcher(index).Start();
+    CHECK(world.EditionReadBack() == edition);
+  }
+  REQUIRE(system.WaitReady(kPatience));
+  REQUIRE(system.WaitEdition(1 + kRounds, kPatience));
+  world.CheckServedEverywhere();
+  CHECK(system.the_operator().Read(kPatience).at("routes").size() == 3 + kRounds);
+  CHECK(world.AllRunning());
+  world.CheckNoRuleBroken();
+}
+
+// The replica of each member of the configuration's register, as one dispatcher knows them.
+std::vector<std::string> Replicas(System& system, std::size_t dispatcher) {
+  std::vector<std::string> replicas;
+  const Json status = system.Status(dispatcher);
+  if (!status.is_object()) return replicas;
+  const Json& group = status.at("registers").at("configuration");
+  if (group.at("changing").get<bool>()) return replicas;
+  for (const Json& member : group.at("members")) replicas.push_back(member.get<std::string>());
+  return replicas;
+}
+
+TEST_CASE("a machine with a wiped disk joins again and stands in for another that is lost", "[wiped-disk]") {
+  World world;
+  REQUIRE(world.Found());
+  System& system = world.system();
+  Dispatcher& wiped = system.dispatcher(1);
+  REQUIRE(wiped.Kill(kPatience));
+  wiped.WipeStore();
+  wiped.Start();
+  const auto joined = [&] {
+    const std::vector<std::string> replicas = Replicas(system, 0);
+    int of_wiped = 0;
+    for (const std::string& replica : replicas) {
+      const bool there = replica.ends_with("@" + wiped.internal_address());
+      if (there && replica.starts_with("founder:")) return false;
+      of_wiped += there ? 1 : 0;
+    }
+    return replicas.size() == 3 && of_wiped == 1;
+  };
+  REQUIRE(world.RunUntil(joined));
+  // As the deployment says, it counts as lost for a while after its return.
+  system.loop().RunFor(wiped.settings().times.catch_up_s * kSecond);
+
+  REQUIRE(system.dispatcher(2).Kill(kPatience));
+  REQUIRE(system.the_operator().Send(world.Patch(1, 2, "added"), kPatience).status == 200);
+  CHECK(world.EditionReadBack() == 2);
+  REQUIRE(world.Send(world.Request(ClientKind::kStream), 1).outcome == ClientResult::Outcome::kServed);
+  system.dispatcher(2).Start();
+  REQUIRE(system.WaitReady(kPatience));
+  REQUIRE(system.WaitEdition(2, kPatience));
+  world.CheckServedEverywhere();
+  world.CheckNoRuleBroken();
+}
+
+}  // namespace
+}  // namespace lichenlug::standins::test
--- /dev/null
+++ b/tests/system/processes/thin_path_test.cpp
@@ -0,0 +1,55 @@
+// From the first configuration to served streams and reported usage, with real processes.
+#include <map>
+#include <set>
+
+#include "world.h"
+
+namespace lichenlug::standins::test {
+namespace {
+
+constexpr char kThinPath[] = "the first configuration is taken and streams are served everywhere";
+
+// True when the platform has as many runs of the tenant as the runners began.
+bool AllReported(System& system, const std::string& tenant) {
+  return system.platform().Reported(tenant) >= system.ledger().begun(tenant);
+}
+
+TEST_CASE(kThinPath, "[thin-path]") {
+  World world;
+  REQUIRE(world.Found());
+  world.CheckServedEverywhere();
+  ClientRequest other = world.Request(ClientKind::kStream);
+  other.key = sample::kOtherKey;
+  CHECK(world.Send(other).outcome == ClientResult::Outcome::kServed);
+
+  System& system = world.system();
+  CHECK(system.ledger().begun(sample::kTenant) == 3 * system.dispatcher_count());
+  CHECK(system.ledger().begun(sample::kOtherTenant) == 1);
+  REQUIRE(world.RunUntil(
+      [&] { return AllReported(system, sample::kTenant) && AllReported(system, sample::kOtherTenant); }));
+  CHECK(system.platform().Reported(sample::kTenant) == system.ledger().begun(sample::kTenant));
+  CHECK(system.platform().Reported(sample::kOtherTenant) == system.ledger().begun(sample::kOtherTenant));
+  std::map<std::int64_t, int> reports;  // by window
+  for (const UsageReport& report : system.platform().usage()) ++reports[report.window];
+  for (const auto& [window, count] : reports) {
+    INFO("window " << window);
+    CHECK(count == 1);
+  }
+  CHECK(world.AllRunning());
+  world.CheckNoRuleBroken();
+}
+
+TEST_CASE("an unknown key and an unknown route are each refused", "[thin-path]") {
+  World world(3, 0, 2);
+  REQUIRE(world.Found());
+  ClientRequest request = world.Request(ClientKind::kStream);
+  request.key = "nobody's";
+  CHECK(world.Send(request, 0).status == 401);
+  request = world.Request(ClientKind::kStream);
+  request.path = "/no-such-route/";
+  CHECK(world.Send(request, 0).status == 404);
+  world.CheckNoRuleBroken();
+}
+
+}  // namespace
+}  // namespace lichenlug::standins::test
--- /dev/null
+++ b/tests/system/processes/world.cpp
@@ -0,0 +1,118 @@
+#include "world.h"
+
+#include <iostream>
+
+#include "lab/system/http_call.h"
+
+namespace lichenlug::standins::test {
+
+namespace {
+
+constexpr Time kRawPatience = 300 * kMillisecond;
+
+SystemPlan Plan(int core, int diskless, int runners) {
+  SystemPlan plan;
+  plan.program = LICHENLUGD_PATH;
+  plan.core = core;
+  plan.diskless = diskless;
+  plan.runners = runners;
+  return plan;
+}
+
+}  // namespace
+
+World::World(int core, int diskless, int runners) : system_(Plan(core, diskless, runners)) {}
+
+World::~World() {
+  if (std::uncaught_exceptions() > 0) std::cerr << system_.Logs();
+}
+
+bool World::Found() { return system_.Found(kPatience); }
+
+ClientRequest World::Request(ClientKind kind, int events) const {
+  ClientRequest request;
+  request.kind = kind;
+  request.path = std::string(kind == ClientKind::kPlain    ? sample::kPlainPath
+                             : kind == ClientKind::kStream ? sample::kStreamPath
+                                                           : sample::kResumePath) +
+                 "test";
+  request.model = sample::kBusyModel;
+  request.key = sample::kKey;
+  request.events = events;
+  return request;
+}
+
+ClientResult World::Send(const ClientRequest& request, std::size_t dispatcher) {
+  ClientRequest sent = request;
+  if (dispatcher != kNoDispatcher) sent.front_address = system_.dispatcher(dispatcher).front_address();
+  ClientResult result;
+  bool ended = false;
+  system_.clients().Send(sent, [&](const ClientResult& told) {
+    result = told;
+    ended = true;
+  });
+  REQUIRE(RunUntil([&] { return ended; }));
+  return result;
+}
+
+void World::CheckServedEverywhere() {
+  for (std::size_t dispatcher = 0; dispatcher < system_.dispatcher_count(); ++dispatcher) {
+    for (const ClientKind kind : {ClientKind::kPlain, ClientKind::kStream, ClientKind::kResumable}) {
+      const ClientResult result = Send(Request(kind), dispatcher);
+      INFO("dispatcher " << dispatcher << ", kind " << static_cast<int>(kind) << ", status "
+                         << result.status);
+      CHECK(result.outcome == ClientResult::Outcome::kServed);
+    }
+  }
+}
+
+void World::CheckNoRuleBroken() {
+  for (const std::string& what : system_.ledger().broken()) FAIL_CHECK(what);
+}
+
+bool World::AllRunning() {
+  for (std::size_t index = 0; index < system_.dispatcher_count(); ++index)
+    if (!system_.dispatcher(index).Running()) return false;
+  return true;
+}
+
+Change World::Put(std::int64_t if_match, const Json& configuration) const {
+  return {Change::Method::kPut, if_match, configuration.dump()};
+}
+
+Change World::Patch(std::int64_t if_match, std::int64_t edition, const std::string& route) const {
+  const Json body{{wire::kEdition, edition},
+                  {"upsert", {{"routes", Json::array({sample::Route(route, "/" + route + "/", "safe")})}}}};
+  return {Change::Method::kPatch, if_match, body.dump()};
+}
+
+std::int64_t World::EditionReadBack() {
+  const Json configuration = system_.the_operator().Read(kPatience);
+  return configuration.is_object() ? configuration.value(wire::kEdition, std::int64_t{0}) : 0;
+}
+
+std::string SendRaw(Loop* loop, const std::string& address, std::string_view bytes) {
+  asio::ip::tcp::socket socket(loop->io());
+  std::error_code error;
+  socket.connect(EndpointOf(address), error);
+  if (error) return "";
+  asio::write(socket, asio::buffer(bytes), error);
+  std::string answer;
+  bool ended = bool(error);
+  std::array<char, 4096> buffer{};
+  const std::function<void()> read = [&] {
+    socket.async_read_some(asio::buffer(buffer), [&](std::error_code failure, std::size_t size) {
+      if (failure == asio::error::operation_aborted) return;
+      answer.append(buffer.data(), size);
+      if (failure) ended = true;
+      if (!failure) read();
+    });
+  };
+  if (!ended) read();
+  loop->RunUntil([&] { return ended; }, kRawPatience);
+  socket.close(error);
+  loop->io().poll();  // the handler that looks at this frame
+  return answer;
+}
+
+}  // namespace lichenlug::standins::test
