--- a/tests/system/consensus/alteration.cpp
+++ b/tests/system/consensus/alteration.cpp
@@ -74,11 +74,11 @@
 
 void Alterer::Observe(const messages::RegisterMessage& message) {
   messages::RegisterMessage copy = message;
-  for (const Leaf& leaf : Leaves(&copy)) {
-    auto& remembered = earlier_[leaf.path];
-    if (remembered.size() >= kRemembered) remembered.erase(remembered.begin());
-    remembered.push_back(FieldAlone(leaf));
-  }
+  const auto leaves = Leaves(&copy);
+  const Leaf& leaf = leaves[observed_++ % leaves.size()];
+  auto& remembered = earlier_[leaf.path];
+  if (remembered.size() >= kRemembered) remembered.erase(remembered.begin());
+  remembered.push_back(FieldAlone(leaf));
 }
 
 std::string Alterer::Alter(messages::RegisterMessage* message, bool new_checksum, std::mt19937_64* random) {
--- a/tests/system/consensus/alteration.h
+++ b/tests/system/consensus/alteration.h
@@ -22,7 +22,7 @@
 
 class Alterer {
  public:
-  // Remembers the fields of a message, for later ones.
+  // Remembers one of the fields of a message, each in its turn, for later ones.
   void Observe(const messages::RegisterMessage& message);
   // Returns which field was altered, and how.
   std::string Alter(messages::RegisterMessage* message, bool new_checksum, std::mt19937_64* random);
@@ -30,6 +30,7 @@
  private:
   std::string AlterOne(const std::vector<AlterableField>& fields, std::mt19937_64* random) const;
 
+  std::size_t observed_ = 0;
   std::map<std::string, std::vector<std::string>> earlier_;  // serialized, by the path of the field
 };
 
--- a/tests/system/consensus/history.cpp
+++ b/tests/system/consensus/history.cpp
@@ -43,6 +43,11 @@
   return payload.starts_with(item) || payload.find(";" + item) != std::string::npos;
 }
 
+bool History::HasChanged(int call) const {
+  const Call& ended = calls_[call];
+  return ended.ended != -1 && ended.outcome == Outcome::kChosen && ended.kind != Kind::kGroup;
+}
+
 bool History::Succeeded(int call) const { return IsKnown(calls_[call]); }
 
 bool History::IsKnown(const Call& call) const {
--- a/tests/system/consensus/history.h
+++ b/tests/system/consensus/history.h
@@ -30,7 +30,8 @@
   static bool Contains(const std::string& payload, int call);
 
   const std::string& LastProposed() const { return last_proposed_; }  // chosen or not
-  bool Succeeded(int call) const;                                     // has ended as kChosen or kKept
+  bool HasChanged(int call) const;  // has ended as a change of the payload that is chosen
+  bool Succeeded(int call) const;   // has ended as kChosen or kKept
   std::vector<std::string> Violations() const;
 
  private:
--- a/tests/system/consensus/world.cpp
+++ b/tests/system/consensus/world.cpp
@@ -90,6 +90,7 @@
   for (std::uint64_t i = 0; i < kept; ++i) machine.disk[machine.writing[i].key] = machine.writing[i].value;
   machine.writing.clear();
   machine.node.reset();
+  for (const auto& [id, call] : machine.pending) EndGroupCall(call, asked_[{index, id}].first);
   machine.pending.clear();
 }
 
@@ -111,9 +112,13 @@
 void World::Freeze(int index, Time span) { machines_[index]->frozen_until = now_ + span; }
 
 void World::ForgetLostWhereReplaced(const std::vector<std::string>& registers) {
+  for (const auto& [call, begun] : group_calls_) {
+    if (begun <= last_loss_) return;
+  }
   for (const auto& name : registers) {
     const ToldGroup& told = told_groups_[name];
-    if (told.asked <= last_loss_ || told.group.next_members_size() > 0) return;
+    if (told.asked <= last_loss_ || told.asked <= old_group_call_ended_) return;
+    if (told.group.next_members_size() > 0) return;
     for (const auto& member : told.group.members()) {
       if (lost_replicas_.contains(member.replica_id())) return;
     }
@@ -121,6 +126,11 @@
   lost_replicas_.clear();
 }
 
+void World::EndGroupCall(int call, const std::string& register_name) {
+  const auto ended = group_calls_.extract({register_name, call});
+  if (!ended.empty() && ended.mapped() <= last_loss_) old_group_call_ended_ = now_;
+}
+
 int World::Append(int index, const std::string& register_name, Time patience) {
   const int call = history(register_name).Begin(now_, History::Kind::kAppend);
   const auto change = [call](const std::string& payload) -> Change {
@@ -147,6 +157,7 @@
 
 int World::ChangeGroup(int index, const std::string& register_name, const NewGroup& group, Time patience) {
   const int call = history(register_name).Begin(now_, History::Kind::kGroup);
+  group_calls_[{register_name, call}] = now_;
   const auto change = [group](const std::string&) -> Change { return group; };
   return Submit(index, register_name, call, change, patience);
 }
@@ -175,9 +186,13 @@
 void World::Complete(int index, const Completion& completion) {
   Machine& machine = *machines_[index];
   const auto [register_name, asked] = asked_[{index, completion.operation}];
-  history(register_name).End(now_, machine.pending[completion.operation], completion);
+  const int call = machine.pending[completion.operation];
+  machine.pending.erase(completion.operation);
+  history(register_name).End(now_, call, completion);
+  EndGroupCall(call, register_name);
   if (completion.outcome != Outcome::kChosen && completion.outcome != Outcome::kKept) return;
   told_payload_[register_name] = completion.payload;
+  if (!history(register_name).HasChanged(call)) return;
   ToldGroup& told = told_groups_[register_name];
   if (completion.group.version() < told.group.version()) return;
   told = {std::max(told.asked, asked), completion.group};
--- a/tests/system/consensus/world.h
+++ b/tests/system/consensus/world.h
@@ -58,7 +58,9 @@
   void Remove(int index);   // for good
   void Freeze(int index, Time span);
   int replicas_lost() const { return static_cast<int>(lost_replicas_.size()); }
-  // Lost replicas no longer count once each register's group, as told after the last loss, is without them.
+  // Lost replicas no longer count once each register has taken a change in a group without them, and no move
+  // of a group is left that may bring one of them in: that change was asked for after the last loss, and
+  // after the end of all moves from before it.
   void ForgetLostWhereReplaced(const std::vector<std::string>& registers);
 
   // Callers.
@@ -90,6 +92,7 @@
   void PlanWrite(int index);
   void PlanTick(int index);
   void Complete(int index, const Completion& completion);
+  void EndGroupCall(int call, const std::string& register_name);
 
   Time now_ = kSecond;
   std::mt19937_64 random_;
@@ -103,6 +106,8 @@
   std::map<std::pair<int, OperationId>, std::pair<std::string, Time>> asked_;  // register and time of a call
   std::set<std::string> lost_replicas_;
   Time last_loss_ = 0;
+  std::map<std::pair<std::string, int>, Time> group_calls_;  // under way: register and call, begun at
+  Time old_group_call_ended_ = 0;                            // the last one that began before the last loss
   Alterer alterer_;
   int messages_sent_ = 0;
 };
--- a/tests/system/consensus/world_io.cpp
+++ b/tests/system/consensus/world_io.cpp
@@ -9,7 +9,7 @@
   const std::string& name = send.message.register_name();
   if (send.message.has_accept()) history(name).NoteProposed(send.message.accept().value().payload());
   const bool alters = messages_sent_++ == network.alter_message || Chance(network.alter);
-  if (network.alter_message >= 0 || (network.alter > 0 && Chance(0.05))) alterer_.Observe(send.message);
+  if (network.alter_message >= 0 || network.alter > 0) alterer_.Observe(send.message);
   const auto to = std::find_if(machines_.begin(), machines_.end(),
                                [&](const auto& machine) { return machine->address == send.address; });
   if (to == machines_.end()) return;
