--- a/tests/system/consensus/register_node_test.cpp
+++ b/tests/system/consensus/register_node_test.cpp
@@ -132,6 +132,34 @@
   CHECK(output.sends.size() == 1);
 }
 
+TEST_CASE("the answer of one replica does not count under the name of another") {
+  RegisterNode node(Settings("d", {"a", "b", "c"}, false));
+  RegisterOutput submitted;
+  node.Submit(0, kName, Reads(), kSecond, &submitted);
+  REQUIRE(submitted.sends.size() == 3);
+  const auto answer = [](const messages::RegisterMessage& request) {
+    messages::RegisterMessage reply;
+    reply.set_register_name(kName);
+    reply.set_replica_id(request.replica_id());
+    reply.set_operation(request.operation());
+    *reply.mutable_read_reply()->mutable_ballot() = request.read().ballot();
+    SetChecksum(&reply);
+    return reply;
+  };
+  const auto first = answer(submitted.sends[0].message);
+  const auto second = answer(submitted.sends[1].message);
+  auto swapped = first;  // complete but for the checksum
+  swapped.set_replica_id(second.replica_id());
+  swapped.set_operation(second.operation());
+  RegisterOutput output;
+  node.Receive(0, "a:7660", first, &output);
+  node.Receive(0, "b:7660", first, &output);
+  node.Receive(0, "b:7660", swapped, &output);
+  CHECK(output.completions.empty());
+  node.Receive(0, "b:7660", second, &output);
+  CHECK(output.completions.size() == 1);
+}
+
 TEST_CASE("tables are bounded") {
   RegisterNode node(Settings("d", {"a"}, false));
   RegisterOutput output;
