Keep a part of the retry budget for requests whose clients come back no more

Cause: where runners reject, the first tries of requests spent the whole retry budget of a dispatcher.

Change: a first try that can still be refused as not run spends at most 0.6 of the budget.

Ruled out: a shorter Retry-After after a rejection (the worth of a second try doesn't depend on it).

--- a/src/routing/request_flow.cpp
+++ b/src/routing/request_flow.cpp
@@ -9,7 +9,10 @@
 constexpr std::size_t kMostDemandKeys = 8192;
 constexpr Time kLeastRetryAfter = 50 * kMillisecond, kMostRetryAfter = kSecond;
 constexpr Time kUnknownRetryAfter = 300 * kMillisecond;  // before a run was seen, or a service
-constexpr Time kLeftByRetryAfter = 3;                    // clients honour it up to a third of what is left
+// Of the retry budget, for requests that lose little by a refusal, since their clients come back. The rest is
+// for those that came back already and those that may have run: for them this is the last chance.
+constexpr double kFirstTryPart = 0.6;
+constexpr Time kLeftByRetryAfter = 3;  // clients honour it up to a third of what is left
 
 rookgw::Outcome ModuleOutcome(AttemptOutcome outcome, bool begun) {
   switch (outcome) {
@@ -205,7 +208,9 @@
 // The budget counts what arrives at runners beyond the first attempt that did.
 bool RequestFlow::MayReachAnother(Time now, const Request& request) const {
   const bool first = std::ranges::none_of(request.attempts, &Attempt::reached);
-  return first || request.service->budget.Allows(now, bounds_, dispatchers_);
+  const bool may_be_refused = !request.came_back && !MayHaveRun(request);
+  return first ||
+         request.service->budget.Allows(now, bounds_, dispatchers_, may_be_refused ? kFirstTryPart : 1);
 }
 
 void RequestFlow::End(Time now, Request* request, Time retry_after, std::vector<Decision>* decisions) {
--- a/src/routing/retry_budget.cpp
+++ b/src/routing/retry_budget.cpp
@@ -29,11 +29,12 @@
   return slack / (remembered == counts_.end() ? counts_.back() : *remembered).count;
 }
 
-bool RetryBudget::Allows(Time now, const Bounds& bounds, const DispatcherCount& dispatchers) const {
+bool RetryBudget::Allows(Time now, const Bounds& bounds, const DispatcherCount& dispatchers,
+                         double part) const {
   if (!bounds.retry_budget) return true;
   const double earned = kRatioPart * bounds.retry_ratio * static_cast<double>(requests_.AtMost(now));
   const double slack = kSlackPart * dispatchers.ShareOf(now, bounds.retry_slack, window_);
-  return static_cast<double>(repeats_.AtLeast(now) + 1) <= earned + slack;
+  return static_cast<double>(repeats_.AtLeast(now) + 1) <= part * (earned + slack);
 }
 
 }  // namespace lichenlug::routing
--- a/src/routing/retry_budget.h
+++ b/src/routing/retry_budget.h
@@ -39,7 +39,8 @@
 
   void CountRequest(Time now) { requests_.Add(now); }
   void CountRepeat(Time now) { repeats_.Add(now); }
-  bool Allows(Time now, const Bounds& bounds, const DispatcherCount& dispatchers) const;
+  // Whether one more repeat fits into this part of the budget; the rest is kept for what needs it more.
+  bool Allows(Time now, const Bounds& bounds, const DispatcherCount& dispatchers, double part = 1) const;
 
  private:
   Time window_;
--- a/tests/system/routing/held_requests_test.cpp
+++ b/tests/system/routing/held_requests_test.cpp
@@ -118,6 +118,32 @@
   CHECK(later[0].retry_after == refused[0].retry_after - 500 * kMillisecond);
 }
 
+TEST_CASE("a part of the retry budget is kept for clients that came back and for what may have run",
+          "[held]") {
+  World world;
+  for (int i = 0; i < 100; ++i) world.AddRunner("r" + std::to_string(i), "pool", 64, {"m1"});
+  world.bounds.retry_ratio = 0;
+  world.bounds.retry_slack = 50;  // 40 are spent here
+  // How many requests go on to another runner after their first attempt.
+  const auto second_attempts = [&](bool came_back, AttemptOutcome outcome) {
+    Dispatcher dispatcher(world);
+    int count = 0;
+    for (int i = 0; i < 60; ++i) {
+      Arrival arrival = Asking(dispatcher.next++, dispatcher.now, "m1");
+      arrival.came_back = came_back;
+      const auto first = Only<StartAttempt>(dispatcher.Arrived(arrival));
+      REQUIRE(first.size() == 1);
+      const auto second = Only<StartAttempt>(dispatcher.Ended(first[0], outcome));
+      for (const StartAttempt& attempt : second) dispatcher.Ended(attempt, AttemptOutcome::kServed);
+      count += static_cast<int>(second.size());
+    }
+    return count;
+  };
+  CHECK(second_attempts(false, AttemptOutcome::kModelMissing) == 24);
+  CHECK(second_attempts(true, AttemptOutcome::kModelMissing) == 40);
+  CHECK(second_attempts(false, AttemptOutcome::kBroken) == 40);
+}
+
 TEST_CASE("a model or adapter that comes to be missing is news once", "[held]") {
   Dispatcher dispatcher(OneRunner());
   CHECK_FALSE(dispatcher.decisions.TakeNewlyUnserved());
