--- a/tests/system/dataplane/retries_test.cpp
+++ b/tests/system/dataplane/retries_test.cpp
@@ -52,6 +52,27 @@
   }
 }
 
+TEST_CASE("A client that comes back for a model that stands nowhere is held until it is loaded") {
+  const std::vector<RunnerPlan> plans = {{.id = "r1", .service = "engine", .models = {}}};
+  World world(plans);
+  const std::string words = "Lichenlug-Model: m1\r\nLichenlug-Token-Count: 10,5\r\nLichenlug-Deadline-Ms: ";
+  Socket client = world.Client();
+  client.Send(Post("/model/x", "a1", "b", words + "9000\r\n"));
+  const Message refusal = client.Read();
+  CHECK(refusal.status() == 503);
+  CHECK(!refusal.Header("Retry-After").empty());
+  CHECK(world.Await([](const Report& report) {
+    return report.demand.size() == 1 && report.demand[0].unserved > 0;  // told at once
+  }));
+  client.Send(Post("/model/x", "a2", "b", words + "8000\r\n"));  // what the first try has left
+  CHECK(world.Await([](const Report& report) { return report.in_work == 1; }));
+  world.Load(0, "m1");
+  Socket runner = world.runner(0).Accept();
+  CHECK(runner.Read().Header("Lichenlug-Try-Id") == "a2");
+  runner.Send(Answer(200, "a2", "served"));
+  CHECK(client.Read().body == "served");
+}
+
 TEST_CASE("A refusal that may not go to another runner goes to the client as a promise") {
   World world;
   Socket client = world.Client();
--- a/tests/system/dataplane/world.cpp
+++ b/tests/system/dataplane/world.cpp
@@ -45,6 +45,7 @@
   engine->mutable_engine()->set_slots(8);
   engine->mutable_engine()->set_cache_tokens(90000);
   engine->mutable_engine()->add_models()->set_name("m1");
+  engine->mutable_engine()->mutable_models(0)->set_load_s(2);  // longer than any objective
   messages::Tenant* tenant = configuration.add_tenants();
   tenant->set_name("t1");
   tenant->add_keys("k1");
@@ -84,7 +85,7 @@
     record.set_address(listening_[i]->address());
     record.set_zone("z1");
     record.set_slots(8);
-    record.set_call_count(1);
+    record.set_call_count(revision_);
     for (const std::string& model : plans_[i].models) record.add_models()->set_name(model);
     records->push_back(std::move(record));
   }
@@ -94,6 +95,11 @@
   plane_->Install(std::move(snapshot));
 }
 
+void World::Load(std::size_t runner, const std::string& model) {
+  plans_[runner].models.push_back(model);
+  Install(UsualConfiguration());
+}
+
 std::size_t World::RunnerIndex(const std::string& runner_id) const {
   for (std::size_t i = 0; i < plans_.size(); ++i)
     if (plans_[i].id == runner_id) return i;
--- a/tests/system/dataplane/world.h
+++ b/tests/system/dataplane/world.h
@@ -31,6 +31,7 @@
   void CloseRunner(std::size_t at) { listening_[at]->Close(); }
   Socket Client() const { return Socket::ConnectTo(port_); }
   void Install(messages::Configuration configuration);
+  void Load(std::size_t runner, const std::string& model);  // under the usual configuration
   std::size_t RunnerIndex(const std::string& runner_id) const;
   // Waits until one of the runners is called; the connection and which one it is.
   std::pair<Socket, std::size_t> AcceptAny();
