--- a/src/controlplane/control_plane.cpp
+++ b/src/controlplane/control_plane.cpp
@@ -423,12 +423,14 @@
   if (draining_ || replica_id_.empty() || !IsGroupKeeper(live_, settings_.name)) return;
   for (const std::string& name : AllRegisters()) {
     if (changing_groups_.count(name) > 0) continue;
-    const auto wanted = PlanGroup(registers_->KnownGroup(name), live_, settings_.tolerated_machines);
+    const messages::ReplicaGroup present = registers_->KnownGroup(name);
+    const auto wanted = PlanGroup(present, live_, settings_.tolerated_machines);
     if (!wanted) continue;
     changing_groups_.insert(name);
     LOG(INFO) << name << ": replica group moves to " << wanted->size() << " members";
     registers_->Submit(
-        name, [members = *wanted](const std::string&) { return consensus::NewGroup{members}; },
+        name,
+        [change = consensus::NewGroup{*wanted, present.version()}](const std::string&) { return change; },
         now + kGroupChangeGiveUp,
         [this, name](const consensus::Completion& completion) {
           changing_groups_.erase(name);
