Open a store again that could not be opened, and tell a crash's stack

Cause: a process whose disk refused writes as it started (full, as after a kill during a full disk) never asked its store again, so it replicated nothing for its whole life; and a founding group whose write was refused was never written again, so the next life of that machine had to learn it from a peer.

Change: both are tried again every 300 ms. lichenlugd prints the stack of a crash on standard error and ends as before.

--- a/src/controlplane/register_service.cpp
+++ b/src/controlplane/register_service.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr std::size_t kMostHints = 64;
+constexpr Time kDiskAgainAfter = 300 * kMillisecond;  // a full disk may have space again
 constexpr const char* kFoundingKey = "system/founding_group";
 
 std::string FounderIdentity(const std::string& address) { return "founder:" + address; }
@@ -68,6 +69,11 @@
   const std::string identity =
       settings_.first_run ? FounderIdentity(settings_.internal_address) : RandomIdentity();
   store_ = std::make_unique<storage::RecordStore>(settings_.store_folder, identity);
+  AskStoreToOpen();
+}
+
+void RegisterService::AskStoreToOpen() {
+  reopen_store_at_.reset();
   store_->Open([this](storage::RecordStore::OpenResult result) {
     loop_->Post([this, result = std::move(result)]() mutable { StoreOpened(std::move(result)); });
   });
@@ -75,7 +81,8 @@
 
 void RegisterService::StoreOpened(storage::RecordStore::OpenResult result) {
   if (!result.opened) {
-    LOG(ERROR) << "store: " << result.error;
+    LOG_EVERY_N(ERROR, 20) << "store: " << result.error;
+    reopen_store_at_ = EventLoop::Now() + kDiskAgainAfter;
     return;
   }
   LOG(INFO) << "store: opened as " << result.replica_id << (result.created ? " (new)" : "");
@@ -111,9 +118,16 @@
 }
 
 void RegisterService::KeepFounding() {
+  keep_founding_at_.reset();
   if (founding_kept_) return;
   founding_kept_ = true;
-  store_->Write(kFoundingKey, founding_.SerializeAsString(), [](bool) {});
+  store_->Write(kFoundingKey, founding_.SerializeAsString(), [this](bool written) {
+    if (written) return;
+    loop_->Post([this] {
+      founding_kept_ = false;
+      keep_founding_at_ = EventLoop::Now() + kDiskAgainAfter;
+    });
+  });
 }
 
 void RegisterService::Submit(const std::string& register_name, consensus::ChangeFunction change,
@@ -146,13 +160,21 @@
 }
 
 void RegisterService::Tick(Time now) {
+  if (reopen_store_at_ && *reopen_store_at_ <= now) AskStoreToOpen();
+  if (keep_founding_at_ && *keep_founding_at_ <= now) KeepFounding();
   if (!node_) return;
   consensus::RegisterOutput output;
   node_->Tick(now, &output);
   Carry(std::move(output));
 }
 
-std::optional<Time> RegisterService::NextTimer() const { return node_ ? node_->NextTimer() : std::nullopt; }
+std::optional<Time> RegisterService::NextTimer() const {
+  std::optional<Time> next = node_ ? node_->NextTimer() : std::nullopt;
+  for (const std::optional<Time>& timer : {reopen_store_at_, keep_founding_at_}) {
+    if (timer) next = std::min(next.value_or(*timer), *timer);
+  }
+  return next;
+}
 
 void RegisterService::LearnGroup(const std::string& register_name, const messages::ReplicaGroup& group) {
   if (hints_.size() >= kMostHints && hints_.count(register_name) == 0) return;
--- a/src/controlplane/register_service.h
+++ b/src/controlplane/register_service.h
@@ -31,7 +31,8 @@
                   std::uint64_t seed, SendFunction send);
   ~RegisterService();
 
-  // Opens the store, if there is one; `started` is told the replica's identity once it votes.
+  // Opens the store, if there is one; `started` is told the replica's identity once it votes. A disk that
+  // refuses (a full one) is asked again and again.
   void OpenStore(std::function<void(const std::string& replica_id)> started);
 
   void Submit(const std::string& register_name, consensus::ChangeFunction change, Time give_up_at, Done done);
@@ -52,6 +53,7 @@
 
  private:
   void StoreOpened(storage::RecordStore::OpenResult result);
+  void AskStoreToOpen();
   void StartReplica();
   void KeepFounding();
   void EndOperations();
@@ -68,7 +70,9 @@
   messages::ReplicaGroup founding_;
   std::optional<storage::RecordStore::OpenResult> opened_store_;  // until the replica starts
   std::function<void(const std::string& replica_id)> replica_started_;
-  bool founding_kept_ = false;                                     // in the store
+  bool founding_kept_ = false;                                     // in the store, or on its way there
+  std::optional<Time> reopen_store_at_;                            // it could not be opened
+  std::optional<Time> keep_founding_at_;                           // its write was refused
   std::unique_ptr<consensus::RegisterNode> node_;                  // none before the founding group is known
   bool replicates_ = false;                                        // node_ has a replica
   std::unordered_map<std::string, messages::ReplicaGroup> hints_;  // by register, for the next node
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -106,6 +106,7 @@
   const CommandLine command_line = ReadCommandLine(argc, argv);
   FLAGS_logtostderr = true;
   google::InitGoogleLogging(argv[0]);
+  google::InstallFailureSignalHandler();  // a crash tells its stack on standard error, then ends as before
   const auto settings = ReadNodeSettings(command_line.settings_path);
   if (const auto* problem = std::get_if<std::string>(&settings)) return Fail(*problem);
   if (command_line.check_only) return EXIT_SUCCESS;
