Make the disk of the register service's test refuse while it is asked

Cause: the loop of the test ended for good with its first run, so the write of the founding group came after the full disk was gone and the test passed without the mend. Now all steps are in one run; without the second attempt its last checks fail.

--- a/tests/system/controlplane/register_service_test.cpp
+++ b/tests/system/controlplane/register_service_test.cpp
@@ -5,11 +5,13 @@
 #include <sys/resource.h>
 
 #include <catch2/catch.hpp>
-#include <chrono>
 #include <csignal>
 #include <filesystem>
+#include <functional>
+#include <optional>
 #include <string>
-#include <thread>
+#include <utility>
+#include <vector>
 
 namespace lichenlug::controlplane {
 namespace {
@@ -88,26 +90,30 @@
   RegisterService& service() { return service_; }
   const std::string& started_as() const { return started_as_; }
 
-  void RunFor(Time span) {
-    const Time end = EventLoop::Now() + span;
-    loop_.OnIdle([&] {
+  void DoAfter(Time span, std::function<void()> step) { steps_.emplace_back(span, std::move(step)); }
+
+  // Once a life: until the replica has started and all steps are done, or for long enough.
+  void Run() {
+    const Time begin = EventLoop::Now();
+    loop_.OnIdle([this, begin] {
       const Time now = EventLoop::Now();
       service_.Tick(now);
-      if (now >= end || (stop_when_started_ && !started_as_.empty())) return loop_.Stop();
+      while (!steps_.empty() && now >= begin + steps_.front().first) {
+        steps_.front().second();
+        steps_.erase(steps_.begin());
+      }
+      const bool done = steps_.empty() && !started_as_.empty();
+      if (done || now >= begin + kLongEnough) return loop_.Stop();
       loop_.SetTimer(now + kRound, [] {});
     });
-    loop_.SetTimer(EventLoop::Now() + kRound, [] {});
+    loop_.SetTimer(begin + kRound, [] {});
     loop_.Run();
   }
-  void RunUntilStarted() {
-    stop_when_started_ = true;
-    RunFor(kLongEnough);
-  }
 
  private:
   EventLoop loop_;
   std::string started_as_;
-  bool stop_when_started_ = false;
+  std::vector<std::pair<Time, std::function<void()>>> steps_;  // in order of time
   RegisterService service_;
 };
 
@@ -117,32 +123,28 @@
   const Folder folder;
   const fs::path store = folder.path() / "store";
   Life life(store, true);
-  // The folder comes only after the first attempt has failed.
-  std::thread later([&] {
-    std::this_thread::sleep_for(std::chrono::microseconds(kRefusing));
-    fs::create_directory(store);
-  });
-  life.RunUntilStarted();
-  later.join();
+  life.DoAfter(kRefusing, [&] { fs::create_directory(store); });  // the first attempt has failed
+  life.Run();
   CHECK(life.started_as() == "founder:10.0.0.1:7660");
 }
 
 TEST_CASE("a founding group whose write was refused is written again") {
   const Folder folder;
   {
-    Life life(folder.path(), false);
-    life.RunFor(kRefusing);                         // the store is open
-    REQUIRE_FALSE(life.service().KnowsFounding());  // of a later start: the group comes from a peer
-    {
-      const FullDisk full;
+    Life life(folder.path(), false);  // of a later start: the group comes from a peer
+    std::optional<FullDisk> full;
+    life.DoAfter(kRefusing, [&] {
+      REQUIRE_FALSE(life.service().KnowsFounding());
+      full.emplace();
       life.service().LearnFounding(FoundingGroup());
-      life.RunFor(kRefusing);
-    }
-    life.RunFor(4 * kRefusing);
+    });
+    life.DoAfter(2 * kRefusing, [&] { full.reset(); });
+    life.DoAfter(5 * kRefusing, [] {});
+    life.Run();
     REQUIRE_FALSE(life.started_as().empty());
   }
   Life next(folder.path(), false);
-  next.RunUntilStarted();
+  next.Run();
   CHECK(next.service().KnowsFounding());
   CHECK_FALSE(next.started_as().empty());
 }
