Open a new nng socket once its connection is lost: the exit with code 139

The stack, printed by the handler added before: a jump to address 0 within libnng, under nng_sendmsg called by PushConnection::Send. By reading: a push socket of nng 1.5 puts a pipe whose send ends at the moment it is closed back on its list of ready pipes, and the next send uses it after it was freed (after a freeze both happen at once). This reading of nng is not proven; the stack is. Ruled out: evhttp (no frame of it below the loop), the data plane (the stack is of the control plane).

Change: one push socket carries one connection. Once nng tells that it is lost, nothing is sent on it and no new pipe is taken on it; the next send opens another socket, at most every 100 ms for a peer. A pipe is freed only after the event of its loss, which waits for a send under way.

--- a/src/transport/link_liveness.h
+++ b/src/transport/link_liveness.h
@@ -20,6 +20,8 @@
   // How long the answer to such a message may take.
   static constexpr std::chrono::milliseconds kAnswerWithin{1100};
   static constexpr std::chrono::milliseconds kBetweenRenewals{1000};
+  // The same for a connection that stood and was lost: nng would have dialled again about as soon.
+  static constexpr std::chrono::milliseconds kBetweenReopenings{100};
 
   void Sent(SteadyTime now) {
     last_sent_ = now;
@@ -44,6 +46,8 @@
 
   bool MayRenew(SteadyTime now) const { return !renewed_ || now - *renewed_ >= kBetweenRenewals; }
 
+  bool MayReopen(SteadyTime now) const { return !renewed_ || now - *renewed_ >= kBetweenReopenings; }
+
   void Renewed(SteadyTime now) {
     renewed_ = now;
     Received();
--- a/src/transport/peer_links.cpp
+++ b/src/transport/peer_links.cpp
@@ -27,7 +27,9 @@
   peer.last_used = now;
   auto result = PushConnection::SendResult::kFailed;
   if (peer.connection != nullptr) result = peer.connection->Send(envelope);
-  if (result != PushConnection::SendResult::kQueued && peer.liveness.MayRenew(now)) {
+  const bool may_renew = result == PushConnection::SendResult::kLost ? peer.liveness.MayReopen(now)
+                                                                     : peer.liveness.MayRenew(now);
+  if (result != PushConnection::SendResult::kQueued && may_renew) {
     Renew(address, peer, now, to_close);
     if (peer.connection != nullptr) result = peer.connection->Send(envelope);
   }
--- a/src/transport/push_connection.cpp
+++ b/src/transport/push_connection.cpp
@@ -22,6 +22,7 @@
   nng_socket_set_int(socket_, NNG_OPT_SENDBUF, kSendBufferMessages);
   nng_socket_set_ms(socket_, NNG_OPT_RECONNMINT, kShortestReconnectMs);
   nng_socket_set_ms(socket_, NNG_OPT_RECONNMAXT, kLongestReconnectMs);
+  nng_pipe_notify(socket_, NNG_PIPE_EV_ADD_PRE, OnPipeEvent, this);
   nng_pipe_notify(socket_, NNG_PIPE_EV_ADD_POST, OnPipeEvent, this);
   nng_pipe_notify(socket_, NNG_PIPE_EV_REM_POST, OnPipeEvent, this);
   nng_dialer dialer;
@@ -33,9 +34,24 @@
 
 PushConnection::~PushConnection() { nng_close(socket_); }
 
-void PushConnection::OnPipeEvent(nng_pipe, nng_pipe_ev event, void* connection) {
-  static_cast<PushConnection*>(connection)
-      ->connected_.store(event == NNG_PIPE_EV_ADD_POST, std::memory_order_relaxed);
+void PushConnection::OnPipeEvent(nng_pipe pipe, nng_pipe_ev event, void* connection) {
+  PushConnection& self = *static_cast<PushConnection*>(connection);
+  if (event == NNG_PIPE_EV_ADD_PRE) {
+    if (self.IsLost()) nng_pipe_close(pipe);  // nng has dialled again: not on this socket
+    return;
+  }
+  self.connected_.store(event == NNG_PIPE_EV_ADD_POST, std::memory_order_relaxed);
+  if (event == NNG_PIPE_EV_REM_POST) self.Lose();
+}
+
+bool PushConnection::IsLost() {
+  const std::lock_guard lock(send_mutex_);
+  return lost_;
+}
+
+void PushConnection::Lose() {
+  const std::lock_guard lock(send_mutex_);
+  lost_ = true;
 }
 
 PushConnection::SendResult PushConnection::Send(const messages::Envelope& envelope) {
@@ -43,6 +59,11 @@
   nng_msg* message = nullptr;
   if (nng_msg_alloc(&message, size) != 0) return SendResult::kFailed;
   envelope.SerializeWithCachedSizesToArray(static_cast<std::uint8_t*>(nng_msg_body(message)));
+  const std::lock_guard lock(send_mutex_);
+  if (lost_) {
+    nng_msg_free(message);
+    return SendResult::kLost;
+  }
   const int error = nng_sendmsg(socket_, message, NNG_FLAG_NONBLOCK);
   if (error == 0) return SendResult::kQueued;
   nng_msg_free(message);
--- a/tests/system/transport/transport_test.cpp
+++ b/tests/system/transport/transport_test.cpp
@@ -6,9 +6,11 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <thread>
 
 #include "inbox.h"
 #include "raw_socket.h"
+#include "transport/push_connection.h"
 
 namespace lichenlug::transport {
 namespace {
@@ -100,6 +102,29 @@
   CHECK(SendUntil(sender.transport, address, returned.inbox, 3, milliseconds(400)));
 }
 
+TEST_CASE("a connection that was lost is not used again, though its peer is back") {
+  const std::string address = FreeAddress();
+  const auto connection = PushConnection::Open(address);
+  REQUIRE(connection != nullptr);
+  const auto wait_until = [&](bool connected) {
+    const auto end = std::chrono::steady_clock::now() + milliseconds(2000);
+    while (connection->connected() != connected && std::chrono::steady_clock::now() < end)
+      std::this_thread::sleep_for(milliseconds(5));
+    return connection->connected() == connected;
+  };
+  {
+    Node receiver(address);
+    receiver.Listen();
+    REQUIRE(wait_until(true));
+  }
+  REQUIRE(wait_until(false));
+  Node returned(address);
+  returned.Listen();
+  std::this_thread::sleep_for(milliseconds(600));  // nng has dialled again by now
+  CHECK_FALSE(connection->connected());
+  CHECK(connection->Send(Numbered(1)) == PushConnection::SendResult::kLost);
+}
+
 TEST_CASE("a peer that never listens costs messages, not time") {
   Node sender(FreeAddress());
   sender.Listen();
