Refuse late requests near the end of the grace, and end those that no runner has

From 0.6 of the grace on, what comes is refused with 503 and Retry-After, and what no runner has yet is refused too; so nothing is owed at the exit but what a runner has been at work on since. Ruled out: the readiness answer, which was 503 all the while. Test: near the end of the grace a request is refused at once.

--- a/src/dataplane/client_connection.cpp
+++ b/src/dataplane/client_connection.cpp
@@ -12,6 +12,7 @@
 constexpr Time kSendPatience = 15 * kSecond;      // for a client to take the rest of its answer
 constexpr Time kFinishPatience = kSecond;         // for a client to end its side
 constexpr Time kIdleMargin = 500 * kMillisecond;  // a request that comes in time has to travel, too
+constexpr Time kEndingRetry = 50 * kMillisecond;  // another dispatcher takes it
 constexpr Time kNoConfigurationRetry = 200 * kMillisecond, kFullRetry = 300 * kMillisecond;
 constexpr int kUserTimeoutMs = 15000;  // a client's machine without power
 
@@ -97,6 +98,8 @@
   ++context_->counters.requests;
   auto parsed = ParseRequest(std::move(message));
   if (const auto* fault = std::get_if<RequestFault>(&parsed)) return Fault(fault->status, fault->message);
+  if (context_->refusing)
+    return SendOwn(503, "this dispatcher ends: retry after the time in Retry-After", kEndingRetry);
   if (context_->router == nullptr)
     return SendOwn(503, "no configuration has come yet: retry after the time in Retry-After",
                    kNoConfigurationRetry);
--- a/src/dataplane/context.h
+++ b/src/dataplane/context.h
@@ -55,6 +55,7 @@
   Counters counters;
   std::function<void()> on_newly_unserved;  // a model or adapter was found not to be there
   bool draining = false;
+  bool refusing = false;                     // the end is near: what comes now could not be finished any more
   std::string events_buffer, framed_buffer;  // of one call, kept so that an event needs no memory of its own
 };
 
--- a/src/dataplane/data_plane.cpp
+++ b/src/dataplane/data_plane.cpp
@@ -18,6 +18,7 @@
 constexpr std::size_t kBodyShare = 4;                  // of the memory one part is for requests' bodies
 constexpr std::size_t kMostIdle = 64, kLeastIdle = 2;  // connections kept to a runner
 constexpr Time kPublishEvery = 250 * kMillisecond;
+constexpr double kRefuseFromPart = 0.6;  // of the grace
 constexpr Time kDrainLookEvery = 50 * kMillisecond;
 
 std::size_t MostConnections(int descriptors) {
@@ -115,10 +116,14 @@
   }
 
   // New connections come until the platform has noticed; so it serves on. In the second half of the grace the
-  // connections on which nothing is owed are closed, and it is drained as soon as none is left.
+  // connections on which nothing is owed are closed, and it is drained as soon as none is left. What could
+  // not be finished in time is refused: no request that was read is left without an answer.
   void LookForEnd() {
-    const bool late = context_.Now() - drain_began_ >= settings_.grace / 2;
+    const Time since = context_.Now() - drain_began_;
+    const bool late = since >= settings_.grace / 2;
     if (late) listener_.RetireIdle();
+    context_.refusing = since >= static_cast<Time>(static_cast<double>(settings_.grace) * kRefuseFromPart);
+    if (context_.refusing) exchanges_.EndUnsent();
     const bool nothing_waits = listener_.TakeWaiting();
     const bool nothing_owed = exchanges_.size() == 0 && listener_.connections() == 0;
     drained_ = late && nothing_waits && nothing_owed;
--- a/src/dataplane/exchange.cpp
+++ b/src/dataplane/exchange.cpp
@@ -134,6 +134,11 @@
     if (attempt.get() == streaming_) attempt->PauseReading(false);
 }
 
+void Exchange::EndIfUnsent() {
+  const bool sent = std::any_of(attempts_.begin(), attempts_.end(), [](const auto& a) { return a->sent(); });
+  if (!sent && !may_have_run_ && !head_sent_) DeadlineCame();
+}
+
 // One that no runner has seen can be promised not to have run.
 void Exchange::DeadlineCame() {
   const auto self = shared_from_this();
--- a/src/dataplane/exchange.h
+++ b/src/dataplane/exchange.h
@@ -49,6 +49,7 @@
   // The client.
   void ClientGone();
   void ClientDrained();
+  void EndIfUnsent();  // the process ends: refused, unless a runner may have it
 
   void AnswerCame(Attempt& attempt, HttpMessage answer) override;
   void StreamBegan(Attempt& attempt, const HttpMessage& head, bool events) override;
--- a/src/dataplane/exchange_table.cpp
+++ b/src/dataplane/exchange_table.cpp
@@ -67,6 +67,12 @@
   if (const auto exchange = Find(number)) exchange->ClientDrained();
 }
 
+void ExchangeTable::EndUnsent() {
+  std::vector<std::shared_ptr<Exchange>> all;  // each that ends leaves the table
+  for (const auto& [number, exchange] : exchanges_) all.push_back(exchange);
+  for (const auto& exchange : all) exchange->EndIfUnsent();
+}
+
 void ExchangeTable::Install(std::shared_ptr<const routing::Snapshot> snapshot) {
   decisions_.Install(context_->Now(), std::move(snapshot), &pending_);
   Execute();
--- a/src/dataplane/exchange_table.h
+++ b/src/dataplane/exchange_table.h
@@ -24,6 +24,7 @@
                                AnswerSink* sink);
   void ClientGone(routing::RequestNumber number);
   void ClientDrained(routing::RequestNumber number);
+  void EndUnsent();  // refuses all that no runner has
   void Install(std::shared_ptr<const routing::Snapshot> snapshot);
 
   std::size_t size() const { return exchanges_.size(); }
--- a/tests/system/dataplane/clients_test.cpp
+++ b/tests/system/dataplane/clients_test.cpp
@@ -250,6 +250,20 @@
   CHECK(world.Await([&](const Report&) { return drained = world.plane().Drained(); }));
 }
 
+TEST_CASE("Near the end of the grace a request is refused at once, not read and left without an answer") {
+  World world(std::vector<RunnerPlan>{}, UsualConfiguration(), true, /*grace=*/200 * kMillisecond);
+  world.plane().BeginDrain();
+  bool refused = false;
+  for (int tries = 0; tries < 10000 && !refused; ++tries) {
+    Socket client = world.Client();
+    client.Send(Post("/unsafe/1", "a" + std::to_string(tries), "b"));
+    const Message answer = client.Read();
+    CHECK(answer.Header("Connection") == "close");
+    refused = answer.body.find("this dispatcher ends") != std::string::npos;
+  }
+  CHECK(refused);
+}
+
 TEST_CASE("A drain does not close over a request that has come") {
   World world({{.id = "r1", .models = {}}}, UsualConfiguration(), true, /*grace=*/kSecond);
   Socket client = world.Client();
