--- a/tests/system/configuration/parse_test.cpp
+++ b/tests/system/configuration/parse_test.cpp
@@ -86,8 +86,8 @@
   CHECK(IsTakenWith("/routes/0/apportion", nullptr));
   CHECK(IsTakenWith("/postal_lines/1/fleet", nullptr));
   CHECK(IsTakenWith("/senders", nullptr));
-  const auto result = Parse(
-      R"({"edition":1,"routes":[{"name":"gone"}],"postal_lines":[],"routes":[],"edition":4,"parcel_limits":{}})");
+  const auto result = Parse(R"({"edition":1,"routes":[{"name":"gone"}],"postal_lines":[],)"
+                            R"("routes":[],"edition":4,"parcel_limits":{}})");
   REQUIRE(std::holds_alternative<Parsed>(result));
   CHECK(std::get<Parsed>(result).configuration->edition() == 4);
   CHECK(std::get<Parsed>(result).configuration->routes_size() == 0);
--- a/tests/system/configuration/patch_test.cpp
+++ b/tests/system/configuration/patch_test.cpp
@@ -64,8 +64,9 @@
 
 TEST_CASE("The last of several items with one name counts, and what is removed and given is there") {
   const std::string before = R"({"edition":7,"routes":[{"name":"a","x":0},{"name":"b"}]})";
-  const Json patch = Json::parse(
-      R"({"edition":8,"upsert":{"routes":[{"name":"a","x":1},{"name":"a","x":2}]},"remove":{"routes":["a","b"]}})");
+  const Json patch =
+      Json::parse(R"({"edition":8,"upsert":{"routes":[{"name":"a","x":1},{"name":"a","x":2}]},)"
+                  R"("remove":{"routes":["a","b"]}})");
   CHECK(Patched(before, patch) == Json::parse(R"({"edition":8,"routes":[{"name":"a","x":2}]})"));
 }
 
