--- /dev/null
+++ b/tests/system/controlplane/register_service_test.cpp
@@ -0,0 +1,152 @@
+// A disk that refuses writes for a while, at the start or when the founding group is kept: the replica comes
+// to vote all the same, in this life of the process and in the next one.
+#include "controlplane/register_service.h"
+
+#include <sys/resource.h>
+
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <filesystem>
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace lichenlug::controlplane {
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr Time kRound = 20 * kMillisecond;
+constexpr Time kLongEnough = 5 * kSecond;
+constexpr Time kRefusing = 500 * kMillisecond;
+
+class Folder {
+ public:
+  Folder() {
+    std::string pattern = (fs::temp_directory_path() / "register_service_test.XXXXXX").string();
+    path_ = ::mkdtemp(pattern.data());
+  }
+  ~Folder() { fs::remove_all(path_); }
+  Folder(const Folder&) = delete;
+  Folder& operator=(const Folder&) = delete;
+  const fs::path& path() const { return path_; }
+
+ private:
+  fs::path path_;
+};
+
+// While it lives no file of this process can grow, as on a full disk.
+class FullDisk {
+ public:
+  FullDisk() : handler_(std::signal(SIGXFSZ, SIG_IGN)) {
+    ::getrlimit(RLIMIT_FSIZE, &before_);
+    rlimit none = before_;
+    none.rlim_cur = 0;
+    ::setrlimit(RLIMIT_FSIZE, &none);
+  }
+  ~FullDisk() {
+    ::setrlimit(RLIMIT_FSIZE, &before_);
+    std::signal(SIGXFSZ, handler_);
+  }
+  FullDisk(const FullDisk&) = delete;
+  FullDisk& operator=(const FullDisk&) = delete;
+
+ private:
+  void (*handler_)(int);
+  rlimit before_{};
+};
+
+NodeSettings SettingsWith(const fs::path& store_folder, bool first_run) {
+  NodeSettings settings;
+  settings.name = "front-1";
+  settings.internal_address = "10.0.0.1:7660";
+  settings.seed_addresses = {"10.0.0.1:7660", "10.0.0.2:7660", "10.0.0.3:7660"};
+  settings.store_folder = store_folder.string();
+  settings.first_run = first_run;
+  return settings;
+}
+
+messages::ReplicaGroup FoundingGroup() {
+  messages::ReplicaGroup group;
+  for (const char* address : {"10.0.0.1:7660", "10.0.0.2:7660", "10.0.0.3:7660"}) {
+    messages::ReplicaIdentity* member = group.add_members();
+    member->set_replica_id(std::string("founder:") + address);
+    member->set_address(address);
+  }
+  return group;
+}
+
+// One life of a process: the loop and the service on it.
+class Life {
+ public:
+  Life(const fs::path& store_folder, bool first_run)
+      : service_(&loop_, SettingsWith(store_folder, first_run), 1, 1,
+                 [](const std::string&, messages::Envelope) {}) {
+    service_.OpenStore([this](const std::string& replica_id) { started_as_ = replica_id; });
+  }
+
+  RegisterService& service() { return service_; }
+  const std::string& started_as() const { return started_as_; }
+
+  void DoAfter(Time span, std::function<void()> step) { steps_.emplace_back(span, std::move(step)); }
+
+  // Once a life: until the replica has started and all steps are done, or for long enough.
+  void Run() {
+    const Time begin = EventLoop::Now();
+    loop_.OnIdle([this, begin] {
+      const Time now = EventLoop::Now();
+      service_.Tick(now);
+      while (!steps_.empty() && now >= begin + steps_.front().first) {
+        steps_.front().second();
+        steps_.erase(steps_.begin());
+      }
+      const bool done = steps_.empty() && !started_as_.empty();
+      if (done || now >= begin + kLongEnough) return loop_.Stop();
+      loop_.SetTimer(now + kRound, [] {});
+    });
+    loop_.SetTimer(begin + kRound, [] {});
+    loop_.Run();
+  }
+
+ private:
+  EventLoop loop_;
+  std::string started_as_;
+  std::vector<std::pair<Time, std::function<void()>>> steps_;  // in order of time
+  RegisterService service_;
+};
+
+}  // namespace
+
+TEST_CASE("a store that can't be opened at the start is opened later") {
+  const Folder folder;
+  const fs::path store = folder.path() / "store";
+  Life life(store, true);
+  life.DoAfter(kRefusing, [&] { fs::create_directory(store); });  // the first attempt has failed
+  life.Run();
+  CHECK(life.started_as() == "founder:10.0.0.1:7660");
+}
+
+TEST_CASE("a founding group whose write was refused is written again") {
+  const Folder folder;
+  {
+    Life life(folder.path(), false);  // of a later start: the group comes from a peer
+    std::optional<FullDisk> full;
+    life.DoAfter(kRefusing, [&] {
+      REQUIRE_FALSE(life.service().KnowsFounding());
+      full.emplace();
+      life.service().LearnFounding(FoundingGroup());
+    });
+    life.DoAfter(2 * kRefusing, [&] { full.reset(); });
+    life.DoAfter(5 * kRefusing, [] {});
+    life.Run();
+    REQUIRE_FALSE(life.started_as().empty());
+  }
+  Life next(folder.path(), false);
+  next.Run();
+  CHECK(next.service().KnowsFounding());
+  CHECK_FALSE(next.started_as().empty());
+}
+
+}  // namespace lichenlug::controlplane
