Read the laboratory's histograms by bin, not by Boost's indexed range

Ruled out: a real use before initialisation (the array is written before it is read). Histograms of one axis are read by index now; the figures are the same bins.

--- a/lab/virtual/judge.cpp
+++ b/lab/virtual/judge.cpp
@@ -15,9 +15,9 @@
 template <typename H>
 double Quantile(const H& h, double q) {
   double total = 0, sum = 0;
-  for (auto&& bin : boost::histogram::indexed(h)) total += *bin;
-  for (auto&& bin : boost::histogram::indexed(h))
-    if (total > 0 && (sum += *bin) >= q * total) return bin.bin().upper();
+  for (int bin = 0; bin < h.axis().size(); ++bin) total += h.at(bin);
+  for (int bin = 0; bin < h.axis().size(); ++bin)
+    if (total > 0 && (sum += h.at(bin)) >= q * total) return h.axis().bin(bin).upper();
   return 0;
 }
 
@@ -108,8 +108,10 @@
     for (double q : {0.5, 0.9, 0.99, 0.999}) cls["latency_ms"].push_back(Quantile(latency_[c], q));
     nlohmann::json& bins = cls["cdf"] = nlohmann::json::array();  // [ms, jobs up to it]
     double sum = 0;
-    for (auto&& bin : boost::histogram::indexed(latency_[c]))
-      if (*bin > 0) bins.push_back({bin.bin().upper(), sum += *bin});
+    for (int bin = 0; bin < latency_[c].axis().size(); ++bin) {
+      const double jobs = latency_[c].at(bin);
+      if (jobs > 0) bins.push_back({latency_[c].axis().bin(bin).upper(), sum += jobs});
+    }
     out["classes"].push_back(std::move(cls));
   }
   for (std::size_t t = 0; t < by_tenant_.size(); ++t)
