Keep the copies that busy models need, and place by what a copy is worth

Now a copy's worth stands on one scale with what would be unloaded for it, loads go in that order, adapters in demand say how many copies their model needs, a flooded model doesn't wait to ripen. A new holder settles for 0.3 s, and a holder uses 0.65 of the weight store's ceiling so that its successor has more than 4 loads in its first window.

Three tests, seen to fail without the change.

--- a/src/placement/eviction.cpp
+++ b/src/placement/eviction.cpp
@@ -15,11 +15,14 @@
 constexpr double kBusySpareCopy = 1.5, kBusySpareShare = 0.2;  // the others bear its demand
 constexpr double kBusyCopy = 10;
 constexpr double kRareLast = 15, kRareArrival = 10;  // the only copy of one that is seldom asked for
-constexpr Time kLeastStay = 15 * kSecond;        // from its assignment, so that such models take turns slowly
+constexpr double kAskedMargin = 5;  // over a seldom asked one that stands, so that such models take turns
+constexpr Time kLeastStay = 6 * kSecond;         // from its assignment, so that they take turns slowly
 constexpr Time kLeastAdapterStay = 3 * kSecond;  // an adapter is there again in some ms
 constexpr double kAdapter = 2, kAdapterArrival = 2, kAdapterRunning = 5;  // the only copy, in demand
 constexpr double kLastAdapter = 5;  // for each that the unload of a model's copy would leave nowhere
 constexpr double kSparedFill = 0.5;
+constexpr double kOverloadPart = 0.8;  // of its share of the running requests is what another copy is worth
+constexpr double kReliefWorth = 2;
 constexpr double kStillUnserved = 0.5;  // requests; what remains of the count fades, and never ends
 constexpr double kBusyArrivals = 0.3;   // a second: its only copy is never unloaded
 
@@ -41,7 +44,7 @@
 
 double ValueOf(const PlanContext& context, const Key& key) {
   if (!context.catalog->Knows(key)) return kUnknownModel;
-  const Demand& demand = key.is_model() ? context.demand->OfModel(key.model) : context.demand->Of(key);
+  const Demand& demand = DemandOf(context, key);
   const std::size_t copies = context.view->HoldersOf(key).size();
   if (copies > 1) {
     if (!demand.present()) return kIdleCopy;
@@ -83,14 +86,21 @@
 
 }  // namespace
 
-double MostValue(Urgency urgency) {
+const Demand& DemandOf(const PlanContext& context, const Key& key) {
+  return key.is_model() ? context.demand->OfModel(key.model) : context.demand->Of(key);
+}
+
+double WorthOfCopy(const PlanContext& context, const Key& key, Urgency urgency) {
+  const Demand& demand = DemandOf(context, key);
+  const auto copies = static_cast<double>(context.view->HoldersOf(key).size());
+  const double share = std::min<double>(demand.running / (copies + 1), context.catalog->slots());
   switch (urgency) {
     case Urgency::kAsked:
-      return 100;
+      return kRareLast + kAskedMargin + kRareArrival * demand.arrivals_per_s;
     case Urgency::kOverload:
-      return 4;
+      return kBusyCopy + kOverloadPart * share;
     case Urgency::kRelief:
-      return 2;
+      return kReliefWorth;
     case Urgency::kSpare:
       return 0;
   }
--- a/src/placement/eviction.h
+++ b/src/placement/eviction.h
@@ -18,6 +18,9 @@
   int loads_left = std::numeric_limits<int>::max();  // that the weight store allows and no intent waits for
 };
 
+// A model's with all its adapters.
+const Demand& DemandOf(const PlanContext& context, const Key& key);
+
 struct Victims {
   std::vector<Key> keys;  // empty: there is room already
   double cost = 0;
@@ -28,7 +31,8 @@
 std::optional<Victims> FindVictims(const PlanContext& context, const RunnerView& runner, const Key& target,
                                    double most);
 
-// What unloading may cost for the sake of a load of this urgency.
-double MostValue(Urgency urgency);
+// The most that unloading may cost for the sake of one more copy of the key: what that copy is worth, on the
+// scale of what has to go for it.
+double WorthOfCopy(const PlanContext& context, const Key& key, Urgency urgency);
 
 }  // namespace lichenlug::placement
--- a/src/placement/fleet_view.h
+++ b/src/placement/fleet_view.h
@@ -29,6 +29,7 @@
   Key target;
   Urgency urgency = Urgency::kAsked;
   Time since = 0;
+  double worth = 0;  // what may be unloaded for it at most
 };
 
 struct RunnerView {
--- a/src/placement/load_budget.cpp
+++ b/src/placement/load_budget.cpp
@@ -6,8 +6,8 @@
 namespace lichenlug::placement {
 namespace {
 
-constexpr double kUsedShare = 0.9;  // of what the store allows
-constexpr int kBurst = 3;           // the store bears as many more in a window
+constexpr double kUsedShare = 0.65;  // of what the store allows; the rest is for a holder that takes over
+constexpr int kBurst = 3;            // the store bears as many more in a window
 constexpr Time kArrivalMargin = 500 * kMillisecond;
 
 }  // namespace
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -9,6 +9,9 @@
 
 constexpr Time kForgetRunner = 30 * kSecond;
 constexpr Time kAnswerMargin = 2 * kSecond;  // a call whose end isn't told this long after it had to end
+// Every dispatcher hears of the runners all along; and an order meets the state that it was decided on, or
+// isn't taken.
+constexpr Time kSettleAfterTakeOver = 300 * kMillisecond;
 constexpr Time kRefuseFor = 10 * kSecond;
 constexpr std::size_t kPromptFleet = 200;  // so few runners are planned for after each answer
 constexpr std::size_t kMostDisks = 40000, kMostRunners = 20000;
@@ -77,7 +80,7 @@
     runner.ledger.Restart();
     runner.intent.reset();
   }
-  settle_until_ = now + settings_.heartbeat * 3 / 2;
+  settle_until_ = now + (first ? settings_.heartbeat * 3 / 2 : kSettleAfterTakeOver);
   next_plan_ = settle_until_;
 }
 
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -9,11 +9,13 @@
 namespace {
 
 constexpr double kFull = 0.6, kBusy = 0.3, kAim = 0.5;  // shares of a runner's slots
+constexpr double kFlooded = 1;       // requests queue at the holders: no wait to see whether it lasts
 constexpr double kLargeShare = 0.1;  // a key with less of a runner's slots isn't worth another copy
 constexpr double kLess = 0.8, kClearlyLess = 0.5;  // another runner's load against that of the holders
 constexpr double kAnyFill = std::numeric_limits<double>::infinity();
 constexpr double kSafeArrivals = 3;  // a second, from which the loss of an only copy costs more than a load
 constexpr double kBusyArrivals = 1;  // a second, from which a model is worth the free room of idle runners
+constexpr double kUrgentWorth = 25;  // of a copy that goes before any load of a seldom asked model
 constexpr double kMissedArrivals = 0.2;  // a second, from which a missing key needs no refused request
 constexpr Time kUrgentAfter = 500 * kMillisecond, kOptionalAfter = 3 * kSecond;
 constexpr Time kRememberPlaced = 60 * kSecond;
@@ -29,10 +31,6 @@
   return holders.empty() ? 0 : sum / static_cast<double>(holders.size()) / context.catalog->slots();
 }
 
-const Demand& DemandOf(const PlanContext& context, const Key& key) {
-  return key.is_model() ? context.demand->OfModel(key.model) : context.demand->Of(key);
-}
-
 // Models first, then adapters, the most wanted first.
 std::vector<Key> KeysInDemand(const PlanContext& context) {
   std::vector<Key> keys;
@@ -70,18 +68,35 @@
   const std::size_t most = std::max<std::size_t>(1, context.view->runners.size() / kRunnersPerOptional);
   int loads_left = context.loads_left;
   Pass pass{&context, &assignments, most > pending ? most - pending : 0, &loads_left};
-  PlaceMissing(pass);
-  PlaceCopies(&pass);
+  NoteCrowded(context);
+  for (const double least_worth : {kUrgentWorth, 0.0}) {
+    PlaceMissing(pass, least_worth);
+    PlaceCopies(&pass, least_worth);
+  }
   std::erase_if(short_since_, [&](const auto& entry) { return !wishes_.count(entry.first); });
   return assignments;
 }
 
-void Planner::PlaceMissing(const Pass& pass) {
-  const PlanContext& context = *pass.context;
+// Models whose runners have too few places for the adapters that are asked for.
+void Planner::NoteCrowded(const PlanContext& context) {
   crowded_.clear();
+  const auto places = static_cast<std::size_t>(std::max(1, context.catalog->adapter_slots()));
+  std::map<std::string, std::size_t> adapters;  // in demand, by model
+  std::map<std::string, bool> homeless;
+  for (const auto& [key, demand] : context.demand->keys()) {
+    if (key.is_model() || !demand.present()) continue;
+    ++adapters[key.model];
+    if (context.view->HoldersOf(key).empty() && Missing(demand)) homeless[key.model] = true;
+  }
+  for (const auto& [model, lacks] : homeless) crowded_[model] = (adapters[model] + places - 1) / places;
+}
+
+void Planner::PlaceMissing(const Pass& pass, double least_worth) {
+  const PlanContext& context = *pass.context;
   for (const Key& key : KeysInDemand(context)) {
     const Demand& demand = DemandOf(context, key);
     if (!context.view->HoldersOf(key).empty() || !Missing(demand)) continue;
+    if (WorthOfCopy(context, key, Urgency::kAsked) < least_worth) continue;
     Wish& wish = wishes_[key] = {1, Urgency::kAsked, kAnyFill, ""};
     if (Refused(context.now, key)) {
       wish.hindrance = "a runner refused the order as invalid";
@@ -89,11 +104,10 @@
     }
     if (Place(pass, key, Urgency::kAsked, kAnyFill)) continue;
     wish.hindrance = "no runner is free, all hold what is in demand, or the weight store's turn comes later";
-    if (!key.is_model() && !context.view->HoldersOf({key.model, ""}).empty()) crowded_[key.model] = true;
   }
 }
 
-void Planner::PlaceCopies(Pass* pass) {
+void Planner::PlaceCopies(Pass* pass, double least_worth) {
   const PlanContext& context = *pass->context;
   for (const Key& key : KeysInDemand(context)) {
     const std::vector<std::size_t> holders = context.view->HoldersOf(key);
@@ -101,6 +115,7 @@
     const double fill = FillOf(context, holders);
     const Wish wish = wishes_[key] = WishFor(context, key, DemandOf(context, key), fill);
     if (!Ripe(context.now, key, wish, holders.size())) continue;
+    if (WorthOfCopy(context, key, wish.urgency) < least_worth) continue;
     const bool urgent = wish.urgency <= Urgency::kOverload;
     for (std::size_t copies = holders.size(); copies < wish.copies; ++copies) {
       if (!urgent && pass->optional_left == 0) break;
@@ -120,9 +135,11 @@
   const double share = demand.running / static_cast<double>(copies) / slots;
   if (share > kFull) {
     const auto wanted = static_cast<std::size_t>(std::ceil(demand.running / (kAim * slots)));
-    return {std::max(copies + 1, wanted), Urgency::kOverload, fill * kLess, ""};
+    return {std::max(copies + 1, wanted), Urgency::kOverload, fill * kLess, "", share > kFlooded};
   }
-  if (key.is_model() && crowded_.count(key.model)) return {copies + 1, Urgency::kAsked, kAnyFill, ""};
+  const auto crowded = crowded_.find(key.model);
+  if (key.is_model() && crowded != crowded_.end() && crowded->second > copies)
+    return {crowded->second, Urgency::kAsked, kAnyFill, ""};
   if (fill > kFull && share > kLargeShare) return {copies + 1, Urgency::kRelief, fill * kClearlyLess, ""};
   if (fill > kBusy && share > kLargeShare) return {copies + 1, Urgency::kSpare, fill * kClearlyLess, ""};
   if (copies == 1 && demand.arrivals_per_s > kSafeArrivals) return {2, Urgency::kSpare, kFull, ""};
@@ -141,12 +158,14 @@
     return false;
   }
   const Time since = short_since_.try_emplace(key, now).first->second;
+  if (wish.flooded) return true;
   return now - since >= (wish.urgency == Urgency::kSpare ? kOptionalAfter : kUrgentAfter);
 }
 
 bool Planner::Place(const Pass& pass, const Key& key, Urgency urgency, double most_fill) {
   const PlanContext& context = *pass.context;
   if (key.is_model() && *pass.loads_left <= 0) return false;
+  const double worth = WorthOfCopy(context, key, urgency);
   std::optional<std::size_t> best;
   double best_cost = 0;
   for (std::size_t i = 0; i < context.view->runners.size(); ++i) {
@@ -155,7 +174,7 @@
     const Key model{key.model, ""};  // held, and not about to go
     if (!key.is_model() && !(runner.held.Holds(model) && runner.expected.Holds(model))) continue;
     if (runner.load / context.catalog->slots() > most_fill) continue;
-    const auto victims = FindVictims(context, runner, key, MostValue(urgency));
+    const auto victims = FindVictims(context, runner, key, worth);
     if (!victims) continue;
     const double orders = kOrderCost * static_cast<double>(victims->keys.size());
     const double cost = CostOf(context, runner, key, victims->cost + orders);
@@ -168,7 +187,7 @@
   context.view->runners[*best].available = false;
   context.view->Expect(*best, key);
   if (urgency == Urgency::kAsked) placed_[key] = context.now;
-  pass.assignments->push_back({*best, {key, urgency, context.now}});
+  pass.assignments->push_back({*best, {key, urgency, context.now, worth}});
   return true;
 }
 
@@ -180,7 +199,8 @@
     if (context.view->runners[holder].zone == runner.zone)
       cost += kZoneCost / static_cast<double>(holders.size());
   if (key.is_model() && !context.view->OnDisk(runner.address, key.model)) cost += kColdCost;
-  if (!key.is_model()) cost += kAdapterCost * runner.expected.adapter_count();
+  const Catalog::Model* model = context.catalog->Find(key.model);
+  if (model && model->adapters > 0) cost += kAdapterCost * runner.expected.adapter_count();
   // Among equals another one for each key and seed.
   const std::size_t hash =
       std::hash<std::string>()(runner.id + '/' + ToText(key)) ^ seed_ * 0x9e3779b97f4a7c15u;
--- a/src/placement/planner.h
+++ b/src/placement/planner.h
@@ -33,6 +33,7 @@
     Urgency urgency = Urgency::kAsked;
     double most_fill = 0;  // of a runner that is worth a copy: its load over its slots
     const char* hindrance = "";
+    bool flooded = false;  // more requests than its runners have slots for
   };
   const std::map<Key, Wish>& wishes() const { return wishes_; }
 
@@ -49,16 +50,17 @@
                 double victims_cost) const;
   Wish WishFor(const PlanContext& context, const Key& key, const Demand& demand, double fill) const;
   bool Ripe(Time now, const Key& key, const Wish& wish, std::size_t copies);
-  void PlaceMissing(const Pass& pass);
-  void PlaceCopies(Pass* pass);
+  void NoteCrowded(const PlanContext& context);
+  // Only what is worth so much at least.
+  void PlaceMissing(const Pass& pass, double least_worth);
+  void PlaceCopies(Pass* pass, double least_worth);
 
   std::uint64_t seed_;
   std::map<Key, Wish> wishes_;
   std::map<Key, Time> short_since_;  // of copies
   std::map<Key, Time> refused_;
-  std::map<Key, Time> placed_;  // what stood nowhere, when it was last assigned
-  std::map<std::string, bool>
-      crowded_;  // models whose runners have no place for an adapter that is asked for
+  std::map<Key, Time> placed_;                  // what stood nowhere, when it was last assigned
+  std::map<std::string, std::size_t> crowded_;  // by model: the copies that its adapters in demand need
 };
 
 }  // namespace lichenlug::placement
--- a/src/placement/steps.cpp
+++ b/src/placement/steps.cpp
@@ -85,16 +85,16 @@
 }
 
 void Placement::Impl::Execute(Time now, Calls* calls) {
-  std::vector<std::pair<Urgency, const std::string*>> order;
+  std::vector<std::pair<double, const std::string*>> order;  // by what an intent is worth
   bool waiting = false;
   for (auto& [id, runner] : runners_) {
     const RunnerLedger::Phase phase = runner.ledger.phase();
     if (runner.intent || phase == RunnerLedger::Phase::kWorking)
-      order.emplace_back(runner.intent ? runner.intent->urgency : Urgency::kSpare, &id);
+      order.emplace_back(runner.intent ? runner.intent->worth : 0, &id);
   }
   std::stable_sort(order.begin(), order.end(),
-                   [](const auto& a, const auto& b) { return a.first < b.first; });
-  for (const auto& [urgency, id] : order) {
+                   [](const auto& a, const auto& b) { return a.first > b.first; });
+  for (const auto& [worth, id] : order) {
     Runner& runner = runners_.at(*id);
     Step(now, *id, &runner, calls);
     waiting = waiting || runner.intent || runner.ledger.phase() == RunnerLedger::Phase::kWorking;
@@ -127,8 +127,8 @@
   view.id = id;
   view.held = ledger.held();
   view.may_hold = ledger.MayHold();
-  const auto victims = FindVictims({now, &catalog_, &demand_, &view_, &planner_.placed()}, view, target,
-                                   MostValue(intent.urgency));
+  const auto victims =
+      FindVictims({now, &catalog_, &demand_, &view_, &planner_.placed()}, view, target, intent.worth);
   if (!victims || victims->keys.empty()) {
     runner->intent.reset();
     return;
--- a/tests/system/placement/adapters_test.cpp
+++ b/tests/system/placement/adapters_test.cpp
@@ -37,5 +37,26 @@
   }
 }
 
+TEST_CASE("adapters without a place bring as many copies of their model as they need, not one at each plan") {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    SimulationOptions options;
+    options.seed = seed;
+    options.adapters = 2 * kAdapters;
+    options.runners = 18;
+    SimulatedFleet fleet(options);
+    for (int i = 1; i <= 2 * kAdapters; ++i) fleet.Ask({fleet.ModelName(3), "a" + std::to_string(i)}, 1);
+    fleet.Run(10 * kSecond);
+    for (int i = 1; i <= kAdapters; ++i) fleet.Ask({fleet.ModelName(6), "a" + std::to_string(i)}, 1);
+    fleet.Run(6 * kSecond);
+    std::size_t copies = 0;
+    for (const SimulatedRunner& runner : fleet.runners())
+      copies += runner.held.Holds({fleet.ModelName(6), ""}) ? 1 : 0;
+    INFO("seed " << seed);
+    CHECK(copies >= 4);
+    CHECK(copies <= 7);
+    for (const std::string& broken : fleet.broken()) FAIL(broken);
+  }
+}
+
 }  // namespace
 }  // namespace lichenlug::placement
--- a/tests/system/placement/placement_test.cpp
+++ b/tests/system/placement/placement_test.cpp
@@ -62,5 +62,57 @@
   }
 }
 
+std::size_t Holders(SimulatedFleet* fleet, const Key& key) {
+  std::size_t holders = 0;
+  for (const SimulatedRunner& runner : fleet->runners()) holders += runner.held.Holds(key) ? 1 : 0;
+  return holders;
+}
+
+// More models are asked for now and then than there is room for.
+void AskForRareModels(SimulatedFleet* fleet, int first, double requests_per_s) {
+  for (int i = first; i < fleet->service().engine().models_size(); ++i)
+    fleet->Ask({fleet->ModelName(i), ""}, requests_per_s);
+}
+
+TEST_CASE("a busy model keeps the copies it needs while many others are asked for now and then") {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    SimulationOptions options;
+    options.seed = seed;
+    options.models = 45;
+    options.slots = 32;
+    options.loads_per_s = 5.7;
+    SimulatedFleet fleet(options);
+    const Key busy{fleet.ModelName(1), ""};
+    fleet.Ask(busy, 100);
+    fleet.Run(15 * kSecond);
+    const std::size_t before = Holders(&fleet, busy);
+    REQUIRE(before >= 5);
+    AskForRareModels(&fleet, 2, 0.25);
+    fleet.Run(30 * kSecond);
+    INFO("seed " << seed << ", copies before " << before);
+    CHECK(Holders(&fleet, busy) >= 5);
+    RequireUnbroken(fleet);
+  }
+}
+
+TEST_CASE("a model that becomes busy gets its copies although all room is taken by others asked for") {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    SimulationOptions options;
+    options.seed = seed;
+    options.models = 45;
+    options.slots = 32;
+    options.loads_per_s = 5.7;
+    SimulatedFleet fleet(options);
+    AskForRareModels(&fleet, 1, 0.25);
+    fleet.Run(15 * kSecond);
+    const Key busy{fleet.ModelName(1), ""};
+    fleet.Ask(busy, 100);
+    fleet.Run(12 * kSecond);
+    INFO("seed " << seed);
+    CHECK(Holders(&fleet, busy) >= 5);
+    RequireUnbroken(fleet);
+  }
+}
+
 }  // namespace
 }  // namespace lichenlug::placement
