Tell loads from the weight store with the lease, so that a new holder may load at once

Each renewal now tells the loads begun of late by age, those not settled, and how many may begin until the next one; the holder keeps to that. Whoever takes over counts all of it as its own: ages grow by the time since the renewal was seen, what was allowed or not settled counts as begun at the take-over. A state that tells nothing of a service counts as a full window. Ruled out: the interval of heartbeats before the first plan (0.3 s now), the rate itself.

Also: the second copy of a model with over 3 requests a second costs more to unload than idle models; one that was brought for requests of late gives way to overloaded models alone.

--- a/src/controlplane/duty_service.cpp
+++ b/src/controlplane/duty_service.cpp
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "duties/load_history.h"
+
 namespace lichenlug::controlplane {
 
 namespace {
@@ -57,12 +59,26 @@
 
 duties::Ownership& DutyService::OwnershipOf(const std::string& register_name) {
   auto& ownership = ownerships_[register_name];
-  if (!ownership)
-    ownership = std::make_unique<duties::Ownership>(
-        OwnershipSettingsFor(register_name, settings_, incarnation_, seed_));
+  if (!ownership) {
+    auto own = OwnershipSettingsFor(register_name, settings_, incarnation_, seed_);
+    own.tell_loads = [this, register_name](Time now) { return TellLoads(now, register_name); };
+    ownership = std::make_unique<duties::Ownership>(std::move(own));
+  }
   return *ownership;
 }
 
+std::vector<messages::LoadHistory> DutyService::TellLoads(Time now, const std::string& register_name) const {
+  std::vector<messages::LoadHistory> loads;
+  const auto ownership = ownerships_.find(register_name);
+  if (ownership == ownerships_.end()) return loads;
+  for (const auto& [service, placement] : placements_) {
+    if (ShardRegister(service) != register_name) continue;
+    if (auto history = placement->TellLoads(now, ownership->second->epoch(), resigned_))
+      loads.push_back(std::move(*history));
+  }
+  return loads;
+}
+
 placement::Placement& DutyService::PlacementOf(const std::string& service) {
   auto& placement = placements_[service];
   if (!placement) {
@@ -251,6 +267,10 @@
     input.demand = &*demand;
     input.holds = holds;
     input.epoch = holds ? ownership->second->epoch() : 0;
+    if (holds && ownership->second->lease_started_at()) {
+      input.loads = duties::FindLoads(ownership->second->state(), service.name());
+      input.lease_started_at = *ownership->second->lease_started_at();
+    }
     std::vector<duties::HttpCall> calls;
     PlacementOf(service.name()).Act(now, input, &calls);
     for (const duties::HttpCall& call : calls) {
--- a/src/controlplane/duty_service.h
+++ b/src/controlplane/duty_service.h
@@ -69,6 +69,7 @@
   std::vector<messages::DemandReport> RecentDemand(Time now);
   void Tell(const messages::DutiesMessage& message);
   placement::Placement& PlacementOf(const std::string& service);
+  std::vector<messages::LoadHistory> TellLoads(Time now, const std::string& register_name) const;
 
   NodeSettings settings_;
   std::uint64_t incarnation_;
--- a/src/duties/ownership.cpp
+++ b/src/duties/ownership.cpp
@@ -94,6 +94,7 @@
 
   bool Holds(Time now) const { return lease_started_at_ && !resigned_ && now < LeaseEnd(); }
   std::uint64_t epoch() const { return state_.epoch(); }
+  std::optional<Time> lease_started_at() const { return lease_started_at_; }
   const OwnershipState& state() const { return state_; }
 
   void ChooseTally(Time now, const WindowCount& tally, OwnershipOutput* output) {
@@ -165,21 +166,25 @@
     if (!plan || now < plan->at) return;
     Operation operation{plan->kind, ++last_tag_, now, now + OperationTime()};
     output->operations.push_back(
-        {operation.tag, settings_.register_name, ChangeOf(plan->kind), operation.give_up_at});
+        {operation.tag, settings_.register_name, ChangeOf(now, plan->kind), operation.give_up_at});
     running_ = operation;
     started_at_ = now;
   }
 
   Time OperationTime() const { return std::min(kLongestOperation, settings_.lease / kRenewalsInLease); }
 
-  consensus::ChangeFunction ChangeOf(Kind kind) const {
+  std::vector<messages::LoadHistory> Loads(Time now) const {
+    return settings_.tell_loads ? settings_.tell_loads(now) : std::vector<messages::LoadHistory>();
+  }
+
+  consensus::ChangeFunction ChangeOf(Time now, Kind kind) const {
     switch (kind) {
       case Kind::kTakeOver:
-        return TakeOver(RenewalOf(state_), self_);
+        return TakeOver(RenewalOf(state_), self_, now - observed_since_.value_or(now));
       case Kind::kRenew:
-        return Renew(self_, state_.epoch(), tallies_);
+        return Renew(self_, state_.epoch(), tallies_, Loads(now));
       case Kind::kGiveUp:
-        return GiveUp(self_, state_.epoch());
+        return GiveUp(self_, state_.epoch(), Loads(now));
       case Kind::kRead:
         break;
     }
@@ -267,6 +272,7 @@
 std::optional<Time> Ownership::NextTimer() const { return impl_->NextTimer(); }
 bool Ownership::Holds(Time now) const { return impl_->Holds(now); }
 std::uint64_t Ownership::epoch() const { return impl_->epoch(); }
+std::optional<Time> Ownership::lease_started_at() const { return impl_->lease_started_at(); }
 const messages::OwnershipState& Ownership::state() const { return impl_->state(); }
 void Ownership::ChooseTally(Time now, const messages::WindowCount& tally, OwnershipOutput* output) {
   impl_->ChooseTally(now, tally, output);
--- a/src/duties/ownership.h
+++ b/src/duties/ownership.h
@@ -38,6 +38,9 @@
   std::uint64_t self_incarnation = 0;
   Time lease = 3 * kSecond;
   std::uint64_t seed = 0;
+  // Asked as a renewal begins, by the owner: what its placement may have loaded of late. None where nothing
+  // is placed.
+  std::function<std::vector<messages::LoadHistory>(Time now)> tell_loads;
 };
 
 class Ownership {
@@ -56,6 +59,9 @@
 
   bool Holds(Time now) const;  // may act at this moment
   std::uint64_t epoch() const;
+  // Start of the last renewal or take-over of this dispatcher that was chosen: the moment that the state's
+  // histories of loads are of. None unless it owns the duty.
+  std::optional<Time> lease_started_at() const;
   const messages::OwnershipState& state() const;  // as last seen chosen
   // Adds to the state with the next renewal, at once: usage tallies. Dropped if the ownership is lost before
   // it is chosen.
--- a/src/duties/ownership_changes.cpp
+++ b/src/duties/ownership_changes.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "duties/load_history.h"
+
 namespace lichenlug::duties {
 namespace {
 
@@ -35,8 +37,8 @@
   return [](const std::string&) -> Change { return KeepPayload{kOnlyRead}; };
 }
 
-consensus::ChangeFunction TakeOver(const Renewal& observed, const Holder& taker) {
-  return [observed, taker](const std::string& payload) -> Change {
+consensus::ChangeFunction TakeOver(const Renewal& observed, const Holder& taker, Time elapsed) {
+  return [observed, taker, elapsed](const std::string& payload) -> Change {
     std::optional<OwnershipState> state = ReadState(payload);
     if (!state) return KeepPayload{kUnreadable};
     if (RenewalOf(*state) != observed) return KeepPayload{kWasRenewed};
@@ -44,29 +46,35 @@
     state->set_owner_incarnation(taker.incarnation);
     state->set_epoch(observed.epoch + 1);
     state->set_renewals(0);
+    for (messages::LoadHistory& history : *state->mutable_loads()) AgeLoads(elapsed, &history);
     return NewPayload{state->SerializeAsString()};
   };
 }
 
 consensus::ChangeFunction Renew(const Holder& owner, std::uint64_t epoch,
-                                std::vector<messages::WindowCount> tallies) {
-  return [owner, epoch, tallies = std::move(tallies)](const std::string& payload) -> Change {
+                                std::vector<messages::WindowCount> tallies,
+                                std::vector<messages::LoadHistory> loads) {
+  return [owner, epoch, tallies = std::move(tallies),
+          loads = std::move(loads)](const std::string& payload) -> Change {
     std::optional<OwnershipState> state = ReadState(payload);
     if (!state) return KeepPayload{kUnreadable};
     if (OwnerOf(*state) != owner || state->epoch() != epoch) return KeepPayload{kNotOwner};
     state->set_renewals(state->renewals() + 1);
     for (const auto& tally : tallies) AddTally(tally, &*state);
+    ReplaceLoads(loads, &*state);
     return NewPayload{state->SerializeAsString()};
   };
 }
 
-consensus::ChangeFunction GiveUp(const Holder& owner, std::uint64_t epoch) {
-  return [owner, epoch](const std::string& payload) -> Change {
+consensus::ChangeFunction GiveUp(const Holder& owner, std::uint64_t epoch,
+                                 std::vector<messages::LoadHistory> loads) {
+  return [owner, epoch, loads = std::move(loads)](const std::string& payload) -> Change {
     std::optional<OwnershipState> state = ReadState(payload);
     if (!state) return KeepPayload{kUnreadable};
     if (OwnerOf(*state) != owner || state->epoch() != epoch) return KeepPayload{kNotOwner};
     state->set_owner("");
     state->set_owner_incarnation(0);
+    ReplaceLoads(loads, &*state);
     return NewPayload{state->SerializeAsString()};
   };
 }
--- a/src/duties/ownership_changes.h
+++ b/src/duties/ownership_changes.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "base/clock.h"
 #include "consensus/register_node.h"
 #include "messages/generated/duties.pb.h"
 
@@ -41,12 +42,15 @@
 Renewal RenewalOf(const messages::OwnershipState& state);
 
 consensus::ChangeFunction ReadOnly();
-// Takes over what is still as observed, in the next epoch.
-consensus::ChangeFunction TakeOver(const Renewal& observed, const Holder& taker);
-// Renews the lease of an epoch, and adds tallies of windows later than those that are chosen.
+// Takes over what is still as observed `elapsed` ago, in the next epoch.
+consensus::ChangeFunction TakeOver(const Renewal& observed, const Holder& taker, Time elapsed);
+// Renews the lease of an epoch, adds tallies of windows later than those that are chosen, and replaces the
+// histories of the services that are told.
 consensus::ChangeFunction Renew(const Holder& owner, std::uint64_t epoch,
-                                std::vector<messages::WindowCount> tallies);
+                                std::vector<messages::WindowCount> tallies,
+                                std::vector<messages::LoadHistory> loads);
 // Leaves the duty without owner; the epoch stays.
-consensus::ChangeFunction GiveUp(const Holder& owner, std::uint64_t epoch);
+consensus::ChangeFunction GiveUp(const Holder& owner, std::uint64_t epoch,
+                                 std::vector<messages::LoadHistory> loads);
 
 }  // namespace lichenlug::duties
--- a/src/placement/eviction.cpp
+++ b/src/placement/eviction.cpp
@@ -15,8 +15,10 @@
 constexpr double kBusySpareCopy = 1.5, kBusySpareShare = 0.2;  // the others bear its demand
 constexpr double kBusyCopy = 10;
 constexpr double kRareLast = 15, kRareArrival = 10;  // the only copy of one that is seldom asked for
-constexpr double kAskedMargin = 5;  // over a seldom asked one that stands, so that such models take turns
-constexpr Time kLeastStay = 6 * kSecond;         // from its assignment, so that they take turns slowly
+constexpr double kNewRareLast = 30;  // of late brought for requests: it gives way to what is overloaded alone
+constexpr double kSecondCopy = 12;   // of one whose loss would cost more than a load
+constexpr double kAskedMargin = 5;   // over a seldom asked one that stands, so that such models take turns
+constexpr Time kLeastStay = 15 * kSecond;        // from its assignment, so that they take turns slowly
 constexpr Time kLeastAdapterStay = 3 * kSecond;  // an adapter is there again in some ms
 constexpr double kAdapter = 2, kAdapterArrival = 2, kAdapterRunning = 5;  // the only copy, in demand
 constexpr double kLastAdapter = 5;  // for each that the unload of a model's copy would leave nowhere
@@ -24,7 +26,8 @@
 constexpr double kOverloadPart = 0.8;  // of its share of the running requests is what another copy is worth
 constexpr double kReliefWorth = 2;
 constexpr double kStillUnserved = 0.5;  // requests; what remains of the count fades, and never ends
-constexpr double kBusyArrivals = 0.3;   // a second: its only copy is never unloaded
+constexpr double kSafeArrivals = 3;    // a second, from which the loss of an only copy costs more than a load
+constexpr double kBusyArrivals = 0.3;  // a second: its only copy is never unloaded
 
 double IdleTime(const PlanContext& context, const Demand& demand) {
   return demand.last_asked == 0 ? 1e12 : static_cast<double>(context.now - demand.last_asked);
@@ -51,12 +54,13 @@
     const double share = demand.running / static_cast<double>(copies);
     const double left = demand.running / static_cast<double>(copies - 1);
     const bool spare = left <= kSparedFill * context.catalog->slots();
+    if (spare && copies == 2 && key.is_model() && demand.arrivals_per_s > kSafeArrivals) return kSecondCopy;
     return spare ? kBusySpareCopy + kBusySpareShare * share : kBusyCopy + share;
   }
   if (!key.is_model() && demand.present()) return ValueOfLastAdapter(context, key, demand);
   if (demand.running > 0.5 || demand.arrivals_per_s >= kBusyArrivals || demand.unserved > kStillUnserved)
     return kNever;
-  if (demand.present() && IsNew(context, key, kLeastStay)) return kNever;
+  if (demand.present() && IsNew(context, key, kLeastStay)) return kNewRareLast;
   if (demand.present()) return kRareLast + kRareArrival * demand.arrivals_per_s;
   return kIdleLast + kJustIdleLast * std::exp(-IdleTime(context, demand) / kIdleFade);
 }
--- a/src/placement/load_budget.cpp
+++ b/src/placement/load_budget.cpp
@@ -6,9 +6,13 @@
 namespace lichenlug::placement {
 namespace {
 
-constexpr double kUsedShare = 0.65;  // of what the store allows; the rest is for a holder that takes over
-constexpr int kBurst = 3;            // the store bears as many more in a window
+constexpr int kBurst = 3;      // the store bears as many more in a window
+constexpr int kUsedBurst = 1;  // of these are used, the others are a margin
 constexpr Time kArrivalMargin = 500 * kMillisecond;
+constexpr Time kAgeStep = 100 * kMillisecond;  // ages are told in steps, rounded down
+constexpr double kRenewalsInLease = 3;
+constexpr int kLeastAllowance = 2;
+constexpr std::uint32_t kMostInherited = 10'000;  // of one entry: more than any store gives in a window
 
 }  // namespace
 
@@ -17,40 +21,85 @@
 
 void LoadBudget::SetRate(double loads_per_s) { loads_per_s_ = loads_per_s; }
 
-void LoadBudget::TakeOver(Time now) { restricted_until_ = now + window_ + kArrivalMargin; }
+void LoadBudget::TakeOver(Time now) {
+  for (int i = 0; i < Limit(); ++i) loads_[next_++] = Load{true, now, now, false};
+}
+
+// What this dispatcher itself loaded in an earlier epoch is in the history too, unless it isn't settled.
+void LoadBudget::Inherit(Time told_at, const messages::LoadHistory& history) {
+  std::erase_if(loads_, [](const auto& entry) { return entry.second.settled; });
+  for (const messages::LoadsBegun& begun : history.begun()) {
+    const Time latest = told_at - static_cast<Time>(std::min<std::uint64_t>(begun.age_us(), 3600 * kSecond));
+    for (std::uint32_t i = 0; i < std::min(begun.loads(), kMostInherited); ++i)
+      loads_[next_++] = Load{true, latest, latest, false};
+  }
+}
+
+void LoadBudget::SetAllowance(Time since, int loads) {
+  allowance_ = loads;
+  begun_of_allowance_ = static_cast<int>(std::count_if(loads_.begin(), loads_.end(), [&](const auto& entry) {
+    return entry.second.own && entry.second.ordered_at >= since;
+  }));
+}
 
-int LoadBudget::Limit(Time now) const {
+messages::LoadHistory LoadBudget::History(Time now) const {
+  std::map<Time, std::uint32_t> by_age;
+  std::uint32_t unsettled = 0;
+  for (const auto& [number, load] : loads_) {
+    if (!Counts(now, load)) continue;
+    if (!load.settled) {
+      ++unsettled;
+      continue;
+    }
+    const Time age = std::max<Time>(0, now - load.latest_begin);
+    ++by_age[age / kAgeStep * kAgeStep];
+  }
+  messages::LoadHistory history;
+  history.set_unsettled(unsettled);
+  for (const auto& [age, loads] : by_age) {
+    messages::LoadsBegun* begun = history.add_begun();
+    begun->set_age_us(static_cast<std::uint64_t>(age));
+    begun->set_loads(loads);
+  }
+  const double seconds = static_cast<double>(lease_) / kSecond / kRenewalsInLease;
+  const int usual = std::max(kLeastAllowance, static_cast<int>(std::ceil(loads_per_s_ * seconds)) + 1);
+  // Never less than what is in force: until this renewal is known to be chosen, that may be used.
+  history.set_allowance(static_cast<std::uint32_t>(HasAllowance() ? std::max(usual, allowance_) : usual));
+  return history;
+}
+
+int LoadBudget::Limit() const {
   const double rated = loads_per_s_ * static_cast<double>(window_) / static_cast<double>(kSecond);
   const int most = static_cast<int>(rated * overage_) + kBurst;
-  const int usual = std::min(most, std::max(1, static_cast<int>(rated * kUsedShare)));
-  if (now >= restricted_until_) return usual;
-  // What the usual limit leaves of the store's, dealt out to all holders that a window may see.
-  const int changes = 1 + static_cast<int>(window_ / lease_);
-  return std::min(usual, (most - usual) / changes);
+  return std::min(most, std::max(1, static_cast<int>(rated) + kUsedBurst));
+}
+
+bool LoadBudget::Counts(Time now, const Load& load) const {
+  return !load.settled || load.latest_begin > now - window_ - kArrivalMargin;
 }
 
 int LoadBudget::Left(Time now) const {
-  int counted = 0;
-  for (const auto& [number, load] : loads_)
-    if (!load.settled || load.latest_begin > now - window_ - kArrivalMargin) ++counted;
-  return std::max(0, Limit(now) - counted);
+  const auto counted = static_cast<int>(std::count_if(
+      loads_.begin(), loads_.end(), [&](const auto& entry) { return Counts(now, entry.second); }));
+  return std::max(0, std::min(Limit() - counted, allowance_ - begun_of_allowance_));
 }
 
 std::uint64_t LoadBudget::Begin(Time now) {
   Expire(now);
-  loads_[next_] = Load{false, now};
+  ++begun_of_allowance_;
+  loads_[next_] = Load{false, now, now, true};
   return next_++;
 }
 
 void LoadBudget::Settle(std::uint64_t load, Time latest_begin) {
   const auto it = loads_.find(load);
-  if (it != loads_.end() && !it->second.settled) it->second = Load{true, latest_begin};
+  if (it == loads_.end() || it->second.settled) return;
+  it->second.settled = true;
+  it->second.latest_begin = latest_begin;
 }
 
 void LoadBudget::Expire(Time now) {
-  std::erase_if(loads_, [&](const auto& entry) {
-    return entry.second.settled && entry.second.latest_begin <= now - window_ - kArrivalMargin;
-  });
+  std::erase_if(loads_, [&](const auto& entry) { return !Counts(now, entry.second); });
 }
 
 }  // namespace lichenlug::placement
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -35,7 +35,8 @@
     next_timer_.reset();
     return;
   }
-  if (input.epoch != epoch_) TakeOver(now, input.epoch);
+  if (input.epoch != epoch_) TakeOver(now, input);
+  if (input.loads) budget_.SetAllowance(input.lease_started_at, static_cast<int>(input.loads->allowance()));
   if (now >= next_plan_) Plan(now, input, calls);
   Execute(now, calls);
 }
@@ -71,10 +72,15 @@
   }
 }
 
-void Placement::Impl::TakeOver(Time now, std::uint64_t epoch) {
-  const bool first = epoch <= 1;  // nobody held the duty before
-  epoch_ = epoch;
-  if (!first) budget_.TakeOver(now);
+void Placement::Impl::TakeOver(Time now, const Input& input) {
+  const bool first = input.epoch <= 1;  // nobody held the duty before
+  epoch_ = input.epoch;
+  budget_.SetRate(input.service->engine().loads_per_s());
+  budget_.LiftAllowance();
+  if (input.loads)
+    budget_.Inherit(input.lease_started_at, *input.loads);
+  else if (!first)
+    budget_.TakeOver(now);
   scaler_.Restart();
   for (auto& [id, runner] : runners_) {
     runner.ledger.Restart();
@@ -126,6 +132,16 @@
   if (const auto load = ledger->TakeSettledLoad()) budget_.Settle(*load, now);
 }
 
+std::optional<messages::LoadHistory> Placement::Impl::TellLoads(Time now, std::uint64_t epoch, bool ends) {
+  if (epoch != epoch_) return std::nullopt;
+  messages::LoadHistory history = budget_.History(now);
+  // From its first telling on this holder keeps to it: it may be chosen without being known here.
+  if (!budget_.HasAllowance()) budget_.SetAllowance(now, static_cast<int>(history.allowance()));
+  history.set_service(settings_.service);
+  if (ends) history.set_allowance(0);
+  return history;
+}
+
 std::optional<Time> Placement::Impl::NextTimer() const {
   return active_ ? next_timer_ : std::optional<Time>();
 }
@@ -139,6 +155,9 @@
   impl_->Completed(now, tag, result);
 }
 std::optional<Time> Placement::NextTimer() const { return impl_->NextTimer(); }
+std::optional<messages::LoadHistory> Placement::TellLoads(Time now, std::uint64_t epoch, bool ends) {
+  return impl_->TellLoads(now, epoch, ends);
+}
 std::vector<std::string> Placement::Explain(Time now) const { return impl_->Explain(now); }
 
 }  // namespace lichenlug::placement
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -35,6 +35,10 @@
     const std::vector<messages::DemandReport>* demand = nullptr;   // the newest of each dispatcher
     std::uint64_t epoch = 0;
     bool holds = false;
+    // What the duty's register tells of loads from the weight store, for the moment `lease_started_at`; null:
+    // nothing.
+    const messages::LoadHistory* loads = nullptr;
+    Time lease_started_at = 0;
   };
 
   explicit Placement(Settings settings);
@@ -45,6 +49,10 @@
   void Completed(Time now, std::uint64_t tag, const duties::HttpResult& result);
   std::optional<Time> NextTimer() const;
 
+  // What is to be told with a renewal of the lease of this epoch that begins now; none before it has acted in
+  // it. `ends`: the duty is given up, so nothing is loaded after it.
+  std::optional<messages::LoadHistory> TellLoads(Time now, std::uint64_t epoch, bool ends);
+
   // Why each model stands where it does, a line each, for the operator.
   std::vector<std::string> Explain(Time now) const;
 
--- a/src/placement/placement_impl.h
+++ b/src/placement/placement_impl.h
@@ -20,6 +20,7 @@
   void Act(Time now, const Input& input, std::vector<duties::HttpCall>* calls);
   void Completed(Time now, std::uint64_t tag, const duties::HttpResult& result);
   std::optional<Time> NextTimer() const;
+  std::optional<messages::LoadHistory> TellLoads(Time now, std::uint64_t epoch, bool ends);
   std::vector<std::string> Explain(Time now) const;
 
  private:
@@ -40,7 +41,7 @@
   // placement.cpp
   void Observe(Time now, const std::vector<messages::RunnerRecord>& records);
   void Forget(Time now);
-  void TakeOver(Time now, std::uint64_t epoch);
+  void TakeOver(Time now, const Input& input);
   void ExpireCalls(Time now);
   void CompletedOrder(Time now, const PendingCall& call, const duties::HttpResult& result);
   void SettleLoad(Time now, RunnerLedger* ledger);
--- a/tests/system/placement/load_budget_test.cpp
+++ b/tests/system/placement/load_budget_test.cpp
@@ -2,9 +2,12 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <optional>
 #include <random>
 #include <vector>
 
+#include "duties/load_history.h"
+
 namespace lichenlug::placement {
 namespace {
 
@@ -60,5 +63,83 @@
   CHECK(budget.size() == 0);
 }
 
+// One holder's life: renews its lease each second, tells its loads with it, and ends at any moment.
+struct Register {
+  std::optional<messages::LoadHistory> told;
+  Time renewed_at = 0;
+};
+
+void PlayHolder(std::mt19937_64* random, double rate, Time* now, Register* lease, std::vector<Time>* begun) {
+  LoadBudget budget(kWindow, 1.1, kLease);
+  budget.SetRate(rate);
+  if (lease->told) {
+    duties::AgeLoads(*now - lease->renewed_at, &*lease->told);
+    budget.Inherit(*now, *lease->told);
+    budget.SetAllowance(*now, static_cast<int>(lease->told->allowance()));
+  } else if (!begun->empty()) {
+    budget.TakeOver(*now);
+  }
+  lease->renewed_at = *now;
+  const Time end = *now + kSecond / 2 + static_cast<Time>((*random)() % 12'000) * kMillisecond;
+  for (; *now < end; *now += 10 * kMillisecond) {
+    if (*now >= lease->renewed_at + kLease / 3) {
+      lease->told = budget.History(*now);  // chosen at once
+      lease->renewed_at = *now;
+      budget.SetAllowance(*now, static_cast<int>(lease->told->allowance()));
+    }
+    if ((*random)() % 3 != 0 || budget.Left(*now) == 0) continue;
+    const std::uint64_t load = budget.Begin(*now);
+    // Begins at some time before its answer; what isn't answered before the end begins until then.
+    const Time answered = *now + static_cast<Time>((*random)() % 900) * kMillisecond;
+    const Time latest = std::min(end, answered);
+    begun->push_back(*now + static_cast<Time>((*random)() % 1000) * (latest - *now) / 1000);
+    if (answered < end) budget.Settle(load, answered);
+  }
+}
+
+TEST_CASE("a holder that inherits what was told keeps the ceiling, whenever the one before ended") {
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+    std::mt19937_64 random(seed);
+    const double rate = 0.05 * static_cast<double>(1 + random() % 200);
+    std::vector<Time> begun;
+    Register lease;
+    Time now = 1000 * kSecond;
+    for (int holder = 0; holder < 8; ++holder) {
+      PlayHolder(&random, rate, &now, &lease, &begun);
+      now += static_cast<Time>(random() % 4) * kSecond;
+    }
+    INFO("seed " << seed << " rate " << rate);
+    CHECK(static_cast<double>(MostInWindow(begun)) <= rate * 5 * 1.1 + 3);
+    CHECK(begun.size() > 3);
+  }
+}
+
+TEST_CASE("a holder that takes over some seconds after the last load may load nearly as much as ever") {
+  LoadBudget before(kWindow, 1.1, kLease);
+  before.SetRate(5.7);
+  while (before.Left(0) > 0) before.Settle(before.Begin(0), 0);
+  messages::LoadHistory told = before.History(kSecond);
+  told.set_allowance(7);
+  duties::AgeLoads(6 * kSecond, &told);
+  LoadBudget after(kWindow, 1.1, kLease);
+  after.SetRate(5.7);
+  after.Inherit(7 * kSecond, told);
+  CHECK(after.Left(7 * kSecond) == 29 - 7);
+}
+
+TEST_CASE("no more begins than was told with the last renewal") {
+  LoadBudget budget(kWindow, 1.1, kLease);
+  budget.SetRate(5.7);
+  budget.SetAllowance(0, 0);
+  CHECK(budget.Left(0) == 0);
+  budget.SetAllowance(kSecond, 2);
+  budget.Begin(kSecond);
+  CHECK(budget.Left(kSecond) == 1);
+  budget.Begin(kSecond);
+  CHECK(budget.Left(kSecond) == 0);
+  budget.SetAllowance(2 * kSecond, 2);
+  CHECK(budget.Left(2 * kSecond) == 2);
+}
+
 }  // namespace
 }  // namespace lichenlug::placement
--- a/tests/system/placement/simulated_fleet.cpp
+++ b/tests/system/placement/simulated_fleet.cpp
@@ -2,10 +2,13 @@
 
 #include <cmath>
 
+#include "duties/load_history.h"
+
 namespace lichenlug::placement {
 namespace {
 
 constexpr Time kStep = 10 * kMillisecond, kHeartbeat = 1200 * kMillisecond, kReportEvery = 250 * kMillisecond;
+constexpr Time kRenewEvery = kSecond;
 constexpr Time kLostAfter = 2500 * kMillisecond, kOriginWindow = 5 * kSecond;
 constexpr double kCapacity = 200000;
 
@@ -191,12 +194,24 @@
   input_changed_ = true;
   const std::uint64_t epoch = ++epoch_;
   At(now_ + pause, [this, epoch] {
-    if (epoch == epoch_) holds_ = input_changed_ = true;
+    if (epoch != epoch_) return;
+    holds_ = input_changed_ = true;
+    if (told_loads_) duties::AgeLoads(now_ - lease_started_at_, &*told_loads_);
+    lease_started_at_ = now_;
   });
   placement_ = NewHolder();
 }
 
+// Chosen at once, as a holder that waits for it has the allowance of the renewal before.
+void SimulatedFleet::RenewLease() {
+  if (!holds_ || now_ < lease_started_at_ + kRenewEvery) return;
+  if (auto told = placement_->TellLoads(now_, epoch_, false)) told_loads_ = std::move(told);
+  lease_started_at_ = now_;
+  input_changed_ = true;
+}
+
 void SimulatedFleet::StepHolder() {
+  RenewLease();
   const std::optional<Time> timer = placement_->NextTimer();
   if (!input_changed_ && (!timer || *timer > now_)) return;
   input_changed_ = false;
@@ -208,6 +223,8 @@
   input.demand = &reports_;
   input.epoch = epoch_;
   input.holds = holds_;
+  input.loads = told_loads_ ? &*told_loads_ : nullptr;
+  input.lease_started_at = lease_started_at_;
   std::vector<duties::HttpCall> calls;
   placement_->Act(now_, input, &calls);
   if (!holds_ && !calls.empty()) broken_.push_back("ONE: calls without the duty");
--- a/tests/system/placement/simulated_fleet.h
+++ b/tests/system/placement/simulated_fleet.h
@@ -93,6 +93,7 @@
   void Heartbeat(SimulatedRunner* runner);
   void StepClients();
   void StepHolder();
+  void RenewLease();
   std::unique_ptr<Placement> NewHolder();
   void Send(const duties::HttpCall& call);
   duties::HttpResult Serve(const duties::HttpCall& call, bool late);
@@ -113,6 +114,8 @@
   std::priority_queue<Event> events_;
   std::uint64_t event_number_ = 0, report_number_ = 0;
   std::unique_ptr<Placement> placement_;
+  std::optional<messages::LoadHistory> told_loads_;  // in the duty's register
+  Time lease_started_at_ = 0;
   std::uint64_t epoch_ = 1;
   int starts_ = 0, holders_ = 0;
   bool holds_ = true;
