--- a/src/controlplane/control_plane.cpp
+++ b/src/controlplane/control_plane.cpp
@@ -7,7 +7,7 @@
 #include <random>
 #include <utility>
 
-#include "controlplane/group_planner.h"
+#include "controlplane/part_settings.h"
 #include "controlplane/status.h"
 
 namespace lichenlug::controlplane {
@@ -19,12 +19,7 @@
 constexpr Time kReadGiveUp = 800 * kMillisecond;
 constexpr Time kServeUnconfirmedAfter = 3 * kSecond;  // a peer's word will do when no majority can be asked
 constexpr Time kLearnAccepted = 250 * kMillisecond;   // a push usually comes sooner after an accept
-constexpr Time kKeepGroupsEvery = 300 * kMillisecond;
-constexpr Time kGroupChangeGiveUp = 2 * kSecond;
 constexpr Time kReportEvery = 500 * kMillisecond;
-constexpr Time kHintEvery = 500 * kMillisecond;
-constexpr Time kAskEvery = 100 * kMillisecond;  // for groups, while nothing is known of them
-constexpr std::size_t kAsked = 3;               // members at a time
 constexpr Time kDrainPoll = 100 * kMillisecond;
 constexpr Time kReadyFalseFor = 2500 * kMillisecond;  // the platform needs two misses, a second apart
 constexpr Time kExitReserve = 700 * kMillisecond;     // before SIGKILL
@@ -43,57 +38,12 @@
   return static_cast<std::uint64_t>(device()) << 32 | device();
 }
 
-Member SelfMember(const NodeSettings& settings, std::uint64_t incarnation) {
-  Member self;
-  self.name = settings.name;
-  self.incarnation = incarnation;
-  self.address = settings.internal_address;
-  self.control_address = settings.control_address;
-  self.zone = settings.zone;
-  self.region = settings.region;
-  self.counts_for_quorum = settings.counts_for_quorum;
-  return self;
-}
-
-membership_ring::MembershipSettings MembershipSettingsFor(const NodeSettings& settings,
-                                                          std::uint64_t incarnation, std::uint64_t seed) {
-  membership_ring::MembershipSettings membership;
-  membership.self = SelfMember(settings, incarnation);
-  membership.seed_addresses = settings.seed_addresses;
-  membership.seed = seed;
-  return membership;
-}
-
-registry::RegistrySettings RegistrySettingsFor(const NodeSettings& settings, std::uint64_t seed) {
-  registry::RegistrySettings registry;
-  registry.self_name = settings.name;
-  registry.zone = settings.zone;
-  registry.heartbeat_every = settings.heartbeat_every;
-  registry.seed = seed;
-  return registry;
-}
-
-configuration::FollowerSettings FollowerSettingsFor(const NodeSettings& settings, std::uint64_t seed) {
-  configuration::FollowerSettings follower;
-  follower.self_name = settings.name;
-  follower.zone = settings.zone;
-  follower.poll_every = settings.bounds.configuration_in_force / 5;
-  follower.seed = seed;
-  return follower;
-}
-
 ControlResponse PlainStatus(int status) {
   ControlResponse response;
   response.status = status;
   return response;
 }
 
-std::vector<std::string> AllRegisters() {
-  std::vector<std::string> names = AllDutyRegisters();
-  names.emplace_back(configuration::kRegisterName);
-  return names;
-}
-
 }  // namespace
 
 ControlPlane::ControlPlane(EventLoop* loop, NodeSettings settings, dataplane::DataPlane* data_plane)
@@ -109,6 +59,10 @@
                                             [this](const std::string& address, messages::Envelope envelope) {
                                               Send(address, std::move(envelope));
                                             })),
+      groups_(settings_, registers_.get(),
+              [this](const std::string& address, messages::Envelope envelope) {
+                Send(address, std::move(envelope));
+              }),
       membership_(MembershipSettingsFor(settings_, incarnation_, seed_)),
       registry_(RegistrySettingsFor(settings_, seed_)),
       follower_(FollowerSettingsFor(settings_, seed_)),
@@ -204,7 +158,7 @@
     case messages::Envelope::kDuties:
       return duties_.Receive(WallNow(), envelope.duties());
     case messages::Envelope::kGroupHints:
-      return ReceiveGroupHints(from, envelope.group_hints());
+      return groups_.Receive(from, envelope.group_hints());
     case messages::Envelope::BODY_NOT_SET:
       return;
   }
@@ -349,8 +303,7 @@
   if (now >= next_report_) ReportDataPlane(now);
   if (due(duties_.NextTimer())) duties_.Tick(now, WallNow());
   ConfirmConfiguration(now);
-  if (!registers_->KnowsFounding() && now >= next_ask_) AskForGroups(now);
-  if (now >= next_groups_) KeepGroups(now);
+  if (now >= groups_.NextTimer()) groups_.Tick(now, live_, draining_ ? std::string() : replica_id_);
   if (draining_) DrainStep(now);
 }
 
@@ -362,13 +315,12 @@
 }
 
 void ControlPlane::ScheduleWake() {
-  Time next = std::min(next_report_, next_groups_);
+  Time next = std::min(next_report_, groups_.NextTimer());
   for (const auto& timer : {membership_.NextTimer(), registry_.NextTimer(), follower_.NextTimer(),
                             registers_->NextTimer(), duties_.NextTimer(), check_accepted_at_}) {
     if (timer) next = std::min(next, *timer);
   }
   if (!confirmed_ && !reading_) next = std::min(next, next_read_);
-  if (!registers_->KnowsFounding()) next = std::min(next, next_ask_);
   if (draining_) next = std::min(next, EventLoop::Now() + kDrainPoll);
   loop_->SetTimer(next, [this] { Wake(); });
 }
@@ -412,67 +364,6 @@
       });
 }
 
-// ---- Replica groups ------------------------------------------------------------------------------------
-
-void ControlPlane::KeepGroups(Time now) {
-  next_groups_ = now + kKeepGroupsEvery;
-  if (now >= next_hint_ && !live_.empty()) {
-    next_hint_ = now + kHintEvery;
-    if (IsGroupKeeper(live_, settings_.name)) SendGroupHints(live_[hint_turn_++ % live_.size()].address);
-  }
-  if (draining_ || replica_id_.empty() || !IsGroupKeeper(live_, settings_.name)) return;
-  for (const std::string& name : AllRegisters()) {
-    if (changing_groups_.count(name) > 0) continue;
-    const messages::ReplicaGroup present = registers_->KnownGroup(name);
-    const auto wanted = PlanGroup(present, live_, settings_.tolerated_machines);
-    if (!wanted) continue;
-    changing_groups_.insert(name);
-    LOG(INFO) << name << ": replica group moves to " << wanted->size() << " members";
-    registers_->Submit(
-        name,
-        [change = consensus::NewGroup{*wanted, present.version()}](const std::string&) { return change; },
-        now + kGroupChangeGiveUp,
-        [this, name](const consensus::Completion& completion) {
-          changing_groups_.erase(name);
-          if (completion.outcome != consensus::Outcome::kChosen) {
-            LOG_EVERY_N(WARNING, 20) << name << ": replica group not changed; it is tried again";
-          }
-        });
-  }
-}
-
-void ControlPlane::ReceiveGroupHints(const std::string& from_address, const messages::GroupHints& hints) {
-  registers_->LearnFounding(hints.founding());
-  for (const auto& hint : hints.groups()) registers_->LearnGroup(hint.register_name(), hint.group());
-  if (hints.wants_reply()) SendGroupHints(from_address);
-}
-
-// A process of a later start, without a store or with an empty one, asks others for the groups.
-void ControlPlane::AskForGroups(Time now) {
-  next_ask_ = now + kAskEvery;
-  for (std::size_t i = 0; i < kAsked && i < live_.size(); ++i) {
-    const Member& member = live_[hint_turn_++ % live_.size()];
-    if (member.address == settings_.internal_address) continue;
-    messages::Envelope envelope;
-    envelope.mutable_group_hints()->set_wants_reply(true);
-    Send(member.address, std::move(envelope));
-  }
-}
-
-void ControlPlane::SendGroupHints(const std::string& address) {
-  if (address == settings_.internal_address || !registers_->KnowsFounding()) return;
-  messages::Envelope envelope;
-  *envelope.mutable_group_hints()->mutable_founding() = registers_->founding();
-  for (const std::string& name : AllRegisters()) {
-    const messages::ReplicaGroup group = registers_->KnownGroup(name);
-    if (group.version() == 0) continue;
-    messages::RegisterGroup* hint = envelope.mutable_group_hints()->add_groups();
-    hint->set_register_name(name);
-    *hint->mutable_group() = group;
-  }
-  Send(address, std::move(envelope));
-}
-
 // ---- Data plane ----------------------------------------------------------------------------------------
 
 void ControlPlane::ReportDataPlane(Time now) {
--- a/src/controlplane/control_plane.h
+++ b/src/controlplane/control_plane.h
@@ -5,12 +5,12 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <unordered_set>
 #include <vector>
 
 #include "configuration/follower.h"
 #include "controlplane/duty_service.h"
 #include "controlplane/event_loop.h"
+#include "controlplane/group_keeper.h"
 #include "controlplane/http_client.h"
 #include "controlplane/http_server.h"
 #include "controlplane/node_settings.h"
@@ -53,10 +53,6 @@
   void Learn(const messages::ConfigurationState& state, bool push);
   void ConfirmConfiguration(Time now);
   void ReadConfiguration(bool push);
-  void KeepGroups(Time now);
-  void ReceiveGroupHints(const std::string& from_address, const messages::GroupHints& hints);
-  void SendGroupHints(const std::string& address);
-  void AskForGroups(Time now);
   void ReportDataPlane(Time now);
   void PublishSnapshot(Time now);
   void UpdateReadiness(Time now);
@@ -73,6 +69,7 @@
 
   std::unique_ptr<transport::Transport> transport_;
   std::unique_ptr<RegisterService> registers_;
+  GroupKeeper groups_;
   membership_ring::Membership membership_;
   registry::Registry registry_;
   configuration::Follower follower_;
@@ -84,17 +81,15 @@
   std::vector<Member> live_;  // this one included
   std::shared_ptr<const std::vector<messages::RunnerRecord>> runners_;
   std::string replica_id_;
-  std::unordered_set<std::string> changing_groups_;  // registers whose group is being changed from here
   bool snapshot_changed_ = true;
   bool confirmed_ = false;  // a majority has told the newest configuration in this life
   bool reading_ = false;    // a read of the configuration is under way
   bool ready_ = false;
   bool draining_ = false;
   Time drain_began_ = 0;
-  Time next_read_ = 0, next_groups_ = 0, next_report_ = 0, next_hint_ = 0, next_ask_ = 0;
+  Time next_read_ = 0, next_report_ = 0;
   std::optional<Time>
       check_accepted_at_;  // a replica here accepted a configuration that has not been learned yet
-  std::size_t hint_turn_ = 0;
 };
 
 }  // namespace lichenlug::controlplane
--- /dev/null
+++ b/src/controlplane/group_keeper.cpp
@@ -0,0 +1,108 @@
+#include "controlplane/group_keeper.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "configuration/configuration.h"
+#include "controlplane/duty_service.h"
+#include "controlplane/group_planner.h"
+
+namespace lichenlug::controlplane {
+
+namespace {
+
+constexpr Time kKeepEvery = 300 * kMillisecond;
+constexpr Time kChangeGiveUp = 2 * kSecond;
+constexpr Time kHintEvery = 500 * kMillisecond;
+constexpr Time kAskEvery = 100 * kMillisecond;  // while nothing is known of the groups
+constexpr std::size_t kAsked = 3;               // members at a time
+
+}  // namespace
+
+std::vector<std::string> AllRegisters() {
+  std::vector<std::string> names = AllDutyRegisters();
+  names.emplace_back(configuration::kRegisterName);
+  return names;
+}
+
+Time GroupKeeper::NextTimer() const {
+  return registers_->KnowsFounding() ? next_keep_ : std::min(next_keep_, next_ask_);
+}
+
+void GroupKeeper::Tick(Time now, const std::vector<Member>& live, const std::string& replica_id) {
+  if (!registers_->KnowsFounding() && now >= next_ask_) Ask(now, live);
+  if (now < next_keep_) return;
+  next_keep_ = now + kKeepEvery;
+  if (!IsGroupKeeper(live, settings_.name)) return;
+  TellInTurn(now, live);
+  if (!replica_id.empty()) ChangeGroups(now, live);
+}
+
+void GroupKeeper::TellInTurn(Time now, const std::vector<Member>& live) {
+  if (now < next_hint_) return;
+  next_hint_ = now + kHintEvery;
+  SendHints(live[turn_++ % live.size()].address);
+}
+
+void GroupKeeper::ChangeGroups(Time now, const std::vector<Member>& live) {
+  for (const std::string& name : AllRegisters()) {
+    if (changing_.count(name) > 0) continue;
+    const messages::ReplicaGroup present = registers_->KnownGroup(name);
+    if (auto wanted = PlanGroup(present, live, settings_.tolerated_machines))
+      Change(now, name, present, std::move(*wanted));
+  }
+}
+
+void GroupKeeper::Change(Time now, const std::string& register_name, const messages::ReplicaGroup& present,
+                         std::vector<messages::ReplicaIdentity> wanted) {
+  changing_.insert(register_name);
+  LOG(INFO) << register_name << ": replica group moves to " << wanted.size() << " members";
+  registers_->Submit(
+      register_name,
+      [change = consensus::NewGroup{std::move(wanted), present.version()}](const std::string&) {
+        return change;
+      },
+      now + kChangeGiveUp,
+      [this, register_name](const consensus::Completion& completion) {
+        changing_.erase(register_name);
+        if (completion.outcome != consensus::Outcome::kChosen) {
+          LOG_EVERY_N(WARNING, 20) << register_name << ": replica group not changed; it is tried again";
+        }
+      });
+}
+
+void GroupKeeper::Receive(const std::string& from_address, const messages::GroupHints& hints) {
+  registers_->LearnFounding(hints.founding());
+  for (const auto& hint : hints.groups()) registers_->LearnGroup(hint.register_name(), hint.group());
+  if (hints.wants_reply()) SendHints(from_address);
+}
+
+// A process of a later start, without a store or with an empty one, asks others for the groups.
+void GroupKeeper::Ask(Time now, const std::vector<Member>& live) {
+  next_ask_ = now + kAskEvery;
+  for (std::size_t i = 0; i < kAsked && i < live.size(); ++i) {
+    const Member& member = live[turn_++ % live.size()];
+    if (member.address == settings_.internal_address) continue;
+    messages::Envelope envelope;
+    envelope.mutable_group_hints()->set_wants_reply(true);
+    send_(member.address, std::move(envelope));
+  }
+}
+
+void GroupKeeper::SendHints(const std::string& address) {
+  if (address == settings_.internal_address || !registers_->KnowsFounding()) return;
+  messages::Envelope envelope;
+  *envelope.mutable_group_hints()->mutable_founding() = registers_->founding();
+  for (const std::string& name : AllRegisters()) {
+    const messages::ReplicaGroup group = registers_->KnownGroup(name);
+    if (group.version() == 0) continue;
+    messages::RegisterGroup* hint = envelope.mutable_group_hints()->add_groups();
+    hint->set_register_name(name);
+    *hint->mutable_group() = group;
+  }
+  send_(address, std::move(envelope));
+}
+
+}  // namespace lichenlug::controlplane
--- /dev/null
+++ b/src/controlplane/part_settings.h
@@ -0,0 +1,18 @@
+// The settings of the control plane's parts, from those of the process.
+#pragma once
+
+#include <cstdint>
+
+#include "configuration/follower.h"
+#include "controlplane/node_settings.h"
+#include "membership/membership.h"
+#include "registry/registry.h"
+
+namespace lichenlug::controlplane {
+
+membership_ring::MembershipSettings MembershipSettingsFor(const NodeSettings& settings,
+                                                          std::uint64_t incarnation, std::uint64_t seed);
+registry::RegistrySettings RegistrySettingsFor(const NodeSettings& settings, std::uint64_t seed);
+configuration::FollowerSettings FollowerSettingsFor(const NodeSettings& settings, std::uint64_t seed);
+
+}  // namespace lichenlug::controlplane
