--- /dev/null
+++ b/tests/system/duties/load_history_test.cpp
@@ -0,0 +1,101 @@
+// What a register of duties tells of loads from the weight store, and what a taker makes of it.
+#include "duties/load_history.h"
+
+#include <catch2/catch.hpp>
+
+#include "ownership_world.h"
+
+namespace lichenlug::duties {
+namespace {
+
+messages::LoadHistory History(const std::string& service, std::uint32_t begun, std::uint32_t allowance) {
+  messages::LoadHistory history;
+  history.set_service(service);
+  history.set_allowance(allowance);
+  messages::LoadsBegun* entry = history.add_begun();
+  entry->set_age_us(kSecond);
+  entry->set_loads(begun);
+  return history;
+}
+
+std::uint32_t Total(const messages::LoadHistory& history) {
+  std::uint32_t total = 0;
+  for (const messages::LoadsBegun& begun : history.begun()) total += begun.loads();
+  return total;
+}
+
+TEST_CASE("with time loads look older, and what was allowed or not settled counts as begun now") {
+  messages::LoadHistory history = History("llm", 5, 3);
+  history.set_unsettled(2);
+  AgeLoads(4 * kSecond, &history);
+  REQUIRE(history.begun_size() == 2);
+  CHECK(history.begun(0).age_us() == 5 * kSecond);
+  CHECK(history.begun(0).loads() == 5);
+  CHECK(history.begun(1).age_us() == 0);
+  CHECK(history.begun(1).loads() == 5);
+  CHECK(history.allowance() == 3);
+  CHECK(history.unsettled() == 0);
+}
+
+TEST_CASE("a clock that went back makes no load younger, and what is long past is dropped") {
+  messages::LoadHistory history = History("llm", 5, 0);
+  AgeLoads(-kSecond, &history);
+  CHECK(history.begun(0).age_us() == kSecond);
+  AgeLoads(120 * kSecond, &history);
+  CHECK(history.begun_size() == 0);
+}
+
+TEST_CASE("a telling replaces the history of its service alone") {
+  messages::OwnershipState state;
+  ReplaceLoads({History("llm", 5, 3), History("vision", 1, 2)}, &state);
+  ReplaceLoads({History("llm", 7, 4)}, &state);
+  REQUIRE(FindLoads(state, "llm") != nullptr);
+  CHECK(Total(*FindLoads(state, "llm")) == 7);
+  REQUIRE(FindLoads(state, "vision") != nullptr);
+  CHECK(Total(*FindLoads(state, "vision")) == 1);
+  CHECK(FindLoads(state, "other") == nullptr);
+}
+
+TEST_CASE("a state holds the histories of a bounded number of services") {
+  messages::OwnershipState state;
+  for (int i = 0; i < 1000; ++i) ReplaceLoads({History("s" + std::to_string(i), 1, 1)}, &state);
+  CHECK(state.loads_size() == 256);
+  ReplaceLoads({History("s7", 9, 1)}, &state);
+  CHECK(Total(*FindLoads(state, "s7")) == 9);
+}
+
+TEST_CASE("who takes over finds what the one before told, and its allowance as begun") {
+  OwnershipWorld world(3, 4);
+  world.loads = {History("llm", 5, 3)};
+  world.RunFor(10 * kSecond);
+  const std::size_t first = world.Holder().value();
+  REQUIRE(FindLoads(world.nodes[first].ownership->state(), "llm") != nullptr);
+  world.Kill(first);
+  world.TellMembers();
+  world.loads.clear();  // the next owner has placed nothing yet
+  while (!world.Holder()) world.RunFor(10 * kMillisecond);
+  const auto& taken = world.nodes[*world.Holder()].ownership;
+  const messages::LoadHistory* history = FindLoads(taken->state(), "llm");
+  REQUIRE(history != nullptr);
+  CHECK(Total(*history) == 8);
+  CHECK(history->begun(0).age_us() >= kSecond + OwnershipWorld::kLease);
+  CHECK(history->begun(1).age_us() == 0);
+  REQUIRE(taken->lease_started_at());
+}
+
+TEST_CASE("one that resigns tells its loads once more, with no allowance") {
+  OwnershipWorld world(3, 5);
+  world.loads = {History("llm", 5, 3)};
+  world.RunFor(10 * kSecond);
+  const std::size_t first = world.Holder().value();
+  world.loads = {History("llm", 6, 0)};
+  world.Resign(first);
+  world.loads.clear();
+  while (!world.Holder() || *world.Holder() == first) world.RunFor(10 * kMillisecond);
+  const messages::LoadHistory* history = FindLoads(world.nodes[*world.Holder()].ownership->state(), "llm");
+  REQUIRE(history != nullptr);
+  CHECK(Total(*history) == 6);
+}
+
+}  // namespace
+}  // namespace lichenlug::duties
--- a/tests/system/duties/ownership_world.h
+++ b/tests/system/duties/ownership_world.h
@@ -65,6 +65,7 @@
     settings.self_incarnation = node.incarnation;
     settings.lease = kLease;
     settings.seed = random_();
+    settings.tell_loads = [this](Time) { return loads; };
     node.ownership = std::make_unique<Ownership>(settings);
   }
   void Kill(std::size_t i) { nodes[i].is_running = false; }
@@ -140,7 +141,8 @@
   std::uint64_t objections = 0;  // raise the incarnations that members are told with
   std::vector<Node> nodes;
   std::vector<Act> acts;
-  std::string payload;  // of the register
+  std::string payload;                       // of the register
+  std::vector<messages::LoadHistory> loads;  // that any owner tells with its renewals
   bool is_rough = false;
   std::size_t operations = 0, changes_told = 0;
   std::function<void()> on_change;  // after each change of the payload
