Carry messages between dispatchers on libevent connections in place of nng

Change: frames of four bytes of length on TCP connections, on the control plane's libevent loop; no threads, no locks. Connections, listener and frames are a file each; renewal, patience and liveness stay as they were.

--- a/src/controlplane/control_plane.cpp
+++ b/src/controlplane/control_plane.cpp
@@ -96,9 +96,8 @@
   transport.listen_address = settings_.internal_address;
   transport.sender_name = settings_.name;
   transport.sender_incarnation = incarnation_;
-  transport_ = std::make_unique<transport::Transport>(transport, [this](messages::Envelope envelope) {
-    loop_->Post([this, envelope = std::move(envelope)]() mutable { Receive(std::move(envelope)); });
-  });
+  transport_ = std::make_unique<transport::Transport>(
+      loop_->base(), transport, [this](messages::Envelope envelope) { Receive(std::move(envelope)); });
   if (!transport_->Listen(error)) return false;
   registers_->OnConfigurationAccept([this] {
     if (!check_accepted_at_) check_accepted_at_ = EventLoop::Now() + kLearnAccepted;
--- /dev/null
+++ b/src/transport/frame_listener.cpp
@@ -0,0 +1,70 @@
+#include "transport/frame_listener.h"
+
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+namespace lichenlug::transport {
+namespace {
+
+constexpr int kBacklog = 256;
+constexpr std::size_t kMostConnections = 1024;
+// Peers close a connection that they don't use sooner than this; what is left belongs to peers that vanished.
+constexpr timeval kCloseSilentAfter{.tv_sec = 90, .tv_usec = 0};
+
+}  // namespace
+
+FrameListener::FrameListener(event_base* base, std::size_t longest_frame, Handler handler)
+    : base_(base), longest_frame_(longest_frame), handler_(std::move(handler)) {}
+
+FrameListener::~FrameListener() = default;
+
+bool FrameListener::Listen(const std::string& address, std::string* error) {
+  const auto parsed = ParseAddress(address);
+  if (!parsed) {
+    *error = "cannot listen at " + address + " for other dispatchers: give a numeric IPv4 address and a port";
+    return false;
+  }
+  const auto on_accept = [](evconnlistener*, evutil_socket_t descriptor, sockaddr*, int, void* self) {
+    static_cast<FrameListener*>(self)->Accept(descriptor);
+  };
+  listener_.reset(evconnlistener_new_bind(
+      base_, on_accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE, kBacklog,
+      reinterpret_cast<const sockaddr*>(&*parsed), sizeof *parsed));
+  if (listener_) return true;
+  *error = "cannot listen at " + address + " for other dispatchers (" + std::strerror(errno) +
+           "): free this port or choose another one of the internal ports";
+  return false;
+}
+
+void FrameListener::Accept(int descriptor) {
+  if (connections_.size() >= kMostConnections) {
+    evutil_closesocket(descriptor);
+    return;
+  }
+  SetConnectionOptions(descriptor);
+  Connection& connection = connections_.emplace_front(this, descriptor, longest_frame_);
+  connection.place = connections_.begin();
+  const auto on_event = [](evutil_socket_t, short what, void* own) {
+    auto* accepted = static_cast<Connection*>(own);
+    accepted->listener->OnEvent(accepted, what);
+  };
+  connection.readable.reset(event_new(base_, descriptor, EV_READ | EV_PERSIST, on_event, &connection));
+  event_add(connection.readable.get(), &kCloseSilentAfter);
+}
+
+void FrameListener::OnEvent(Connection* connection, short what) {
+  const bool silent = (what & EV_READ) == 0;
+  if (silent || !ReadOnce(connection)) connections_.erase(connection->place);
+}
+
+bool FrameListener::ReadOnce(Connection* connection) {
+  const auto count = ::recv(connection->socket.descriptor(), received_.data(), received_.size(), 0);
+  if (count < 0) return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
+  if (count == 0) return false;
+  return connection->reader.Read(std::span(received_).first(static_cast<std::size_t>(count)), handler_);
+}
+
+}  // namespace lichenlug::transport
--- /dev/null
+++ b/src/transport/frame_listener.h
@@ -0,0 +1,57 @@
+// Listens for peers and reads their frames. Each connection only receives.
+#pragma once
+
+#include <event2/listener.h>
+
+#include <array>
+#include <cstddef>
+#include <functional>
+#include <list>
+#include <memory>
+#include <span>
+#include <string>
+
+#include "transport/frame.h"
+#include "transport/socket.h"
+
+namespace lichenlug::transport {
+
+class FrameListener {
+ public:
+  using Handler = std::function<void(std::span<const std::byte>)>;
+
+  // `base` outlives the listener. `handler` gets the body of each frame, on the loop's thread.
+  FrameListener(event_base* base, std::size_t longest_frame, Handler handler);
+  ~FrameListener();
+  FrameListener(const FrameListener&) = delete;
+  FrameListener& operator=(const FrameListener&) = delete;
+
+  bool Listen(const std::string& address, std::string* error);  // one line with the remedy
+
+ private:
+  struct Connection {
+    Connection(FrameListener* its_listener, int descriptor, std::size_t longest_frame)
+        : listener(its_listener), socket(descriptor), reader(longest_frame) {}
+    FrameListener* listener;
+    Socket socket;
+    EventPointer readable;  // freed before the socket is closed
+    FrameReader reader;
+    std::list<Connection>::iterator place;
+  };
+  struct ListenerDeleter {
+    void operator()(evconnlistener* owned) const { evconnlistener_free(owned); }
+  };
+
+  void Accept(int descriptor);
+  void OnEvent(Connection* connection, short what);
+  bool ReadOnce(Connection* connection);  // false: it has ended or can't be read on
+
+  event_base* const base_;
+  const std::size_t longest_frame_;
+  const Handler handler_;
+  std::unique_ptr<evconnlistener, ListenerDeleter> listener_;
+  std::list<Connection> connections_;
+  std::array<std::byte, 64u << 10> received_;
+};
+
+}  // namespace lichenlug::transport
--- a/src/transport/link_liveness.h
+++ b/src/transport/link_liveness.h
@@ -20,7 +20,7 @@
   // How long the answer to such a message may take.
   static constexpr std::chrono::milliseconds kAnswerWithin{1100};
   static constexpr std::chrono::milliseconds kBetweenRenewals{1000};
-  // The same for a connection that stood and was lost: nng would have dialled again about as soon.
+  // The same for a connection that stood and was lost.
   static constexpr std::chrono::milliseconds kBetweenReopenings{100};
 
   void Sent(SteadyTime now) {
--- /dev/null
+++ b/src/transport/peer_connection.cpp
@@ -0,0 +1,126 @@
+#include "transport/peer_connection.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+
+#include "transport/frame.h"
+
+namespace lichenlug::transport {
+namespace {
+
+constexpr std::size_t kMostFramesBeforeConnected = 64;
+constexpr std::size_t kMostUnsentBytes = 1u << 20;  // a message is still taken while fewer wait
+constexpr std::size_t kKeptCapacity = 64u << 10;
+constexpr std::chrono::milliseconds kFirstRedial{20};
+constexpr std::chrono::milliseconds kLongestRedial{200};
+
+timeval ToTimeval(std::chrono::milliseconds span) {
+  return {.tv_sec = span.count() / 1000, .tv_usec = span.count() % 1000 * 1000};
+}
+
+bool MayTryAgain(int error) { return error == EAGAIN || error == EWOULDBLOCK || error == EINTR; }
+
+}  // namespace
+
+std::unique_ptr<PeerConnection> PeerConnection::Open(event_base* base, const std::string& address) {
+  const auto peer = ParseAddress(address);
+  if (!peer) return nullptr;
+  std::unique_ptr<PeerConnection> connection(new PeerConnection(base, *peer));
+  connection->Dial();
+  return connection;
+}
+
+PeerConnection::PeerConnection(event_base* base, const sockaddr_in& peer)
+    : base_(base), peer_(peer), redial_after_(kFirstRedial) {
+  const auto dial = [](evutil_socket_t, short, void* self) { static_cast<PeerConnection*>(self)->Dial(); };
+  redial_.reset(evtimer_new(base_, dial, this));
+}
+
+void PeerConnection::Dial() {
+  socket_ = Socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (!socket_.open()) return DialLater();
+  SetConnectionOptions(socket_.descriptor());
+  const int result = ::connect(socket_.descriptor(), reinterpret_cast<const sockaddr*>(&peer_), sizeof peer_);
+  if (result != 0 && errno != EINPROGRESS) return DialLater();
+  const auto on_writable = [](evutil_socket_t, short, void* self) {
+    static_cast<PeerConnection*>(self)->OnWritable();
+  };
+  writable_.reset(event_new(base_, socket_.descriptor(), EV_WRITE, on_writable, this));
+  event_add(writable_.get(), nullptr);
+}
+
+void PeerConnection::DialLater() {
+  writable_.reset();
+  socket_.Close();
+  const timeval wait = ToTimeval(redial_after_);
+  redial_after_ = std::min(2 * redial_after_, kLongestRedial);
+  evtimer_add(redial_.get(), &wait);
+}
+
+void PeerConnection::OnWritable() {
+  if (state_ == State::kDialling) OnDialled();
+  if (state_ == State::kConnected) Flush();
+}
+
+void PeerConnection::OnDialled() {
+  int error = 0;
+  socklen_t size = sizeof error;
+  ::getsockopt(socket_.descriptor(), SOL_SOCKET, SO_ERROR, &error, &size);
+  if (error != 0) return DialLater();
+  state_ = State::kConnected;
+  const auto on_readable = [](evutil_socket_t, short, void* self) {
+    static_cast<PeerConnection*>(self)->OnReadable();
+  };
+  readable_.reset(event_new(base_, socket_.descriptor(), EV_READ | EV_PERSIST, on_readable, this));
+  event_add(readable_.get(), nullptr);
+}
+
+// Peers send nothing on this connection: it is readable when it has ended, or when it is no peer's.
+void PeerConnection::OnReadable() {
+  std::array<char, 16> bytes;
+  const auto count = ::recv(socket_.descriptor(), bytes.data(), bytes.size(), 0);
+  if (count >= 0 || !MayTryAgain(errno)) Lose();
+}
+
+PeerConnection::SendResult PeerConnection::Send(const messages::Envelope& envelope) {
+  if (state_ == State::kLost) return SendResult::kLost;
+  if (unsent_.size() - flushed_ >= kMostUnsentBytes) return SendResult::kFull;
+  if (state_ == State::kDialling && frames_before_connected_++ >= kMostFramesBeforeConnected)
+    return SendResult::kFull;
+  const bool waits = !unsent_.empty();
+  AppendFrame(envelope, &unsent_);
+  if (state_ == State::kConnected && !waits) Flush();
+  return state_ == State::kLost ? SendResult::kLost : SendResult::kQueued;
+}
+
+void PeerConnection::Flush() {
+  while (flushed_ < unsent_.size()) {
+    const auto count =
+        ::send(socket_.descriptor(), unsent_.data() + flushed_, unsent_.size() - flushed_, MSG_NOSIGNAL);
+    if (count < 0 && !MayTryAgain(errno)) return Lose();
+    if (count < 0) {
+      unsent_.erase(0, flushed_);
+      flushed_ = 0;
+      event_add(writable_.get(), nullptr);
+      return;
+    }
+    flushed_ += static_cast<std::size_t>(count);
+  }
+  flushed_ = 0;
+  unsent_.clear();
+  if (unsent_.capacity() > kKeptCapacity) unsent_.shrink_to_fit();
+}
+
+void PeerConnection::Lose() {
+  state_ = State::kLost;
+  readable_.reset();
+  writable_.reset();
+  socket_.Close();
+  unsent_ = {};
+  flushed_ = 0;
+}
+
+}  // namespace lichenlug::transport
--- /dev/null
+++ b/src/transport/peer_connection.h
@@ -0,0 +1,50 @@
+// The way to one peer: a TCP connection on which envelopes are sent and nothing is received. It dials until
+// the peer was reached once; messages wait meanwhile. A connection that is lost is not used again: whoever
+// sends opens a new one.
+#pragma once
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+#include "messages/generated/envelope.pb.h"
+#include "transport/socket.h"
+
+namespace lichenlug::transport {
+
+class PeerConnection {
+ public:
+  enum class SendResult { kQueued, kFull, kLost };
+
+  // Null if the address can't be read. `base` outlives the connection.
+  static std::unique_ptr<PeerConnection> Open(event_base* base, const std::string& address);
+  PeerConnection(const PeerConnection&) = delete;
+  PeerConnection& operator=(const PeerConnection&) = delete;
+
+  SendResult Send(const messages::Envelope& envelope);  // does not block
+  bool connected() const { return state_ == State::kConnected; }
+
+ private:
+  enum class State { kDialling, kConnected, kLost };
+
+  PeerConnection(event_base* base, const sockaddr_in& peer);
+  void Dial();
+  void DialLater();
+  void OnDialled();
+  void OnReadable();
+  void OnWritable();
+  void Flush();
+  void Lose();
+
+  event_base* const base_;
+  const sockaddr_in peer_;
+  State state_ = State::kDialling;
+  Socket socket_;
+  EventPointer readable_, writable_, redial_;  // freed before the socket is closed
+  std::chrono::milliseconds redial_after_;
+  std::string unsent_;  // frames; the first `flushed_` bytes are with the kernel
+  std::size_t flushed_ = 0;
+  std::size_t frames_before_connected_ = 0;
+};
+
+}  // namespace lichenlug::transport
--- a/src/transport/transport.cpp
+++ b/src/transport/transport.cpp
@@ -2,36 +2,24 @@
 
 #include <google/protobuf/stubs/logging.h>
 
-#include <atomic>
 #include <utility>
 
+#include "transport/frame_listener.h"
 #include "transport/peer_links.h"
-#include "transport/pull_listener.h"
 
 namespace lichenlug::transport {
-namespace {
-
-// "ip:port" with a numeric IPv4 address: nothing that would need a resolver.
-bool IsNumericAddress(const std::string& address) {
-  return address.find(':') != std::string::npos &&
-         address.find_first_not_of("0123456789.:") == std::string::npos;
-}
-
-}  // namespace
-
 class Transport::Impl {
  public:
-  Impl(Settings settings, std::function<void(messages::Envelope)> receive)
+  Impl(event_base* base, Settings settings, std::function<void(messages::Envelope)> receive)
       : settings_(std::move(settings)),
         receive_(std::move(receive)),
-        links_(settings_.most_peers),
-        listener_([this](std::span<const std::byte> bytes) { OnBytes(bytes); }) {
+        links_(base, settings_.most_peers),
+        listener_(base, settings_.longest_message,
+                  [this](std::span<const std::byte> bytes) { OnBytes(bytes); }) {
     FillInSender(&answer_);
   }
 
-  bool Listen(std::string* error) {
-    return listener_.Listen(settings_.listen_address, settings_.longest_message, error);
-  }
+  bool Listen(std::string* error) { return listener_.Listen(settings_.listen_address, error); }
 
   void Send(const std::string& address, messages::Envelope envelope) {
     if (address == settings_.listen_address) return;
@@ -66,7 +54,7 @@
       ++unreadable_;
     } else if (envelope.protocol_version() != kProtocolVersion) {
       ++other_versions_;
-    } else if (envelope.sender_name().empty() || !IsNumericAddress(envelope.sender_address()) ||
+    } else if (envelope.sender_name().empty() || !ParseAddress(envelope.sender_address()) ||
                envelope.sender_address() == settings_.listen_address) {
       ++unreadable_;
     } else {
@@ -86,13 +74,13 @@
   const Settings settings_;
   const std::function<void(messages::Envelope)> receive_;
   messages::Envelope answer_;
-  std::atomic<std::uint64_t> received_ = 0, unreadable_ = 0, other_versions_ = 0;
+  std::uint64_t received_ = 0, unreadable_ = 0, other_versions_ = 0;
   PeerLinks links_;
-  PullListener listener_;  // last: it is closed first
+  FrameListener listener_;  // last: it is closed first
 };
 
-Transport::Transport(Settings settings, std::function<void(messages::Envelope)> receive)
-    : impl_(std::make_unique<Impl>(std::move(settings), std::move(receive))) {}
+Transport::Transport(event_base* base, Settings settings, std::function<void(messages::Envelope)> receive)
+    : impl_(std::make_unique<Impl>(base, std::move(settings), std::move(receive))) {}
 Transport::~Transport() = default;
 
 bool Transport::Listen(std::string* error) { return impl_->Listen(error); }
--- a/src/transport/transport.h
+++ b/src/transport/transport.h
@@ -1,6 +1,6 @@
-// The internal transport: nng push sockets to each peer, one pull socket. Messages may be lost, doubled or
-// late; they are never altered and never block the caller. A peer that takes nothing loses messages, not
-// time.
+// The internal transport: a TCP connection to each peer for what is sent, one listener for what is received,
+// all on the event loop of the caller. Messages may be lost or late; they are never altered and never block
+// the caller. A peer that takes nothing loses messages, not time.
 #pragma once
 
 #include <cstddef>
@@ -11,6 +11,8 @@
 
 #include "messages/generated/envelope.pb.h"
 
+struct event_base;
+
 namespace lichenlug::transport {
 
 inline constexpr std::uint32_t kProtocolVersion = 1;
@@ -25,24 +27,24 @@
     std::size_t most_peers = 256;
   };
   struct Statistics {
-    std::uint64_t sent = 0;            // handed to nng
-    std::uint64_t dropped = 0;         // not handed to nng: its buffer was full, or no socket could be made
+    std::uint64_t sent = 0;            // handed to a connection
+    std::uint64_t dropped = 0;         // the connection's buffer was full, or the peer has none
     std::uint64_t received = 0;        // given to `receive`
     std::uint64_t unreadable = 0;      // received, but no envelope, or without a sender
     std::uint64_t other_versions = 0;  // received, but of another protocol version
     std::uint64_t renewals = 0;        // connections closed and dialled anew
     std::size_t peers = 0;             // with a socket now
   };
-  // `receive` runs on the transport's thread, for each message that can be read and is of this protocol
-  // version.
-  Transport(Settings settings, std::function<void(messages::Envelope)> receive);
+  // All calls, `receive` too, are on the thread of `base`'s loop, which outlives the transport. `receive`
+  // gets each message that can be read and is of this protocol version; it must not destroy the transport.
+  Transport(event_base* base, Settings settings, std::function<void(messages::Envelope)> receive);
   ~Transport();
 
   bool Listen(std::string* error);                                     // one line with the remedy
-  void Send(const std::string& address, messages::Envelope envelope);  // from one thread; fills in the sender
+  void Send(const std::string& address, messages::Envelope envelope);  // fills in the sender
   void Forget(const std::string& address);  // the peer is dead: its connection is closed
 
-  Statistics statistics() const;  // from any thread
+  Statistics statistics() const;
 
  private:
   class Impl;
