Refuse streams early in the drain, as one may last longer than the grace leaves

Requests were refused only from 0.6 of the grace on. Ruled out: the runner (it worked on), the deadline (12 s), the exit (in time).

Change: streams are refused from 0.3 of the grace on, other requests from 0.6 as before. Test: a stream is refused while another request is still taken.

--- a/src/dataplane/client_connection.cpp
+++ b/src/dataplane/client_connection.cpp
@@ -121,14 +121,18 @@
   SendOwn(503, "no configuration has come yet: retry after the time in Retry-After", kNoConfigurationRetry);
 }
 
+void ClientConnection::RefuseEnding() {
+  SendOwn(503, "this dispatcher ends: retry after the time in Retry-After", kEndingRetry);
+}
+
 void ClientConnection::Serve(Request request) {
-  if (context_->refusing)
-    return SendOwn(503, "this dispatcher ends: retry after the time in Retry-After", kEndingRetry);
+  if (context_->refusing) return RefuseEnding();
   const auto found = context_->router->Match(request.host, request.message.target, request.authorization);
   if (const auto* refusal = std::get_if<routing::RouteRefusal>(&found))
     return SendOwn(refusal->status, refusal->message, std::nullopt);
-  const auto number =
-      exchanges_->Begin(std::move(request), std::get<routing::RouteMatch>(found), arrived_, this);
+  const auto& match = std::get<routing::RouteMatch>(found);
+  if (context_->refusing_streams && match.kind == routing::RouteKind::kStream) return RefuseEnding();
+  const auto number = exchanges_->Begin(std::move(request), match, arrived_, this);
   if (number == 0)
     return SendOwn(503, "too much is in work: retry after the time in Retry-After", kFullRetry);
   if (stage_ == Stage::kServing) exchange_ = number;
--- a/src/dataplane/client_connection.h
+++ b/src/dataplane/client_connection.h
@@ -53,6 +53,7 @@
   void RequestCame(HttpMessage message);
   void Serve(Request request);
   void RefuseUnconfigured();
+  void RefuseEnding();
   void Ended(HttpConnection::End end);
   void Drained();
   void Fault(int status, std::string_view line);  // answers what could not be read, and closes
--- a/src/dataplane/context.h
+++ b/src/dataplane/context.h
@@ -56,6 +56,7 @@
   std::function<void()> on_newly_unserved;  // a model or adapter was found not to be there
   Time configuration_due = 0;               // until then requests wait for the first one
   bool draining = false;
+  bool refusing_streams = false;             // a stream that comes now might not end before the process
   bool refusing = false;                     // the end is near: what comes now could not be finished any more
   std::string events_buffer, framed_buffer;  // of one call, kept so that an event needs no memory of its own
 };
--- a/src/dataplane/data_plane.cpp
+++ b/src/dataplane/data_plane.cpp
@@ -18,7 +18,8 @@
 constexpr std::size_t kBodyShare = 4;                  // of the memory one part is for requests' bodies
 constexpr std::size_t kMostIdle = 64, kLeastIdle = 2;  // connections kept to a runner
 constexpr Time kPublishEvery = 250 * kMillisecond;
-constexpr double kRefuseFromPart = 0.6;  // of the grace
+constexpr double kRefuseStreamsFromPart = 0.3;  // of the grace
+constexpr double kRefuseFromPart = 0.6;
 constexpr Time kDrainLookEvery = 50 * kMillisecond;
 
 std::size_t MostConnections(int descriptors) {
@@ -120,12 +121,15 @@
 
   // New connections come until the platform has noticed; so it serves on. In the second half of the grace the
   // connections on which nothing is owed are closed, and it is drained as soon as none is left. What could
-  // not be finished in time is refused: no request that was read is left without an answer.
+  // not be finished in time is refused, streams sooner, as one may last for seconds: no request that was read
+  // is left without an answer.
   void LookForEnd() {
     const Time since = context_.Now() - drain_began_;
     const bool late = since >= settings_.grace / 2;
     if (late) listener_.RetireIdle();
-    context_.refusing = since >= static_cast<Time>(static_cast<double>(settings_.grace) * kRefuseFromPart);
+    const double part = static_cast<double>(since) / static_cast<double>(settings_.grace);
+    context_.refusing_streams = part >= kRefuseStreamsFromPart;
+    context_.refusing = part >= kRefuseFromPart;
     if (context_.refusing) exchanges_.EndUnsent();
     const bool nothing_waits = listener_.TakeWaiting();
     const bool nothing_owed = exchanges_.size() == 0 && listener_.connections() == 0;
--- a/tests/system/dataplane/clients_test.cpp
+++ b/tests/system/dataplane/clients_test.cpp
@@ -285,6 +285,23 @@
   CHECK(refused);
 }
 
+TEST_CASE("A stream that might not end within the grace is refused, while other requests are still taken") {
+  World world(std::vector<RunnerPlan>{}, UsualConfiguration(), true, /*grace=*/4 * kSecond);
+  const auto is_refused_as_it_ends = [&world](const std::string& request) {
+    Socket client = world.Client();
+    client.Send(request);
+    return client.Read().body.find("this dispatcher ends") != std::string::npos;
+  };
+  const std::string brief = "Lichenlug-Deadline-Ms: 20\r\n";
+  CHECK_FALSE(is_refused_as_it_ends(Post("/stream/1", "s1", "b", brief)));
+  world.plane().BeginDrain();
+  bool refused = false;
+  for (int tries = 0; tries < 10000 && !refused; ++tries)
+    refused = is_refused_as_it_ends(Post("/stream/1", "t" + std::to_string(tries), "b", brief));
+  CHECK(refused);
+  CHECK_FALSE(is_refused_as_it_ends(Post("/unsafe/1", "a1", "b", brief)));
+}
+
 TEST_CASE("A drain does not close over a request that has come") {
   World world({{.id = "r1", .models = {}}}, UsualConfiguration(), true, /*grace=*/kSecond);
   Socket client = world.Client();
