Let requests whose objective has passed come after all that may still be in time

Ruled out: registration and configuration (ready 0.6 s after the start), loads (the models stood), the decision module's waiting (0 ms).

Change: a client that comes back with so little time that its objective has passed gets Priority 9 at the runner; all others 0 to 8. A peer that does not answer a dial is dialled anew after 0.1 s (0.25).

--- a/src/dataplane/exchange.cpp
+++ b/src/dataplane/exchange.cpp
@@ -32,6 +32,7 @@
       service_(std::move(origin.service)),
       deadline_(origin.deadline),
       came_back_(origin.came_back),
+      since_first_try_(origin.since_first_try),
       sink_(origin.sink),
       context_(context),
       runners_(runners),
@@ -59,6 +60,7 @@
   arrival.precedence = match_.precedence;
   arrival.tries = std::max(1, static_cast<int>(match_.route->tries()));
   arrival.objective = static_cast<Time>(match_.route->objective_ms() * kMillisecond);
+  arrival.late = came_back_ && since_first_try_ >= arrival.objective;
   arrival.deadline = deadline_;
   return arrival;
 }
--- a/src/dataplane/exchange.h
+++ b/src/dataplane/exchange.h
@@ -31,6 +31,7 @@
     std::string service;
     Time deadline = 0;
     bool came_back = false;      // its client was refused before, as far as can be told
+    Time since_first_try = 0;    // as far as can be told
     AnswerSink* sink = nullptr;  // until the exchange has ended
   };
 
@@ -78,6 +79,7 @@
   const std::string service_;
   const Time deadline_;
   const bool came_back_;
+  const Time since_first_try_;
   AnswerSink* sink_;
   Context* const context_;
   RunnerPool* const runners_;
--- a/src/dataplane/exchange_table.cpp
+++ b/src/dataplane/exchange_table.cpp
@@ -7,7 +7,7 @@
 
 // Clients of a route wait alike. One that came back has spent on its first try at least the time that it was
 // told to wait.
-constexpr double kCameBackPart = 0.98;
+constexpr double kCameBackPart = 0.02;  // of the time that it has left
 constexpr std::size_t kMostRoutes = 4096;
 constexpr Time kLongestDeadline = 600 * kSecond;  // where neither the client nor the route names one
 
@@ -33,7 +33,9 @@
     patience = std::min(patience, static_cast<Time>(match.route->deadline_ms() * kMillisecond));
   patience = std::min(patience, kLongestDeadline);
   origin.deadline = arrived + patience;
-  origin.came_back = CameBack(match.route->name(), patience);
+  origin.since_first_try = SinceFirstTry(match.route->name(), patience);
+  origin.came_back =
+      static_cast<double>(origin.since_first_try) > kCameBackPart * static_cast<double>(patience);
   origin.service =
       routing::Router::ServiceOf(*match.route, std::uniform_real_distribution<double>(0, 1)(random_));
   origin.match = match, origin.router = context_->router, origin.sink = sink;
@@ -47,11 +49,11 @@
   return number;
 }
 
-bool ExchangeTable::CameBack(const std::string& route, Time patience) {
+Time ExchangeTable::SinceFirstTry(const std::string& route, Time patience) {
   if (longest_patience_.size() >= kMostRoutes) longest_patience_.clear();
   Time& longest = longest_patience_[route];
   longest = std::max(longest, patience);
-  return static_cast<double>(patience) < kCameBackPart * static_cast<double>(longest);
+  return longest - patience;
 }
 
 std::shared_ptr<Exchange> ExchangeTable::Find(routing::RequestNumber number) const {
--- a/src/dataplane/exchange_table.h
+++ b/src/dataplane/exchange_table.h
@@ -38,7 +38,8 @@
   void Erase(routing::RequestNumber number);
 
  private:
-  bool CameBack(const std::string& route, Time patience);
+  // How much less time the client has than others of the route had: it has spent that on an earlier try.
+  Time SinceFirstTry(const std::string& route, Time patience);
   std::shared_ptr<Exchange> Find(routing::RequestNumber number) const;
   void Execute();
   void Execute(const routing::Decision& decision);
--- a/src/routing/decisions.cpp
+++ b/src/routing/decisions.cpp
@@ -36,8 +36,8 @@
     const auto found = services_.find(arrival.service);
     const bool known = found != services_.end() && found->second->configured;
     if (known) ExpireWithheld(found->second.get(), decisions);  // no timer tells while there are no requests
-    flow_.Arrived(now_, arrival, priorities_.PriorityOf(arrival.precedence),
-                  known ? found->second.get() : nullptr, decisions);
+    const int priority = arrival.late ? PriorityScale::kLate : priorities_.PriorityOf(arrival.precedence);
+    flow_.Arrived(now_, arrival, priority, known ? found->second.get() : nullptr, decisions);
   }
 
   void Tick(std::vector<Decision>* decisions) {
--- a/src/routing/decisions.h
+++ b/src/routing/decisions.h
@@ -31,6 +31,7 @@
   RouteKind kind = RouteKind::kUnsafe;
   bool repeatable = false;
   bool came_back = false;  // its client was refused before, as far as can be told
+  bool late = false;       // so long ago that the objective has passed since its first try
   int precedence = 0;
   int tries = 1;
   Time objective = 0;  // span until the answer, or a stream's first event, loses worth
--- a/src/routing/priority_scale.cpp
+++ b/src/routing/priority_scale.cpp
@@ -8,7 +8,7 @@
 namespace lichenlug::routing {
 namespace {
 
-constexpr int kLast = 9;
+constexpr int kLast = PriorityScale::kLate - 1;
 constexpr std::size_t kSpread = 5;  // up to so many stand two apart, from 1
 
 }  // namespace
--- a/src/transport/peer_links.cpp
+++ b/src/transport/peer_links.cpp
@@ -10,7 +10,7 @@
 constexpr std::chrono::seconds kBetweenSweeps{1};
 // A peer without power says nothing, and the kernel repeats its call only after a second and more. The peer
 // may be there again before: it is dialled anew, each time after a longer wait.
-constexpr std::chrono::milliseconds kFirstDialPatience{250};
+constexpr std::chrono::milliseconds kFirstDialPatience{100};
 constexpr std::chrono::milliseconds kLongestDialPatience{4000};
 
 }  // namespace
--- a/tests/system/dataplane/retries_test.cpp
+++ b/tests/system/dataplane/retries_test.cpp
@@ -73,6 +73,27 @@
   CHECK(client.Read().body == "served");
 }
 
+TEST_CASE("A client that comes back after its objective has passed gets the last priority at runners") {
+  auto configuration = UsualConfiguration();
+  for (auto& route : *configuration.mutable_routes()) route.set_objective_ms(500);
+  World world({{.id = "r1", .models = {}}}, configuration);
+  Socket client = world.Client();
+  std::optional<Socket> runner;  // its connection is kept
+  const auto priority_with = [&](const std::string& id, int patience) {
+    client.Send(Post("/unsafe/1", id, "b", "Lichenlug-Deadline-Ms: " + std::to_string(patience) + "\r\n"));
+    if (!runner) runner.emplace(world.runner(0).Accept());
+    const std::string priority = runner->Read().Header("Priority");
+    runner->Send(Answer(200, id, "served"));
+    CHECK(client.Read().body == "served");
+    return priority;
+  };
+  const std::string first = priority_with("a1", 2000);
+  CHECK(first != "9");
+  CHECK(priority_with("a2", 1700) == first);  // came back within its objective
+  CHECK(priority_with("a3", 1400) == "9");
+  CHECK(priority_with("a4", 2000) == first);
+}
+
 TEST_CASE("A refusal that may not go to another runner goes to the client as a promise") {
   World world;
   Socket client = world.Client();
--- a/tests/system/routing/decisions_test.cpp
+++ b/tests/system/routing/decisions_test.cpp
@@ -52,6 +52,21 @@
   CHECK(started[0].priority == 3);
 }
 
+TEST_CASE("a request that is late already comes after all that may be in time", "[decisions]") {
+  World world;
+  world.AddRunner("only", "pool", 64, {"m1"});
+  Dispatcher dispatcher(world);
+  Arrival late = Asking(1, dispatcher.now, "m1");
+  late.precedence = 0, late.came_back = true, late.late = true;
+  Arrival least_urgent = Asking(2, dispatcher.now, "m1");
+  least_urgent.precedence = 1000;
+  const auto first = Only<StartAttempt>(dispatcher.Arrived(late));
+  const auto second = Only<StartAttempt>(dispatcher.Arrived(least_urgent));
+  REQUIRE(first.size() == 1);
+  REQUIRE(second.size() == 1);
+  CHECK(first[0].priority > second[0].priority);
+}
+
 TEST_CASE("a draining runner gets nothing new, and its requests go on", "[decisions]") {
   World world = NineRunners();
   Dispatcher dispatcher(world);
