Order as many runners as all models in their copies need

The scaler was off, and its rules looked at slots only.

Change: a zone has its part of the runners that hold all models, busy ones in as many copies as their demand asks for, at 0.85 of the memory. Rises at once, by a third of a zone at a time; never before 4 s of an epoch. A second copy of a busy model may push out an idle model.

--- a/src/controlplane/duty_service.cpp
+++ b/src/controlplane/duty_service.cpp
@@ -89,6 +89,7 @@
     settings.origin_overage = settings_.bounds.origin_overage;
     settings.lease = settings_.bounds.lease;
     settings.heartbeat = settings_.heartbeat_every;
+    settings.scale = settings_.duty_fleet;
     settings.seed = seed_;
     placement = std::make_unique<placement::Placement>(settings);
   }
--- a/src/placement/eviction.cpp
+++ b/src/placement/eviction.cpp
@@ -25,7 +25,8 @@
 constexpr double kSparedFill = 0.5;
 constexpr double kOverloadPart = 0.8;  // of its share of the running requests is what another copy is worth
 constexpr double kReliefWorth = 2;
-constexpr double kStillUnserved = 0.5;  // requests; what remains of the count fades, and never ends
+constexpr double kSecondCopyWorth = 4.5;  // of a busy model: more than any idle one
+constexpr double kStillUnserved = 0.5;    // requests; what remains of the count fades, and never ends
 constexpr double kSafeArrivals = 3;    // a second, from which the loss of an only copy costs more than a load
 constexpr double kBusyArrivals = 0.3;  // a second: its only copy is never unloaded
 
@@ -106,7 +107,7 @@
     case Urgency::kRelief:
       return kReliefWorth;
     case Urgency::kSpare:
-      return 0;
+      return key.is_model() && copies == 1 && demand.arrivals_per_s > kSafeArrivals ? kSecondCopyWorth : 0;
   }
   return 0;
 }
--- a/src/placement/fleet_scaler.cpp
+++ b/src/placement/fleet_scaler.cpp
@@ -1,6 +1,7 @@
 #include "placement/fleet_scaler.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lichenlug::placement {
 namespace {
@@ -8,6 +9,12 @@
 constexpr double kFullShare = 0.75, kIdleShare = 0.25;  // of a zone's slots
 constexpr Time kFullFor = 5 * kSecond, kIdleFor = 30 * kSecond;
 constexpr Time kForgetZone = 120 * kSecond;
+constexpr Time kRunnersHeardAfter = 4 * kSecond;  // since the epoch began; heartbeats come more often
+// Models differ in size, so a part of each runner's memory stays free.
+constexpr double kPacking = 0.85;
+constexpr double kCopyFill = 0.4;    // of a runner's slots that a copy of a busy model is to bear
+constexpr double kSafeArrivals = 3;  // a second, from which a model is not to stand on one runner alone
+constexpr int kLeastStep = 2, kStepPart = 3;  // a zone grows by so many, or by that part, at a time
 constexpr std::size_t kMostZones = 1000;
 
 void Stretch(Time now, bool holds, Time* since) {
@@ -29,11 +36,27 @@
   return true;
 }
 
+double CopiesOf(const PlanContext& context, const std::string& model) {
+  const Demand& demand = context.demand->OfModel(model);
+  const double copies = std::ceil(demand.running / (kCopyFill * context.catalog->slots()));
+  return std::max(copies, demand.arrivals_per_s > kSafeArrivals ? 2.0 : 1.0);
+}
+
+// So many runners have room for all models in as many copies as their demand asks for.
+int RunnersForModels(const PlanContext& context) {
+  if (context.catalog->capacity_mb() <= 0) return 0;
+  double megabytes = 0;
+  for (const auto& [name, model] : context.catalog->models())
+    megabytes += model.weights_mb * CopiesOf(context, name);
+  return static_cast<int>(std::ceil(megabytes / (kPacking * context.catalog->capacity_mb())));
+}
+
 }  // namespace
 
-void FleetScaler::Restart() {
+void FleetScaler::Restart(Time now) {
   zones_.clear();
   under_way_.reset();
+  started_at_ = now;
 }
 
 void FleetScaler::Measure(const PlanContext& context) {
@@ -54,18 +77,44 @@
   std::erase_if(zones_, [&](const auto& entry) { return context.now - entry.second.seen > kForgetZone; });
 }
 
+// Even parts; a zone that has more than its part keeps it, and the others share the rest.
+void FleetScaler::ShareOut(int runners, int maximum) {
+  for (auto& [name, zone] : zones_) zone.wanted = std::min(std::max(zone.ordered, zone.runners), maximum);
+  int missing = runners;
+  for (const auto& [name, zone] : zones_) missing -= zone.wanted;
+  for (; missing > 0; --missing) {
+    const auto least = std::min_element(zones_.begin(), zones_.end(), [](const auto& a, const auto& b) {
+      return a.second.wanted < b.second.wanted;
+    });
+    if (least == zones_.end() || least->second.wanted >= maximum) return;
+    ++least->second.wanted;
+  }
+}
+
+int FleetScaler::SizeFor(const PlanContext& context, const Zone& zone, const messages::Fleet& fleet) {
+  const int size = std::max(zone.ordered, zone.runners);
+  if (zone.wanted > size) return std::min(zone.wanted, size + std::max(kLeastStep, size / kStepPart));
+  if (zone.full_since != 0 && context.now - zone.full_since >= kFullFor) return size + 1;
+  const bool idle = zone.idle_since != 0 && context.now - zone.idle_since >= kIdleFor;
+  if (idle && zone.may_lose_one && size > std::max(1, fleet.minimum())) return size - 1;
+  return size;
+}
+
 std::optional<FleetChange> FleetScaler::Decide(const PlanContext& context, const messages::Fleet& fleet) {
   Measure(context);
-  if (under_way_ || fleet.maximum() <= 0) return std::nullopt;
+  if (under_way_ || fleet.maximum() <= 0 || context.now - started_at_ < kRunnersHeardAfter)
+    return std::nullopt;
+  const int for_models = RunnersForModels(context);
+  ShareOut(for_models, fleet.maximum());
+  int runners = 0;
+  for (const auto& [name, zone] : zones_) runners += std::max(zone.ordered, zone.runners);
   const Time pause = static_cast<Time>(std::clamp(fleet.boot_s(), 1.0, 3600.0) * kSecond);
   for (auto& [name, zone] : zones_) {
     if (zone.changed != 0 && context.now - zone.changed < pause) continue;
     const int size = std::max(zone.ordered, zone.runners);
-    int wanted = size;
-    if (zone.full_since != 0 && context.now - zone.full_since >= kFullFor) wanted = size + 1;
-    if (zone.idle_since != 0 && context.now - zone.idle_since >= kIdleFor && zone.may_lose_one)
-      wanted = size - 1;
-    if (wanted == size || wanted < std::max(1, fleet.minimum()) || wanted > fleet.maximum()) continue;
+    const int wanted = SizeFor(context, zone, fleet);
+    const bool shrinks_too_far = wanted < size && runners <= for_models;
+    if (wanted == size || wanted > fleet.maximum() || shrinks_too_far) continue;
     zone.changed = context.now;
     zone.full_since = zone.idle_since = 0;
     under_way_ = FleetChange{name, wanted};
--- a/src/placement/fleet_scaler.h
+++ b/src/placement/fleet_scaler.h
@@ -1,5 +1,7 @@
-// How many runners a zone should have, for services whose fleets may grow. Grows a zone one runner at a time
-// under lasting overload and shrinks it one at a time when it lies idle. Off unless the settings ask for it.
+// How many runners a zone should have, for services whose fleets may grow. All models are to fit into the
+// runners' memory, the busy ones in several copies; a zone has its part of the runners that takes. Beyond
+// that a zone grows one runner at a time under lasting overload, and shrinks one at a time when it lies idle.
+// Off unless the settings ask for it.
 #pragma once
 
 #include <cstdint>
@@ -21,7 +23,7 @@
 
 class FleetScaler {
  public:
-  void Restart();  // another epoch
+  void Restart(Time now);  // another epoch
   // At most one change at a time; to be told how it ended.
   std::optional<FleetChange> Decide(const PlanContext& context, const messages::Fleet& fleet);
   void Ended(Time now, bool taken);
@@ -30,14 +32,18 @@
   struct Zone {
     int runners = 0;
     int ordered = 0;  // 0: nothing was
+    int wanted = 0;   // for the models
     double load = 0;
     bool may_lose_one = true;
     Time seen = 0, full_since = 0, idle_since = 0, changed = 0;
   };
   void Measure(const PlanContext& context);
+  void ShareOut(int runners, int maximum);
+  static int SizeFor(const PlanContext& context, const Zone& zone, const messages::Fleet& fleet);
 
   std::map<std::string, Zone> zones_;
   std::optional<FleetChange> under_way_;
+  Time started_at_ = 0;  // of the epoch
 };
 
 }  // namespace lichenlug::placement
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -81,7 +81,7 @@
     budget_.Inherit(input.lease_started_at, *input.loads);
   else if (!first)
     budget_.TakeOver(now);
-  scaler_.Restart();
+  scaler_.Restart(now);
   for (auto& [id, runner] : runners_) {
     runner.ledger.Restart();
     runner.intent.reset();
