Bring models that stand nowhere into room that nothing else wants

Need: with a fleet sized for all models some still stand nowhere until they are asked for, and the first requests wait 1.3 to 2.9 s for the load. Change: one such model at a time is loaded where there is free room and the weight store allows two loads more; it pushes out nothing.

--- a/src/placement/eviction.cpp
+++ b/src/placement/eviction.cpp
@@ -106,6 +106,8 @@
       return kBusyCopy + kOverloadPart * share;
     case Urgency::kRelief:
       return kReliefWorth;
+    case Urgency::kPrefetch:
+      return 0;
     case Urgency::kSpare:
       return key.is_model() && copies == 1 && demand.arrivals_per_s > kSafeArrivals ? kSecondCopyWorth : 0;
   }
--- a/src/placement/fleet_view.cpp
+++ b/src/placement/fleet_view.cpp
@@ -21,6 +21,8 @@
       return "its runners are full, others aren't";
     case Urgency::kSpare:
       return "busy, and there is free room";
+    case Urgency::kPrefetch:
+      return "held by no runner, and there is free room";
   }
   return "";
 }
--- a/src/placement/fleet_view.h
+++ b/src/placement/fleet_view.h
@@ -21,6 +21,7 @@
   kOverload,  // its runners are too few for its demand
   kRelief,    // its runners are full, others aren't
   kSpare,     // worth a copy where there is free room
+  kPrefetch,  // stands nowhere and may be asked for, where there is free room
 };
 const char* ToText(Urgency urgency);
 
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -21,6 +21,7 @@
 constexpr Time kRememberPlaced = 60 * kSecond;
 constexpr std::size_t kRunnersPerOptional = 8;
 constexpr std::size_t kMostRefused = 1000;
+constexpr int kLoadsKept = 2;  // that the weight store allows, for what is asked for
 constexpr double kFillCost = 3, kColdCost = 1, kZoneCost = 0.3, kAdapterCost = 0.05, kOrderCost = 0.1;
 
 bool Missing(const Demand& demand) { return demand.unserved > 0 || demand.arrivals_per_s > kMissedArrivals; }
@@ -74,9 +75,22 @@
     PlaceCopies(&pass, least_worth);
   }
   std::erase_if(short_since_, [&](const auto& entry) { return !wishes_.count(entry.first); });
+  Prefetch(&pass);
   return assignments;
 }
 
+// Models that stand nowhere, one at a time, into room that nothing else wants. Loads are kept for what is
+// asked for.
+void Planner::Prefetch(Pass* pass) {
+  const PlanContext& context = *pass->context;
+  for (const auto& [model, entry] : context.catalog->models()) {
+    const Key key{model, ""};
+    if (pass->optional_left == 0 || *pass->loads_left <= kLoadsKept) return;
+    if (!context.view->HoldersOf(key).empty() || Refused(context.now, key)) continue;
+    if (Place(*pass, key, Urgency::kPrefetch, kAnyFill)) --pass->optional_left;
+  }
+}
+
 // Models whose runners have too few places for the adapters that are asked for.
 void Planner::NoteCrowded(const PlanContext& context) {
   crowded_.clear();
--- a/src/placement/planner.h
+++ b/src/placement/planner.h
@@ -53,6 +53,7 @@
   void NoteCrowded(const PlanContext& context);
   // Only what is worth so much at least.
   void PlaceMissing(const Pass& pass, double least_worth);
+  void Prefetch(Pass* pass);
   void PlaceCopies(Pass* pass, double least_worth);
 
   std::uint64_t seed_;
--- a/src/placement/steps.cpp
+++ b/src/placement/steps.cpp
@@ -54,7 +54,8 @@
     const Demand& demand = target.is_model() ? demand_.OfModel(target.model) : demand_.Of(target);
     const bool usable = runner.ledger.record().state() == messages::RUNNER_READY &&
                         runner.ledger.last_seen() == now && runner.ledger.failures() < kMostFailures;
-    if (!usable || !demand.present() || !catalog_.Knows(target) || now - runner.intent->since > kIntentLasts)
+    const bool wanted = demand.present() || runner.intent->urgency == Urgency::kPrefetch;
+    if (!usable || !wanted || !catalog_.Knows(target) || now - runner.intent->since > kIntentLasts)
       runner.intent.reset();
   }
 }
