--- a/tests/system/placement/fleet_scaler_test.cpp
+++ b/tests/system/placement/fleet_scaler_test.cpp
@@ -1,6 +1,8 @@
 #include "placement/fleet_scaler.h"
 
 #include <catch2/catch.hpp>
+#include <map>
+#include <string>
 
 namespace lichenlug::placement {
 namespace {
@@ -90,5 +92,91 @@
   CHECK_FALSE(zones.Run(60 * kSecond));
 }
 
+// Four runners of 100 MB in two zones, at most `maximum` a zone, and `models` models of 30 MB each.
+struct ZonesOfModels : Zones {
+  explicit ZonesOfModels(int models, int maximum = 10) {
+    messages::Engine engine;
+    engine.set_slots(10);
+    engine.set_weights_mb(100);
+    for (int i = 0; i < models; ++i) {
+      messages::Model& model = *engine.add_models();
+      model.set_name("m" + std::to_string(i));
+      model.set_weights_mb(30);
+    }
+    catalog.Assign(engine);
+    fleet.set_maximum(maximum);
+  }
+  void Ask(const std::string& model, double arrivals, double running) {
+    std::vector<messages::DemandReport> reports(1);
+    reports[0].set_number(++number);
+    messages::ModelDemand& entry = *reports[0].add_models();
+    entry.set_service("llm");
+    entry.set_model(model);
+    entry.set_arrivals_per_s(arrivals);
+    entry.set_running(running);
+    demand.Update(now, "llm", reports, catalog);
+  }
+  // Carries out what is ordered until nothing is for a minute; the sizes of the zones then.
+  std::map<std::string, int> Settle() {
+    std::map<std::string, int> sizes;
+    while (const auto change = Run(60 * kSecond)) {
+      scaler.Ended(now, true);
+      sizes[change->zone] = change->size;
+      int here = 0;
+      for (const RunnerView& runner : view.runners) here += runner.zone == change->zone ? 1 : 0;
+      for (; here < change->size; ++here) {
+        RunnerView runner;
+        runner.id = "n" + std::to_string(view.runners.size());
+        runner.zone = change->zone;
+        view.runners.push_back(runner);
+      }
+    }
+    return sizes;
+  }
+
+  std::uint64_t number = 0;
+};
+
+TEST_CASE("runners are ordered until all models fit, in even parts") {
+  ZonesOfModels zones(22);  // 660 MB at 0.85 of 100 MB each: eight runners
+  CHECK(zones.Settle() == std::map<std::string, int>{{"a", 4}, {"b", 4}});
+}
+
+TEST_CASE("a fleet that has room for all models orders nothing") {
+  ZonesOfModels zones(11);  // 330 MB: four runners
+  CHECK(zones.Settle().empty());
+}
+
+TEST_CASE("a busy model counts in as many copies as its demand needs") {
+  ZonesOfModels zones(11);
+  zones.Ask("m3", 20, 38);  // at 0.4 of 10 slots each: ten copies, so 600 MB
+  CHECK(zones.Settle() == std::map<std::string, int>{{"a", 4}, {"b", 4}});
+}
+
+TEST_CASE("a model that many ask for counts twice") {
+  ZonesOfModels zones(11);
+  zones.Ask("m3", 4, 0.5);  // 360 MB: five runners
+  CHECK(zones.Settle() == std::map<std::string, int>{{"a", 3}});
+}
+
+TEST_CASE("no zone is ordered more than its most") {
+  ZonesOfModels zones(1000, 5);
+  CHECK(zones.Settle() == std::map<std::string, int>{{"a", 5}, {"b", 5}});
+}
+
+TEST_CASE("a new epoch orders nothing until the runners have been heard") {
+  ZonesOfModels zones(22);
+  zones.scaler.Restart(zones.now);
+  CHECK_FALSE(zones.Run(3900 * kMillisecond));
+  CHECK(zones.Run(kSecond));
+}
+
+TEST_CASE("runners that the models need stay when they are idle") {
+  ZonesOfModels zones(11);
+  zones.fleet.set_minimum(1);
+  zones.Load(0, 0);
+  CHECK(zones.Settle().empty());
+}
+
 }  // namespace
 }  // namespace lichenlug::placement
--- a/tests/system/placement/placement_test.cpp
+++ b/tests/system/placement/placement_test.cpp
@@ -20,6 +20,12 @@
   return "";
 }
 
+std::size_t Holders(SimulatedFleet* fleet, const Key& key) {
+  std::size_t holders = 0;
+  for (const SimulatedRunner& runner : fleet->runners()) holders += runner.held.Holds(key) ? 1 : 0;
+  return holders;
+}
+
 void RequireUnbroken(const SimulatedFleet& fleet) {
   for (const std::string& broken : fleet.broken()) INFO(broken);
   REQUIRE((fleet.broken().empty() ? std::string() : fleet.broken().front()) == "");
@@ -32,6 +38,35 @@
   CHECK(fleet.probes() == 0);
 }
 
+TEST_CASE("models that stand nowhere are brought into free room, and push nothing out") {
+  SimulationOptions options;
+  options.models = 20;
+  options.filled = false;
+  SimulatedFleet fleet(options);
+  fleet.Run(60 * kSecond);
+  for (const messages::Model& model : fleet.service().engine().models()) {
+    INFO(model.name());
+    CHECK(Holders(&fleet, {model.name(), ""}) == 1);
+  }
+  CHECK(fleet.loads() == 20);
+  CHECK(fleet.orders() == 20);
+  RequireUnbroken(fleet);
+}
+
+TEST_CASE("a model that many ask for gets a second copy in the room of an idle one") {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    SimulationOptions options;
+    options.seed = seed;
+    SimulatedFleet fleet(options);
+    fleet.Run(kSettled);
+    fleet.Ask({fleet.ModelName(7), ""}, 5, 0.2);
+    fleet.Run(15 * kSecond);
+    INFO("seed " << seed);
+    CHECK(Holders(&fleet, {fleet.ModelName(7), ""}) >= 2);
+    RequireUnbroken(fleet);
+  }
+}
+
 TEST_CASE("a model that stands nowhere is served within its load time and a second and a half") {
   for (std::uint64_t seed = 1; seed <= 30; ++seed) {
     SimulationOptions options;
@@ -62,12 +97,6 @@
   }
 }
 
-std::size_t Holders(SimulatedFleet* fleet, const Key& key) {
-  std::size_t holders = 0;
-  for (const SimulatedRunner& runner : fleet->runners()) holders += runner.held.Holds(key) ? 1 : 0;
-  return holders;
-}
-
 // More models are asked for now and then than there is room for.
 void AskForRareModels(SimulatedFleet* fleet, int first, double requests_per_s) {
   for (int i = first; i < fleet->service().engine().models_size(); ++i)
