Replace a holder that died a lease after its last renewal, not after its death is known

Ruled out: the disk, the ballots (a take-over takes some ms).

Change: a replica that is asked to accept a renewal notes when. For that each attempt of a dispatcher has a number of its own, so that one that few replicas accepted is not taken for one that was chosen later. No message more.

--- a/src/controlplane/control_plane.cpp
+++ b/src/controlplane/control_plane.cpp
@@ -99,7 +99,9 @@
   transport_ = std::make_unique<transport::Transport>(
       loop_->base(), transport, [this](messages::Envelope envelope) { Receive(std::move(envelope)); });
   if (!transport_->Listen(error)) return false;
-  registers_->OnConfigurationAccept([this] {
+  registers_->OnAccepting([this](const std::string& register_name, const std::string& payload) {
+    if (register_name != configuration::kRegisterName)
+      return duties_.Accepting(EventLoop::Now(), register_name, payload);
     if (!check_accepted_at_) check_accepted_at_ = EventLoop::Now() + kLearnAccepted;
   });
   registers_->OpenStore([this](const std::string& replica_id) {
--- a/src/controlplane/duty_service.cpp
+++ b/src/controlplane/duty_service.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "duties/load_history.h"
+#include "duties/ownership_changes.h"
 
 namespace lichenlug::controlplane {
 
@@ -208,6 +209,12 @@
             << ownership.state().epoch() << (ownership.Holds(EventLoop::Now()) ? ", held here" : "");
 }
 
+void DutyService::Accepting(Time now, const std::string& register_name, const std::string& payload) {
+  const auto ownership = ownerships_.find(register_name);
+  if (ownership == ownerships_.end()) return;
+  if (const auto state = duties::ReadState(payload)) ownership->second->Accepting(now, *state);
+}
+
 void DutyService::Tick(Time now, Time wall_now) {
   for (auto& [name, ownership] : ownerships_) {
     duties::OwnershipOutput output;
--- a/src/controlplane/duty_service.h
+++ b/src/controlplane/duty_service.h
@@ -39,6 +39,8 @@
   // Own counts and demand: kept here and told to the members with a store.
   void Report(Time now, Time wall_now, const dataplane::Report& report);
   void Receive(Time wall_now, const messages::DutiesMessage& message);
+  // The replica here was asked to accept this payload of a register.
+  void Accepting(Time now, const std::string& register_name, const std::string& payload);
   void Tick(Time now, Time wall_now);
   std::optional<Time> NextTimer() const;
   void Resign(Time now);  // SIGTERM
--- a/src/controlplane/register_service.cpp
+++ b/src/controlplane/register_service.cpp
@@ -6,8 +6,6 @@
 #include <random>
 #include <utility>
 
-#include "configuration/configuration.h"
-
 namespace lichenlug::controlplane {
 
 namespace {
@@ -151,9 +149,8 @@
 
 void RegisterService::Receive(const std::string& from_address, const messages::RegisterMessage& message) {
   if (!node_) return;
-  if (message.has_accept() && message.register_name() == configuration::kRegisterName &&
-      configuration_accepted_)
-    configuration_accepted_();
+  if (message.has_accept() && accepting_)
+    accepting_(message.register_name(), message.accept().value().payload());
   consensus::RegisterOutput output;
   node_->Receive(EventLoop::Now(), from_address, message, &output);
   Carry(std::move(output));
--- a/src/controlplane/register_service.h
+++ b/src/controlplane/register_service.h
@@ -40,10 +40,9 @@
   void Tick(Time now);
   std::optional<Time> NextTimer() const;
 
-  // Called whenever the replica here is asked to accept a configuration.
-  void OnConfigurationAccept(std::function<void()> accepted) {
-    configuration_accepted_ = std::move(accepted);
-  }
+  // Called whenever another dispatcher asks the replica here to accept a value, with its payload.
+  using Accepting = std::function<void(const std::string& register_name, const std::string& payload)>;
+  void OnAccepting(Accepting accepting) { accepting_ = std::move(accepting); }
 
   bool KnowsFounding() const { return founding_.members_size() > 0; }
   const messages::ReplicaGroup& founding() const { return founding_; }
@@ -77,7 +76,7 @@
   bool replicates_ = false;                                        // node_ has a replica
   std::unordered_map<std::string, messages::ReplicaGroup> hints_;  // by register, for the next node
   std::unordered_map<consensus::OperationId, Done> waiting_;
-  std::function<void()> configuration_accepted_;
+  Accepting accepting_;
   std::unique_ptr<storage::RecordStore> store_;  // last: its thread ends before what its callbacks use
 };
 
--- a/src/duties/ownership.cpp
+++ b/src/duties/ownership.cpp
@@ -27,6 +27,10 @@
   Time started_at = 0;
   Time give_up_at = 0;
 };
+struct Heard {
+  Renewal renewal;
+  Time at = 0;
+};
 struct Plan {
   Kind kind = Kind::kRead;
   Time at = 0;
@@ -48,6 +52,11 @@
     wanted_ = wanted;
   }
 
+  void Accepting(Time now, const OwnershipState& state) {
+    const Renewal renewal = RenewalOf(state);
+    if (!heard_ || heard_->renewal != renewal) heard_ = Heard{renewal, now};
+  }
+
   void Tick(Time now, OwnershipOutput* output) {
     Begin(now);
     if (running_ && now > running_->give_up_at + kLongestOperation) {  // it will not be answered any more
@@ -164,6 +173,7 @@
     if (running_) return;
     const std::optional<Plan> plan = MakePlan();
     if (!plan || now < plan->at) return;
+    attempts_ = std::max(attempts_, state_.renewals()) + 1;
     Operation operation{plan->kind, ++last_tag_, now, now + OperationTime()};
     output->operations.push_back(
         {operation.tag, settings_.register_name, ChangeOf(now, plan->kind), operation.give_up_at});
@@ -180,9 +190,9 @@
   consensus::ChangeFunction ChangeOf(Time now, Kind kind) const {
     switch (kind) {
       case Kind::kTakeOver:
-        return TakeOver(RenewalOf(state_), self_, now - observed_since_.value_or(now));
+        return TakeOver(RenewalOf(state_), self_, attempts_, now - observed_since_.value_or(now));
       case Kind::kRenew:
-        return Renew(self_, state_.epoch(), tallies_, Loads(now));
+        return Renew(self_, state_.epoch(), attempts_, tallies_, Loads(now));
       case Kind::kGiveUp:
         return GiveUp(self_, state_.epoch(), Loads(now));
       case Kind::kRead:
@@ -199,7 +209,7 @@
 
   void Observe(Time now, const OwnershipState& state) {
     const bool owned = OwnsInState();
-    if (!observed_since_ || RenewalOf(state) != RenewalOf(state_)) observed_since_ = now;
+    if (!observed_since_ || RenewalOf(state) != RenewalOf(state_)) observed_since_ = SeenAt(now, state);
     const bool is_renewal =
         RenewalOf(state).owner == RenewalOf(state_).owner && state.epoch() == state_.epoch();
     has_news_ = has_news_ || !is_renewal;
@@ -208,6 +218,11 @@
     DropChosenTallies();
   }
 
+  // The attempt that led to this renewal had begun by then, and no other leads to it.
+  Time SeenAt(Time now, const OwnershipState& state) const {
+    return heard_ && heard_->renewal == RenewalOf(state) ? heard_->at : now;
+  }
+
   // One that held the duty takes it again only a whole lease after it could last act.
   void Lost() {
     if (lease_started_at_) {
@@ -241,7 +256,8 @@
   Time resigned_at_ = 0;
 
   OwnershipState state_;                  // as last seen chosen
-  std::optional<Time> observed_since_;    // when the present renewal was first seen, at the end of a read
+  std::optional<Time> observed_since_;    // when the present renewal was first seen
+  std::optional<Heard> heard_;            // the last renewal that the replica here was asked to accept
   std::optional<Time> lease_started_at_;  // start of the last renewal of this dispatcher that was chosen
   bool has_begun_ = false;
   Time may_take_at_ = 0;
@@ -249,6 +265,7 @@
 
   std::optional<Operation> running_;
   std::uint64_t last_tag_ = 0;
+  std::uint64_t attempts_ = 0;
   Time started_at_ = 0;  // of the last operation
   Time ended_at_ = 0;
   int failures_ = 0;
@@ -264,6 +281,7 @@
 void Ownership::SetMembers(Time now, const std::vector<Member>& live, bool wanted) {
   impl_->SetMembers(now, live, wanted);
 }
+void Ownership::Accepting(Time now, const messages::OwnershipState& state) { impl_->Accepting(now, state); }
 void Ownership::Tick(Time now, OwnershipOutput* output) { impl_->Tick(now, output); }
 void Ownership::Completed(Time now, std::uint64_t tag, const consensus::Completion& completion,
                           OwnershipOutput* output) {
--- a/src/duties/ownership.h
+++ b/src/duties/ownership.h
@@ -4,7 +4,8 @@
 //
 // The lease is observed, not granted: an owner acts only until `lease` after the *start* of its last renewal
 // that was chosen, less a margin; another may take over only when it has seen the same renewal for the whole
-// lease and a margin on its own steady clock. So one that was frozen finds its lease over before it acts.
+// lease and a margin on its own steady clock. So one that was frozen finds its lease over before it acts. A
+// replica that was asked to accept a renewal has seen it then: it need not read along while the owner lives.
 #pragma once
 
 #include <cstdint>
@@ -52,6 +53,8 @@
   // lapses. Candidates are the live members with a store, in the agreed order (those that are ready first,
   // then by a hash of register and name).
   void SetMembers(Time now, const std::vector<Member>& live, bool wanted);
+  // The replica beside it was asked to accept this state, chosen or not.
+  void Accepting(Time now, const messages::OwnershipState& state);
   void Tick(Time now, OwnershipOutput* output);
   void Completed(Time now, std::uint64_t tag, const consensus::Completion& completion,
                  OwnershipOutput* output);
--- a/src/duties/ownership_changes.cpp
+++ b/src/duties/ownership_changes.cpp
@@ -1,5 +1,6 @@
 #include "duties/ownership_changes.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "duties/load_history.h"
@@ -37,29 +38,30 @@
   return [](const std::string&) -> Change { return KeepPayload{kOnlyRead}; };
 }
 
-consensus::ChangeFunction TakeOver(const Renewal& observed, const Holder& taker, Time elapsed) {
-  return [observed, taker, elapsed](const std::string& payload) -> Change {
+consensus::ChangeFunction TakeOver(const Renewal& observed, const Holder& taker, std::uint64_t attempt,
+                                   Time elapsed) {
+  return [observed, taker, attempt, elapsed](const std::string& payload) -> Change {
     std::optional<OwnershipState> state = ReadState(payload);
     if (!state) return KeepPayload{kUnreadable};
     if (RenewalOf(*state) != observed) return KeepPayload{kWasRenewed};
     state->set_owner(taker.name);
     state->set_owner_incarnation(taker.incarnation);
     state->set_epoch(observed.epoch + 1);
-    state->set_renewals(0);
+    state->set_renewals(attempt);
     for (messages::LoadHistory& history : *state->mutable_loads()) AgeLoads(elapsed, &history);
     return NewPayload{state->SerializeAsString()};
   };
 }
 
-consensus::ChangeFunction Renew(const Holder& owner, std::uint64_t epoch,
+consensus::ChangeFunction Renew(const Holder& owner, std::uint64_t epoch, std::uint64_t attempt,
                                 std::vector<messages::WindowCount> tallies,
                                 std::vector<messages::LoadHistory> loads) {
-  return [owner, epoch, tallies = std::move(tallies),
+  return [owner, epoch, attempt, tallies = std::move(tallies),
           loads = std::move(loads)](const std::string& payload) -> Change {
     std::optional<OwnershipState> state = ReadState(payload);
     if (!state) return KeepPayload{kUnreadable};
     if (OwnerOf(*state) != owner || state->epoch() != epoch) return KeepPayload{kNotOwner};
-    state->set_renewals(state->renewals() + 1);
+    state->set_renewals(std::max(state->renewals() + 1, attempt));
     for (const auto& tally : tallies) AddTally(tally, &*state);
     ReplaceLoads(loads, &*state);
     return NewPayload{state->SerializeAsString()};
--- a/src/duties/ownership_changes.h
+++ b/src/duties/ownership_changes.h
@@ -42,11 +42,15 @@
 Renewal RenewalOf(const messages::OwnershipState& state);
 
 consensus::ChangeFunction ReadOnly();
+// A take-over and a renewal are given the number that their dispatcher has for this attempt, higher than any
+// it saw or used before: so no two attempts lead to the same renewal.
+
 // Takes over what is still as observed `elapsed` ago, in the next epoch.
-consensus::ChangeFunction TakeOver(const Renewal& observed, const Holder& taker, Time elapsed);
+consensus::ChangeFunction TakeOver(const Renewal& observed, const Holder& taker, std::uint64_t attempt,
+                                   Time elapsed);
 // Renews the lease of an epoch, adds tallies of windows later than those that are chosen, and replaces the
 // histories of the services that are told.
-consensus::ChangeFunction Renew(const Holder& owner, std::uint64_t epoch,
+consensus::ChangeFunction Renew(const Holder& owner, std::uint64_t epoch, std::uint64_t attempt,
                                 std::vector<messages::WindowCount> tallies,
                                 std::vector<messages::LoadHistory> loads);
 // Leaves the duty without owner; the epoch stays.
--- a/tests/system/duties/ownership_test.cpp
+++ b/tests/system/duties/ownership_test.cpp
@@ -90,6 +90,45 @@
   CheckActs(world.acts);
 }
 
+TEST_CASE("a holder is replaced a lease after its last renewal, however late its death is known") {
+  constexpr Time kKnownAfter = 2300 * kMillisecond;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    OwnershipWorld world(3, seed);
+    world.RunFor(10 * kSecond + world.Random(kSecond));
+    const Time killed_at = world.now;
+    world.Kill(world.Holder().value());
+    world.RunFor(kKnownAfter);
+    world.TellMembers();
+    while (!world.Holder() && world.now < killed_at + 20 * kSecond) world.RunFor(10 * kMillisecond);
+    INFO("seed " << seed);
+    CHECK(world.now - killed_at <= OwnershipWorld::kLease + 600 * kMillisecond);
+    CheckActs(world.acts);
+  }
+}
+
+TEST_CASE("a renewal that few replicas accepted is not taken for the one that was chosen later") {
+  OwnershipWorld world(2, 3);
+  world.RunFor(10 * kSecond);
+  const std::size_t owner = world.Holder().value(), other = 1 - owner;
+  std::optional<consensus::ChangeFunction> renewal;
+  OwnershipOutput output;
+  while (output.operations.empty()) {  // its next renewal, which comes to nothing
+    world.now += 10 * kMillisecond;
+    world.nodes[owner].ownership->Tick(world.LocalTime(owner), &output);
+  }
+  const auto unchosen = std::get<consensus::NewPayload>(output.operations[0].change(world.payload)).payload;
+  world.nodes[other].ownership->Accepting(world.LocalTime(other), *ReadState(unchosen));
+  world.now = output.operations[0].give_up_at;
+  OwnershipOutput again;
+  world.nodes[owner].ownership->Completed(world.LocalTime(owner), output.operations[0].tag, {}, &again);
+  while (again.operations.empty()) {
+    world.now += 10 * kMillisecond;
+    world.nodes[owner].ownership->Tick(world.LocalTime(owner), &again);
+  }
+  const auto chosen = std::get<consensus::NewPayload>(again.operations[0].change(world.payload)).payload;
+  CHECK(RenewalOf(*ReadState(unchosen)) != RenewalOf(*ReadState(chosen)));
+}
+
 TEST_CASE("a holder that was frozen finds its lease over before it acts") {
   OwnershipWorld world(3, 3);
   world.RunFor(10 * kSecond);
--- a/tests/system/duties/ownership_world.h
+++ b/tests/system/duties/ownership_world.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "duties/ownership.h"
+#include "duties/ownership_changes.h"
 
 namespace lichenlug::duties {
 
@@ -144,6 +145,7 @@
   std::string payload;                       // of the register
   std::vector<messages::LoadHistory> loads;  // that any owner tells with its renewals
   bool is_rough = false;
+  bool replicas_hear = true;  // what they are asked to accept, before the outcome is known
   std::size_t operations = 0, changes_told = 0;
   std::function<void()> on_change;  // after each change of the payload
 
@@ -173,8 +175,10 @@
       consensus::Completion unknown;
       unknown.outcome = consensus::Outcome::kUnknown;
       At(now + patience, [answer, unknown] { answer(unknown); });
-      if (Random(2) == 0) return;
-      At(applied, [this, change = operation.change] { Apply(change); });
+      if (Random(2) == 0)
+        At(applied, [this, change = operation.change] { AcceptedByFew(change); });
+      else
+        At(applied, [this, change = operation.change] { Apply(change); });
       return;
     }
     At(applied, [this, answer, answered, change = operation.change] {
@@ -190,6 +194,7 @@
     if (const auto* next = std::get_if<consensus::NewPayload>(&result)) {
       payload = next->payload;
       completion.outcome = consensus::Outcome::kChosen;
+      TellReplicas(payload);
       if (on_change) on_change();
     } else {
       completion.outcome = consensus::Outcome::kKept;
@@ -199,6 +204,27 @@
     return completion;
   }
 
+  // Too few replicas accept it for it to be chosen.
+  void AcceptedByFew(const consensus::ChangeFunction& change) {
+    const consensus::Change result = change(payload);
+    if (const auto* next = std::get_if<consensus::NewPayload>(&result)) TellReplicas(next->payload);
+  }
+
+  // The replicas beside the candidates are asked to accept it: some later, some never.
+  void TellReplicas(const std::string& accepting) {
+    if (!replicas_hear) return;
+    const std::optional<messages::OwnershipState> state = ReadState(accepting);
+    if (!state) return;
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+      if (is_rough && Random(3) == 0) continue;
+      const std::uint64_t incarnation = nodes[i].incarnation;
+      At(now + Random(is_rough ? 2 * kSecond : 5 * kMillisecond), [this, i, incarnation, state] {
+        const bool hears = Runs(i) && !nodes[i].is_cut_off && nodes[i].incarnation == incarnation;
+        if (hears) nodes[i].ownership->Accepting(LocalTime(i), *state);
+      });
+    }
+  }
+
   void Complete(std::size_t i, std::uint64_t tag, const consensus::Completion& completion) {
     if (!nodes[i].is_running) return;
     if (nodes[i].is_frozen) return nodes[i].held_back.emplace_back(tag, completion), void();
