Leave runners whose machine does not answer, where another can take their place

Need: a runner that goes dark was noticed by the kernel's probes after 2.5 s, but clients give a stream up after 2 s of silence. Change: while repeatable attempts wait and nothing comes of their runner for 0.45 s, it is asked for a connection; if none comes up within 0.45 s the attempts fail as broken and go on elsewhere. Where nobody can take the place they wait on: silence alone ends no answer. A pause of this process says nothing of runners.

Ruled out: a time-out on silence alone, as busy runners are silent for seconds.

--- a/src/dataplane/attempt.cpp
+++ b/src/dataplane/attempt.cpp
@@ -52,8 +52,11 @@
   connection_->set_user(this);
 }
 
+void Attempt::Abandon() { Fail(AttemptOutcome::kBroken); }
+
 void Attempt::Stop() {
   stage_ = Stage::kOver;
+  watch_.reset();
   owner_ = nullptr;
   if (connection_ != nullptr) connection_->set_user(nullptr);
   connection_.reset();
@@ -77,6 +80,15 @@
   connection_->http().ExpectNoBody(request_->IsHead());
   connection_->http().Send(bytes);
   if (!together) connection_->http().Send(body);
+  if (settings_.watches_runner) WatchRunner();
+}
+
+void Attempt::WatchRunner() {
+  watch_ = pool_->Watch(settings_.runner_id, settings_.address, [weak = weak_from_this()] {
+    const auto attempt = weak.lock();
+    if (attempt != nullptr && attempt->stage_ != Stage::kOver && attempt->owner_ != nullptr)
+      attempt->owner_->RunnerUnreachable(*attempt);
+  });
 }
 
 // What a head says of its answer. An answer without the runner's stamp is not known to be the runner's.
@@ -92,6 +104,7 @@
 }
 
 void Attempt::HeadCame(const HttpMessage& head) {
+  if (watch_) watch_->Heard();
   if (head.status < 200) return;  // an interim one
   if (stage_ != Stage::kSent)
     return Fail(stage_ == Stage::kConnecting ? AttemptOutcome::kConnectFailed : AttemptOutcome::kBroken);
@@ -110,6 +123,7 @@
 }
 
 void Attempt::PieceCame(std::string_view piece) {
+  if (watch_) watch_->Heard();
   if (skipping_) return;
   if (stage_ == Stage::kStreaming) return owner_->StreamBytes(*this, piece);
   body_.append(piece);
@@ -149,6 +163,7 @@
 // The exchange is over. The connection is kept only if nothing else was or is on it.
 void Attempt::Release(const HttpMessage& answer) {
   stage_ = Stage::kOver;
+  watch_.reset();
   const RunnerPool::Connection connection = std::move(connection_);
   connection_.reset();
   connection->set_user(nullptr);
--- a/src/dataplane/attempt.h
+++ b/src/dataplane/attempt.h
@@ -25,6 +25,9 @@
   virtual void StreamBytes(Attempt& attempt, std::string_view bytes) = 0;
   virtual void StreamEnded(Attempt& attempt) = 0;  // whole
   virtual void AttemptFailed(Attempt& attempt, routing::AttemptOutcome outcome) = 0;
+  // The runner's machine does not answer, and the attempt waits for it. Not the last call: the owner may
+  // abandon the attempt, which then fails as broken, or let it wait on.
+  virtual void RunnerUnreachable(Attempt& attempt) = 0;
 };
 
 class Attempt : public RunnerConnectionUser, public std::enable_shared_from_this<Attempt> {
@@ -36,6 +39,7 @@
     std::string tenant;         // empty: anonymous
     std::string last_event_id;  // where a stream is taken up again; empty: it is not
     bool expects_events = false;
+    bool watches_runner = false;  // is told if the runner's machine does not answer
     Time deadline = 0;
   };
 
@@ -46,6 +50,7 @@
   void Start();  // may fail at once
   void Stop();   // tells nothing any more; the connection is closed where an answer is owed
   void PauseReading(bool pause);
+  void Abandon();  // fails as broken
 
   int number() const { return settings_.number; }
   const std::string& runner_id() const { return settings_.runner_id; }
@@ -61,6 +66,7 @@
   enum class Verdict { kAnswer, kEvents, kNotRun, kBroken };
 
   void Transmit();
+  void WatchRunner();
   Verdict Judge(const HttpMessage& head) const;
   routing::AttemptOutcome NotRunOutcome(const HttpMessage& head) const;
   void Release(const HttpMessage& answer);
@@ -72,6 +78,7 @@
   const Deadlines* const clock_;
   AttemptOwner* owner_;
   RunnerPool::Connection connection_;
+  std::unique_ptr<RunnerWatch::Wait> watch_;
   Stage stage_ = Stage::kConnecting;
   Verdict verdict_ = Verdict::kAnswer;
   HttpMessage head_;
--- a/src/dataplane/exchange.cpp
+++ b/src/dataplane/exchange.cpp
@@ -96,6 +96,7 @@
   if (match_.tenant != nullptr) settings.tenant = match_.tenant->name();
   if (head_sent_ && last_id_) settings.last_event_id = std::to_string(*last_id_);
   settings.expects_events = match_.kind == routing::RouteKind::kStream;
+  settings.watches_runner = match_.repeatable;
   settings.deadline = deadline_;
   ++started_;
   const auto attempt =
@@ -218,6 +219,12 @@
   if (final) Cut();
 }
 
+// Silence alone ends no answer: the attempt waits on unless another runner can take its place.
+void Exchange::RunnerUnreachable(Attempt& attempt) {
+  const bool can_go_on = !head_sent_ || Resumable();
+  if (can_go_on && table_->MayReplace(number_)) attempt.Abandon();
+}
+
 // ---- The end ----
 
 // What may have run is promised nothing; what has begun can only be cut.
--- a/src/dataplane/exchange.h
+++ b/src/dataplane/exchange.h
@@ -57,6 +57,7 @@
   void StreamBytes(Attempt& attempt, std::string_view bytes) override;
   void StreamEnded(Attempt& attempt) override;
   void AttemptFailed(Attempt& attempt, routing::AttemptOutcome outcome) override;
+  void RunnerUnreachable(Attempt& attempt) override;
 
  private:
   void DeadlineCame();
--- a/src/dataplane/exchange_table.cpp
+++ b/src/dataplane/exchange_table.cpp
@@ -99,6 +99,10 @@
   Execute();
 }
 
+bool ExchangeTable::MayReplace(routing::RequestNumber number) const {
+  return decisions_.MayReplace(context_->Now(), number);
+}
+
 void ExchangeTable::Erase(routing::RequestNumber number) {
   const auto found = exchanges_.find(number);
   if (found == exchanges_.end()) return;
--- a/src/dataplane/runner_pool.cpp
+++ b/src/dataplane/runner_pool.cpp
@@ -94,7 +94,7 @@
 RunnerConnection::~RunnerConnection() { http_->Close(); }
 
 RunnerPool::RunnerPool(asio::io_context& io, Deadlines* deadlines, std::size_t most_connections)
-    : io_(io), deadlines_(deadlines), most_connections_(most_connections) {}
+    : io_(io), deadlines_(deadlines), most_connections_(most_connections), watch_(io, deadlines) {}
 
 RunnerPool::~RunnerPool() { deadlines_->Remove(&sweep_); }
 
@@ -114,6 +114,12 @@
   return taken;
 }
 
+std::unique_ptr<RunnerWatch::Wait> RunnerPool::Watch(const std::string& runner_id, const std::string& address,
+                                                     std::function<void()> unreachable) {
+  const auto endpoint = ParseEndpoint(address);
+  return endpoint ? watch_.Begin(runner_id, *endpoint, std::move(unreachable)) : nullptr;
+}
+
 RunnerPool::Connection RunnerPool::Connect(const std::string& runner_id, const std::string& address,
                                            std::function<void(bool)> done) {
   const auto endpoint = ParseEndpoint(address);
--- a/src/dataplane/runner_pool.h
+++ b/src/dataplane/runner_pool.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/deadlines.h"
+#include "dataplane/runner_watch.h"
 #include "net/http_connection.h"
 
 namespace lichenlug::dataplane {
@@ -58,6 +59,10 @@
   // Keeps a connection whose exchange is whole; `answer` tells for how long its runner does.
   void Keep(Connection connection, const HttpMessage& answer);
 
+  // For an attempt that waits for this runner (RunnerWatch::Begin); null: the address can't be read.
+  std::unique_ptr<RunnerWatch::Wait> Watch(const std::string& runner_id, const std::string& address,
+                                           std::function<void()> unreachable);
+
   // Runners bound the connections of all dispatchers together.
   void SetMostIdle(std::size_t most_per_runner) { most_idle_ = most_per_runner; }
 
@@ -76,6 +81,7 @@
   std::unordered_map<std::string, std::vector<Connection>> idle_;  // the latest used last
   std::size_t idle_count_ = 0, most_idle_ = 64;
   Deadlines::Key sweep_;
+  RunnerWatch watch_;
 };
 
 }  // namespace lichenlug::dataplane
--- /dev/null
+++ b/src/dataplane/runner_watch.cpp
@@ -0,0 +1,103 @@
+#include "dataplane/runner_watch.h"
+
+#include <utility>
+#include <vector>
+
+namespace lichenlug::dataplane {
+namespace {
+
+constexpr Time kLookEvery = 150 * kMillisecond;
+constexpr Time kOwnPause = 100 * kMillisecond;  // a look that is later says nothing of runners
+constexpr int kAskAfterLooks = 3;               // without bytes
+constexpr int kAnswerWithinLooks = 2;           // a connection comes up in some ms
+constexpr int kAskAgainAfterLooks = 7;          // of a runner that answered
+
+}  // namespace
+
+RunnerWatch::Wait::Wait(std::shared_ptr<Runner> runner, std::function<void()> unreachable)
+    : runner_(std::move(runner)), unreachable_(std::move(unreachable)) {
+  runner_->waits.insert(this);
+}
+
+RunnerWatch::Wait::~Wait() { runner_->waits.erase(this); }
+
+void RunnerWatch::Wait::Heard() { runner_->heard = true; }
+
+RunnerWatch::RunnerWatch(asio::io_context& io, Deadlines* deadlines) : io_(io), deadlines_(deadlines) {}
+
+RunnerWatch::~RunnerWatch() { deadlines_->Remove(&next_look_); }
+
+std::unique_ptr<RunnerWatch::Wait> RunnerWatch::Begin(const std::string& runner_id,
+                                                      const asio::ip::tcp::endpoint& endpoint,
+                                                      std::function<void()> unreachable) {
+  auto& runner = runners_[runner_id];
+  if (runner == nullptr || runner->endpoint != endpoint) {
+    runner = std::make_shared<Runner>();
+    runner->endpoint = endpoint;
+  }
+  if (runner->waits.empty()) runner->quiet_looks = 0;
+  auto wait = std::make_unique<Wait>(runner, std::move(unreachable));
+  Arm();
+  return wait;
+}
+
+void RunnerWatch::Arm() {
+  if (next_look_ != Deadlines::Key{} || runners_.empty()) return;
+  look_due_ = deadlines_->Now() + kLookEvery;
+  next_look_ = deadlines_->Add(look_due_, [this] {
+    next_look_ = {};
+    Look();
+  });
+}
+
+void RunnerWatch::Look() {
+  const bool paused = deadlines_->Now() - look_due_ > kOwnPause;
+  std::vector<std::shared_ptr<Runner>> looked_at;
+  std::erase_if(runners_, [](const auto& entry) { return entry.second->waits.empty(); });
+  for (const auto& [id, runner] : runners_) looked_at.push_back(runner);
+  for (const auto& runner : looked_at) {
+    if (paused) runner->heard = true;
+    LookAt(runner);
+  }
+  Arm();
+}
+
+void RunnerWatch::LookAt(const std::shared_ptr<Runner>& runner) {
+  if (std::exchange(runner->heard, false)) {
+    runner->quiet_looks = 0;
+    runner->probe = Probe::kNone;
+    runner->socket.reset();
+    return;
+  }
+  ++runner->quiet_looks;
+  ++runner->probe_looks;
+  if (runner->probe == Probe::kConnecting && runner->probe_looks > kAnswerWithinLooks)
+    return TellUnreachable(runner.get());
+  const bool due = runner->probe == Probe::kNone ||
+                   (runner->probe == Probe::kAnswered && runner->probe_looks >= kAskAgainAfterLooks);
+  if (runner->quiet_looks >= kAskAfterLooks && due) Ask(runner);
+}
+
+void RunnerWatch::Ask(const std::shared_ptr<Runner>& runner) {
+  runner->probe = Probe::kConnecting;
+  runner->probe_looks = 0;
+  runner->socket = std::make_unique<asio::ip::tcp::socket>(io_);
+  runner->socket->async_connect(runner->endpoint, [weak = std::weak_ptr(runner)](std::error_code error) {
+    const auto asked = weak.lock();
+    if (asked == nullptr || error == asio::error::operation_aborted) return;
+    // A refusal is an answer too; what it ends shows on the connections themselves.
+    if (asked->probe == Probe::kConnecting) asked->probe = Probe::kAnswered;
+    asked->socket.reset();
+  });
+}
+
+void RunnerWatch::TellUnreachable(Runner* runner) {
+  runner->probe = Probe::kNone;
+  runner->socket.reset();
+  runner->quiet_looks = 0;
+  std::vector<std::function<void()>> calls;
+  for (const Wait* wait : runner->waits) calls.push_back(wait->unreachable_);
+  for (const auto& call : calls) call();
+}
+
+}  // namespace lichenlug::dataplane
--- a/src/routing/decisions.cpp
+++ b/src/routing/decisions.cpp
@@ -138,6 +138,10 @@
   impl_->flow().Gone(impl_->Now(now), request, decisions);
 }
 
+bool Decisions::MayReplace(Time now, RequestNumber request) const {
+  return impl_->flow().MayReplace(now, request);
+}
+
 void Decisions::Tick(Time now, std::vector<Decision>* decisions) {
   impl_->Now(now);
   impl_->Tick(decisions);
--- a/src/routing/decisions.h
+++ b/src/routing/decisions.h
@@ -83,6 +83,8 @@
   void AttemptEnded(Time now, RequestNumber request, int attempt, AttemptOutcome outcome, bool final,
                     std::vector<Decision>* decisions);
   void Gone(Time now, RequestNumber request, std::vector<Decision>* decisions);  // the client has left
+  // Whether another runner may take the place of one that breaks off now.
+  bool MayReplace(Time now, RequestNumber request) const;
   void Tick(Time now, std::vector<Decision>* decisions);
   std::optional<Time> NextTimer() const;
 
--- a/src/routing/request_flow.cpp
+++ b/src/routing/request_flow.cpp
@@ -143,6 +143,12 @@
   ForgetEnded(number);
 }
 
+bool RequestFlow::MayReplace(Time now, RequestNumber number) const {
+  const auto found = requests_.find(number);
+  if (found == requests_.end() || found->second.ended) return false;
+  return MayTryAgain(now, found->second, AttemptOutcome::kBroken);
+}
+
 void RequestFlow::TellChanges(Time now, ServiceState* service, const RunnerTable::Changes& changes,
                               std::vector<Decision>* decisions) {
   if (changes.empty() || !service->brain) return;
--- a/src/routing/request_flow.h
+++ b/src/routing/request_flow.h
@@ -35,6 +35,7 @@
   void AttemptEnded(Time now, RequestNumber request, int attempt, AttemptOutcome outcome, bool final,
                     std::vector<Decision>* decisions);
   void Gone(Time now, RequestNumber request, std::vector<Decision>* decisions);
+  bool MayReplace(Time now, RequestNumber request) const;
 
   // Tells the service's module of changes of its runners.
   void TellChanges(Time now, ServiceState* service, const RunnerTable::Changes& changes,
