--- a/src/duties/ownership.cpp
+++ b/src/duties/ownership.cpp
@@ -17,7 +17,6 @@
 constexpr Time kReadEvery = 500 * kMillisecond;
 constexpr Time kRetryAfter = 150 * kMillisecond;
 constexpr Time kLongestOperation = kSecond;
-constexpr int kRenewalsInLease = 3;
 
 enum class Kind { kRead, kTakeOver, kRenew, kGiveUp };
 
--- a/src/duties/ownership.h
+++ b/src/duties/ownership.h
@@ -22,6 +22,8 @@
 
 namespace lichenlug::duties {
 
+inline constexpr int kRenewalsInLease = 3;  // so often is a lease renewed within its span
+
 struct RegisterOperation {  // to be submitted; its completion comes back with the same tag
   std::uint64_t tag = 0;
   std::string register_name;
--- a/src/placement/demand_table.h
+++ b/src/placement/demand_table.h
@@ -12,6 +12,9 @@
 
 namespace lichenlug::placement {
 
+// A second, from which the loss of a model's only copy costs more than another copy does.
+inline constexpr double kSafeArrivals = 3;
+
 struct Demand {
   double arrivals_per_s = 0;
   double running = 0;  // smoothed
--- a/src/placement/eviction.cpp
+++ b/src/placement/eviction.cpp
@@ -27,8 +27,7 @@
 constexpr double kReliefWorth = 2;
 constexpr double kSecondCopyWorth = 4.5;  // of a busy model: more than any idle one
 constexpr double kStillUnserved = 0.5;    // requests; what remains of the count fades, and never ends
-constexpr double kSafeArrivals = 3;    // a second, from which the loss of an only copy costs more than a load
-constexpr double kBusyArrivals = 0.3;  // a second: its only copy is never unloaded
+constexpr double kBusyArrivals = 0.3;     // a second: its only copy is never unloaded
 
 double IdleTime(const PlanContext& context, const Demand& demand) {
   return demand.last_asked == 0 ? 1e12 : static_cast<double>(context.now - demand.last_asked);
--- a/src/placement/fleet_scaler.cpp
+++ b/src/placement/fleet_scaler.cpp
@@ -12,8 +12,7 @@
 constexpr Time kRunnersHeardAfter = 4 * kSecond;  // since the epoch began; heartbeats come more often
 // Models differ in size, so a part of each runner's memory stays free.
 constexpr double kPacking = 0.85;
-constexpr double kCopyFill = 0.4;    // of a runner's slots that a copy of a busy model is to bear
-constexpr double kSafeArrivals = 3;  // a second, from which a model is not to stand on one runner alone
+constexpr double kCopyFill = 0.4;             // of a runner's slots that a copy of a busy model is to bear
 constexpr int kLeastStep = 2, kStepPart = 3;  // a zone grows by so many, or by that part, at a time
 constexpr std::size_t kMostZones = 1000;
 
--- a/src/placement/load_budget.cpp
+++ b/src/placement/load_budget.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "duties/ownership.h"
+
 namespace lichenlug::placement {
 namespace {
 
@@ -10,7 +12,6 @@
 constexpr int kUsedBurst = 1;  // of these are used, the others are a margin
 constexpr Time kArrivalMargin = 500 * kMillisecond;
 constexpr Time kAgeStep = 100 * kMillisecond;  // ages are told in steps, rounded down
-constexpr double kRenewalsInLease = 3;
 constexpr int kLeastAllowance = 2;
 constexpr std::uint32_t kMostInherited = 10'000;  // of one entry: more than any store gives in a window
 
@@ -61,7 +62,7 @@
     begun->set_age_us(static_cast<std::uint64_t>(age));
     begun->set_loads(loads);
   }
-  const double seconds = static_cast<double>(lease_) / kSecond / kRenewalsInLease;
+  const double seconds = static_cast<double>(lease_) / kSecond / duties::kRenewalsInLease;
   const int usual = std::max(kLeastAllowance, static_cast<int>(std::ceil(loads_per_s_ * seconds)) + 1);
   // Never less than what is in force: until this renewal is known to be chosen, that may be used.
   history.set_allowance(static_cast<std::uint32_t>(HasAllowance() ? std::max(usual, allowance_) : usual));
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <functional>
 #include <limits>
+#include <set>
 
 namespace lichenlug::placement {
 namespace {
@@ -13,7 +14,6 @@
 constexpr double kLargeShare = 0.1;  // a key with less of a runner's slots isn't worth another copy
 constexpr double kLess = 0.8, kClearlyLess = 0.5;  // another runner's load against that of the holders
 constexpr double kAnyFill = std::numeric_limits<double>::infinity();
-constexpr double kSafeArrivals = 3;  // a second, from which the loss of an only copy costs more than a load
 constexpr double kBusyArrivals = 1;  // a second, from which a model is worth the free room of idle runners
 constexpr double kUrgentWorth = 25;  // of a copy that goes before any load of a seldom asked model
 constexpr double kMissedArrivals = 0.2;  // a second, from which a missing key needs no refused request
@@ -96,13 +96,13 @@
   crowded_.clear();
   const auto places = static_cast<std::size_t>(std::max(1, context.catalog->adapter_slots()));
   std::map<std::string, std::size_t> adapters;  // in demand, by model
-  std::map<std::string, bool> homeless;
+  std::set<std::string> homeless;
   for (const auto& [key, demand] : context.demand->keys()) {
     if (key.is_model() || !demand.present()) continue;
     ++adapters[key.model];
-    if (context.view->HoldersOf(key).empty() && Missing(demand)) homeless[key.model] = true;
+    if (context.view->HoldersOf(key).empty() && Missing(demand)) homeless.insert(key.model);
   }
-  for (const auto& [model, lacks] : homeless) crowded_[model] = (adapters[model] + places - 1) / places;
+  for (const std::string& model : homeless) crowded_[model] = (adapters[model] + places - 1) / places;
 }
 
 void Planner::PlaceMissing(const Pass& pass, double least_worth) {
