--- a/src/placement/fleet_scaler.cpp
+++ b/src/placement/fleet_scaler.cpp
@@ -11,7 +11,7 @@
 constexpr Time kForgetZone = 120 * kSecond;
 constexpr Time kRunnersHeardAfter = 4 * kSecond;  // since the epoch began; heartbeats come more often
 // Models differ in size, so a part of each runner's memory stays free.
-constexpr double kPacking = 0.85;
+constexpr double kPacking = 0.95;
 constexpr double kCopyFill = 0.4;             // of a runner's slots that a copy of a busy model is to bear
 constexpr int kLeastStep = 2, kStepPart = 3;  // a zone grows by so many, or by that part, at a time
 constexpr std::size_t kMostZones = 1000;
