Acknowledge a runner's drain only once a majority of the core holds it

Cause: any dispatcher acknowledged a drain or a DELETE at once, whether or not another had heard of it; one that is cut off left the others sending to the runner until its heartbeats were missed, later than drain_ms. Heartbeats without a drain cost nothing more. Each dispatcher compares its table with one of the core each second beside the drawn one, so that what the core holds reaches all within the bound. A record that changed meanwhile is sent anew to those that have yet to acknowledge an older one.

--- a/src/controlplane/control_plane.cpp
+++ b/src/controlplane/control_plane.cpp
@@ -7,6 +7,7 @@
 #include <random>
 #include <utility>
 
+#include "consensus/group.h"
 #include "controlplane/part_settings.h"
 #include "controlplane/status.h"
 
@@ -147,7 +148,8 @@
     case messages::Envelope::kRegistry: {
       registry::RegistryOutput output;
       registry_.Receive(now, from, envelope.registry(), &output);
-      return Carry(std::move(output));
+      Carry(std::move(output));
+      return CheckEnds(now);
     }
     case messages::Envelope::kDistribution: {
       configuration::FollowerOutput output;
@@ -244,7 +246,7 @@
   if (request.method == "DELETE") {
     registry_.Delete(EventLoop::Now(), runner_id, &output);
     Carry(std::move(output));
-    return respond(PlainStatus(200));
+    return AcknowledgeEnd(runner_id, PlainStatus(200), std::move(respond));
   }
   if (request.method != "PUT") return respond(PlainStatus(405));
   const auto heartbeat = registry::ReadHeartbeat(runner_id, request.body);
@@ -260,9 +262,50 @@
   Carry(std::move(output));
   ControlResponse response = PlainStatus(answer.taken ? 200 : 503);
   if (answer.taken) response.body = HeartbeatAnswer(answer.report_to);
+  if (answer.taken && answer.is_end)
+    return AcknowledgeEnd(runner_id, std::move(response), std::move(respond));
   respond(std::move(response));
 }
 
+// The acknowledgement of a drain, or of an end, binds all dispatchers: one that reaches nobody must not give
+// it.
+void ControlPlane::AcknowledgeEnd(const std::string& runner_id, ControlResponse response,
+                                  HttpServer::Respond respond) {
+  const Time now = EventLoop::Now();
+  std::vector<std::string> core;
+  const messages::ReplicaGroup group = registers_->KnownGroup(std::string(configuration::kRegisterName));
+  for (const auto& replica : consensus::AllMembers(group)) {
+    if (replica.address() != settings_.internal_address) core.push_back(replica.address());
+  }
+  ends_.Add(now, runner_id, std::move(response), std::move(respond));
+  registry::RegistryOutput output;
+  registry_.TellEnd(now, runner_id, core, &output);
+  Carry(std::move(output));
+  CheckEnds(now);
+}
+
+void ControlPlane::CheckEnds(Time now) {
+  const int refused =
+      ends_.Check(now, [this](const std::string& runner_id) { return EndIsKnownToCore(runner_id); });
+  if (refused == 0) return;
+  LOG_EVERY_N(WARNING, 20)
+      << "runners: an end is not acknowledged, as no majority of the core has heard of it";
+  // The group may be another by now.
+  registers_->Read(std::string(configuration::kRegisterName), now + kReadGiveUp,
+                   [](const consensus::Completion&) {});
+}
+
+bool ControlPlane::EndIsKnownToCore(const std::string& runner_id) const {
+  const messages::ReplicaGroup group = registers_->KnownGroup(std::string(configuration::kRegisterName));
+  return consensus::IsQuorum(group, [&](const std::string& replica_id) {
+    const auto members = consensus::AllMembers(group);
+    return std::any_of(members.begin(), members.end(), [&](const auto& member) {
+      return member.replica_id() == replica_id && (member.address() == settings_.internal_address ||
+                                                   registry_.EndIsKnownAt(runner_id, member.address()));
+    });
+  });
+}
+
 ControlResponse ControlPlane::Status() const {
   StatusInput input;
   input.name = settings_.name;
@@ -303,6 +346,7 @@
     Carry(std::move(output));
   }
   if (due(registers_->NextTimer())) registers_->Tick(now);
+  if (due(ends_.NextTimer())) CheckEnds(now);
   if (now >= next_report_) ReportDataPlane(now);
   if (due(duties_.NextTimer())) duties_.Tick(now, WallNow());
   ConfirmConfiguration(now);
@@ -319,8 +363,9 @@
 
 void ControlPlane::ScheduleWake() {
   Time next = std::min(next_report_, groups_.NextTimer());
-  for (const auto& timer : {membership_.NextTimer(), registry_.NextTimer(), follower_.NextTimer(),
-                            registers_->NextTimer(), duties_.NextTimer(), check_accepted_at_}) {
+  for (const auto& timer :
+       {membership_.NextTimer(), registry_.NextTimer(), follower_.NextTimer(), registers_->NextTimer(),
+        duties_.NextTimer(), ends_.NextTimer(), check_accepted_at_}) {
     if (timer) next = std::min(next, *timer);
   }
   if (!confirmed_ && !reading_) next = std::min(next, next_read_);
--- a/src/controlplane/control_plane.h
+++ b/src/controlplane/control_plane.h
@@ -9,6 +9,7 @@
 
 #include "configuration/follower.h"
 #include "controlplane/duty_service.h"
+#include "controlplane/end_acknowledgements.h"
 #include "controlplane/event_loop.h"
 #include "controlplane/group_keeper.h"
 #include "controlplane/http_client.h"
@@ -42,6 +43,9 @@
   // Calls
   void HandleControl(ControlRequest request, HttpServer::Respond respond);
   void HandleRunner(const ControlRequest& request, HttpServer::Respond respond);
+  void AcknowledgeEnd(const std::string& runner_id, ControlResponse response, HttpServer::Respond respond);
+  void CheckEnds(Time now);
+  bool EndIsKnownToCore(const std::string& runner_id) const;
   ControlResponse Status() const;
   // Time
   void Wake();
@@ -77,6 +81,7 @@
   HttpClient client_;
   DutyService duties_;
   OperatorApi operator_api_;
+  EndAcknowledgements ends_;
   std::unique_ptr<HttpServer> control_server_, ready_server_;
 
   std::vector<Member> live_;  // this one included
--- a/src/registry/anti_entropy.cpp
+++ b/src/registry/anti_entropy.cpp
@@ -40,12 +40,16 @@
 
 }  // namespace
 
-void AntiEntropy::SetPeers(Time now, std::vector<std::string> addresses,
-                           const std::vector<std::string>& added) {
-  const bool some_left = addresses.size() < peers_.size() + added.size();
+void AntiEntropy::SetPeers(Time now, const std::vector<Member>& live, const std::vector<std::string>& added) {
+  const bool some_left = live.size() < peers_.size() + added.size();
   if (some_left) hurry_until_ = now + kHurry;
   if (some_left || (!added.empty() && !settled_)) next_at_ = 0;
-  peers_ = std::move(addresses);
+  peers_.clear();
+  core_peers_.clear();
+  for (const Member& member : live) {
+    peers_.push_back(member.address);
+    if (member.counts_for_quorum) core_peers_.push_back(member.address);
+  }
   std::erase_if(greet_, [this](const std::string& address) {
     return std::find(peers_.begin(), peers_.end(), address) == peers_.end();
   });
@@ -59,7 +63,12 @@
   if (now < next_at_) return;
   const Time every = Settled(now) && now >= hurry_until_ ? kDigestEvery : kHurriedDigestEvery;
   next_at_ = now + every * 3 / 4 + static_cast<Time>(random_() % static_cast<std::uint64_t>(every / 2));
-  if (!peers_.empty()) SendHash(now, peers_[random_() % peers_.size()], table, output);
+  if (peers_.empty()) return;
+  const std::string& peer = peers_[random_() % peers_.size()];
+  SendHash(now, peer, table, output);
+  if (core_peers_.empty()) return;
+  const std::string& core_peer = core_peers_[random_() % core_peers_.size()];
+  if (core_peer != peer) SendHash(now, core_peer, table, output);
 }
 
 void AntiEntropy::SendHash(Time now, const std::string& address, const RunnerTable& table,
--- a/src/registry/anti_entropy.h
+++ b/src/registry/anti_entropy.h
@@ -1,5 +1,6 @@
-// Finds what the spread has missed: a digest to one other dispatcher a second, and what follows where they
-// differ.
+// Finds what the spread has missed: a digest to one other dispatcher a second, another to one of the core,
+// and what follows where they differ. An end that a majority of the core holds so reaches all who can ask the
+// core.
 //
 //   A: digest with a hash  ->  B: its own digest, with entries  ->  A: the records that B lacks, and the ids
 //   of those that A lacks  ->  B: these records.
@@ -12,6 +13,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "cluster/member.h"
 #include "registry/registry.h"
 #include "registry/table.h"
 
@@ -21,7 +23,7 @@
  public:
   AntiEntropy(Time heartbeat_every, std::uint64_t seed) : heartbeat_every_(heartbeat_every), random_(seed) {}
 
-  void SetPeers(Time now, std::vector<std::string> addresses, const std::vector<std::string>& added);
+  void SetPeers(Time now, const std::vector<Member>& live, const std::vector<std::string>& added);
   void Tick(Time now, const RunnerTable& table, RegistryOutput* output);
   Time NextTimer() const { return next_at_; }
 
@@ -42,7 +44,8 @@
   Time heartbeat_every_;
   std::mt19937_64 random_;
   std::vector<std::string> peers_;
-  std::vector<std::string> greet_;  // newly live ones, to be compared with at once
+  std::vector<std::string> core_peers_;  // those of them that count for the quorum
+  std::vector<std::string> greet_;       // newly live ones, to be compared with at once
   Time started_at_ = -1;
   Time next_at_ = 0;
   Time hurry_until_ = 0;  // a dispatcher has died of late, maybe while it spread something
--- a/src/registry/registry.cpp
+++ b/src/registry/registry.cpp
@@ -36,7 +36,8 @@
 Registry::Answer Registry::Impl::Heartbeat(Time now, const messages::RunnerRecord& heartbeat,
                                            RegistryOutput* output) {
   const Home& home = HomeOf(now, heartbeat);
-  const Answer answer{true, home.control_address};
+  const bool is_end = heartbeat.state() == messages::RUNNER_DRAINING;
+  const Answer answer{true, home.control_address, is_end};
   TrackedRunner* runner = table_.Find(heartbeat.runner_id());
   if (runner == nullptr) {
     runner = table_.Add(now, heartbeat);
@@ -98,6 +99,7 @@
 
 void Registry::Impl::Changed(Time now, TrackedRunner* runner, RegistryOutput* output) {
   if (!IsAlive(runner->record.state())) runner->ended_at = now;
+  receipts_.Drop(runner->record.runner_id());  // they were for an earlier record
   runner->spread_at = now;
   spread_.Add(runner->record.runner_id());
   output->changed = true;
@@ -137,16 +139,28 @@
   spread_.Flush(now, &table_, output);
 }
 
+bool Registry::Impl::EndIsKnownAt(const std::string& runner_id, const std::string& address) const {
+  return receipts_.Has(runner_id, address);
+}
+
+void Registry::Impl::TellEnd(Time now, const std::string& runner_id,
+                             const std::vector<std::string>& addresses, RegistryOutput* output) {
+  for (const std::string& address : addresses) {
+    const bool is_told = receipts_.Has(runner_id, address) || spread_.IsUnderWay(address, runner_id);
+    if (!is_told) spread_.AddFor(address, runner_id);
+  }
+  spread_.Flush(now, &table_, output);
+}
+
 void Registry::Impl::SetMembers(Time now, const std::vector<Member>& live, RegistryOutput* output) {
   homes_.SetMembers(now, live);
   const std::vector<std::string> added = spread_.SetPeers(live);
+  for (const std::string& address : added) receipts_.DropPeer(address);
   for (const auto& [runner_id, runner] : table_.runners()) {
     if (runner.spread_at == 0 || now - runner.spread_at > kNewsToNewPeers) continue;
     for (const std::string& address : added) spread_.AddFor(address, runner_id);
   }
-  std::vector<std::string> addresses;
-  for (const Member& member : live) addresses.push_back(member.address);
-  anti_entropy_.SetPeers(now, std::move(addresses), added);
+  anti_entropy_.SetPeers(now, live, added);
   spread_.Flush(now, &table_, output);
 }
 
@@ -157,6 +171,7 @@
     next_watch_ = now + std::min(settings_.heartbeat_every / 4, kLongestTick);
     Expire(now, output);
     table_.DropEnded(now);
+    receipts_.Keep([this](const std::string& runner_id) { return table_.Find(runner_id) != nullptr; });
   }
   spread_.Flush(now, &table_, output);
   spread_.Tick(now, &table_, output);
@@ -177,6 +192,13 @@
 void Registry::Delete(Time now, const std::string& runner_id, RegistryOutput* output) {
   impl_->Delete(now, runner_id, output);
 }
+bool Registry::EndIsKnownAt(const std::string& runner_id, const std::string& address) const {
+  return impl_->EndIsKnownAt(runner_id, address);
+}
+void Registry::TellEnd(Time now, const std::string& runner_id, const std::vector<std::string>& addresses,
+                       RegistryOutput* output) {
+  impl_->TellEnd(now, runner_id, addresses, output);
+}
 void Registry::Receive(Time now, const std::string& from_address, const messages::RegistryMessage& message,
                        RegistryOutput* output) {
   impl_->Receive(now, from_address, message, output);
--- a/src/registry/registry.h
+++ b/src/registry/registry.h
@@ -46,9 +46,17 @@
   struct Answer {
     bool taken = false;     // false: the table is full
     std::string report_to;  // the home's control address; empty: none to name
+    // The runner drains: not to be acknowledged before enough dispatchers are known to hold it.
+    bool is_end = false;
   };
   Answer Heartbeat(Time now, const messages::RunnerRecord& record, RegistryOutput* output);
   void Delete(Time now, const std::string& runner_id, RegistryOutput* output);
+  // Of a runner that drains or is gone: whether this dispatcher holds it, and the one at `address` has said
+  // so.
+  bool EndIsKnownAt(const std::string& runner_id, const std::string& address) const;
+  // Tells those of them that have not said so.
+  void TellEnd(Time now, const std::string& runner_id, const std::vector<std::string>& addresses,
+               RegistryOutput* output);
   void Receive(Time now, const std::string& from_address, const messages::RegistryMessage& message,
                RegistryOutput* output);
   void SetMembers(Time now, const std::vector<Member>& live, RegistryOutput* output);  // without this one
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "registry/anti_entropy.h"
+#include "registry/end_receipts.h"
 #include "registry/homes.h"
 #include "registry/merge.h"
 #include "registry/registry.h"
@@ -20,6 +21,9 @@
 
   Answer Heartbeat(Time now, const messages::RunnerRecord& heartbeat, RegistryOutput* output);
   void Delete(Time now, const std::string& runner_id, RegistryOutput* output);
+  bool EndIsKnownAt(const std::string& runner_id, const std::string& address) const;
+  void TellEnd(Time now, const std::string& runner_id, const std::vector<std::string>& addresses,
+               RegistryOutput* output);
   void Receive(Time now, const std::string& from_address, const messages::RegistryMessage& message,
                RegistryOutput* output);
   void SetMembers(Time now, const std::vector<Member>& live, RegistryOutput* output);
@@ -60,6 +64,8 @@
   Loss JudgeLoss(Time now, const std::string& from_address, const messages::RunnerRecord& record);
   void ReceiveRecord(Time now, const std::string& from_address, const messages::RunnerRecord& record,
                      bool is_spread, RegistryOutput* output);
+  // The peer holds what was sent to it; an end that it holds is noted.
+  void NoteHeld(const std::string& address, const std::vector<std::string>& runner_ids);
   // A heartbeat without news that reached another dispatcher.
   void ReceiveAlive(Time now, const messages::RegistryUpdate::Alive& alive, RegistryOutput* output);
 
@@ -67,6 +73,7 @@
   RunnerTable table_;
   Homes homes_;
   Spread spread_;
+  EndReceipts receipts_;
   AntiEntropy anti_entropy_;
   std::optional<Time> last_tick_;
   Time thawed_at_ = 0;  // end of the last freeze of this process
--- a/src/registry/registry_receive.cpp
+++ b/src/registry/registry_receive.cpp
@@ -12,7 +12,7 @@
       ReceiveUpdate(now, from_address, message.update(), output);
       break;
     case messages::RegistryMessage::kAck:
-      spread_.Acknowledged(from_address, message.ack().number());
+      NoteHeld(from_address, spread_.Acknowledged(from_address, message.ack().number()));
       break;
     case messages::RegistryMessage::kDigest:
       anti_entropy_.Receive(now, from_address, message.digest(), &table_, output);
@@ -23,6 +23,15 @@
   spread_.Flush(now, &table_, output);
 }
 
+void Registry::Impl::NoteHeld(const std::string& address, const std::vector<std::string>& runner_ids) {
+  for (const std::string& runner_id : runner_ids) {
+    const TrackedRunner* runner = table_.Find(runner_id);
+    const bool is_end = runner != nullptr && (runner->record.state() == messages::RUNNER_DRAINING ||
+                                              runner->record.state() == messages::RUNNER_GONE);
+    if (is_end) receipts_.Add(runner_id, address);
+  }
+}
+
 void Registry::Impl::ReceiveUpdate(Time now, const std::string& from_address,
                                    const messages::RegistryUpdate& update, RegistryOutput* output) {
   for (const auto& record : update.records()) {
@@ -78,6 +87,7 @@
     Changed(now, runner, output);
   } else if (result == MergeResult::kChanged) {
     output->changed = true;
+    spread_.SendAnew(record.runner_id());
     // A loss that was put to this home is confirmed to all.
     if (is_home && !is_spread && record.state() == messages::RUNNER_LOST) Changed(now, runner, output);
   } else if (!is_alive && (IsAlive(record.state()) || !is_spread)) {
--- a/src/registry/spread.cpp
+++ b/src/registry/spread.cpp
@@ -47,11 +47,27 @@
   found->second.has_unsent = true;
 }
 
-void Spread::Acknowledged(const std::string& address, std::uint64_t number) {
+std::vector<std::string> Spread::Acknowledged(const std::string& address, std::uint64_t number) {
+  std::vector<std::string> held;
   const auto found = peers_.find(address);
-  if (found == peers_.end() || number > last_number_) return;
-  std::erase_if(found->second.unacknowledged,
-                [number](const auto& entry) { return entry.second != 0 && entry.second <= number; });
+  if (found == peers_.end() || number > last_number_) return held;
+  std::erase_if(found->second.unacknowledged, [&](const auto& entry) {
+    const bool is_held = entry.second != 0 && entry.second <= number;
+    if (is_held) held.push_back(entry.first);
+    return is_held;
+  });
+  return held;
+}
+
+void Spread::SendAnew(const std::string& runner_id) {
+  for (const auto& [address, peer] : peers_) {
+    if (peer.unacknowledged.contains(runner_id)) AddFor(address, runner_id);
+  }
+}
+
+bool Spread::IsUnderWay(const std::string& address, const std::string& runner_id) const {
+  const auto found = peers_.find(address);
+  return found != peers_.end() && found->second.unacknowledged.contains(runner_id);
 }
 
 void Spread::Flush(Time now, RunnerTable* table, RegistryOutput* output) {
--- a/src/registry/spread.h
+++ b/src/registry/spread.h
@@ -24,7 +24,11 @@
 
   void Add(const std::string& runner_id);  // for every peer
   void AddFor(const std::string& address, const std::string& runner_id);
-  void Acknowledged(const std::string& address, std::uint64_t number);
+  // Returns the runners whose present records the peer holds now.
+  std::vector<std::string> Acknowledged(const std::string& address, std::uint64_t number);
+  // The record is another now: those that have yet to acknowledge it are sent this one.
+  void SendAnew(const std::string& runner_id);
+  bool IsUnderWay(const std::string& address, const std::string& runner_id) const;
 
   // Sends what was added since; a message holds all that its receiver has not acknowledged.
   void Flush(Time now, RunnerTable* table, RegistryOutput* output);
--- a/tests/system/registry/registry_test.cpp
+++ b/tests/system/registry/registry_test.cpp
@@ -90,6 +90,57 @@
   }
 }
 
+TEST_CASE("an end is known at those that have acknowledged it in this life, and at no others") {
+  Registry registry = MakeRegistry();
+  const Time now = 100 * kSecond;
+  RegistryOutput output;
+  registry.SetMembers(now, {MakeMember(1), MakeMember(2)}, &output);
+  registry.Heartbeat(now, MakeRecord("i-1", 1), &output);
+  const std::uint64_t ready_number = UpdatesIn(output).front().number();
+  RegistryOutput drained;
+  CHECK(registry.Heartbeat(now, MakeRecord("i-1", 2, RUNNER_DRAINING), &drained).is_end);
+  const std::string first = MakeMember(1).address;
+  CHECK_FALSE(registry.EndIsKnownAt("i-1", first));
+  Acknowledge(&registry, first, ready_number, now);  // of the record before
+  CHECK_FALSE(registry.EndIsKnownAt("i-1", first));
+  for (const auto& send : drained.sends)
+    if (send.address == first) Acknowledge(&registry, first, send.message.update().number(), now);
+  CHECK(registry.EndIsKnownAt("i-1", first));
+  CHECK_FALSE(registry.EndIsKnownAt("i-1", MakeMember(2).address));
+
+  SECTION("one that is gone is to be acknowledged anew") {
+    registry.Delete(now, "i-1", &output);
+    CHECK_FALSE(registry.EndIsKnownAt("i-1", first));
+  }
+  SECTION("one that has started anew has forgotten it") {
+    Member restarted = MakeMember(1);
+    restarted.incarnation = 2;
+    registry.SetMembers(now, {restarted, MakeMember(2)}, &output);
+    CHECK_FALSE(registry.EndIsKnownAt("i-1", first));
+  }
+  SECTION("only those are told that have not said so") {
+    RegistryOutput told;
+    registry.TellEnd(now, "i-1", {first}, &told);
+    CHECK(UpdatesIn(told).empty());
+  }
+}
+
+TEST_CASE("a drain learned from another dispatcher is told to the core again before it is acknowledged") {
+  Registry registry = MakeRegistry();
+  const Time now = 100 * kSecond;
+  RegistryOutput output;
+  registry.SetMembers(now, {MakeMember(1), MakeMember(2)}, &output);
+  messages::RegistryMessage news;
+  *news.mutable_update()->add_records() = MakeRecord("i-1", 2, RUNNER_DRAINING);
+  registry.Receive(now, MakeMember(2).address, news, &output);
+  RegistryOutput heard;
+  CHECK(registry.Heartbeat(now, MakeRecord("i-1", 3, RUNNER_DRAINING), &heard).is_end);
+  RegistryOutput told;
+  registry.TellEnd(now, "i-1", {MakeMember(1).address}, &told);
+  REQUIRE(UpdatesIn(told).size() == 1);
+  CHECK(UpdatesIn(told)[0].records(0).state() == RUNNER_DRAINING);
+}
+
 TEST_CASE("heartbeats without news are not spread; a dispatcher that is not the home passes them on to it") {
   Time now = 100 * kSecond;
   for (const bool is_home : {true, false}) {
