Hand a leaving store's votes over before its exit, and keep the voters odd

Cause, by reading: a machine of the core that ends for good took its vote along; its group changed only after its exit. With the successor up for catch_up_s the deployment may lose another disk at that very moment, and three voters of whom one has gone and one is wiped have no majority for ever. With four voters it is the same. Change: a dispatcher that drains tells no store any more, so the keeper moves its groups to others where 2 x losses + 1 of them live; it exits when it votes nowhere, after 5 s at most, and keeps its vote where nobody can take it. Where two disks may be lost at once a change is acknowledged only once the group has grown from the three seeds (IsGrown): before, two wiped seeds in the first second had taken it along.

--- a/src/configuration/json_reader.cpp
+++ b/src/configuration/json_reader.cpp
@@ -23,10 +23,12 @@
 // stop.
 class Handler {
  public:
+  // Names that the parser asks for. NOLINTBEGIN(readability-identifier-naming)
   static constexpr std::size_t max_object_size = std::numeric_limits<std::size_t>::max();
   static constexpr std::size_t max_array_size = std::numeric_limits<std::size_t>::max();
   static constexpr std::size_t max_key_size = std::numeric_limits<std::size_t>::max();
   static constexpr std::size_t max_string_size = std::numeric_limits<std::size_t>::max();
+  // NOLINTEND(readability-identifier-naming)
 
   explicit Handler(google::protobuf::Message* root) : builder(root) {}
 
--- a/src/consensus/founding.cpp
+++ b/src/consensus/founding.cpp
@@ -157,13 +157,13 @@
   };
   const messages::Founding* newest = nullptr;
   const messages::Founding* with_values = nullptr;
+  const auto is_newer = [](const messages::Founding& founding, const messages::Founding* than) {
+    return than == nullptr || Less(than->ballot(), founding.ballot());
+  };
   for (const auto& [address, answer] : answers_) {
     if (!answer.has_founding) continue;
-    const auto is_newer = [&](const messages::Founding* than) {
-      return than == nullptr || Less(than->ballot(), answer.founding.ballot());
-    };
-    if (is_newer(newest)) newest = &answer.founding;
-    if (answer.holds_values && is_newer(with_values)) with_values = &answer.founding;
+    if (is_newer(answer.founding, newest)) newest = &answer.founding;
+    if (answer.holds_values && is_newer(answer.founding, with_values)) with_values = &answer.founding;
   }
   if (newest == nullptr) return Propose(now, {}, holds_values, output);
 
--- a/src/controlplane/control_plane.cpp
+++ b/src/controlplane/control_plane.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "consensus/group.h"
+#include "controlplane/group_planner.h"
 #include "controlplane/part_settings.h"
 #include "controlplane/status.h"
 
@@ -23,6 +24,7 @@
 constexpr Time kReportEvery = 500 * kMillisecond;
 constexpr Time kDrainPoll = 100 * kMillisecond;
 constexpr Time kReadyFalseFor = 2500 * kMillisecond;  // the platform needs two misses, a second apart
+constexpr Time kHandOverWithin = 5 * kSecond;         // of this store's votes, to others that live
 constexpr Time kExitReserve = 700 * kMillisecond;     // before SIGKILL
 
 const std::string kRunnersPath = "/-/runners/";
@@ -72,8 +74,12 @@
               [this](const std::string& address, messages::Envelope envelope) {
                 Send(address, std::move(envelope));
               }),
-      operator_api_(registers_.get(), [this](const messages::ConfigurationState& state,
-                                             bool changed) { Learn(state, changed); }),
+      operator_api_(
+          registers_.get(),
+          [this](const messages::ConfigurationState& state, bool changed) { Learn(state, changed); },
+          [this](const messages::ReplicaGroup& group) {
+            return IsGrown(group, live_, settings_.tolerated_machines);
+          }),
       runners_(std::make_shared<std::vector<messages::RunnerRecord>>()) {
   data_plane_->OnNewlyUnserved([this] { loop_->Post([this] { ReportDataPlane(EventLoop::Now()); }); });
 }
@@ -470,17 +476,34 @@
   data_plane_->BeginDrain();
   duties_.Resign(drain_began_);
   // The others are told at once, so that no duty waits for this dispatcher.
+  // One without a store is wanted in no replica group: the keeper hands this one's vote over, if it can.
   ready_ = false;
   membership_ring::MembershipOutput output;
-  membership_.UpdateSelf(drain_began_, ready_, replica_id_, &output);
+  membership_.UpdateSelf(drain_began_, ready_, /*replica_id=*/"", &output);
   Carry(std::move(output));
 }
 
+// Whether some register still counts on this store although enough others live to take its place.
+bool ControlPlane::VotesWhereOthersCould() const {
+  if (replica_id_.empty()) return false;
+  const auto others = std::count_if(live_.begin(), live_.end(), [this](const Member& member) {
+    return member.counts_for_quorum && !member.replica_id.empty() && member.name != settings_.name;
+  });
+  if (others < 2 * settings_.tolerated_machines + 1) return false;
+  const std::vector<std::string> names = AllRegisters();
+  return std::any_of(names.begin(), names.end(), [this](const std::string& name) {
+    const auto members = consensus::AllMembers(registers_->KnownGroup(name));
+    return std::any_of(members.begin(), members.end(),
+                       [this](const auto& member) { return member.replica_id() == replica_id_; });
+  });
+}
+
 // Stays a member, and hears of drained runners, until its last request is answered.
 void ControlPlane::DrainStep(Time now) {
   const Time since = now - drain_began_;
   const bool out_of_time = since > settings_.bounds.grace - kExitReserve;
-  if (!out_of_time && (since < kReadyFalseFor || !data_plane_->Drained())) return;
+  const bool hands_over = since < kHandOverWithin && VotesWhereOthersCould();
+  if (!out_of_time && (since < kReadyFalseFor || !data_plane_->Drained() || hands_over)) return;
   membership_ring::MembershipOutput output;
   membership_.Leave(now, &output);
   output.changed = false;
--- a/src/controlplane/control_plane.h
+++ b/src/controlplane/control_plane.h
@@ -62,6 +62,7 @@
   void PublishSnapshot(Time now);
   void UpdateReadiness(Time now);
   void DrainStep(Time now);
+  bool VotesWhereOthersCould() const;
   Time WallNow() const { return EventLoop::Now() + wall_offset_; }
 
   EventLoop* loop_;
--- a/src/controlplane/group_planner.cpp
+++ b/src/controlplane/group_planner.cpp
@@ -2,10 +2,13 @@
 
 #include <algorithm>
 
+#include "consensus/group.h"
+
 namespace lichenlug::controlplane {
 
 namespace {
 
+using consensus::IsJoint;
 using Identities = std::vector<messages::ReplicaIdentity>;
 
 bool MayReplicate(const Member& member) { return member.counts_for_quorum && !member.replica_id.empty(); }
@@ -54,10 +57,12 @@
     if (!MayReplicate(member) || Holds(wanted, member.replica_id)) continue;
     if (wanted.size() < kMostReplicas) wanted.push_back(IdentityOf(member));
   }
-  const std::size_t least = static_cast<std::size_t>(2 * tolerated + 1);
+  const std::size_t least = 2 * static_cast<std::size_t>(tolerated) + 1;
   for (const auto& identity : absent) {
     if (wanted.size() < least) wanted.push_back(identity);
   }
+  // An even number of voters adds a vote to wait for, and no loss that can be borne.
+  if (wanted.size() > least && wanted.size() % 2 == 0) wanted.pop_back();
   const bool same = wanted.size() == static_cast<std::size_t>(present.members_size()) &&
                     std::all_of(present.members().begin(), present.members().end(),
                                 [&](const auto& identity) { return Holds(wanted, identity.replica_id()); });
@@ -65,6 +70,15 @@
   return wanted;
 }
 
+bool IsGrown(const messages::ReplicaGroup& group, const std::vector<Member>& live, int tolerated) {
+  const std::size_t enough = 2 * static_cast<std::size_t>(tolerated) + 1;
+  const auto& voters = IsJoint(group) ? group.next_members() : group.members();
+  if (static_cast<std::size_t>(voters.size()) >= enough) return true;
+  return std::none_of(live.begin(), live.end(), [&](const Member& member) {
+    return MayReplicate(member) && !Holds({voters.begin(), voters.end()}, member.replica_id);
+  });
+}
+
 bool IsGroupKeeper(const std::vector<Member>& live, const std::string& self_name) {
   for (const Member& member : live) {  // by name
     if (MayReplicate(member)) return member.name == self_name;
--- a/src/controlplane/group_planner.h
+++ b/src/controlplane/group_planner.h
@@ -13,11 +13,17 @@
 
 // The members wanted instead of the present ones; none where nothing is to change. The present members that
 // live stay; a machine that is back with another store replaces its older identity; live machines that count
-// for the quorum join; a member that does not live is dropped where 2 x `tolerated` + 1 live ones remain.
+// for the quorum join, but for one that would make the voters even beyond 2 x `tolerated` + 1; a member that
+// does not live, or says that it leaves (it tells no store any more), is dropped where 2 x `tolerated` + 1
+// others remain.
 std::optional<std::vector<messages::ReplicaIdentity>> PlanGroup(const messages::ReplicaGroup& present,
                                                                 const std::vector<Member>& live,
                                                                 int tolerated);
 
+// Whether what is chosen in this group outlasts the loss of `tolerated` disks, as far as the live machines
+// allow: not while the group is smaller than that takes and a live machine has yet to join it.
+bool IsGrown(const messages::ReplicaGroup& group, const std::vector<Member>& live, int tolerated);
+
 // Whether this dispatcher is the one to make the change: the first live member with a store, by name.
 bool IsGroupKeeper(const std::vector<Member>& live, const std::string& self_name);
 
--- a/src/controlplane/operator_api.cpp
+++ b/src/controlplane/operator_api.cpp
@@ -72,8 +72,8 @@
 
 }  // namespace
 
-OperatorApi::OperatorApi(RegisterService* registers, Learned learned)
-    : registers_(registers), learned_(std::move(learned)) {}
+OperatorApi::OperatorApi(RegisterService* registers, Learned learned, IsSafeIn is_safe_in)
+    : registers_(registers), learned_(std::move(learned)), is_safe_in_(std::move(is_safe_in)) {}
 
 void OperatorApi::Change(configuration::ChangeRequest::Method method, const ControlRequest& request,
                          HttpServer::Respond respond) {
@@ -95,6 +95,9 @@
           return respond(ErrorResponse(503, "no majority of replicas answers; send the same call again"));
         const auto state = configuration::ReadState(completion.payload);
         if (state) learned_(*state, chosen);
+        const bool acknowledges = chosen || completion.reason == kTakenBefore;
+        if (acknowledges && !is_safe_in_(completion.group))
+          return respond(ErrorResponse(503, "taken, but not yet on enough disks; send the same call again"));
         if (!chosen) return respond(KeptResponse(*pending, completion.reason));
         LOG(INFO) << "configuration: edition " << state->edition() << " taken, revision "
                   << state->revision();
--- a/src/controlplane/operator_api.h
+++ b/src/controlplane/operator_api.h
@@ -13,10 +13,12 @@
 
 class OperatorApi {
  public:
+  // Whether what is chosen in this group outlasts the losses that the deployment is to bear.
+  using IsSafeIn = std::function<bool(const messages::ReplicaGroup& group)>;
   using Learned = std::function<void(const messages::ConfigurationState& state, bool changed)>;
 
   // `learned` is told each version seen chosen, before the operator is answered.
-  OperatorApi(RegisterService* registers, Learned learned);
+  OperatorApi(RegisterService* registers, Learned learned, IsSafeIn is_safe_in);
 
   void Change(configuration::ChangeRequest::Method method, const ControlRequest& request,
               HttpServer::Respond respond);
@@ -25,6 +27,7 @@
  private:
   RegisterService* registers_;
   Learned learned_;
+  IsSafeIn is_safe_in_;
 };
 
 }  // namespace lichenlug::controlplane
