--- a/src/controlplane/duty_service.cpp
+++ b/src/controlplane/duty_service.cpp
@@ -108,12 +108,23 @@
 
 void DutyService::SetMembers(Time now, std::vector<Member> live) {
   live_ = std::move(live);
+  HandOverUsage();
   for (const std::string& name : AllDutyRegisters()) {
     if (IsWanted(name) || ownerships_.count(name) > 0)
       OwnershipOf(name).SetMembers(now, live_, IsWanted(name));
   }
 }
 
+void DutyService::HandOverUsage() {
+  const std::vector<std::string> stores = usage_handover_.NewStores(live_, settings_.name);
+  if (stores.empty() || settings_.store_folder.empty()) return;
+  for (messages::UsageReport& report : duties::OfEndedLives(usage_.Reports(), live_)) {
+    messages::Envelope envelope;
+    *envelope.mutable_duties()->mutable_usage() = std::move(report);
+    for (const std::string& address : stores) send_(address, envelope);
+  }
+}
+
 void DutyService::SetConfiguration(std::shared_ptr<const messages::Configuration> configuration) {
   configuration_ = std::move(configuration);
 }
@@ -313,7 +324,10 @@
 std::vector<std::string> DutyService::Explain(Time now) const {
   std::vector<std::string> lines;
   for (const auto& [service, placement] : placements_) {
-    for (const std::string& line : placement->Explain(now)) lines.push_back(service + ": " + line);
+    for (const std::string& line : placement->Explain(now)) {
+      lines.push_back(service);
+      lines.back().append(": ").append(line);
+    }
   }
   return lines;
 }
--- a/src/controlplane/duty_service.h
+++ b/src/controlplane/duty_service.h
@@ -15,6 +15,7 @@
 #include "dataplane/data_plane.h"
 #include "duties/ownership.h"
 #include "duties/usage.h"
+#include "duties/usage_handover.h"
 #include "placement/placement.h"
 
 namespace lichenlug::controlplane {
@@ -66,6 +67,7 @@
   void ActOnUsage(Time now, Time wall_now);
   void ActOnPlacement(Time now);
   void ActBy(std::optional<Time> time);  // at the latest
+  void HandOverUsage();
   void CarryUsage(duties::UsageDuty::Output output);
   void MergeDemand(Time now, const messages::DemandReport& report);
   std::vector<messages::DemandReport> RecentDemand(Time now);
@@ -84,6 +86,7 @@
   std::shared_ptr<const std::vector<messages::RunnerRecord>> runners_;
   std::map<std::string, std::unique_ptr<duties::Ownership>> ownerships_;  // by register
   duties::UsageDuty usage_;
+  duties::UsageHandover usage_handover_;
   std::map<std::string, std::unique_ptr<placement::Placement>> placements_;  // by service
   std::map<std::string, DemandOfDispatcher> demand_;                         // by dispatcher
   std::uint64_t demand_number_ = 0;
--- a/src/dataplane/runner_pool.cpp
+++ b/src/dataplane/runner_pool.cpp
@@ -125,11 +125,11 @@
   const auto endpoint = ParseEndpoint(address);
   if (!endpoint || !MakeRoom()) return nullptr;
   ++*open_;
-  const Connection fresh(new RunnerConnection(io_, KeyOf(runner_id, address)),
-                         [open = open_](RunnerConnection* connection) {
-                           --*open;
-                           delete connection;
-                         });
+  Connection fresh(new RunnerConnection(io_, KeyOf(runner_id, address)),
+                   [open = open_](RunnerConnection* connection) {
+                     --*open;
+                     delete connection;
+                   });
   auto told = std::make_shared<std::function<void(bool)>>(std::move(done));
   auto alarm = std::make_shared<Deadlines::Key>();
   const auto tell = [this, told, alarm](bool connected) {
--- /dev/null
+++ b/src/duties/usage_handover.cpp
@@ -0,0 +1,31 @@
+#include "duties/usage_handover.h"
+
+#include <algorithm>
+
+namespace lichenlug::duties {
+
+std::vector<std::string> UsageHandover::NewStores(const std::vector<Member>& live,
+                                                  const std::string& self_name) {
+  std::vector<std::string> added;
+  std::set<std::pair<std::string, std::uint64_t>> present;
+  for (const Member& member : live) {
+    if (member.replica_id.empty() || member.name == self_name) continue;
+    const std::pair life(member.name, member.incarnation);
+    present.insert(life);
+    if (!known_.contains(life)) added.push_back(member.address);
+  }
+  known_ = std::move(present);
+  return added;
+}
+
+std::vector<messages::UsageReport> OfEndedLives(std::vector<messages::UsageReport> reports,
+                                                const std::vector<Member>& live) {
+  std::erase_if(reports, [&](const messages::UsageReport& report) {
+    return std::any_of(live.begin(), live.end(), [&](const Member& member) {
+      return member.name == report.name() && member.incarnation == report.incarnation();
+    });
+  });
+  return reports;
+}
+
+}  // namespace lichenlug::duties
--- /dev/null
+++ b/tests/system/duties/usage_handover_test.cpp
@@ -0,0 +1,46 @@
+// Counts of ended lives outlast the restart of every store, one after the other.
+#include "duties/usage_handover.h"
+
+#include <catch2/catch.hpp>
+
+namespace lichenlug::duties {
+namespace {
+
+Member Store(const std::string& name, std::uint64_t incarnation, const std::string& replica_id = "store") {
+  Member member;
+  member.name = name;
+  member.incarnation = incarnation;
+  member.address = name + ":7660";
+  member.replica_id = replica_id;
+  return member;
+}
+
+messages::UsageReport Report(const std::string& name, std::uint64_t incarnation) {
+  messages::UsageReport report;
+  report.set_name(name);
+  report.set_incarnation(incarnation);
+  return report;
+}
+
+using Addresses = std::vector<std::string>;
+
+}  // namespace
+
+TEST_CASE("a store is told once in each of its lives, and not before it has a store") {
+  UsageHandover handover;
+  CHECK(handover.NewStores({Store("a", 1), Store("b", 1), Store("c", 1, "")}, "a") == Addresses{"b:7660"});
+  CHECK(handover.NewStores({Store("a", 1), Store("b", 1), Store("c", 1)}, "a") == Addresses{"c:7660"});
+  CHECK(handover.NewStores({Store("a", 1), Store("b", 1), Store("c", 1)}, "a").empty());
+  CHECK(handover.NewStores({Store("a", 1), Store("b", 2), Store("c", 1)}, "a") == Addresses{"b:7660"});
+}
+
+TEST_CASE("only counts of ended lives are told: the living repeat their own") {
+  const auto told = OfEndedLives({Report("a", 1), Report("b", 1), Report("b", 2), Report("gone", 1)},
+                                 {Store("a", 1), Store("b", 2)});
+  REQUIRE(told.size() == 2);
+  CHECK(told[0].incarnation() == 1);
+  CHECK(told[0].name() == "b");
+  CHECK(told[1].name() == "gone");
+}
+
+}  // namespace lichenlug::duties
