Tell the counts of dispatchers with a store to two without one as well

Change: two dispatchers without a store are told too, and hand them to stores that begin anew (UsageReceivers).

--- a/src/controlplane/duty_service.cpp
+++ b/src/controlplane/duty_service.cpp
@@ -117,7 +117,7 @@
 
 void DutyService::HandOverUsage() {
   const std::vector<std::string> stores = usage_handover_.NewStores(live_, settings_.name);
-  if (stores.empty() || settings_.store_folder.empty()) return;
+  if (stores.empty()) return;
   for (messages::UsageReport& report : duties::OfEndedLives(usage_.Reports(), live_)) {
     messages::Envelope envelope;
     *envelope.mutable_duties()->mutable_usage() = std::move(report);
@@ -156,7 +156,11 @@
     }
   }
   usage_.Merge(wall_now, usage.usage());
-  Tell(usage);
+  messages::Envelope envelope;
+  *envelope.mutable_duties() = std::move(usage);
+  const bool has_store = !settings_.store_folder.empty();
+  for (const std::string& address : duties::UsageReceivers(live_, settings_.name, has_store))
+    send_(address, envelope);
 
   messages::DutiesMessage demand;
   demand.mutable_demand()->set_name(settings_.name);
--- a/src/duties/usage_handover.cpp
+++ b/src/duties/usage_handover.cpp
@@ -3,6 +3,11 @@
 #include <algorithm>
 
 namespace lichenlug::duties {
+namespace {
+
+constexpr int kWitnesses = 2;
+
+}  // namespace
 
 std::vector<std::string> UsageHandover::NewStores(const std::vector<Member>& live,
                                                   const std::string& self_name) {
@@ -18,6 +23,18 @@
   return added;
 }
 
+std::vector<std::string> UsageReceivers(const std::vector<Member>& live, const std::string& self_name,
+                                        bool has_store) {
+  std::vector<std::string> receivers;
+  int witnesses = has_store ? kWitnesses : 0;
+  for (const Member& member : live) {
+    if (member.name == self_name) continue;
+    const bool is_witness = member.replica_id.empty() && member.ready && witnesses-- > 0;
+    if (is_witness || !member.replica_id.empty()) receivers.push_back(member.address);
+  }
+  return receivers;
+}
+
 std::vector<messages::UsageReport> OfEndedLives(std::vector<messages::UsageReport> reports,
                                                 const std::vector<Member>& live) {
   std::erase_if(reports, [&](const messages::UsageReport& report) {
--- a/src/duties/usage_handover.h
+++ b/src/duties/usage_handover.h
@@ -23,6 +23,11 @@
   std::set<std::pair<std::string, std::uint64_t>> known_;  // name and incarnation
 };
 
+// Whom a dispatcher tells its counts: every member with a store; one that has a store itself also tells two
+// without, so that its counts outlast a loss of power of all stores at once.
+std::vector<std::string> UsageReceivers(const std::vector<Member>& live, const std::string& self_name,
+                                        bool has_store);
+
 // Those of lives that no live member has.
 std::vector<messages::UsageReport> OfEndedLives(std::vector<messages::UsageReport> reports,
                                                 const std::vector<Member>& live);
--- a/tests/system/duties/usage_handover_test.cpp
+++ b/tests/system/duties/usage_handover_test.cpp
@@ -34,6 +34,14 @@
   CHECK(handover.NewStores({Store("a", 1), Store("b", 2), Store("c", 1)}, "a") == Addresses{"b:7660"});
 }
 
+TEST_CASE("one with a store also tells two without, which outlast the stores' loss of power") {
+  std::vector<Member> live = {Store("a", 1),     Store("b", 1),     Store("c", 1, ""),
+                              Store("d", 1, ""), Store("e", 1, ""), Store("f", 1, "")};
+  for (Member& member : live) member.ready = member.name != "c";
+  CHECK(UsageReceivers(live, "a", true) == Addresses{"b:7660", "d:7660", "e:7660"});
+  CHECK(UsageReceivers(live, "f", false) == Addresses{"a:7660", "b:7660"});
+}
+
 TEST_CASE("only counts of ended lives are told: the living repeat their own") {
   const auto told = OfEndedLives({Report("a", 1), Report("b", 1), Report("b", 2), Report("gone", 1)},
                                  {Store("a", 1), Store("b", 2)});
