--- a/src/controlplane/register_service.cpp
+++ b/src/controlplane/register_service.cpp
@@ -253,6 +253,7 @@
 
 void RegisterService::Tick(Time now) {
   if (reopen_store_at_ && *reopen_store_at_ <= now) AskStoreToOpen();
+  if (replicates_ && !founding_proven_ && HoldsValues()) LearnFounding(*founding_, /*proven=*/true);
   if (agreement_) {
     consensus::FoundingOutput output;
     agreement_->Tick(now, HoldsValues(), &output);
