--- a/src/registry/registry.cpp
+++ b/src/registry/registry.cpp
@@ -37,7 +37,7 @@
                                            RegistryOutput* output) {
   const Home& home = HomeOf(now, heartbeat);
   const bool is_end = heartbeat.state() == messages::RUNNER_DRAINING;
-  const Answer answer{true, home.control_address, is_end};
+  Answer answer{true, home.control_address, is_end};
   TrackedRunner* runner = table_.Find(heartbeat.runner_id());
   if (runner == nullptr) {
     runner = table_.Add(now, heartbeat);
