--- a/src/storage/database.cpp
+++ b/src/storage/database.cpp
@@ -76,7 +76,7 @@
   database_.reset();
   std::error_code error;
   if (fs::create_directory(path_, error)) {
-    const leveldb::Status synced = SyncFolder(folder_);
+    leveldb::Status synced = SyncFolder(folder_);
     if (!synced.ok()) return synced;
   }
   if (error) return leveldb::Status::IOError(path_, error.message());
@@ -89,7 +89,7 @@
   options.max_file_size = kLargestFileBytes;
   options.max_open_files = kOpenFiles;
   leveldb::DB* database = nullptr;
-  const leveldb::Status status = leveldb::DB::Open(options, path_, &database);
+  leveldb::Status status = leveldb::DB::Open(options, path_, &database);
   database_.reset(database);
   return status;
 }
@@ -107,7 +107,7 @@
 leveldb::Status Database::ReadIdentity(RecordStore::OpenResult* result) {
   leveldb::ReadOptions read;
   read.verify_checksums = true;
-  const leveldb::Status status = database_->Get(read, kIdentityKey, &result->replica_id);
+  leveldb::Status status = database_->Get(read, kIdentityKey, &result->replica_id);
   if (!status.IsNotFound()) return status;
   result->created = true;
   result->replica_id = new_replica_id_;
