--- a/tests/system/consensus/cluster.h
+++ b/tests/system/consensus/cluster.h
@@ -65,6 +65,8 @@
     }
     for (const auto& send : output.sends) {
       if (down.contains(send.address) || !nodes.contains(send.address)) continue;
+      if (send.message.has_prepare()) ++prepares;
+      if (loses_accepts && send.message.has_accept()) continue;
       bytes += send.message.ByteSizeLong();
       RegisterOutput next;
       nodes.at(send.address)->Receive(now, from, send.message, &next);
@@ -75,8 +77,19 @@
   Completion Call(const std::string& name, ChangeFunction change) {
     RegisterOutput output;
     node(name).Submit(now, kName, std::move(change), now + kSecond, &output);
+    return Await(name, std::move(output));
+  }
+
+  Completion Look(const std::string& name) {
+    RegisterOutput output;
+    node(name).Read(now, kName, now + kSecond, &output);
+    return Await(name, std::move(output));
+  }
+
+  Completion Await(const std::string& name, RegisterOutput output) {
+    const Time until = now + 10 * kSecond;
     Run(name, std::move(output));
-    while (completions.empty() && now < 10 * kSecond) {
+    while (completions.empty() && now < until) {
       now = std::max(now + 1, node(name).NextTimer().value_or(now + kSecond));
       RegisterOutput next;
       node(name).Tick(now, &next);
@@ -93,6 +106,8 @@
   std::set<std::string> down;
   std::vector<Completion> completions;
   int writes = 0;
+  int prepares = 0;
+  bool loses_accepts = false;  // but for those to the proposer itself
   std::size_t bytes = 0;
   Time now = kSecond;
 };
--- a/tests/system/consensus/cluster_test.cpp
+++ b/tests/system/consensus/cluster_test.cpp
@@ -37,6 +37,38 @@
   CHECK(cluster.bytes < 5'000);
 }
 
+TEST_CASE("one that only looks proposes nothing, whatever it finds, and reads what another has finished") {
+  Cluster cluster({"a", "b", "c"});
+  cluster.Add("reader", {"a", "b", "c"}, false);
+  CHECK(cluster.Look("reader").payload.empty());
+  cluster.Call("a", Sets("one"));
+  cluster.loses_accepts = true;
+  CHECK(cluster.Call("a", Sets("two")).outcome == Outcome::kUnknown);  // accepted at its own replica alone
+  cluster.loses_accepts = false;
+  cluster.prepares = 0;
+  cluster.down = {"c:7660"};  // the other two do not agree
+  CHECK(cluster.Look("reader").outcome == Outcome::kNotProposed);
+  CHECK(cluster.prepares == 0);
+  CHECK(cluster.Call("b", Reads()).payload == "two");
+  CHECK(cluster.Look("reader").payload == "two");
+}
+
+TEST_CASE("a value is sent by one replica to a reader that does not hold it") {
+  constexpr std::size_t kPayload = 100'000;
+  Cluster cluster({"a", "b", "c", "d", "e"});
+  cluster.Add("reader", {"a", "b", "c", "d", "e"}, false);
+  cluster.Call("a", Sets(std::string(kPayload, 'x')));
+  cluster.bytes = 0;
+  CHECK(cluster.Look("reader").payload.size() == kPayload);
+  CHECK(cluster.bytes < kPayload + kPayload / 10);
+
+  SECTION("another one is asked where the first has gone") {
+    for (const char* gone : {"a:7660", "b:7660"}) cluster.down.insert(gone);
+    cluster.Add("other", {"a", "b", "c", "d", "e"}, false);
+    CHECK(cluster.Look("other").payload.size() == kPayload);
+  }
+}
+
 TEST_CASE("a minority does not matter, and without a majority a change is not proposed") {
   Cluster cluster({"a", "b", "c"});
   cluster.down = {"c:7660"};
