Test with real processes that a first start cut short is founded

Two cases: no store, and one store, are left of a first start whose core was killed in its first moment; the first configuration is taken and requests are served everywhere.

--- a/tests/system/processes/losses_test.cpp
+++ b/tests/system/processes/losses_test.cpp
@@ -71,5 +71,32 @@
   world.CheckNoRuleBroken();
 }
 
+// The power goes in the first moment: no machine of the core, or only one, has a store as it starts again.
+void CheckFoundedWithout(std::size_t kept_stores) {
+  World world;
+  System& system = world.system();
+  system.StartDispatchers();
+  constexpr std::size_t kCore = 3;
+  REQUIRE(world.RunUntil([&] { return system.dispatcher(0).LogHolds("store: opened as founder:"); }));
+  for (std::size_t index = 0; index < kCore; ++index) REQUIRE(system.dispatcher(index).Kill(kPatience));
+  for (std::size_t index = kept_stores; index < kCore; ++index) system.dispatcher(index).WipeStore();
+  for (std::size_t index = 0; index < kCore; ++index) system.dispatcher(index).Start();
+  system.StartRunners();
+  REQUIRE(system.TakeFirstConfiguration(kPatience));
+  REQUIRE(system.WaitReady(kPatience));
+  CHECK(world.EditionReadBack() == 1);
+  world.CheckServedEverywhere();
+  CHECK(world.AllRunning());
+  world.CheckNoRuleBroken();
+}
+
+TEST_CASE("a system whose first start left no store is founded", "[founded-without-stores]") {
+  CheckFoundedWithout(0);
+}
+
+TEST_CASE("a system whose first start left one store is founded", "[founded-with-one-store]") {
+  CheckFoundedWithout(1);
+}
+
 }  // namespace
 }  // namespace lichenlug::standins::test
