Tell in the header who holds the counts of an ended life

Cause: the comment of usage_handover.h still said that the stores alone hold the counts of a life that has ended; since two dispatchers without a store are told too, that is wrong.

--- a/src/duties/usage_handover.h
+++ b/src/duties/usage_handover.h
@@ -1,6 +1,6 @@
 // Counts of dispatchers' ended lives, brought to stores that begin anew. A living dispatcher repeats all of
-// its counts to every store; those of a life that has ended are held by the stores alone, and would be gone
-// once each of these has been restarted, one after the other. Pure.
+// its counts to every store; those of a life that has ended are held by others alone (the stores, and two
+// without a store), and would be gone once each of these has been restarted. Pure.
 #pragma once
 
 #include <cstdint>
