Keep a suspected runner's answer until another runner has begun to answer

Now the suspected attempt is kept aside: the decision module looks for another runner, and whichever of the two is heard of first goes on. A refusal by the module waits until the suspected attempt fails or the deadline comes. Second fault, found on the way: ExchangeTable::SinceFirstTry compared patience as capped by the route's deadline, so a deadline that a configuration shortened made repeats (and late ones, priority 9) of all first tries; it compares the client's own patience now.

--- a/src/dataplane/attempt.cpp
+++ b/src/dataplane/attempt.cpp
@@ -52,8 +52,6 @@
   connection_->set_user(this);
 }
 
-void Attempt::Abandon() { Fail(AttemptOutcome::kBroken); }
-
 void Attempt::Stop() {
   stage_ = Stage::kOver;
   watch_.reset();
--- a/src/dataplane/attempt.h
+++ b/src/dataplane/attempt.h
@@ -25,8 +25,8 @@
   virtual void StreamBytes(Attempt& attempt, std::string_view bytes) = 0;
   virtual void StreamEnded(Attempt& attempt) = 0;  // whole
   virtual void AttemptFailed(Attempt& attempt, routing::AttemptOutcome outcome) = 0;
-  // The runner's machine does not answer, and the attempt waits for it. Not the last call: the owner may
-  // abandon the attempt, which then fails as broken, or let it wait on.
+  // The runner's machine does not answer, and the attempt waits for it. A suspicion only, and not the last
+  // call: the attempt goes on until its owner stops it.
   virtual void RunnerUnreachable(Attempt& attempt) = 0;
 };
 
@@ -50,7 +50,6 @@
   void Start();  // may fail at once
   void Stop();   // tells nothing any more; the connection is closed where an answer is owed
   void PauseReading(bool pause);
-  void Abandon();  // fails as broken
 
   int number() const { return settings_.number; }
   const std::string& runner_id() const { return settings_.runner_id; }
--- a/src/dataplane/exchange.cpp
+++ b/src/dataplane/exchange.cpp
@@ -163,6 +163,7 @@
 }
 
 void Exchange::ClientDrained() {
+  if (suspected_ != nullptr) suspected_->PauseReading(false);
   for (const auto& attempt : attempts_)
     if (attempt.get() == streaming_) attempt->PauseReading(false);
 }
@@ -177,6 +178,7 @@
   const auto self = shared_from_this();
   const bool sent = std::any_of(attempts_.begin(), attempts_.end(), [](const auto& a) { return a->sent(); });
   may_have_run_ = may_have_run_ || sent;
+  if (const auto suspected = std::exchange(suspected_, nullptr)) suspected->Stop();
   const auto running = std::move(attempts_);
   attempts_.clear();
   for (const auto& attempt : running) {
@@ -202,6 +204,8 @@
 
 // One attempt's answer is passed on; the others have become useless.
 void Exchange::StopOthers(const Attempt& attempt) {
+  if (suspected_ != nullptr && suspected_.get() != &attempt) std::exchange(suspected_, nullptr)->Stop();
+  after_suspected_.reset();
   const auto all = attempts_;
   for (const auto& other : all) {
     if (other.get() == &attempt) continue;
@@ -221,6 +225,7 @@
   const auto self = shared_from_this();
   // In place of the rest of a stream no other answer can go on.
   if (head_sent_) return AttemptFailed(attempt, AttemptOutcome::kBroken);
+  TakeBack(attempt);
   StopOthers(attempt);
   const auto removed = Remove(attempt);
   CountStart(attempt);
@@ -239,24 +244,45 @@
 
 void Exchange::AttemptFailed(Attempt& attempt, AttemptOutcome outcome) {
   const auto self = shared_from_this();
+  if (suspected_.get() == &attempt) return SuspectedFailed();
   const auto removed = Remove(attempt);
   if (removed == nullptr) return;
   removed->Stop();
   if (last_failure_.empty()) last_failure_ = ToText(outcome);
-  prelude_.clear();
   may_have_run_ = may_have_run_ || outcome == AttemptOutcome::kBroken;
+  if (decided_) return AnswerOwn({502, kBroke, std::nullopt, CutReason::kNotResumable});
   const bool final = head_sent_ && !Resumable();
   table_->AttemptEnded(number_, attempt.number(), outcome, final);
   if (final) Cut(CutReason::kNotResumable);
 }
 
-// Silence alone ends no answer: the attempt waits on unless another runner can take its place.
+// Silence alone ends no answer: another runner may take the attempt's place, but only once it answers.
 void Exchange::RunnerUnreachable(Attempt& attempt) {
+  if (suspected_.get() == &attempt) return;
   ++context_->counters.suspected;
   const bool can_go_on = !head_sent_ || Resumable();
-  if (!can_go_on || !table_->MayReplace(number_)) return;
+  if (suspected_ != nullptr || !can_go_on || !table_->MayReplace(number_)) return;
+  const auto self = shared_from_this();
+  suspected_ = Remove(attempt);
+  may_have_run_ = may_have_run_ || suspected_->sent();
   last_failure_ = kUnreachable;
-  attempt.Abandon();
+  table_->AttemptEnded(number_, suspected_->number(), AttemptOutcome::kBroken, /*final=*/false);
+}
+
+// A suspected attempt has been heard of: it goes on, and what was to replace it is given up.
+void Exchange::TakeBack(const Attempt& attempt) {
+  if (suspected_ == nullptr || suspected_.get() != &attempt) return;
+  attempts_.push_back(std::exchange(suspected_, nullptr));
+  streaming_ = &attempt;
+  StopOthers(attempt);
+  decided_ = true;
+  table_->Gone(number_);
+}
+
+void Exchange::SuspectedFailed() {
+  std::exchange(suspected_, nullptr)->Stop();
+  // Else the decision module has an attempt under way, or is looking for a place for one.
+  if (after_suspected_) AnswerOwn(*std::exchange(after_suspected_, std::nullopt));
 }
 
 // ---- The end ----
@@ -264,6 +290,7 @@
 // What may have run is promised nothing; what has begun can only be cut.
 void Exchange::AnswerOwn(OwnAnswer answer) {
   const auto self = shared_from_this();
+  if (suspected_ != nullptr && !Late()) return void(after_suspected_ = answer);
   if (head_sent_) return Cut(answer.reason);
   for (const auto& attempt : attempts_) may_have_run_ = may_have_run_ || attempt->sent();
   if (answer.status == 503 && may_have_run_) {
@@ -296,6 +323,7 @@
 void Exchange::Leave() {
   const auto self = shared_from_this();
   context_->deadlines.Remove(&alarm_);
+  if (const auto suspected = std::exchange(suspected_, nullptr)) suspected->Stop();
   const auto running = std::move(attempts_);
   attempts_.clear();
   for (const auto& attempt : running) {
--- a/src/dataplane/exchange.h
+++ b/src/dataplane/exchange.h
@@ -61,6 +61,8 @@
 
  private:
   void DeadlineCame();
+  void TakeBack(const Attempt& attempt);
+  void SuspectedFailed();
   bool Late() const;
   bool MayStillGo();
   bool Resumable() const;
@@ -93,6 +95,12 @@
   ExchangeTable* const table_;
 
   std::vector<std::shared_ptr<Attempt>> attempts_;
+  // One whose runner's machine does not answer. The decision module counts it as broken and looks for another
+  // runner; it is kept until that one has begun to answer, for silence is no proof that its own answer will
+  // not come.
+  std::shared_ptr<Attempt> suspected_;
+  std::optional<OwnAnswer> after_suspected_;  // decided already; due if the suspected attempt fails
+  bool decided_ = false;                      // the decision module has closed the request
   Deadlines::Key alarm_;
   int started_ = 0;                // attempts
   std::string last_runner_;        // of the last attempt
--- a/src/dataplane/exchange_stream.cpp
+++ b/src/dataplane/exchange_stream.cpp
@@ -18,8 +18,10 @@
 void Exchange::StreamBegan(Attempt& attempt, const HttpMessage& head, bool events) {
   const auto self = shared_from_this();
   if (head_sent_ && !events) return AttemptFailed(attempt, AttemptOutcome::kBroken);
+  TakeBack(attempt);
   StopOthers(attempt);
   streaming_ = &attempt;
+  prelude_.clear();  // of an attempt before
   events_ = EventStream(kMostHeldEvent);
   if (head_sent_) return;  // the first runner's head stands
   stream_head_ = head;
@@ -42,6 +44,7 @@
 
 void Exchange::StreamBytes(Attempt& attempt, std::string_view bytes) {
   const auto self = shared_from_this();
+  TakeBack(attempt);
   if (!events_mode_) return SendStream(attempt, bytes);
   std::string& out = context_->events_buffer;
   out.assign(prelude_);
@@ -78,6 +81,7 @@
 
 void Exchange::StreamEnded(Attempt& attempt) {
   const auto self = shared_from_this();
+  TakeBack(attempt);
   const std::string rest = std::exchange(prelude_, {}).append(events_.rest());
   if (!head_sent_ || !rest.empty()) SendStream(attempt, rest);
   const auto removed = Remove(attempt);
--- a/src/dataplane/exchange_table.cpp
+++ b/src/dataplane/exchange_table.cpp
@@ -28,14 +28,14 @@
   if (!HasRoom(request.message.body.size())) return 0;
   Exchange::Origin origin;
   origin.number = ++last_number_;
-  Time patience = request.patience.value_or(kLongestDeadline);
-  if (match.route->deadline_ms() > 0)
-    patience = std::min(patience, static_cast<Time>(match.route->deadline_ms() * kMillisecond));
-  patience = std::min(patience, kLongestDeadline);
-  origin.arrived = arrived, origin.deadline = arrived + patience;
+  Time patience = std::min(request.patience.value_or(kLongestDeadline), kLongestDeadline);
+  // By the client's own patience: the route's deadline may change, and tells nothing of the client.
   origin.since_first_try = SinceFirstTry(match.route->name(), patience);
   origin.came_back =
       static_cast<double>(origin.since_first_try) > kCameBackPart * static_cast<double>(patience);
+  if (match.route->deadline_ms() > 0)
+    patience = std::min(patience, static_cast<Time>(match.route->deadline_ms() * kMillisecond));
+  origin.arrived = arrived, origin.deadline = arrived + patience;
   origin.service =
       routing::Router::ServiceOf(*match.route, std::uniform_real_distribution<double>(0, 1)(random_));
   origin.match = match, origin.router = context_->router, origin.sink = sink;
