Send each runner's change once, and repeat what is not acknowledged ever more slowly

Each new change carried all that its receiver had not acknowledged, so the more the link was behind the more it was given to carry. Now a message holds what was not sent yet; only Tick() repeats, record by record, and from the second repeat on the wait doubles. An acknowledgement covers the records of its own message. Three new tests; they fail on the source before by their construction, which was not run.

--- a/src/registry/spread.h
+++ b/src/registry/spread.h
@@ -30,22 +30,30 @@
   void SendAnew(const std::string& runner_id);
   bool IsUnderWay(const std::string& address, const std::string& runner_id) const;
 
-  // Sends what was added since; a message holds all that its receiver has not acknowledged.
+  // Sends what was added since, and nothing else: what is under way is repeated by Tick() alone, or a link
+  // that is slow to answer would be given more to carry the slower it gets.
   void Flush(Time now, RunnerTable* table, RegistryOutput* output);
-  void Tick(Time now, RunnerTable* table, RegistryOutput* output);  // repeats
+  void Tick(Time now, RunnerTable* table, RegistryOutput* output);  // repeats, with exponential backoff
   std::optional<Time> NextTimer() const;
 
  private:
+  // The present version of a record, as far as one peer has yet to acknowledge it.
+  struct Pending {
+    std::vector<std::uint64_t> sent_in;  // the numbers of the last messages that held it; empty: not sent yet
+    int repeats = 0;
+    Time repeat_at = 0;
+  };
   struct Peer {
     std::string name;
     std::uint64_t incarnation = 0;
-    // By runner: the number of the first message with its present version; 0: not sent yet.
-    std::map<std::string, std::uint64_t> unacknowledged;
+    std::map<std::string, Pending> pending;  // by runner
     bool has_unsent = false;
-    int repeats = 0;
-    Time repeat_at = 0;
+    Time repeat_at = 0;  // nothing is due before
   };
 
+  static bool IsDue(Time now, const Pending& pending);
+  static void NoteSent(Time now, std::uint64_t number, Pending* pending);
+  // Sends what is due to one peer: what was not sent yet, and what is to be repeated.
   void Send(Time now, const std::string& address, Peer* peer, RunnerTable* table, RegistryOutput* output);
 
   std::uint64_t last_number_;          // of all peers together, so none is ever used twice
--- a/tests/system/registry/registry_test.cpp
+++ b/tests/system/registry/registry_test.cpp
@@ -1,7 +1,11 @@
 // What one registry, or two, answer and send.
 #include "registry/registry.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <map>
+#include <string>
+#include <vector>
 
 #include "registry_network.h"
 
@@ -90,6 +94,63 @@
   }
 }
 
+TEST_CASE("what is under way is not sent again with each newer change, however late its acknowledgement is") {
+  constexpr int kChanges = 40;
+  Registry registry = MakeRegistry();
+  Time now = 100 * kSecond;
+  RegistryOutput output;
+  registry.SetMembers(now, {MakeMember(1)}, &output);
+  std::map<std::string, int> sent;  // by runner
+  for (int change = 0; change < kChanges; ++change) {
+    now += 2 * kMillisecond;  // all within the wait before the first repeat
+    RegistryOutput one;
+    registry.Heartbeat(now, MakeRecord("i-" + std::to_string(change), 1), &one);
+    for (const auto& update : UpdatesIn(one))
+      for (const auto& record : update.records()) ++sent[record.runner_id()];
+  }
+  CHECK(sent.size() == kChanges);
+  CHECK(std::ranges::all_of(sent, [](const auto& entry) { return entry.second == 1; }));
+}
+
+TEST_CASE("an acknowledgement covers the records of its own message alone") {
+  Registry registry = MakeRegistry();
+  const Time now = 100 * kSecond;
+  const std::string peer = MakeMember(1).address;
+  RegistryOutput output;
+  registry.SetMembers(now, {MakeMember(1)}, &output);
+  RegistryOutput first, second;
+  registry.Heartbeat(now, MakeRecord("i-1", 1), &first);
+  registry.Heartbeat(now, MakeRecord("i-2", 1), &second);
+  REQUIRE(UpdatesIn(second).size() == 1);
+  CHECK(UpdatesIn(second)[0].records_size() == 1);
+  Acknowledge(&registry, peer, UpdatesIn(second)[0].number(), now);  // the first one was lost on the way
+  RegistryOutput repeat;
+  registry.Tick(now + 200 * kMillisecond, &repeat);
+  REQUIRE(UpdatesIn(repeat).size() == 1);
+  REQUIRE(UpdatesIn(repeat)[0].records_size() == 1);
+  CHECK(UpdatesIn(repeat)[0].records(0).runner_id() == "i-1");
+}
+
+TEST_CASE("a peer that acknowledges nothing is sent a change ever more seldom, but does not fall silent") {
+  Registry registry = MakeRegistry();
+  const Time began = 100 * kSecond;
+  RegistryOutput output;
+  registry.SetMembers(began, {MakeMember(1)}, &output);
+  registry.Heartbeat(began, MakeRecord("i-1", 1), &output);
+  std::vector<Time> repeats;
+  for (Time now = began; now < began + 4 * kSecond; now += 10 * kMillisecond) {
+    RegistryOutput tick;
+    registry.Tick(now, &tick);
+    if (!UpdatesIn(tick).empty()) repeats.push_back(now - began);
+  }
+  REQUIRE(repeats.size() >= 5);
+  CHECK(repeats.size() <= 10);
+  CHECK(repeats.front() <= 200 * kMillisecond);
+  CHECK(repeats[3] <= 1300 * kMillisecond);  // a drain has four repeats before the shortest bound for drains
+  for (std::size_t at = 2; at < repeats.size(); ++at)
+    CHECK(repeats[at] - repeats[at - 1] >= repeats[at - 1] - repeats[at - 2]);
+}
+
 TEST_CASE("an end is known at those that have acknowledged it in this life, and at no others") {
   Registry registry = MakeRegistry();
   const Time now = 100 * kSecond;
