--- a/src/controlplane/control_plane.cpp
+++ b/src/controlplane/control_plane.cpp
@@ -41,12 +41,6 @@
   return static_cast<std::uint64_t>(device()) << 32 | device();
 }
 
-ControlResponse PlainStatus(int status) {
-  ControlResponse response;
-  response.status = status;
-  return response;
-}
-
 }  // namespace
 
 ControlPlane::ControlPlane(EventLoop* loop, NodeSettings settings, dataplane::DataPlane* data_plane)
@@ -80,6 +74,8 @@
           [this](const messages::ReplicaGroup& group) {
             return IsGrown(group, live_, settings_.tolerated_machines);
           }),
+      runner_api_(settings_.internal_address, &registry_, registers_.get(),
+                  [this](registry::RegistryOutput output) { Carry(std::move(output)); }),
       runners_(std::make_shared<std::vector<messages::RunnerRecord>>()) {
   data_plane_->OnNewlyUnserved([this] { loop_->Post([this] { ReportDataPlane(EventLoop::Now()); }); });
 }
@@ -155,7 +151,7 @@
       registry::RegistryOutput output;
       registry_.Receive(now, from, envelope.registry(), &output);
       Carry(std::move(output));
-      return CheckEnds(now);
+      return runner_api_.CheckEnds(now);
     }
     case messages::Envelope::kDistribution: {
       configuration::FollowerOutput output;
@@ -235,7 +231,8 @@
 
 void ControlPlane::HandleControl(ControlRequest request, HttpServer::Respond respond) {
   using Method = configuration::ChangeRequest::Method;
-  if (request.path.rfind(kRunnersPath, 0) == 0) return HandleRunner(request, std::move(respond));
+  if (request.path.starts_with(kRunnersPath))
+    return runner_api_.Handle(request.path.substr(kRunnersPath.size()), request, std::move(respond));
   if (request.path == kConfigurationPath) {
     if (request.method == "GET") return operator_api_.Get(std::move(respond));
     if (request.method == "PUT") return operator_api_.Change(Method::kPut, request, std::move(respond));
@@ -246,72 +243,6 @@
   respond(PlainStatus(404));
 }
 
-void ControlPlane::HandleRunner(const ControlRequest& request, HttpServer::Respond respond) {
-  const std::string runner_id = request.path.substr(kRunnersPath.size());
-  registry::RegistryOutput output;
-  if (request.method == "DELETE") {
-    registry_.Delete(EventLoop::Now(), runner_id, &output);
-    Carry(std::move(output));
-    return AcknowledgeEnd(runner_id, PlainStatus(200), std::move(respond));
-  }
-  if (request.method != "PUT") return respond(PlainStatus(405));
-  const auto heartbeat = registry::ReadHeartbeat(runner_id, request.body);
-  if (const auto* problem = std::get_if<std::string>(&heartbeat)) {
-    LOG_EVERY_N(WARNING, 50) << "heartbeat of " << runner_id << " refused: " << *problem;
-    ControlResponse refusal = PlainStatus(400);
-    refusal.body = *problem;
-    refusal.content_type = "text/plain";
-    return respond(std::move(refusal));
-  }
-  const auto answer =
-      registry_.Heartbeat(EventLoop::Now(), std::get<messages::RunnerRecord>(heartbeat), &output);
-  Carry(std::move(output));
-  ControlResponse response = PlainStatus(answer.taken ? 200 : 503);
-  if (answer.taken) response.body = HeartbeatAnswer(answer.report_to);
-  if (answer.taken && answer.is_end)
-    return AcknowledgeEnd(runner_id, std::move(response), std::move(respond));
-  respond(std::move(response));
-}
-
-// The acknowledgement of a drain, or of an end, binds all dispatchers: one that reaches nobody must not give
-// it.
-void ControlPlane::AcknowledgeEnd(const std::string& runner_id, ControlResponse response,
-                                  HttpServer::Respond respond) {
-  const Time now = EventLoop::Now();
-  std::vector<std::string> core;
-  const messages::ReplicaGroup group = registers_->KnownGroup(std::string(configuration::kRegisterName));
-  for (const auto& replica : consensus::AllMembers(group)) {
-    if (replica.address() != settings_.internal_address) core.push_back(replica.address());
-  }
-  ends_.Add(now, runner_id, std::move(response), std::move(respond));
-  registry::RegistryOutput output;
-  registry_.TellEnd(now, runner_id, core, &output);
-  Carry(std::move(output));
-  CheckEnds(now);
-}
-
-void ControlPlane::CheckEnds(Time now) {
-  const int refused =
-      ends_.Check(now, [this](const std::string& runner_id) { return EndIsKnownToCore(runner_id); });
-  if (refused == 0) return;
-  LOG_EVERY_N(WARNING, 20)
-      << "runners: an end is not acknowledged, as no majority of the core has heard of it";
-  // The group may be another by now.
-  registers_->Read(std::string(configuration::kRegisterName), now + kReadGiveUp,
-                   [](const consensus::Completion&) {});
-}
-
-bool ControlPlane::EndIsKnownToCore(const std::string& runner_id) const {
-  const messages::ReplicaGroup group = registers_->KnownGroup(std::string(configuration::kRegisterName));
-  return consensus::IsQuorum(group, [&](const std::string& replica_id) {
-    const auto members = consensus::AllMembers(group);
-    return std::any_of(members.begin(), members.end(), [&](const auto& member) {
-      return member.replica_id() == replica_id && (member.address() == settings_.internal_address ||
-                                                   registry_.EndIsKnownAt(runner_id, member.address()));
-    });
-  });
-}
-
 ControlResponse ControlPlane::Status() const {
   StatusInput input;
   input.name = settings_.name;
@@ -353,7 +284,7 @@
     Carry(std::move(output));
   }
   if (due(registers_->NextTimer())) registers_->Tick(now);
-  if (due(ends_.NextTimer())) CheckEnds(now);
+  if (due(runner_api_.NextTimer())) runner_api_.CheckEnds(now);
   if (now >= next_report_) ReportDataPlane(now);
   if (due(duties_.NextTimer())) duties_.Tick(now, WallNow());
   ConfirmConfiguration(now);
@@ -372,7 +303,7 @@
   Time next = std::min(next_report_, groups_.NextTimer());
   for (const auto& timer :
        {membership_.NextTimer(), registry_.NextTimer(), follower_.NextTimer(), registers_->NextTimer(),
-        duties_.NextTimer(), ends_.NextTimer(), check_accepted_at_}) {
+        duties_.NextTimer(), runner_api_.NextTimer(), check_accepted_at_}) {
     if (timer) next = std::min(next, *timer);
   }
   if (!confirmed_ && !reading_) next = std::min(next, next_read_);
--- a/src/controlplane/control_plane.h
+++ b/src/controlplane/control_plane.h
@@ -9,7 +9,6 @@
 
 #include "configuration/follower.h"
 #include "controlplane/duty_service.h"
-#include "controlplane/end_acknowledgements.h"
 #include "controlplane/event_loop.h"
 #include "controlplane/group_keeper.h"
 #include "controlplane/http_client.h"
@@ -17,6 +16,7 @@
 #include "controlplane/node_settings.h"
 #include "controlplane/operator_api.h"
 #include "controlplane/register_service.h"
+#include "controlplane/runner_api.h"
 #include "dataplane/data_plane.h"
 #include "membership/membership.h"
 #include "registry/registry.h"
@@ -42,10 +42,6 @@
   void Carry(configuration::FollowerOutput output);
   // Calls
   void HandleControl(ControlRequest request, HttpServer::Respond respond);
-  void HandleRunner(const ControlRequest& request, HttpServer::Respond respond);
-  void AcknowledgeEnd(const std::string& runner_id, ControlResponse response, HttpServer::Respond respond);
-  void CheckEnds(Time now);
-  bool EndIsKnownToCore(const std::string& runner_id) const;
   ControlResponse Status() const;
   // Time
   void Wake();
@@ -82,7 +78,7 @@
   HttpClient client_;
   DutyService duties_;
   OperatorApi operator_api_;
-  EndAcknowledgements ends_;
+  RunnerApi runner_api_;
   std::unique_ptr<HttpServer> control_server_, ready_server_;
 
   std::vector<Member> live_;  // this one included
--- a/src/controlplane/http_server.cpp
+++ b/src/controlplane/http_server.cpp
@@ -54,6 +54,12 @@
   return {address.substr(0, colon), std::atoi(address.c_str() + colon + 1)};
 }
 
+ControlResponse PlainStatus(int status) {
+  ControlResponse response;
+  response.status = status;
+  return response;
+}
+
 HttpServer::HttpServer(EventLoop* loop, std::size_t most_body_bytes, Handler handler)
     : loop_(loop), server_(evhttp_new(loop->base())), handler_(std::move(handler)) {
   if (server_ == nullptr) throw std::runtime_error("no HTTP server: give the process more memory");
--- a/src/controlplane/http_server.h
+++ b/src/controlplane/http_server.h
@@ -28,6 +28,8 @@
   std::vector<std::pair<std::string, std::string>> headers;
 };
 
+ControlResponse PlainStatus(int status);  // with no body
+
 class HttpServer {
  public:
   // Answers one request, now or later, exactly once.
--- a/src/dataplane/exchange.cpp
+++ b/src/dataplane/exchange.cpp
@@ -16,31 +16,8 @@
 constexpr std::string_view kBusy = "no runner could take the request: retry after the time in Retry-After";
 constexpr std::string_view kBroke = "the runner broke off: retry if the request may run twice";
 constexpr std::string_view kLate = "the deadline came before an answer: retry with more time";
-constexpr std::string_view kUnreachable = "its machine does not answer";
 constexpr std::string_view kRouteGone = "the request's route changed: retry";
 
-std::string_view ToText(AttemptOutcome outcome) {
-  switch (outcome) {
-    case AttemptOutcome::kServed:
-      return "served";
-    case AttemptOutcome::kNotRun:
-      return "not run";
-    case AttemptOutcome::kModelMissing:
-      return "model missing";
-    case AttemptOutcome::kWrongRunner:
-      return "wrong runner";
-    case AttemptOutcome::kConnectFailed:
-      return "connect failed";
-    case AttemptOutcome::kBroken:
-      return "broke off";
-    case AttemptOutcome::kTimeout:
-      return "timeout";
-    case AttemptOutcome::kCancelled:
-      break;
-  }
-  return "cancelled";
-}
-
 bool HasNoBody(const Request& request, int status) {
   return request.IsHead() || status == 204 || status == 304;
 }
@@ -256,35 +233,6 @@
   if (final) Cut(CutReason::kNotResumable);
 }
 
-// Silence alone ends no answer: another runner may take the attempt's place, but only once it answers.
-void Exchange::RunnerUnreachable(Attempt& attempt) {
-  if (suspected_.get() == &attempt) return;
-  ++context_->counters.suspected;
-  const bool can_go_on = !head_sent_ || Resumable();
-  if (suspected_ != nullptr || !can_go_on || !table_->MayReplace(number_)) return;
-  const auto self = shared_from_this();
-  suspected_ = Remove(attempt);
-  may_have_run_ = may_have_run_ || suspected_->sent();
-  last_failure_ = kUnreachable;
-  table_->AttemptEnded(number_, suspected_->number(), AttemptOutcome::kBroken, /*final=*/false);
-}
-
-// A suspected attempt has been heard of: it goes on, and what was to replace it is given up.
-void Exchange::TakeBack(const Attempt& attempt) {
-  if (suspected_ == nullptr || suspected_.get() != &attempt) return;
-  attempts_.push_back(std::exchange(suspected_, nullptr));
-  streaming_ = &attempt;
-  StopOthers(attempt);
-  decided_ = true;
-  table_->Gone(number_);
-}
-
-void Exchange::SuspectedFailed() {
-  std::exchange(suspected_, nullptr)->Stop();
-  // Else the decision module has an attempt under way, or is looking for a place for one.
-  if (after_suspected_) AnswerOwn(*std::exchange(after_suspected_, std::nullopt));
-}
-
 // ---- The end ----
 
 // What may have run is promised nothing; what has begun can only be cut.
--- /dev/null
+++ b/src/dataplane/exchange_suspected.cpp
@@ -0,0 +1,44 @@
+// The part of an exchange that keeps an attempt whose runner's machine does not answer, until another one
+// takes its place: make before break.
+#include "dataplane/exchange.h"
+#include "dataplane/exchange_table.h"
+
+namespace lichenlug::dataplane {
+namespace {
+
+using routing::AttemptOutcome;
+
+constexpr std::string_view kUnreachable = "its machine does not answer";
+
+}  // namespace
+
+// Silence alone ends no answer: another runner may take the attempt's place, but only once it answers.
+void Exchange::RunnerUnreachable(Attempt& attempt) {
+  if (suspected_.get() == &attempt) return;
+  ++context_->counters.suspected;
+  const bool can_go_on = !head_sent_ || Resumable();
+  if (suspected_ != nullptr || !can_go_on || !table_->MayReplace(number_)) return;
+  const auto self = shared_from_this();
+  suspected_ = Remove(attempt);
+  may_have_run_ = may_have_run_ || suspected_->sent();
+  last_failure_ = kUnreachable;
+  table_->AttemptEnded(number_, suspected_->number(), AttemptOutcome::kBroken, /*final=*/false);
+}
+
+// A suspected attempt has been heard of: it goes on, and what was to replace it is given up.
+void Exchange::TakeBack(const Attempt& attempt) {
+  if (suspected_ == nullptr || suspected_.get() != &attempt) return;
+  attempts_.push_back(std::exchange(suspected_, nullptr));
+  streaming_ = &attempt;
+  StopOthers(attempt);
+  decided_ = true;
+  table_->Gone(number_);
+}
+
+void Exchange::SuspectedFailed() {
+  std::exchange(suspected_, nullptr)->Stop();
+  // Else the decision module has an attempt under way, or is looking for a place for one.
+  if (after_suspected_) AnswerOwn(*std::exchange(after_suspected_, std::nullopt));
+}
+
+}  // namespace lichenlug::dataplane
--- a/src/routing/decisions.h
+++ b/src/routing/decisions.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -69,6 +70,8 @@
   kCancelled,
 };
 
+std::string_view ToText(AttemptOutcome outcome);  // for logs
+
 class Decisions {
  public:
   Decisions(Time now, std::uint64_t seed);
