Take signals from a process's first line to its last, and soak the system by seeds

A resumed answer's runner is in the ledger now, so that a crashed runner's cut is told from a lost one.

--- a/lab/system/dispatcher.cpp
+++ b/lab/system/dispatcher.cpp
@@ -3,6 +3,7 @@
 #include <sys/wait.h>
 
 #include <csignal>
+#include <cstdint>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -114,6 +115,24 @@
   return WIFEXITED(process_.status()) && WEXITSTATUS(process_.status()) == 0;
 }
 
+// The mask of the signals that the process catches, as proc(5) tells it.
+bool Dispatcher::TakesSignals() const {
+  constexpr char kCaught[] = "SigCgt:";
+  std::ifstream file("/proc/" + std::to_string(process_.pid()) + "/status");
+  for (std::string line; std::getline(file, line);) {
+    if (!line.starts_with(kCaught)) continue;
+    const std::uint64_t caught = std::stoull(line.substr(sizeof kCaught - 1), nullptr, 16);
+    return (caught >> (SIGHUP - 1) & 1) != 0 && (caught >> (SIGTERM - 1) & 1) != 0;
+  }
+  return false;
+}
+
+std::string Dispatcher::LastEnd() const {
+  const int status = process_.status();
+  if (WIFSIGNALED(status)) return "signal " + std::to_string(WTERMSIG(status));
+  return "exit code " + std::to_string(WEXITSTATUS(status));
+}
+
 void Dispatcher::WipeStore() {
   std::filesystem::remove_all(store_folder());
   std::filesystem::create_directories(store_folder());
--- a/lab/system/dispatcher.h
+++ b/lab/system/dispatcher.h
@@ -47,7 +47,10 @@
   void WipeStore();                               // of an ended process
 
   bool Running() { return process_.Running(); }
-  bool EndedWell() const;  // the last life ended by itself, with exit code 0
+  // Whether the program's own first line has run; before it, in the loader, a signal ends any program.
+  bool TakesSignals() const;
+  bool EndedWell() const;       // the last life ended by itself, with exit code 0
+  std::string LastEnd() const;  // "exit code 0" or "signal 15"
   std::string Log() const;
   bool LogHolds(const std::string& text) const { return Log().find(text) != std::string::npos; }
 
--- /dev/null
+++ b/lab/system/kept_client.h
@@ -0,0 +1,84 @@
+// A client that keeps one connection and sends one request after another on it until the dispatcher closes it
+// or is gone, then opens the next one. It judges what becomes of each request that it has sent whole.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "lab/system/answer_check.h"
+#include "lab/system/clients.h"
+#include "lab/system/ledger.h"
+#include "lab/system/loop.h"
+#include "net/http_connection.h"
+
+namespace lichenlug::standins {
+
+// Where kept clients may connect, and when a dispatcher was last lost with all its connections.
+class FrontDirectory {
+ public:
+  struct Front {
+    std::string address;
+    bool open = true;   // takes new connections
+    Time lost_at = -1;  // killed at; -1: never
+  };
+
+  explicit FrontDirectory(std::vector<std::string> addresses);
+
+  std::size_t size() const { return fronts_.size(); }
+  const Front& front(std::size_t index) const { return fronts_[index]; }
+  void Open(std::size_t index) { fronts_[index].open = true; }
+  void Close(std::size_t index) { fronts_[index].open = false; }
+  void Lose(std::size_t index, Time now);
+
+ private:
+  std::vector<Front> fronts_;
+};
+
+struct KeptClientFigures {
+  std::uint64_t sent = 0, served = 0, refused = 0, failed = 0, lost_with_dispatcher = 0, lost_with_runner = 0,
+                crossed = 0;
+};
+
+class KeptClient {
+ public:
+  // All but `requests` outlive it. `requests`: the kinds it sends, drawn by `seed`.
+  KeptClient(Loop* loop, FrontDirectory* fronts, Ledger* ledger, KeptClientFigures* figures,
+             std::vector<ClientRequest> requests, std::uint64_t seed);
+  ~KeptClient();
+
+  void Start();
+  void Stop();  // after the request under way
+  bool Resting() const { return !under_way_; }
+
+ private:
+  void Connect();
+  void SendLater();
+  void Send();
+  void Answered(const HttpMessage& answer);
+  void Ended();
+  void JudgeCut();
+  bool LostWithDispatcher() const;
+  std::size_t DrawFront();
+
+  Loop* loop_;
+  FrontDirectory* fronts_;
+  Ledger* ledger_;
+  KeptClientFigures* figures_;
+  const std::vector<ClientRequest> requests_;
+  std::mt19937_64 random_;
+  std::size_t front_ = 0;
+  Time connected_at_ = 0, sent_at_ = 0;
+  bool under_way_ = false, stopped_ = false;
+  std::string attempt_id_;
+  int events_ = 0;
+  std::unique_ptr<AnswerCheck> check_;  // of a 2xx answer under way
+  std::shared_ptr<HttpConnection> connection_;
+  asio::steady_timer pause_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace lichenlug::standins
--- a/lab/system/ledger.h
+++ b/lab/system/ledger.h
@@ -22,6 +22,16 @@
     if (!begun_attempts_.insert(attempt_id).second && !repeatable)
       Broken("try " + attempt_id + " was run twice");
   }
+  // The runner that answers a try, and those that have crashed: what they answered may be cut.
+  void RunsAt(const std::string& attempt_id, const std::string& runner_id) {
+    runner_of_[attempt_id] = runner_id;
+  }
+  void RunnerCrashed(const std::string& runner_id) { crashed_.insert(runner_id); }
+  bool RunnerHasCrashed(const std::string& attempt_id) const {
+    const auto found = runner_of_.find(attempt_id);
+    return found != runner_of_.end() && crashed_.contains(found->second);
+  }
+  bool HasBegun(const std::string& attempt_id) const { return begun_attempts_.contains(attempt_id); }
   std::uint64_t begun(const std::string& tenant) const {
     const auto found = begun_.find(tenant);
     return found == begun_.end() ? 0 : found->second;
@@ -30,7 +40,9 @@
  private:
   std::vector<std::string> broken_;
   std::set<std::string> begun_attempts_;
-  std::map<std::string, std::uint64_t> begun_;  // by tenant
+  std::map<std::string, std::string> runner_of_;  // by try
+  std::set<std::string> crashed_;                 // runners
+  std::map<std::string, std::uint64_t> begun_;    // by tenant
 };
 
 }  // namespace lichenlug::standins
--- a/lab/system/runner_answers.cpp
+++ b/lab/system/runner_answers.cpp
@@ -92,6 +92,7 @@
 // The head goes out with the first event, which also tells that the request runs.
 void Runner::Begin(const std::shared_ptr<Answer>& answer) {
   answer->begun = true;
+  ledger_->RunsAt(answer->attempt_id, settings_.id);
   if (!answer->resumed) ledger_->RunBegan(answer->attempt_id, answer->tenant, !answer->stream);
   std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Type: ";
   head += answer->stream ? wire::kEventStreamType : kTextType;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -12,6 +12,7 @@
 #include "controlplane/control_plane.h"
 #include "controlplane/event_loop.h"
 #include "controlplane/node_settings.h"
+#include "daemon/early_signals.h"
 #include "dataplane/data_plane.h"
 
 namespace {
@@ -84,18 +85,23 @@
   EventLoop loop;
   lichenlug::dataplane::DataPlane data_plane(DataPlaneSettings(settings));
   ControlPlane control_plane(&loop, settings, &data_plane);
-  loop.OnSignal(SIGTERM, [&] { control_plane.BeginDrain(); });
-  loop.OnSignal(SIGINT, [&] { control_plane.BeginDrain(); });
-  loop.OnSignal(SIGHUP, [&] {
+  const auto drain = [&] { control_plane.BeginDrain(); };
+  const auto reload = [&] {
     const auto changed = ReadNodeSettings(command_line.settings_path);
     if (const auto* valid = std::get_if<NodeSettings>(&changed))
       control_plane.ReloadSettings(*valid);
     else
       LOG(ERROR) << "settings kept: " << std::get<std::string>(changed);
-  });
+  };
+  loop.OnSignal(SIGTERM, drain);
+  loop.OnSignal(SIGINT, drain);
+  loop.OnSignal(SIGHUP, reload);
   std::string error;
   if (!data_plane.Start(&error)) return Fail(error);
   if (!control_plane.Start(&error)) return Fail(error);
+  using lichenlug::daemon::TakeRemembered;
+  if (TakeRemembered(SIGHUP)) loop.Post(reload);
+  if (TakeRemembered(SIGTERM) || TakeRemembered(SIGINT)) loop.Post(drain);
   loop.Run();
   LOG(INFO) << "ended";
   return EXIT_SUCCESS;
@@ -105,10 +111,12 @@
 
 int main(int argc, char** argv) {
   std::signal(SIGPIPE, SIG_IGN);
+  lichenlug::daemon::RememberSignals();
   const CommandLine command_line = ReadCommandLine(argc, argv);
   FLAGS_logtostderr = true;
   google::InitGoogleLogging(argv[0]);
   google::InstallFailureSignalHandler();  // a crash tells its stack on standard error, then ends as before
+  lichenlug::daemon::RememberSignals();   // glog takes SIGTERM for a failure, too
   const auto settings = ReadNodeSettings(command_line.settings_path);
   if (const auto* problem = std::get_if<std::string>(&settings)) return Fail(*problem);
   if (command_line.check_only) return EXIT_SUCCESS;
--- /dev/null
+++ b/tests/system/processes/soak_test.cpp
@@ -0,0 +1,52 @@
+// Series of signals, restarts and changes that overlap, by seeds (lab/system/soak.h); and signals at any
+// moment of a process's life.
+#include "lab/system/soak.h"
+
+#include "world.h"
+
+namespace lichenlug::standins::test {
+namespace {
+
+constexpr Time kSoakLength = 12 * kSecond;
+
+TEST_CASE("signals, restarts and changes in series break no rule", "[soak]") {
+  const std::uint64_t seed = GENERATE(1, 2);
+  SoakPlan plan;
+  plan.system.program = LICHENLUGD_PATH;
+  plan.seed = seed;
+  plan.length = kSoakLength;
+  plan.patience = 2 * kPatience;
+  Soak soak(plan);
+  const SoakReport report = soak.Play();
+  INFO("seed " << seed);
+  for (const std::string& what : report.broken) UNSCOPED_INFO(what);
+  if (!report.broken.empty()) UNSCOPED_INFO(soak.Logs());
+  CHECK(report.broken.empty());
+  CHECK(report.clients.served > 0);
+}
+
+TEST_CASE("a dispatcher takes signals from its first moment to its last", "[signals]") {
+  World world(3, 1, 2);
+  REQUIRE(world.Found());
+  Dispatcher& dispatcher = world.system().dispatcher(3);
+  for (int life = 0; life < 3; ++life) {
+    REQUIRE(dispatcher.Kill(kPatience));
+    dispatcher.Start();
+    while (dispatcher.Running() && !dispatcher.TakesSignals()) {
+    }
+    for (int time = 0; time < 3; ++time) dispatcher.Reload(dispatcher.SettingsText(false));
+    CHECK(world.RunUntil([&] { return world.system().SaysReady(3); }));
+    CHECK(dispatcher.Running());
+    dispatcher.Terminate();
+    CHECK(world.RunUntil([&] {
+      dispatcher.Reload(dispatcher.SettingsText(false));
+      dispatcher.Terminate();
+      return !dispatcher.Running();
+    }));
+    CHECK(dispatcher.EndedWell());
+    INFO(dispatcher.LastEnd());
+  }
+}
+
+}  // namespace
+}  // namespace lichenlug::standins::test
