Let changes of runners wait for acknowledgements, and judge machines by own delays

The first form of the spread's mend still kept the home's link full for 6 s after a burst (spread_load_test.cpp: 37 runners telling news twice within 0.4 s to 74 peers over 10 Mbit/s; 6.2 s of queue, seen failing), as each change went out at once and was repeated before the link could carry it. Now a peer gets the next changes, eight at most, when it has acknowledged the last ones; ends still go at once; what waits is replaced by newer records. The wait for an acknowledgement follows the delays seen (DelayEstimate, RFC 6298). The same estimate serves connections to runners: where this machine's own link is full all of them come up late, which says nothing of one runner's machine; the runner watch and the pool waited a fixed 0.3 to 0.45 s. Up to 1 s now, by what was seen.

--- a/src/dataplane/runner_pool.cpp
+++ b/src/dataplane/runner_pool.cpp
@@ -11,7 +11,9 @@
 namespace lichenlug::dataplane {
 namespace {
 
-constexpr Time kConnectPatience = 400 * kMillisecond;
+// For a connection to come up; the more the later others came up of late, as where this machine's link is
+// full.
+constexpr Time kLeastConnectPatience = 400 * kMillisecond, kMostConnectPatience = kSecond;
 constexpr Time kSweepEvery = 500 * kMillisecond;
 // Runners name the time that they keep idle connections in whole seconds. One that names none keeps them for
 // less than a second, so long or short.
@@ -94,7 +96,11 @@
 RunnerConnection::~RunnerConnection() { http_->Close(); }
 
 RunnerPool::RunnerPool(asio::io_context& io, Deadlines* deadlines, std::size_t most_connections)
-    : io_(io), deadlines_(deadlines), most_connections_(most_connections), watch_(io, deadlines) {}
+    : io_(io),
+      deadlines_(deadlines),
+      most_connections_(most_connections),
+      connects_(kLeastConnectPatience, kMostConnectPatience),
+      watch_(io, deadlines, &connects_) {}
 
 RunnerPool::~RunnerPool() { deadlines_->Remove(&sweep_); }
 
@@ -130,16 +136,18 @@
                      --*open;
                      delete connection;
                    });
+  const Time began = deadlines_->Now();
   auto told = std::make_shared<std::function<void(bool)>>(std::move(done));
   auto alarm = std::make_shared<Deadlines::Key>();
   const auto tell = [this, told, alarm](bool connected) {
     deadlines_->Remove(alarm.get());
     if (const auto call = std::exchange(*told, nullptr)) call(connected);
   };
-  *alarm = deadlines_->Add(deadlines_->Now() + kConnectPatience,
+  *alarm = deadlines_->Add(began + connects_.Wait(),
                            [tell, weak = std::weak_ptr(fresh)] { weak.expired() ? void() : tell(false); });
-  fresh->http_->Connect(*endpoint, [tell, raw = fresh.get()](std::error_code error) {
+  fresh->http_->Connect(*endpoint, [this, tell, began, raw = fresh.get()](std::error_code error) {
     if (error) return tell(false);
+    connects_.Note(deadlines_->Now() - began);
     SetOptions(raw->http_->socket());
     raw->http_->Start();
     tell(true);
--- a/src/dataplane/runner_pool.h
+++ b/src/dataplane/runner_pool.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/deadlines.h"
+#include "base/delay_estimate.h"
 #include "dataplane/runner_watch.h"
 #include "net/http_connection.h"
 
@@ -81,6 +82,7 @@
   std::unordered_map<std::string, std::vector<Connection>> idle_;  // the latest used last
   std::size_t idle_count_ = 0, most_idle_ = 64;
   Deadlines::Key sweep_;
+  DelayEstimate connects_;  // how long connections take to come up
   RunnerWatch watch_;
 };
 
--- a/src/dataplane/runner_watch.cpp
+++ b/src/dataplane/runner_watch.cpp
@@ -11,7 +11,6 @@
 constexpr Time kLookEvery = 150 * kMillisecond;
 constexpr Time kOwnPause = 100 * kMillisecond;  // a look that is later says nothing of runners
 constexpr int kAskAfterLooks = 3;               // without bytes
-constexpr int kAnswerWithinLooks = 2;           // a connection comes up in some ms
 constexpr int kAskAgainAfterLooks = 7;          // of a runner that answered
 
 }  // namespace
@@ -25,7 +24,8 @@
 
 void RunnerWatch::Wait::Heard() { runner_->heard = true; }
 
-RunnerWatch::RunnerWatch(asio::io_context& io, Deadlines* deadlines) : io_(io), deadlines_(deadlines) {}
+RunnerWatch::RunnerWatch(asio::io_context& io, Deadlines* deadlines, DelayEstimate* connects)
+    : io_(io), deadlines_(deadlines), connects_(connects) {}
 
 RunnerWatch::~RunnerWatch() { deadlines_->Remove(&next_look_); }
 
@@ -73,24 +73,31 @@
   }
   ++runner->quiet_looks;
   ++runner->probe_looks;
-  if (runner->probe == Probe::kConnecting && runner->probe_looks > kAnswerWithinLooks)
-    return TellUnreachable(runner.get());
+  if (AnswerIsMissing(*runner)) return TellUnreachable(runner.get());
   const bool due = runner->probe == Probe::kNone ||
                    (runner->probe == Probe::kAnswered && runner->probe_looks >= kAskAgainAfterLooks);
   if (runner->quiet_looks >= kAskAfterLooks && due) Ask(runner);
 }
 
+bool RunnerWatch::AnswerIsMissing(const Runner& runner) const {
+  return runner.probe == Probe::kConnecting && deadlines_->Now() - runner.asked_at >= connects_->Wait();
+}
+
 void RunnerWatch::Ask(const std::shared_ptr<Runner>& runner) {
   runner->probe = Probe::kConnecting;
   runner->probe_looks = 0;
+  runner->asked_at = deadlines_->Now();
   runner->socket = std::make_unique<asio::ip::tcp::socket>(io_);
-  runner->socket->async_connect(runner->endpoint, [weak = std::weak_ptr(runner)](std::error_code error) {
-    const auto asked = weak.lock();
-    if (asked == nullptr || error == asio::error::operation_aborted) return;
-    // A refusal is an answer too; what it ends shows on the connections themselves.
-    if (asked->probe == Probe::kConnecting) asked->probe = Probe::kAnswered;
-    asked->socket.reset();
-  });
+  runner->socket->async_connect(runner->endpoint,
+                                [this, weak = std::weak_ptr(runner)](std::error_code error) {
+                                  const auto asked = weak.lock();
+                                  if (asked == nullptr || error == asio::error::operation_aborted) return;
+                                  connects_->Note(deadlines_->Now() - asked->asked_at);
+                                  // A refusal is an answer too; what it ends shows on the connections
+                                  // themselves.
+                                  if (asked->probe == Probe::kConnecting) asked->probe = Probe::kAnswered;
+                                  asked->socket.reset();
+                                });
 }
 
 void RunnerWatch::TellUnreachable(Runner* runner) {
--- a/src/dataplane/runner_watch.h
+++ b/src/dataplane/runner_watch.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 
 #include "base/deadlines.h"
+#include "base/delay_estimate.h"
 
 namespace lichenlug::dataplane {
 
@@ -36,7 +37,10 @@
     std::function<void()> unreachable_;
   };
 
-  RunnerWatch(asio::io_context& io, Deadlines* deadlines);
+  // `connects`: how long connections to runners take to come up. Where this machine's own link is full all of
+  // them are late, which says nothing of one runner's machine. Outlives the watch, which notes its own
+  // connections there, too.
+  RunnerWatch(asio::io_context& io, Deadlines* deadlines, DelayEstimate* connects);
   ~RunnerWatch();
 
   // `unreachable` is called if the runner's machine does not answer; it may destroy any of the waits.
@@ -53,17 +57,20 @@
     int quiet_looks = 0;  // in a row
     Probe probe = Probe::kNone;
     int probe_looks = 0;  // since it was asked
+    Time asked_at = 0;
     std::unique_ptr<asio::ip::tcp::socket> socket;
   };
 
   void Arm();
   void Look();
   void LookAt(const std::shared_ptr<Runner>& runner);
+  bool AnswerIsMissing(const Runner& runner) const;
   void Ask(const std::shared_ptr<Runner>& runner);
   static void TellUnreachable(Runner* runner);
 
   asio::io_context& io_;
   Deadlines* deadlines_;
+  DelayEstimate* connects_;
   std::unordered_map<std::string, std::shared_ptr<Runner>> runners_;  // those that are waited for
   Deadlines::Key next_look_;
   Time look_due_ = 0;
--- a/src/registry/registry_receive.cpp
+++ b/src/registry/registry_receive.cpp
@@ -12,7 +12,7 @@
       ReceiveUpdate(now, from_address, message.update(), output);
       break;
     case messages::RegistryMessage::kAck:
-      NoteHeld(from_address, spread_.Acknowledged(from_address, message.ack().number()));
+      NoteHeld(from_address, spread_.Acknowledged(now, from_address, message.ack().number()));
       break;
     case messages::RegistryMessage::kDigest:
       anti_entropy_.Receive(now, from_address, message.digest(), &table_, output);
--- a/src/registry/spread.cpp
+++ b/src/registry/spread.cpp
@@ -11,10 +11,11 @@
 
 // From the second repeat on the wait doubles, up to a bound (RFC 6298, section 5.5): an answer that is late
 // because links are full must not fill them further.
-constexpr Time kFirstRepeatAfter = 150 * kMillisecond;
 constexpr int kMostRepeatsCounted = 3;
 // Of messages that held a record; the acknowledgement of an older one is not counted.
 constexpr std::size_t kMostNumbersKept = 4;
+// Changes in a message, but for ends: so much may be on the way to each peer at a time.
+constexpr std::size_t kMostChangesAtOnce = 8;
 
 }  // namespace
 
@@ -51,15 +52,17 @@
   found->second.has_unsent = true;
 }
 
-std::vector<std::string> Spread::Acknowledged(const std::string& address, std::uint64_t number) {
+std::vector<std::string> Spread::Acknowledged(Time now, const std::string& address, std::uint64_t number) {
   std::vector<std::string> held;
   const auto found = peers_.find(address);
   if (found == peers_.end() || number > last_number_) return held;
   std::erase_if(found->second.pending, [&](const auto& entry) {
-    const auto& sent_in = entry.second.sent_in;
-    const bool is_held = std::find(sent_in.begin(), sent_in.end(), number) != sent_in.end();
-    if (is_held) held.push_back(entry.first);
-    return is_held;
+    const Pending& pending = entry.second;
+    const auto& sent_in = pending.sent_in;
+    if (std::find(sent_in.begin(), sent_in.end(), number) == sent_in.end()) return false;
+    if (sent_in.size() == 1) delay_.Note(now - pending.sent_at);
+    held.push_back(entry.first);
+    return true;
   });
   return held;
 }
@@ -78,7 +81,7 @@
 void Spread::Flush(Time now, RunnerTable* table, RegistryOutput* output) {
   for (auto& [address, peer] : peers_) {
     if (!peer.has_unsent) continue;
-    Send(now, address, &peer, table, output);
+    if (!AwaitsAcknowledgement(peer) || HasUnsentEnd(peer, table)) Send(now, address, &peer, table, output);
   }
 }
 
@@ -100,40 +103,66 @@
   return pending.sent_in.empty() || pending.repeat_at <= now;
 }
 
+bool Spread::AwaitsAcknowledgement(const Peer& peer) {
+  return std::any_of(peer.pending.begin(), peer.pending.end(),
+                     [](const auto& entry) { return !entry.second.sent_in.empty(); });
+}
+
+bool Spread::HasUnsentEnd(const Peer& peer, RunnerTable* table) {
+  return std::any_of(peer.pending.begin(), peer.pending.end(), [table](const auto& entry) {
+    const TrackedRunner* runner = entry.second.sent_in.empty() ? table->Find(entry.first) : nullptr;
+    return runner != nullptr && runner->record.state() != messages::RUNNER_READY;
+  });
+}
+
 void Spread::NoteSent(Time now, std::uint64_t number, Pending* pending) {
-  if (!pending->sent_in.empty()) pending->repeats = std::min(pending->repeats + 1, kMostRepeatsCounted);
+  if (pending->sent_in.empty())
+    pending->sent_at = now;
+  else
+    pending->repeats = std::min(pending->repeats + 1, kMostRepeatsCounted);
   if (pending->sent_in.size() >= kMostNumbersKept) pending->sent_in.erase(pending->sent_in.begin());
   pending->sent_in.push_back(number);
-  pending->repeat_at = now + (kFirstRepeatAfter << std::max(0, pending->repeats - 1));
+  const Time wait = delay_.Wait() << std::max(0, pending->repeats - 1);
+  pending->repeat_at = now + std::min(wait, kLongestRepeatAfter);
+}
+
+// Those alive first: a runner that has the address of another by now is known before that one's end.
+std::vector<std::string> Spread::TakeDue(Time now, const Peer& peer, RunnerTable* table) const {
+  std::vector<std::string> changes, ends;
+  for (const auto& [runner_id, pending] : peer.pending) {
+    if (!IsDue(now, pending)) continue;
+    const messages::RunnerState state = table->Find(runner_id)->record.state();
+    (IsAlive(state) ? changes : ends).push_back(runner_id);
+  }
+  if (!HasUnsentEnd(peer, table) && changes.size() > kMostChangesAtOnce) changes.resize(kMostChangesAtOnce);
+  changes.insert(changes.end(), ends.begin(), ends.end());
+  return changes;
 }
 
 void Spread::Send(Time now, const std::string& address, Peer* peer, RunnerTable* table,
                   RegistryOutput* output) {
-  peer->has_unsent = false;
   std::erase_if(peer->pending, [table](const auto& entry) { return table->Find(entry.first) == nullptr; });
-
-  RegistrySend send;
-  send.address = address;
-  auto* update = send.message.mutable_update();
-  update->set_number(last_number_ + 1);
-  update->set_wants_ack(true);
-  // Those alive first: a runner that has the address of another by now is known before that one's end.
-  for (const bool alive : {true, false}) {
-    for (const auto& [runner_id, pending] : peer->pending) {
-      const TrackedRunner& runner = *table->Find(runner_id);
-      if (IsAlive(runner.record.state()) != alive || !IsDue(now, pending)) continue;
-      *update->add_records() = RunnerTable::ToSend(now, runner);
+  const std::vector<std::string> due = TakeDue(now, *peer, table);
+  if (!due.empty()) {
+    RegistrySend send;
+    send.address = address;
+    auto* update = send.message.mutable_update();
+    update->set_number(++last_number_);
+    update->set_wants_ack(true);
+    for (const std::string& runner_id : due) {
+      *update->add_records() = RunnerTable::ToSend(now, *table->Find(runner_id));
+      NoteSent(now, update->number(), &peer->pending.at(runner_id));
     }
+    output->sends.push_back(std::move(send));
   }
-  Time next = std::numeric_limits<Time>::max();
-  for (auto& [runner_id, pending] : peer->pending) {
-    if (IsDue(now, pending)) NoteSent(now, update->number(), &pending);
-    next = std::min(next, pending.repeat_at);
+  peer->has_unsent = false;
+  peer->repeat_at = std::numeric_limits<Time>::max();
+  for (const auto& [runner_id, pending] : peer->pending) {
+    if (pending.sent_in.empty())
+      peer->has_unsent = true;
+    else
+      peer->repeat_at = std::min(peer->repeat_at, pending.repeat_at);
   }
-  peer->repeat_at = next;
-  if (update->records_size() == 0) return;
-  ++last_number_;
-  output->sends.push_back(std::move(send));
 }
 
 }  // namespace lichenlug::registry
--- a/tests/system/registry/registry_network.h
+++ b/tests/system/registry/registry_network.h
@@ -31,6 +31,26 @@
   return record;
 }
 
+// One registry alone, of dispatcher-0 in zone-0, and others that it is told of.
+inline Registry MakeRegistry(std::size_t most_runners = 100) {
+  RegistrySettings settings;
+  settings.self_name = "dispatcher-0";
+  settings.zone = "zone-0";
+  settings.heartbeat_every = kBeat;
+  settings.most_runners = most_runners;
+  return Registry(settings);
+}
+
+inline Member MakeMember(int number, const std::string& zone = "zone-0") {
+  Member member;
+  member.name = "dispatcher-" + std::to_string(number);
+  member.incarnation = 1;
+  member.address = "10.0.0." + std::to_string(number) + ":7000";
+  member.control_address = "10.0.0." + std::to_string(number) + ":8000";
+  member.zone = zone;
+  return member;
+}
+
 struct SentMessage {
   std::size_t from = 0, to = 0;
   messages::RegistryMessage message;
