--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Shortcuts; CMake does the work.
-.PHONY: build test lint run lab demo system system-demo system-test
+.PHONY: build test lint run lab demo system system-demo system-soak system-test
 
 build:
 	cmake -B build -DCMAKE_BUILD_TYPE=Release
@@ -31,6 +31,11 @@
 system-demo: system
 	build-system/lab/system/lichenlug-lab-system
 
+# One seed of drawn signals, restarts and changes against real dispatchers; docs/operate/soak.md.
+system-soak: system
+	cmake --build build-system -j$$(nproc) --target lichenlug-lab-soak
+	build-system/lab/system/lichenlug-lab-soak --seed $(or $(SEED),1)
+
 # The tests of the model router, those with real processes among them.
 system-test:
 	CTEST_OPTIONS="-R ^system" tests/run
