--- a/tests/system/dataplane/suspected_runner_test.cpp
+++ b/tests/system/dataplane/suspected_runner_test.cpp
@@ -14,6 +14,14 @@
   return world->Await([](const Report& report) { return report.suspected > 0; });
 }
 
+// The runner reads the request and passes the head and the first event on to the client.
+void BeginStream(Socket* client, Socket* runner) {
+  runner->Read();
+  runner->Send(StreamHead("a1") + Chunk(Event(1, "one")));
+  CHECK(client->ReadHead().status() == 200);
+  CHECK(client->ReadChunk() == Event(1, "one"));
+}
+
 }  // namespace
 
 TEST_CASE("A stream whose runner is suspected goes on with it where no other runner can take it up") {
@@ -21,10 +29,7 @@
   Socket client = world.Client();
   client.Send(Post("/resume/x", "a1", "b"));
   Socket runner = world.runner(0).Accept();
-  runner.Read();
-  runner.Send(StreamHead("a1") + Chunk(Event(1, "one")));
-  CHECK(client.ReadHead().status() == 200);
-  CHECK(client.ReadChunk() == Event(1, "one"));
+  BeginStream(&client, &runner);
   world.runner(0).StopAnswering();
   REQUIRE(AwaitSuspicion(&world));
   runner.Send(Chunk(Event(2, "two")) + "0\r\n\r\n");
@@ -38,10 +43,7 @@
   Socket client = world.Client();
   client.Send(Post("/resume/x", "a1", "b"));
   auto [runner, which] = world.AcceptAny();
-  runner.Read();
-  runner.Send(StreamHead("a1") + Chunk(Event(1, "one")));
-  CHECK(client.ReadHead().status() == 200);
-  CHECK(client.ReadChunk() == Event(1, "one"));
+  BeginStream(&client, &runner);
   world.runner(which).StopAnswering();
   const std::string close = "Connection: close\r\n";
   const std::string refusal =
