Serve deployments whose clients' machines have no disk: roles by what a machine has

With a role there the program ended at once: it listened for clients even where the settings give no address for them.

What `serves` asks for and has no address is refused with key and remedy. The settings reader tells its faults as a typed SettingsProblem instead of a string.

Ruled out: a switch by the class of a machine (nothing may depend on a name).

--- a/src/controlplane/control_plane.cpp
+++ b/src/controlplane/control_plane.cpp
@@ -9,6 +9,7 @@
 
 #include "consensus/group.h"
 #include "controlplane/group_planner.h"
+#include "controlplane/node_roles.h"
 #include "controlplane/part_settings.h"
 #include "controlplane/status.h"
 
@@ -246,6 +247,7 @@
 ControlResponse ControlPlane::Status() const {
   StatusInput input;
   input.name = settings_.name;
+  input.roles = RoleNames(RolesOf(settings_));
   input.ready = ready_;
   input.confirmed = confirmed_;
   input.replica_id = replica_id_;
--- /dev/null
+++ b/src/controlplane/node_roles.h
@@ -0,0 +1,28 @@
+// What one process does, decided by what its machine has: addresses, a disk, a vote. No part asks for the
+// class or the name of a machine.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "controlplane/node_settings.h"
+
+namespace lichenlug::controlplane {
+
+struct NodeRoles {
+  bool serves_clients = false;   // has an address for clients
+  bool tells_readiness = false;  // has an address for the platform's question
+  bool serves_control = false;   // has an address for runners and the operator
+  bool keeps_store = false;      // has a disk: may hold replicas and duties
+  bool counts_for_quorum = false;
+};
+
+NodeRoles RolesOf(const NodeSettings& settings);
+
+// The roles by name, in a fixed order.
+std::vector<std::string> RoleNames(const NodeRoles& roles);
+
+// One line for the log: what the process does, and what it has no address or disk for.
+std::string DescribeRoles(const NodeRoles& roles);
+
+}  // namespace lichenlug::controlplane
--- a/src/controlplane/node_settings.cpp
+++ b/src/controlplane/node_settings.cpp
@@ -12,14 +12,19 @@
 
 using Json = nlohmann::json;
 
-// A key that is missing or has the wrong type.
+// A key that is missing or has the wrong type. Never leaves this file.
 class SettingsError : public std::runtime_error {
  public:
-  using std::runtime_error::runtime_error;
+  SettingsError(std::string key, const std::string& remedy)
+      : std::runtime_error(remedy), key_(std::move(key)) {}
+  const std::string& key() const { return key_; }
+
+ private:
+  std::string key_;
 };
 
 [[noreturn]] void Refuse(const std::string& key, const std::string& remedy) {
-  throw SettingsError(key + ": " + remedy);
+  throw SettingsError(key, remedy);
 }
 
 std::string RequiredText(const Json& object, const std::string& key) {
@@ -124,6 +129,17 @@
   settings->control_address = OptionalText(addresses, "control_dock");
 }
 
+// A machine may lack an address, a disk or both; only what it is asked to serve must be there.
+void ReadRoles(const Json& object, NodeSettings* settings) {
+  settings->asked.clients = ListHolds(object, "serves", "front");
+  settings->asked.control = ListHolds(object, "serves", "control");
+  if (settings->asked.clients && settings->front_address.empty())
+    Refuse("docks.front_dock", "give IP:PORT for clients, or take \"front\" out of `serves`");
+  if (settings->asked.control && settings->control_address.empty())
+    Refuse("docks.control_dock",
+           "give IP:PORT for runners and operators, or take \"control\" out of `serves`");
+}
+
 NodeSettings Read(const Json& object) {
   if (!object.is_object()) Refuse("the whole file", "give a JSON object");
   NodeSettings settings;
@@ -132,6 +148,7 @@
   settings.zone = RequiredText(object, "zone");
   settings.region = OptionalText(object, "region");
   ReadAddresses(object, &settings);
+  ReadRoles(object, &settings);
   const std::string port = InternalPort(object);
   settings.internal_address = settings.ip + ":" + port;
   ReadSeeds(object, port, &settings);
@@ -152,19 +169,25 @@
 
 }  // namespace
 
-std::variant<NodeSettings, std::string> ParseNodeSettings(const std::string& json, const std::string& place) {
+std::string SettingsProblem::Line() const {
+  return key.empty() ? place + ": " + remedy : place + ": " + key + ": " + remedy;
+}
+
+std::variant<NodeSettings, SettingsProblem> ParseNodeSettings(const std::string& json,
+                                                              const std::string& place) {
   try {
     return Read(Json::parse(json));
   } catch (const SettingsError& error) {
-    return place + ": " + error.what();
+    return SettingsProblem{place, error.key(), error.what()};
   } catch (const Json::exception&) {
-    return place + ": the file is not JSON; write it whole and anew";
+    return SettingsProblem{place, "", "the file is not JSON; write it whole and anew"};
   }
 }
 
-std::variant<NodeSettings, std::string> ReadNodeSettings(const std::string& path) {
+std::variant<NodeSettings, SettingsProblem> ReadNodeSettings(const std::string& path) {
   std::ifstream file(path);
-  if (!file) return path + ": the settings file can't be opened; check the path and its permissions";
+  if (!file)
+    return SettingsProblem{path, "", "the settings file can't be opened; check the path and its permissions"};
   std::stringstream text;
   text << file.rdbuf();
   return ParseNodeSettings(text.str(), path);
--- a/src/controlplane/node_settings.h
+++ b/src/controlplane/node_settings.h
@@ -28,15 +28,22 @@
   double origin_overage = 1.1;
 };
 
+// What the deployment asks of a process: whom it serves.
+struct AskedRoles {
+  bool clients = false;  // `serves` names "front"
+  bool control = false;  // `serves` names "control"
+};
+
 struct NodeSettings {
   std::string name;  // of the machine
   std::string ip;
   std::string zone;
   std::string region;
-  std::string front_address;  // "ip:port" of the clients' listener; empty: not served
-  std::string ready_address;
-  std::string control_address;
-  std::string internal_address;             // "ip:port" of the internal transport
+  AskedRoles asked;
+  std::string front_address;     // "ip:port" of the clients' listener; empty: clients are not served
+  std::string ready_address;     // empty: readiness is not told
+  std::string control_address;   // empty: runners and the operator are not served
+  std::string internal_address;  // "ip:port" of the internal transport
   std::vector<std::string> seed_addresses;  // of the internal transport
   bool first_run = false;
   bool counts_for_quorum = false;
@@ -52,8 +59,16 @@
   DeploymentBounds bounds;
 };
 
-// Reads the settings, or tells in one line which key is wrong, where, and what to do.
-std::variant<NodeSettings, std::string> ReadNodeSettings(const std::string& path);
-std::variant<NodeSettings, std::string> ParseNodeSettings(const std::string& json, const std::string& place);
+// Why a settings file is refused.
+struct SettingsProblem {
+  std::string place;   // the file
+  std::string key;     // empty: the file as a whole
+  std::string remedy;  // "give a text that is not empty"
+  std::string Line() const;
+};
+
+std::variant<NodeSettings, SettingsProblem> ReadNodeSettings(const std::string& path);
+std::variant<NodeSettings, SettingsProblem> ParseNodeSettings(const std::string& json,
+                                                              const std::string& place);
 
 }  // namespace lichenlug::controlplane
--- a/src/controlplane/status.cpp
+++ b/src/controlplane/status.cpp
@@ -48,11 +48,17 @@
 }  // namespace
 
 std::string StatusJson(const StatusInput& input) {
-  Json status{{"name", input.name},           {"ready", input.ready},
-              {"confirmed", input.confirmed}, {"replica_id", input.replica_id},
-              {"members", Json::array()},     {"runners", Json::array()},
-              {"duties", Json::array()},      {"placement", input.placement},
-              {"registers", Json::object()},  {"requests", RequestsJson(input.requests)}};
+  Json status{{"name", input.name},
+              {"roles", input.roles},
+              {"ready", input.ready},
+              {"confirmed", input.confirmed},
+              {"replica_id", input.replica_id},
+              {"members", Json::array()},
+              {"runners", Json::array()},
+              {"duties", Json::array()},
+              {"placement", input.placement},
+              {"registers", Json::object()},
+              {"requests", RequestsJson(input.requests)}};
   if (input.version != nullptr) {
     status["edition"] = input.version->edition;
     status["revision"] = input.version->revision;
--- a/src/controlplane/status.h
+++ b/src/controlplane/status.h
@@ -12,6 +12,7 @@
 
 struct StatusInput {
   std::string name;
+  std::vector<std::string> roles;
   bool ready = false;
   bool confirmed = false;
   std::string replica_id;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -11,6 +11,7 @@
 
 #include "controlplane/control_plane.h"
 #include "controlplane/event_loop.h"
+#include "controlplane/node_roles.h"
 #include "controlplane/node_settings.h"
 #include "daemon/early_signals.h"
 #include "dataplane/data_plane.h"
@@ -21,6 +22,7 @@
 using lichenlug::controlplane::EventLoop;
 using lichenlug::controlplane::NodeSettings;
 using lichenlug::controlplane::ReadNodeSettings;
+using lichenlug::controlplane::SettingsProblem;
 
 constexpr const char* kSettingsVariable = "LICHENLUG_BOOT";
 constexpr int kUsageError = 2;
@@ -91,7 +93,7 @@
     if (const auto* valid = std::get_if<NodeSettings>(&changed))
       control_plane.ReloadSettings(*valid);
     else
-      LOG(ERROR) << "settings kept: " << std::get<std::string>(changed);
+      LOG(ERROR) << "settings kept: " << std::get<SettingsProblem>(changed).Line();
   };
   loop.OnSignal(SIGTERM, drain);
   loop.OnSignal(SIGINT, drain);
@@ -118,7 +120,8 @@
   google::InstallFailureSignalHandler();  // a crash tells its stack on standard error, then ends as before
   lichenlug::daemon::RememberSignals();   // glog takes SIGTERM for a failure, too
   const auto settings = ReadNodeSettings(command_line.settings_path);
-  if (const auto* problem = std::get_if<std::string>(&settings)) return Fail(*problem);
+  if (const auto* problem = std::get_if<SettingsProblem>(&settings)) return Fail(problem->Line());
+  LOG(INFO) << DescribeRoles(RolesOf(std::get<NodeSettings>(settings)));
   if (command_line.check_only) return EXIT_SUCCESS;
   try {
     return Serve(command_line, std::get<NodeSettings>(settings));
--- a/src/dataplane/data_plane.cpp
+++ b/src/dataplane/data_plane.cpp
@@ -53,6 +53,7 @@
   }
 
   bool Start(std::string* error) {
+    if (!ServesClients()) return true;
     if (!listener_.Listen(settings_.listen_address, error)) return false;
     context_.configuration_due = context_.Now() + settings_.configuration_wait;
     listener_.Start();
@@ -62,6 +63,7 @@
   }
 
   void Install(std::shared_ptr<const routing::Snapshot> snapshot) {
+    if (!ServesClients()) return;
     asio::post(io_, [this, snapshot = std::move(snapshot)] { Installed(snapshot); });
   }
 
@@ -78,6 +80,7 @@
   }
 
   void BeginDrain() {
+    if (!ServesClients()) return;
     asio::post(io_, [this] {
       if (std::exchange(context_.draining, true)) return;
       drain_began_ = context_.Now();
@@ -87,9 +90,11 @@
     });
   }
 
-  bool Drained() const { return drained_; }
+  bool Drained() const { return !ServesClients() || drained_; }
 
  private:
+  bool ServesClients() const { return !settings_.listen_address.empty(); }
+
   void Installed(const std::shared_ptr<const routing::Snapshot>& snapshot) {
     const bool first = context_.router == nullptr;
     const bool anew = context_.snapshot == nullptr || context_.snapshot->revision != snapshot->revision;
--- a/src/dataplane/data_plane.h
+++ b/src/dataplane/data_plane.h
@@ -15,7 +15,7 @@
 namespace lichenlug::dataplane {
 
 struct Settings {
-  std::string listen_address;  // front_dock, "ip:port"
+  std::string listen_address;  // front_dock, "ip:port"; empty: no client is served, and nothing runs
   std::string name;            // of this dispatcher
   int descriptors = 4100;
   std::size_t memory_bytes = 260u << 20;
--- a/tests/system/controlplane/node_settings_test.cpp
+++ b/tests/system/controlplane/node_settings_test.cpp
@@ -6,6 +6,7 @@
 
 using lichenlug::controlplane::NodeSettings;
 using lichenlug::controlplane::ParseNodeSettings;
+using lichenlug::controlplane::SettingsProblem;
 using Json = nlohmann::json;
 
 namespace {
@@ -23,8 +24,8 @@
 
 std::string ProblemOf(const Json& json) {
   const auto result = ParseNodeSettings(json.dump(), "node.json");
-  const auto* problem = std::get_if<std::string>(&result);
-  return problem != nullptr ? *problem : "";
+  const auto* problem = std::get_if<SettingsProblem>(&result);
+  return problem != nullptr ? problem->Line() : "";
 }
 
 }  // namespace
@@ -81,5 +82,5 @@
 TEST_CASE("A file that is cut short is refused") {
   const std::string text = Valid().dump();
   for (std::size_t length = 0; length < text.size(); ++length)
-    CHECK(std::holds_alternative<std::string>(ParseNodeSettings(text.substr(0, length), "node.json")));
+    CHECK(std::holds_alternative<SettingsProblem>(ParseNodeSettings(text.substr(0, length), "node.json")));
 }
