Start requests at homes by their prompt's shared prefix, and find holders wherever they stand

And a set was looked for in 256 steps of the ring: with 93 runners (1,488 points) about one home in twenty of a model with a single holder never reached it, so its requests were refused again and again.

Change: the key of a request holds the parts of its prompt that others share (all but the last), so that those who share meet where the parts have been read, and the groups of a model spread over all holders (routing/prompt_home.h). The walk goes on round the ring until a holder is found.

--- a/src/controlplane/control_plane.cpp
+++ b/src/controlplane/control_plane.cpp
@@ -391,6 +391,7 @@
   snapshot->live_dispatchers = static_cast<int>(std::max<std::size_t>(live_.size(), 1));
   snapshot->zone = settings_.zone;
   snapshot->wall_offset = wall_offset_;
+  snapshot->mechanisms = settings_.mechanisms;
   snapshot->bounds.retry_ratio = settings_.bounds.retry_ratio;
   snapshot->bounds.retry_window = settings_.bounds.retry_window;
   snapshot->bounds.retry_slack = settings_.bounds.retry_slack;
--- a/src/controlplane/node_settings.h
+++ b/src/controlplane/node_settings.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "base/mechanisms.h"
 
 namespace lichenlug::controlplane {
 
@@ -57,6 +58,7 @@
   bool duty_fleet = false;
   bool retry_budget = true;
   DeploymentBounds bounds;
+  Mechanisms mechanisms;  // of experiments; not in the file
 };
 
 // Why a settings file is refused.
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -31,6 +31,7 @@
 struct CommandLine {
   std::string settings_path;
   bool check_only = false;
+  lichenlug::Mechanisms mechanisms;
 };
 
 std::string DefaultSettingsPath() {
@@ -42,11 +43,14 @@
 CommandLine ReadCommandLine(int argc, char** argv) {
   namespace options = boost::program_options;
   CommandLine command_line;
+  std::string without;
   options::options_description description("lichenlugd: a dispatcher of the model router and placer");
   description.add_options()("help,h", "tell the options")("version", "tell the version")(
       "settings", options::value(&command_line.settings_path)->default_value(DefaultSettingsPath()),
       "the settings file; else the variable LICHENLUG_BOOT names it")(
-      "check", options::bool_switch(&command_line.check_only), "check the settings file and end");
+      "check", options::bool_switch(&command_line.check_only), "check the settings file and end")(
+      "without", options::value(&without)->default_value(""),
+      "for experiments: parts of the policy to leave out, with commas between");
   options::variables_map variables;
   try {
     options::store(options::parse_command_line(argc, argv, description), variables);
@@ -63,6 +67,12 @@
     std::cout << "lichenlugd " << LICHENLUG_VERSION << '\n';
     std::exit(0);
   }
+  if (const auto unknown = command_line.mechanisms.LeaveOut(without)) {
+    std::cerr << "lichenlugd: --without: there is no " << *unknown << "; give some of";
+    for (const std::string_view name : lichenlug::kMechanismNames) std::cerr << ' ' << name;
+    std::cerr << '\n';
+    std::exit(kUsageError);
+  }
   return command_line;
 }
 
@@ -123,8 +133,10 @@
   if (const auto* problem = std::get_if<SettingsProblem>(&settings)) return Fail(problem->Line());
   LOG(INFO) << DescribeRoles(RolesOf(std::get<NodeSettings>(settings)));
   if (command_line.check_only) return EXIT_SUCCESS;
+  NodeSettings node = std::get<NodeSettings>(settings);
+  node.mechanisms = command_line.mechanisms;
   try {
-    return Serve(command_line, std::get<NodeSettings>(settings));
+    return Serve(command_line, node);
   } catch (const std::exception& error) {
     return Fail(error.what());
   }
--- a/src/decisions/placing.h
+++ b/src/decisions/placing.h
@@ -17,12 +17,11 @@
     // A set that one walk cannot hold: each job walks a window of it, drawn by this node's own seed.
     const std::size_t home = HomeOf(r.hash) + (key.windows > 1 ? random_() % key.windows * longest : 0);
     demand /= static_cast<double>(key.windows), r.placed_at = now_;
-    ++walk_;
-    members_.clear(), across_.clear();
+    ++walk_, members_.clear(), across_.clear();
     double room = 0;
     std::size_t needed = 0, step = 0;
     bool any_idle = false;
-    for (; step < longest; ++step) {
+    for (; step < longest || (step < ring_.size() && members_.empty() && across_.empty()); ++step) {
       const int w = ring_[(home + step) % ring_.size()].second;
       if (std::exchange(workers_[w].seen_in, walk_) == walk_ || !Eligible(r, w)) continue;
       if (Across(w, r)) {
@@ -38,7 +37,8 @@
       if (any_idle || (enough && !Told() && !Full(w, r))) break;
     }
     if (longest < ring_.size()) {
-      const double filled = needed == 0 ? demand / std::max(room, 1.0) : static_cast<double>(step) / longest;
+      const double walked = 1.0 * std::min(step, longest) / longest;
+      const double filled = needed == 0 ? demand / std::max(room, 1.0) : walked;
       const std::size_t windows =
           std::ceil(std::clamp<double>(filled * key.windows, 1, ring_.size() / longest));
       if (windows > key.windows || now_ - key.shrunk >= kShrinkEvery) key.windows = windows;
@@ -108,8 +108,8 @@
     if (kind != kNone && w.kind != kind) return false;
     if (r.needs != 0 && !std::ranges::binary_search(w.holds, r.needs)) return false;
     const ClassHealth& h = w.health[r.cls];
-    if (Ejected(w) || now_ < h.ejected_until || (s_.takes_told && h.failures > 0 && h.untaken > 0))
-      return false;
+    if (r.needs == 0 && now_ < h.ejected_until) return false;
+    if (Ejected(w) || (s_.takes_told && h.failures > 0 && h.untaken > 0)) return false;
     for (const Attempt& a : r.attempts)
       if (a.worker == index) return false;
     return MaySend(r, index);
@@ -122,8 +122,7 @@
 
   void Wait(Request& r) {
     if (r.waiting || r.ended) return;
-    r.waiting = true;
-    r.rank = -WorthOf(r);
+    r.waiting = true, r.rank = -WorthOf(r);
     waiting_.insert({r.rank, r.turn, r.id});
     due_.push({r.latest_start, r.id});
   }
--- a/src/decisions/room.h
+++ b/src/decisions/room.h
@@ -79,7 +79,8 @@
   // Has a free slot for it now. A job that leaves its set pays for a new copy; it should not queue as well.
   bool Idle(int index, const Request& r) const {
     const Worker& w = workers_[index];
-    return (Free(w) >= r.slots || (w.slots > 0 && w.held == 0)) && Usable(index, r);
+    const bool set_aside = now_ < w.health[r.cls].ejected_until;  // few may hold what it needs: last choice
+    return !set_aside && (Free(w) >= r.slots || (w.slots > 0 && w.held == 0)) && Usable(index, r);
   }
 
   bool Full(int index, const Request& r) const { return workers_[index].slots > 0 && !Usable(index, r); }
--- a/src/routing/attempt_outcome.cpp
+++ b/src/routing/attempt_outcome.cpp
@@ -6,6 +6,8 @@
   switch (outcome) {
     case AttemptOutcome::kServed:
       return "served";
+    case AttemptOutcome::kServerError:
+      return "server error";
     case AttemptOutcome::kNotRun:
       return "not run";
     case AttemptOutcome::kModelMissing:
--- a/src/routing/decisions.cpp
+++ b/src/routing/decisions.cpp
@@ -24,6 +24,7 @@
     snapshot_ = std::move(snapshot);
     flow_.SetBounds(snapshot_->bounds);
     flow_.SetRunnersKnown(snapshot_->runners_known);
+    flow_.SetMechanisms(snapshot_->mechanisms);
     flow_.dispatchers().Set(now_, snapshot_->bounds.retry_window, snapshot_->live_dispatchers);
     for (auto& [name, service] : services_)
       if (service->brain) service->brain->SetLiveDispatchers(snapshot_->live_dispatchers);
--- a/src/routing/decisions.h
+++ b/src/routing/decisions.h
@@ -60,7 +60,8 @@
 using Decision = std::variant<StartAttempt, Refuse, Fail, CancelAttempt>;
 
 enum class AttemptOutcome {
-  kServed,         // a whole answer, whatever its status
+  kServed,         // a whole answer, not with an error of the runner
+  kServerError,    // a whole answer with status 5xx of the runner: it has run
   kNotRun,         // the runner says so: full, leaving, another runner, model not there
   kModelMissing,   // 421 for its model: what was known of the runner was old
   kWrongRunner,    // 421 as another runner lives at the address
--- a/src/routing/request_flow.cpp
+++ b/src/routing/request_flow.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "routing/prompt_home.h"
+
 namespace lichenlug::routing {
 namespace {
 
@@ -18,6 +20,8 @@
   switch (outcome) {
     case AttemptOutcome::kServed:
       return rookgw::Outcome::kServed;
+    case AttemptOutcome::kServerError:
+      return rookgw::Outcome::kError;
     case AttemptOutcome::kNotRun:
       return rookgw::Outcome::kFull;
     case AttemptOutcome::kModelMissing:
@@ -61,6 +65,8 @@
   request.service = service;
   request.key = {arrival.service, arrival.model, arrival.adapter};
   request.needs = service->has_engine ? HoldingOf(arrival.model, arrival.adapter) : 0;
+  request.home = mechanisms_.Has(Mechanism::kPromptHomes) ? PromptHome(request.needs, arrival.prompt_parts)
+                                                          : request.needs;
   request.deadline = arrival.deadline;
   request.tries = std::max(1, arrival.tries);
   request.priority = priority;
@@ -86,7 +92,7 @@
   FireTimers(now, service, decisions);  // none fires while there are no requests
   rookgw::RequestArrived event;
   event.id = request->number;
-  if (request->needs != 0) event.key = request->needs;
+  if (request->needs != 0) event.key = request->home;
   event.needs = request->needs;
   event.valid_until = request->deadline;
   event.cls = brain.ClassOf(request->alike);
--- a/src/routing/request_flow.h
+++ b/src/routing/request_flow.h
@@ -27,6 +27,7 @@
   bool Uses(const ServiceState& service) const;  // a request of it is still held
   void SetBounds(const Bounds& bounds) { bounds_ = bounds; }
   void SetRunnersKnown(bool known) { runners_known_ = known; }
+  void SetMechanisms(const Mechanisms& mechanisms) { mechanisms_ = mechanisms; }
 
   // `service` is null where the configuration has none of the name. `priority`: the runner's header.
   void Arrived(Time now, const Arrival& arrival, int priority, ServiceState* service,
@@ -61,6 +62,7 @@
     DemandKey key;
     ClassKey alike;
     Holding needs = 0;
+    std::uint64_t home = 0;  // where its set begins on the ring
     Time deadline = 0;
     Time held_until = 0;  // for a load; 0: never held
     int tries = 1, priority = 5;
@@ -99,6 +101,7 @@
   std::mt19937_64 random_;
   Bounds bounds_;
   bool runners_known_ = true;
+  Mechanisms mechanisms_;
   DispatcherCount dispatchers_;
   DemandTable demand_;
   std::unordered_map<RequestNumber, Request> requests_;
--- a/src/routing/snapshot.h
+++ b/src/routing/snapshot.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "base/mechanisms.h"
 #include "messages/generated/configuration.pb.h"
 #include "messages/generated/registry.pb.h"
 
@@ -29,6 +30,7 @@
   std::string zone;           // of this dispatcher
   Time wall_offset = 0;       // true Unix time less the steady clock
   Bounds bounds;
+  Mechanisms mechanisms;
 };
 
 }  // namespace lichenlug::routing
