Try another runner after a runner's error where that is allowed, and set that runner aside

Cause: a whole answer with status 5xx counted as served.

Change: the outcome kServerError. The decision module sets the runner aside for the class at the first error (many dispatchers share a runner, so each sees few); what may be repeated goes to another runner within tries and budget; where none does better, the first error is passed on as it came. What may not be repeated is never sent twice.

Tests: retries_test.cpp: error then served, error as the last word (the other rejects, or breaks off), no other runner, later requests pass the runner over.

--- a/include/rookgw/brain.h
+++ b/include/rookgw/brain.h
@@ -83,6 +83,7 @@
   // Guarantees
   Time ask_every = 0, drain_grace = 0;
   Time silence = 0;  // a worker this long silent with jobs unstarted is ejected; 0: by the classes' aims
+  int error_failures = 2;  // what an answer with an error counts for; 3 puts the worker aside for its class
   double cold_share = 1, overload_factor = 1;
   Time ramp_time = 0, overload_for = 0;
 };
--- a/src/dataplane/exchange.cpp
+++ b/src/dataplane/exchange.cpp
@@ -12,6 +12,7 @@
 
 // The decision module may give a request up a little before its deadline.
 constexpr Time kDeadlineSlack = 20 * kMillisecond;
+constexpr int kFirstServerError = 500;
 constexpr Time kLeastRetryAfter = 50 * kMillisecond;
 constexpr std::string_view kBusy = "no runner could take the request: retry after the time in Retry-After";
 constexpr std::string_view kBroke = "the runner broke off: retry if the request may run twice";
@@ -203,9 +204,35 @@
   // In place of the rest of a stream no other answer can go on.
   if (head_sent_) return AttemptFailed(attempt, AttemptOutcome::kBroken);
   TakeBack(attempt);
+  const bool is_error = IsServerError(answer.status);
+  if (is_error && match_.repeatable && !decided_) return ServerErrorCame(attempt, std::move(answer));
   StopOthers(attempt);
   const auto removed = Remove(attempt);
   CountStart(attempt);
+  PassAnswer(std::move(answer));
+  table_->AttemptEnded(number_, attempt.number(),
+                       is_error ? AttemptOutcome::kServerError : AttemptOutcome::kServed, /*final=*/true);
+  Leave();
+}
+
+bool Exchange::IsServerError(int status) const {
+  const bool counts =
+      context_->snapshot == nullptr || context_->snapshot->mechanisms.Has(Mechanism::kServerErrors);
+  return counts && status >= kFirstServerError;
+}
+
+// Another runner may do better; the error is passed on where none can.
+void Exchange::ServerErrorCame(Attempt& attempt, HttpMessage answer) {
+  const auto removed = Remove(attempt);
+  CountStart(attempt);
+  may_have_run_ = true;
+  last_failure_ = ToText(AttemptOutcome::kServerError);
+  server_error_ = std::move(answer);
+  table_->AttemptEnded(number_, attempt.number(), AttemptOutcome::kServerError, /*final=*/false);
+}
+
+// A runner's whole answer.
+void Exchange::PassAnswer(HttpMessage answer) {
   const bool none = HasNoBody(*request_, answer.status);
   const bool told = none && answer.status != 204 && answer.has_length && answer.length > 0;
   const std::uint64_t length = none ? answer.length : answer.body.size();
@@ -215,8 +242,6 @@
     std::exchange(sink_, nullptr)->EndAnswer();
   }
   ++(answer.status / 100 == 2 ? context_->counters.served : context_->counters.failed);
-  table_->AttemptEnded(number_, attempt.number(), AttemptOutcome::kServed, /*final=*/true);
-  Leave();
 }
 
 void Exchange::AttemptFailed(Attempt& attempt, AttemptOutcome outcome) {
@@ -240,6 +265,10 @@
   const auto self = shared_from_this();
   if (suspected_ != nullptr && !Late()) return void(after_suspected_ = answer);
   if (head_sent_) return Cut(answer.reason);
+  if (server_error_) {
+    PassAnswer(*std::exchange(server_error_, std::nullopt));
+    return Leave();
+  }
   for (const auto& attempt : attempts_) may_have_run_ = may_have_run_ || attempt->sent();
   if (answer.status == 503 && may_have_run_) {
     const bool late = Late();
--- a/src/dataplane/exchange.h
+++ b/src/dataplane/exchange.h
@@ -79,6 +79,9 @@
   };
   void AnswerOwn(OwnAnswer answer);
   void Cut(CutReason reason);
+  bool IsServerError(int status) const;
+  void ServerErrorCame(Attempt& attempt, HttpMessage answer);
+  void PassAnswer(HttpMessage answer);
   void Leave();  // the last thing: the table forgets it
 
   const routing::RequestNumber number_;
@@ -100,6 +103,7 @@
   // not come.
   std::shared_ptr<Attempt> suspected_;
   std::optional<OwnAnswer> after_suspected_;  // decided already; due if the suspected attempt fails
+  std::optional<HttpMessage> server_error_;   // of the last attempt; due if no other runner does better
   bool decided_ = false;                      // the decision module has closed the request
   Deadlines::Key alarm_;
   int started_ = 0;                // attempts
--- a/src/routing/service_brain.cpp
+++ b/src/routing/service_brain.cpp
@@ -22,6 +22,8 @@
 constexpr double kCrossZoneFee = 0.001;  // any fee makes the module prefer its own zone
 constexpr int kMostAttempts = 16;        // the route's `tries` are counted by the caller
 constexpr Time kMostRetryAfter = kSecond;
+constexpr int kErrorFailures =
+    3;  // many dispatchers share a runner: each sees too few errors to wait for more
 
 rookgw::ClassSettings SettingsOf(const ClassKey& key) {
   rookgw::ClassSettings settings;
@@ -62,6 +64,7 @@
   settings.repeats_marked = true;  // a client's repeat is not told from a first try
   settings.starts_told = true;
   settings.silence = setup.silence;
+  settings.error_failures = kErrorFailures;
   return settings;
 }
 
--- a/tests/system/dataplane/retries_test.cpp
+++ b/tests/system/dataplane/retries_test.cpp
@@ -34,6 +34,67 @@
   CHECK(answer.body == "served");
 }
 
+TEST_CASE("A runner's error goes to another runner where the request may be repeated") {
+  const std::string target = GENERATE("/safe/x", "/resume/x");
+  World world(kTwo);
+  Socket client = world.Client();
+  client.Send(Post(target, "a1", "b"));
+  const Message answer = ServedBySecond(&world, &client, Answer(500, "a1", "no"));
+  CHECK(answer.status() == 200);
+  CHECK(answer.body == "served");
+}
+
+TEST_CASE("A runner's error is passed on where it is the last word") {
+  const std::string target = GENERATE("/safe/x", "/resume/x", "/unsafe/x", "/stream/x");
+  const bool repeatable = target == "/safe/x" || target == "/resume/x";
+  World world(kTwo);
+  Socket client = world.Client();
+  client.Send(Post(target, "a1", "b"));
+  auto [runner, which] = world.AcceptAny();
+  runner.Read();
+  runner.Send(Answer(500, "a1", "first"));
+  if (repeatable) {
+    Socket second = world.runner(1 - which).Accept();
+    second.Read();
+    SECTION("as the other runner rejects the request") { second.Send(NotRun(503, "a1")); }
+    SECTION("as the other runner breaks off") { second.Close(); }
+  }
+  const Message answer = client.Read();
+  CHECK(answer.status() == 500);
+  CHECK(answer.body == "first");
+  CHECK(answer.Header("Lichenlug-Runner-Stamp") == "s1");
+}
+
+TEST_CASE("With no other runner an error is passed on at once") {
+  World world;
+  Socket client = world.Client();
+  client.Send(Post("/safe/x", "a1", "b"));
+  Socket runner = world.runner(0).Accept();
+  runner.Read();
+  runner.Send(Answer(502, "a1", "no"));
+  const Message answer = client.Read();
+  CHECK(answer.status() == 502);
+  CHECK(answer.body == "no");
+}
+
+TEST_CASE("A runner that has answered with an error is passed over by the next requests") {
+  World world(kTwo);
+  Socket client = world.Client();
+  client.Send(Post("/unsafe/x", "a1", "b"));
+  auto [runner, which] = world.AcceptAny();
+  runner.Read();
+  runner.Send(Answer(500, "a1", "no"));
+  CHECK(client.Read().status() == 500);
+  client.Send(Post("/unsafe/x", "a2", "b"));
+  Socket second = world.runner(1 - which).Accept();
+  for (const char* id : {"a2", "a3", "a4"}) {
+    if (std::string(id) != "a2") client.Send(Post("/unsafe/x", id, "b"));
+    CHECK(second.Read().Header("Lichenlug-Try-Id") == id);
+    second.Send(Answer(200, id, "served"));
+    CHECK(client.Read().body == "served");
+  }
+}
+
 TEST_CASE("A runner that lacks the model is passed over for another, by later requests too") {
   World world({{.id = "r1", .service = "engine", .models = {"m1"}},
                {.id = "r2", .service = "engine", .models = {"m1"}}});
