Let dispatchers that hold the control state be the homes of runners

Need: where clients' machines have 0.12 cores and 10 Mbit/s, one of them was the home to which all runners of a service in its zone report, and from which their changes go to all others, beside machines of the core with 0.6 cores and 1,000 Mbit/s.

Change: among the dispatchers of a zone that serve control those that count for the quorum are the homes, where there are any; one without an address for control is never named. All dispatchers agree, as both are part of a member's record.

--- a/src/controlplane/part_settings.cpp
+++ b/src/controlplane/part_settings.cpp
@@ -31,6 +31,9 @@
   registry::RegistrySettings registry;
   registry.self_name = settings.name;
   registry.zone = settings.zone;
+  registry.serves_control = !settings.control_address.empty();
+  registry.counts_for_quorum = settings.counts_for_quorum;
+  registry.prefers_stores = settings.mechanisms.Has(Mechanism::kStoreHomes);
   registry.heartbeat_every = settings.heartbeat_every;
   registry.seed = seed;
   return registry;
--- a/src/registry/homes.cpp
+++ b/src/registry/homes.cpp
@@ -10,16 +10,23 @@
 
 constexpr std::size_t kMostHomes = 65536;  // services come and go; beyond this all are chosen anew
 
+// Drops those that do not fit, if any fits.
+template <typename Fits>
+void KeepWhereAny(std::vector<const Homes::Candidate*>* candidates, Fits fits) {
+  const auto fitting = [&](const Homes::Candidate* candidate) { return fits(*candidate); };
+  if (std::none_of(candidates->begin(), candidates->end(), fitting)) return;
+  std::erase_if(*candidates, [&](const Homes::Candidate* candidate) { return !fits(*candidate); });
+}
+
 }  // namespace
 
-Homes::Homes(std::string self_name, std::string zone) {
-  self_.name = std::move(self_name);
-  self_.zone = std::move(zone);
+Homes::Homes(Candidate self, bool prefers_stores) : self_(std::move(self)), prefers_stores_(prefers_stores) {
   dispatchers_ = {self_};
 }
 
 void Homes::SetMembers(Time now, const std::vector<Member>& live) {
-  dispatchers_ = live;
+  dispatchers_.clear();
+  for (const Member& member : live) dispatchers_.push_back({member, !member.control_address.empty()});
   dispatchers_.push_back(self_);
   for (auto& [key, home] : homes_) {
     Home chosen = Choose(key.first, key.second);
@@ -39,18 +46,20 @@
 }
 
 Home Homes::Choose(const std::string& service, const std::string& zone) const {
-  const bool has_own = std::any_of(dispatchers_.begin(), dispatchers_.end(),
-                                   [&](const Member& member) { return member.zone == zone; });
-  const Member* best = nullptr;
-  std::pair<std::uint64_t, std::string> best_rank;
-  for (const Member& member : dispatchers_) {
-    if (has_own && member.zone != zone) continue;
-    std::pair<std::uint64_t, std::string> rank(HashOf({service, zone, member.name}), member.name);
-    if (best != nullptr && rank <= best_rank) continue;
-    best = &member;
-    best_rank = std::move(rank);
-  }
-  return {best->name == self_.name, best->name, best->address, best->control_address, 0};
+  std::vector<const Candidate*> left;
+  for (const Candidate& candidate : dispatchers_) left.push_back(&candidate);
+  KeepWhereAny(&left, [](const Candidate& candidate) { return candidate.serves_control; });
+  KeepWhereAny(&left, [&](const Candidate& candidate) { return candidate.member.zone == zone; });
+  if (prefers_stores_)
+    KeepWhereAny(&left, [](const Candidate& candidate) { return candidate.member.counts_for_quorum; });
+  const auto rank = [&](const Candidate* candidate) {
+    const std::string& name = candidate->member.name;
+    return std::pair(HashOf({service, zone, name}), name);
+  };
+  const Candidate* best = *std::max_element(left.begin(), left.end(),
+                                            [&](const auto* a, const auto* b) { return rank(a) < rank(b); });
+  const Member& member = best->member;
+  return {member.name == self_.member.name, member.name, member.address, member.control_address, 0};
 }
 
 }  // namespace lichenlug::registry
--- a/src/registry/homes.h
+++ b/src/registry/homes.h
@@ -1,5 +1,8 @@
 // Which dispatcher is the home of the runners of a service in a zone: the first by rendezvous hash among the
-// live ones of that zone, or among all where the zone has none.
+// live ones of that zone, or among all where the zone has none. Only those that serve control are asked, and
+// of these, where there are any, those that count for the quorum: the few machines that hold the control
+// state have the links and the processors to spread the news of runners, those that clients reach may have
+// neither.
 #pragma once
 
 #include <map>
@@ -22,7 +25,12 @@
 
 class Homes {
  public:
-  Homes(std::string self_name, std::string zone);
+  struct Candidate {
+    Member member;
+    bool serves_control = true;
+  };
+
+  Homes(Candidate self, bool prefers_stores);
 
   void SetMembers(Time now, const std::vector<Member>& live);  // without this one
   const Home& HomeOf(Time now, const std::string& service, const std::string& zone);
@@ -30,8 +38,9 @@
  private:
   Home Choose(const std::string& service, const std::string& zone) const;
 
-  Member self_;
-  std::vector<Member> dispatchers_;  // with this one
+  const Candidate self_;
+  const bool prefers_stores_;
+  std::vector<Candidate> dispatchers_;  // with this one
   std::map<std::pair<std::string, std::string>, Home> homes_;
 };
 
--- a/src/registry/registry.cpp
+++ b/src/registry/registry.cpp
@@ -24,12 +24,21 @@
   alive->set_call_count(runner.heard_count);
 }
 
+Homes::Candidate SelfIn(const RegistrySettings& settings) {
+  Homes::Candidate self;
+  self.member.name = settings.self_name;
+  self.member.zone = settings.zone;
+  self.member.counts_for_quorum = settings.counts_for_quorum;
+  self.serves_control = settings.serves_control;
+  return self;
+}
+
 }  // namespace
 
 Registry::Impl::Impl(RegistrySettings settings)
     : settings_(std::move(settings)),
       table_(settings_.most_runners),
-      homes_(settings_.self_name, settings_.zone),
+      homes_(SelfIn(settings_), settings_.prefers_stores),
       spread_(settings_.seed),
       anti_entropy_(settings_.heartbeat_every, settings_.seed) {}
 
