--- a/lab/system/dispatcher.cpp
+++ b/lab/system/dispatcher.cpp
@@ -64,25 +64,29 @@
 std::string Dispatcher::internal_address() const { return At(settings_.ip, kFirstInternalPort); }
 
 std::string Dispatcher::SettingsText(bool first_run) const {
-  Json settings{{"station", settings_.name},
-                {"ip", settings_.ip},
-                {"zone", settings_.zone},
-                {"region", "one"},
-                {"docks",
-                 {{"front_dock", front_address()},
-                  {"ready_dock", ready_address()},
-                  {"control_dock", control_address()}}},
-                {"internal_ports", {kFirstInternalPort, kLastInternalPort}},
-                {"seed_stations", settings_.seeds},
-                {"first_run", first_run},
-                {"counts_for_quorum", settings_.has_disk},
-                {"parcel_limits", {{"memory_mb", 260}, {"file_handles", 1024}}},
-                {"report_ms", settings_.times.heartbeat_ms},
-                {"regulations_in_force",
-                 {"base", "drain", "config", "retry", "recover", "fleet", "stream", "engine", "tenants"}},
-                {"tolerated_losses", {{"machines", 1}, {"zones", 0}, {"regions", 0}}},
-                {"timetable", TimesJson(settings_.times)},
-                {"carrier_api", {{"address", settings_.platform_address}, {"duties", {"usage", "fleet"}}}}};
+  Json settings{
+      {"station", settings_.name},
+      {"ip", settings_.ip},
+      {"zone", settings_.zone},
+      {"region", "one"},
+      {"serves", {"control"}},
+      {"docks", {{"control_dock", control_address()}}},
+      {"internal_ports", {kFirstInternalPort, kLastInternalPort}},
+      {"seed_stations", settings_.seeds},
+      {"first_run", first_run},
+      {"counts_for_quorum", settings_.has_disk},
+      {"parcel_limits", {{"memory_mb", 260}, {"file_handles", 1024}}},
+      {"report_ms", settings_.times.heartbeat_ms},
+      {"regulations_in_force",
+       {"base", "drain", "config", "retry", "recover", "fleet", "stream", "engine", "tenants"}},
+      {"tolerated_losses", {{"machines", settings_.tolerated_losses}, {"zones", 0}, {"regions", 0}}},
+      {"timetable", TimesJson(settings_.times)},
+      {"carrier_api", {{"address", settings_.platform_address}, {"duties", {"usage", "fleet"}}}}};
+  if (settings_.serves_clients) {
+    settings["serves"].push_back("front");
+    settings["docks"]["front_dock"] = front_address();
+    settings["docks"]["ready_dock"] = ready_address();
+  }
   if (settings_.has_disk) settings["store_dir"] = store_folder().string();
   return settings.dump(2);
 }
--- a/lab/system/dispatcher.h
+++ b/lab/system/dispatcher.h
@@ -29,6 +29,8 @@
   std::vector<std::string> seeds;  // control addresses
   std::string platform_address;
   bool has_disk = true;
+  bool serves_clients = true;
+  int tolerated_losses = 1;
   DeploymentTimes times;
 };
 
--- a/lab/system/soak.cpp
+++ b/lab/system/soak.cpp
@@ -49,7 +49,7 @@
 Soak::Soak(const SoakPlan& plan) : plan_(plan), random_(plan.seed), system_(plan.system) {
   std::vector<std::string> addresses;
   for (std::size_t index = 0; index < system_.dispatcher_count(); ++index)
-    addresses.push_back(system_.dispatcher(index).front_address());
+    if (FrontOf(index)) addresses.push_back(system_.dispatcher(index).front_address());
   fronts_ = std::make_unique<FrontDirectory>(std::move(addresses));
   nodes_.resize(system_.dispatcher_count());
   runners_left_ = system_.runner_count();
@@ -114,6 +114,14 @@
   }
 }
 
+std::optional<std::size_t> Soak::FrontOf(std::size_t index) {
+  if (!system_.dispatcher(index).settings().serves_clients) return std::nullopt;
+  std::size_t before = 0;
+  for (std::size_t other = 0; other < index; ++other)
+    before += system_.dispatcher(other).settings().serves_clients ? 1 : 0;
+  return before;
+}
+
 std::size_t Soak::CoreDown() const {
   const auto core = static_cast<std::ptrdiff_t>(plan_.system.core);
   return static_cast<std::size_t>(std::count_if(nodes_.begin(), nodes_.begin() + core, [](const Node& node) {
@@ -140,12 +148,12 @@
   system_.dispatcher(index).Terminate();
   if (Draw(3) == 0) system_.dispatcher(index).Terminate();
   nodes_[index] = {Node::State::kEnding, now + plan_.system.times.grace_s * kSecond + kEndSlack};
-  fronts_->Close(index);
+  if (const auto front = FrontOf(index)) fronts_->Close(*front);
   ++report_.terminated;
 }
 
 void Soak::Kill(std::size_t index) {
-  fronts_->Lose(index, system_.loop().Now());
+  if (const auto front = FrontOf(index)) fronts_->Lose(*front, system_.loop().Now());
   Require(system_.dispatcher(index).Kill(plan_.patience), "a killed process has ended");
   nodes_[index] = {Node::State::kDown, system_.loop().Now() + DrawTime(0, kLongestDown)};
   ++report_.killed;
@@ -244,7 +252,7 @@
     }
     if (node.state != Node::State::kDown || now < node.due) continue;
     dispatcher.Start();
-    fronts_->Open(index);
+    if (const auto front = FrontOf(index)) fronts_->Open(*front);
     node = {};
   }
 }
--- a/lab/system/soak.h
+++ b/lab/system/soak.h
@@ -54,6 +54,8 @@
   void StartClients();
   void Step();
   void LookAtNodes();
+  // Of a dispatcher, in the directory of those that serve clients; none where it does not.
+  std::optional<std::size_t> FrontOf(std::size_t index);
   std::optional<std::size_t> DrawUp(bool spare_core);
   std::size_t CoreDown() const;
 
--- a/lab/system/soak_main.cpp
+++ b/lab/system/soak_main.cpp
@@ -40,6 +40,9 @@
   app.add_option("--seconds", seconds, "How long a play is disturbed")->capture_default_str();
   app.add_option("--core", plan.system.core, "Dispatchers with disks")->capture_default_str();
   app.add_option("--diskless", plan.system.diskless, "Dispatchers without")->capture_default_str();
+  app.add_flag("!--core-apart", plan.system.core_serves_clients, "Those with disks serve no clients");
+  app.add_option("--tolerated", plan.system.tolerated_losses, "Disks that may be lost at once")
+      ->capture_default_str();
   app.add_option("--runners", plan.system.runners, "Runners")->capture_default_str();
   app.add_option("--clients", plan.clients, "Clients, a connection each")->capture_default_str();
   app.add_option("--logs", log_folder, "A folder for the logs of plays that break a rule");
--- a/lab/system/system.cpp
+++ b/lab/system/system.cpp
@@ -41,7 +41,8 @@
   MakeRunners(plan);
   std::vector<Ingress::Dispatcher> fronts;
   for (const auto& dispatcher : dispatchers_)
-    fronts.push_back({dispatcher->ready_address(), dispatcher->front_address(), 0, false});
+    if (dispatcher->settings().serves_clients)
+      fronts.push_back({dispatcher->ready_address(), dispatcher->front_address(), 0, false});
   ingress_ = std::make_unique<Ingress>(&loop_, std::move(fronts));
   operator_ = std::make_unique<Operator>(&loop_, ControlAddresses());
   clients_ = std::make_unique<Clients>(&loop_, ingress_.get(), &ledger_);
@@ -67,6 +68,8 @@
     settings.seeds = seeds;
     settings.platform_address = platform_.address();
     settings.has_disk = index < plan.core;
+    settings.serves_clients = plan.core_serves_clients || !settings.has_disk;
+    settings.tolerated_losses = plan.tolerated_losses;
     settings.times = plan.times;
     dispatchers_.push_back(
         std::make_unique<Dispatcher>(&loop_, plan.program, folder_ / settings.name, settings));
--- a/lab/system/system.h
+++ b/lab/system/system.h
@@ -23,6 +23,8 @@
   std::filesystem::path program;  // lichenlugd
   int core = 3;                   // dispatchers with disks
   int diskless = 1;
+  bool core_serves_clients = true;  // false: machines with a disk have no address for clients
+  int tolerated_losses = 1;         // of disks at once
   int runners = 6;
   DeploymentTimes times;
 };
--- /dev/null
+++ b/tests/system/processes/separate_core_test.cpp
@@ -0,0 +1,69 @@
+// A layout of two kinds of machines: those that clients reach have no disk, a core of five has no address for
+// clients, and two disks may be lost at once.
+#include <nlohmann/json.hpp>
+
+#include "world.h"
+
+namespace lichenlug::standins::test {
+namespace {
+
+constexpr int kCore = 5, kFronts = 3;
+
+SystemPlan Plan() {
+  SystemPlan plan;
+  plan.program = LICHENLUGD_PATH;
+  plan.core = kCore;
+  plan.diskless = kFronts;
+  plan.core_serves_clients = false;
+  plan.tolerated_losses = 2;
+  return plan;
+}
+
+TEST_CASE("a core without clients holds the state of dispatchers without disks", "[separate-core]") {
+  World world(Plan());
+  REQUIRE(world.Found());
+  System& system = world.system();
+  world.CheckServedEverywhere();
+
+  SECTION("each process tells its roles") {
+    CHECK(system.dispatcher(0).LogHolds("roles: control, store, quorum; not on this machine: clients"));
+    CHECK(
+        system.dispatcher(kCore).LogHolds("roles: clients, readiness, control; not on this machine: store"));
+    CHECK(system.Status(0).at("roles") == Json({"control", "store", "quorum"}));
+    CHECK(system.Status(kCore).at("roles") == Json({"clients", "readiness", "control"}));
+  }
+
+  SECTION("two disks are lost at once, and nothing that was acknowledged") {
+    REQUIRE(system.the_operator().Send(world.Patch(1, 2, "added"), kPatience).status == 200);
+    for (const std::size_t index : {1, 3}) REQUIRE(system.dispatcher(index).Kill(kPatience));
+    for (const std::size_t index : {1, 3}) system.dispatcher(index).WipeStore();
+    CHECK(world.EditionReadBack() == 2);
+    world.CheckServedEverywhere();
+    for (const std::size_t index : {1, 3}) system.dispatcher(index).Start();
+    REQUIRE(system.WaitReady(kPatience));
+    CHECK(world.EditionReadBack() == 2);
+  }
+
+  SECTION("all are killed at once, and serve again") {
+    for (std::size_t index = 0; index < system.dispatcher_count(); ++index)
+      REQUIRE(system.dispatcher(index).Kill(kPatience));
+    for (std::size_t index = 0; index < system.dispatcher_count(); ++index) system.dispatcher(index).Start();
+    REQUIRE(system.WaitReady(kPatience));
+    REQUIRE(system.WaitEdition(1, kPatience));
+    world.CheckServedEverywhere();
+  }
+
+  SECTION("one of each kind is stopped") {
+    system.dispatcher(0).Terminate();
+    system.dispatcher(kCore).Terminate();
+    CHECK(system.dispatcher(0).Ended(kPatience));
+    CHECK(system.dispatcher(kCore).Ended(kPatience));
+    CHECK(system.dispatcher(0).EndedWell());
+    CHECK(system.dispatcher(kCore).EndedWell());
+    CHECK(world.EditionReadBack() == 1);
+  }
+  world.CheckNoRuleBroken();
+}
+
+}  // namespace
+}  // namespace lichenlug::standins::test
--- a/tests/system/processes/soak_test.cpp
+++ b/tests/system/processes/soak_test.cpp
@@ -9,22 +9,37 @@
 
 constexpr Time kSoakLength = 12 * kSecond;
 
-TEST_CASE("signals, restarts and changes in series break no rule", "[soak]") {
-  const std::uint64_t seed = GENERATE(1, 2);
-  SoakPlan plan;
+void CheckSoak(SoakPlan plan) {
   plan.system.program = LICHENLUGD_PATH;
-  plan.seed = seed;
   plan.length = kSoakLength;
   plan.patience = 2 * kPatience;
   Soak soak(plan);
   const SoakReport report = soak.Play();
-  INFO("seed " << seed);
+  INFO("seed " << plan.seed);
   for (const std::string& what : report.broken) UNSCOPED_INFO(what);
   if (!report.broken.empty()) UNSCOPED_INFO(soak.Logs());
   CHECK(report.broken.empty());
   CHECK(report.clients.served > 0);
 }
 
+TEST_CASE("signals, restarts and changes in series break no rule", "[soak]") {
+  const std::uint64_t seed = GENERATE(1, 2);
+  SoakPlan plan;
+  plan.seed = seed;
+  CheckSoak(plan);
+}
+
+TEST_CASE("the same where machines with a disk serve no clients, and two disks may be lost",
+          "[separate-core-soak]") {
+  SoakPlan plan;
+  plan.seed = 3;
+  plan.system.core = 5;
+  plan.system.diskless = 3;
+  plan.system.core_serves_clients = false;
+  plan.system.tolerated_losses = 2;
+  CheckSoak(plan);
+}
+
 TEST_CASE("a dispatcher takes signals from its first moment to its last", "[signals]") {
   World world(3, 1, 2);
   REQUIRE(world.Found());
--- a/tests/system/processes/world.cpp
+++ b/tests/system/processes/world.cpp
@@ -21,7 +21,8 @@
 
 }  // namespace
 
-World::World(int core, int diskless, int runners) : system_(Plan(core, diskless, runners)) {}
+World::World(int core, int diskless, int runners) : World(Plan(core, diskless, runners)) {}
+World::World(const SystemPlan& plan) : system_(plan) {}
 
 World::~World() {
   if (std::uncaught_exceptions() > 0) std::cerr << system_.Logs();
@@ -57,6 +58,7 @@
 
 void World::CheckServedEverywhere() {
   for (std::size_t dispatcher = 0; dispatcher < system_.dispatcher_count(); ++dispatcher) {
+    if (!system_.dispatcher(dispatcher).settings().serves_clients) continue;
     for (const ClientKind kind : {ClientKind::kPlain, ClientKind::kStream, ClientKind::kResumable}) {
       const ClientResult result = Send(Request(kind), dispatcher);
       INFO("dispatcher " << dispatcher << ", kind " << static_cast<int>(kind) << ", status "
--- a/tests/system/processes/world.h
+++ b/tests/system/processes/world.h
@@ -21,6 +21,7 @@
 class World {
  public:
   explicit World(int core = 3, int diskless = 1, int runners = 6);
+  explicit World(const SystemPlan& plan);
   ~World();
 
   System& system() { return system_; }
