Judge a killed dispatcher's connections by its end, not by the signal

Cause: the judge excuses connections that end within 0.5 s of SIGKILL, but a process with a thread in a disk sync ends only when the sync does.

Change: between the signal and the process's end its connections count as lost with it, and for 0.5 s after its end, as before after the signal. As strict as before for all that lives: a dispatcher that runs is excused nothing.

--- a/lab/system/kept_client.cpp
+++ b/lab/system/kept_client.cpp
@@ -29,8 +29,13 @@
   for (std::string& address : addresses) fronts_.push_back({std::move(address)});
 }
 
-void FrontDirectory::Lose(std::size_t index, Time now) {
+void FrontDirectory::Kill(std::size_t index) {
   fronts_[index].open = false;
+  fronts_[index].dying = true;
+}
+
+void FrontDirectory::Lose(std::size_t index, Time now) {
+  fronts_[index].dying = false;
   fronts_[index].lost_at = now;
 }
 
@@ -145,6 +150,7 @@
 }
 
 bool KeptClient::LostWithDispatcher() const {
+  if (fronts_->front(front_).dying) return true;
   const Time lost_at = fronts_->front(front_).lost_at;
   return lost_at >= connected_at_ && loop_->Now() - lost_at <= kLossNoticedWithin;
 }
--- a/lab/system/kept_client.h
+++ b/lab/system/kept_client.h
@@ -22,8 +22,9 @@
  public:
   struct Front {
     std::string address;
-    bool open = true;   // takes new connections
-    Time lost_at = -1;  // killed at; -1: never
+    bool open = true;    // takes new connections
+    bool dying = false;  // killed, and not known to be gone yet: a thread in a disk sync ends first
+    Time lost_at = -1;   // gone at, after it was killed; -1: never
   };
 
   explicit FrontDirectory(std::vector<std::string> addresses);
@@ -32,7 +33,8 @@
   const Front& front(std::size_t index) const { return fronts_[index]; }
   void Open(std::size_t index) { fronts_[index].open = true; }
   void Close(std::size_t index) { fronts_[index].open = false; }
-  void Lose(std::size_t index, Time now);
+  void Kill(std::size_t index);
+  void Lose(std::size_t index, Time now);  // it is gone
 
  private:
   std::vector<Front> fronts_;
--- a/lab/system/soak.cpp
+++ b/lab/system/soak.cpp
@@ -153,8 +153,10 @@
 }
 
 void Soak::Kill(std::size_t index) {
-  if (const auto front = FrontOf(index)) fronts_->Lose(*front, system_.loop().Now());
+  const auto front = FrontOf(index);
+  if (front) fronts_->Kill(*front);
   Require(system_.dispatcher(index).Kill(plan_.patience), "a killed process has ended");
+  if (front) fronts_->Lose(*front, system_.loop().Now());
   nodes_[index] = {Node::State::kDown, system_.loop().Now() + DrawTime(0, kLongestDown)};
   ++report_.killed;
 }
