Repeat a change that found no majority of disks in time, in its test

A call ends within 900 ms with 503 and "send the same call again" where no majority of stores has synced, and the test sent each call once.

Change: a call is repeated at the same dispatcher as the answer says; a 503 must carry Retry-After, and in the end every dispatcher must be at revision 3, so that no repetition was taken as a change of its own (new).

--- a/tests/system/processes/operator_test.cpp
+++ b/tests/system/processes/operator_test.cpp
@@ -7,7 +7,8 @@
 namespace lichenlug::standins::test {
 namespace {
 
-constexpr int kTaken = 200, kInvalid = 400, kConflict = 412;
+constexpr int kTaken = 200, kInvalid = 400, kConflict = 412, kUnavailable = 503;
+constexpr Time kRepeatPause = 100 * kMillisecond;
 
 struct BadConfiguration {
   const char* fault;
@@ -67,6 +68,21 @@
   CHECK(world.EditionReadBack() == 1);
 }
 
+// The answer of that dispatcher alone. 503 (no majority of disks was done in time) says that the same call
+// may be sent again, and no answer (0) means so too: it is sent until the answer is another one.
+HttpMessage AnswerOf(World* world, std::size_t dispatcher, const Change& change) {
+  System& system = world->system();
+  HttpMessage answer;
+  const auto is_clear = [&] {
+    answer = system.the_operator().SendTo(system.dispatcher(dispatcher).control_address(), change);
+    if (answer.status == kUnavailable) CHECK(answer.Header("retry-after") != nullptr);
+    return answer.status != 0 && answer.status != kUnavailable;
+  };
+  const Time give_up_at = system.loop().Now() + kPatience;
+  while (!is_clear() && system.loop().Now() < give_up_at) system.loop().RunFor(kRepeatPause);
+  return answer;
+}
+
 TEST_CASE("a change that was taken is acknowledged again by each dispatcher", "[repeated-change]") {
   World world;
   REQUIRE(world.Found());
@@ -76,14 +92,18 @@
   for (const Change& change : {put, patch}) {
     for (std::size_t index = 0; index < system.dispatcher_count(); ++index) {
       INFO("dispatcher " << index << ", builds on " << change.if_match);
-      CHECK(system.the_operator().SendTo(system.dispatcher(index).control_address(), change).status ==
-            kTaken);
+      CHECK(AnswerOf(&world, index, change).status == kTaken);
     }
   }
   // Even when others came after it.
-  CHECK(system.the_operator().SendTo(system.dispatcher(2).control_address(), put).status == kTaken);
+  CHECK(AnswerOf(&world, 2, put).status == kTaken);
   CHECK(world.EditionReadBack() == 5);
   CHECK(system.WaitEdition(5, kPatience));
+  // Each was taken once: the first configuration, the PUT and the PATCH.
+  for (std::size_t index = 0; index < system.dispatcher_count(); ++index) {
+    INFO("dispatcher " << index);
+    CHECK(system.Status(index).value("revision", 0) == 3);
+  }
 }
 
 // Sends both at the same time, each to a dispatcher of its own. One with no clear answer is sent again, as
