Take the reading of the configuration out of the control plane, as a state machine

Change: ConfigurationReader, with six tests; CanLeaveVotes and IsVoter in the group planner, with two. One thing behaves otherwise: while a read is under way no timer is set for the next. Before, an accepted configuration that was due meanwhile woke the loop again and again until the read had ended, up to 0.8 s.

--- /dev/null
+++ b/src/controlplane/configuration_reader.h
@@ -0,0 +1,45 @@
+// When the newest configuration is read from its register: until a majority has told it once in this life,
+// and after the replica here accepted one that nobody has told since (its proposer may be dead). A state
+// machine.
+#pragma once
+
+#include <optional>
+
+#include "base/clock.h"
+
+namespace lichenlug::controlplane {
+
+class ConfigurationReader {
+ public:
+  struct Read {
+    bool push = false;    // what is read is told to all others
+    Time give_up_at = 0;  // without an answer
+  };
+
+  // The replica here was asked to accept a configuration.
+  void Accepting(Time now);
+  // Registers can be read from now on: the founding group is known.
+  void RegistersKnown(Time now);
+  // A majority told a configuration: to a read, or to an operator's call.
+  void Confirmed();
+  // A configuration came into force here.
+  void Installed();
+
+  // The read to begin now, if any. It is under way until Completed().
+  std::optional<Read> Next(Time now);
+  // `answered`: by a majority, be it that there is no configuration yet.
+  void Completed(Time now, bool answered);
+
+  bool confirmed() const { return confirmed_; }
+  std::optional<Time> NextTimer() const;
+
+ private:
+  Read Begin(Time now, bool push);
+
+  bool confirmed_ = false;
+  std::optional<Read> under_way_;
+  Time next_read_ = 0;  // while nothing is confirmed
+  std::optional<Time> check_accepted_at_;
+};
+
+}  // namespace lichenlug::controlplane
--- a/src/controlplane/control_plane.cpp
+++ b/src/controlplane/control_plane.cpp
@@ -7,7 +7,6 @@
 #include <random>
 #include <utility>
 
-#include "consensus/group.h"
 #include "controlplane/group_planner.h"
 #include "controlplane/node_roles.h"
 #include "controlplane/part_settings.h"
@@ -18,10 +17,7 @@
 namespace {
 
 constexpr std::size_t kMostControlBody = 16u << 20;
-constexpr Time kReadEvery = 300 * kMillisecond;  // until the configuration is confirmed
-constexpr Time kReadGiveUp = 800 * kMillisecond;
 constexpr Time kServeUnconfirmedAfter = 3 * kSecond;  // a peer's word will do when no majority can be asked
-constexpr Time kLearnAccepted = 250 * kMillisecond;   // a push usually comes sooner after an accept
 constexpr Time kReportEvery = 500 * kMillisecond;
 constexpr Time kDrainPoll = 100 * kMillisecond;
 constexpr Time kReadyFalseFor = 2500 * kMillisecond;  // the platform needs two misses, a second apart
@@ -106,7 +102,7 @@
   registers_->OnAccepting([this](const std::string& register_name, const std::string& payload) {
     if (register_name != configuration::kRegisterName)
       return duties_.Accepting(EventLoop::Now(), register_name, payload);
-    if (!check_accepted_at_) check_accepted_at_ = EventLoop::Now() + kLearnAccepted;
+    configuration_reader_.Accepting(EventLoop::Now());
   });
   registers_->OpenStore([this](const std::string& replica_id) {
     replica_id_ = replica_id;
@@ -177,7 +173,7 @@
   const bool could_read = registers_->KnowsFounding();
   groups_.Receive(from, hints);
   if (could_read || !registers_->KnowsFounding()) return;
-  next_read_ = now;
+  configuration_reader_.RegistersKnown(now);
   ConfirmConfiguration(now);
 }
 
@@ -211,7 +207,7 @@
   if (!output.installed) return;
   duties_.SetConfiguration(follower_.Current()->configuration);
   duties_.SetMembers(EventLoop::Now(), live_);
-  check_accepted_at_.reset();
+  configuration_reader_.Installed();
   snapshot_changed_ = true;
 }
 
@@ -258,7 +254,7 @@
   input.name = settings_.name;
   input.roles = RoleNames(RolesOf(settings_));
   input.ready = ready_;
-  input.confirmed = confirmed_;
+  input.confirmed = configuration_reader_.confirmed();
   input.replica_id = replica_id_;
   input.live = live_;
   input.runners = runners_.get();
@@ -314,10 +310,9 @@
   Time next = std::min(next_report_, groups_.NextTimer());
   for (const auto& timer :
        {membership_.NextTimer(), registry_.NextTimer(), follower_.NextTimer(), registers_->NextTimer(),
-        duties_.NextTimer(), runner_api_.NextTimer(), check_accepted_at_}) {
+        duties_.NextTimer(), runner_api_.NextTimer(), configuration_reader_.NextTimer()}) {
     if (timer) next = std::min(next, *timer);
   }
-  if (!confirmed_ && !reading_) next = std::min(next, next_read_);
   if (draining_) next = std::min(next, EventLoop::Now() + kDrainPoll);
   loop_->SetTimer(next, [this] { Wake(); });
 }
@@ -325,60 +320,45 @@
 // ---- Configuration -------------------------------------------------------------------------------------
 
 void ControlPlane::Learn(const messages::ConfigurationState& state, bool push) {
-  confirmed_ = true;
+  configuration_reader_.Confirmed();
   configuration::FollowerOutput output;
   follower_.Learn(EventLoop::Now(), state, push, &output);
   Carry(std::move(output));
 }
 
-// A new life serves nothing older than what a majority confirms. A replica that accepted a change which
-// nobody has told since (its proposer may be dead) has it read, finished and told to all.
-void ControlPlane::ConfirmConfiguration(Time now) {
-  const bool accepted_unlearned = check_accepted_at_ && now >= *check_accepted_at_;
-  if (reading_) return;
-  if (accepted_unlearned) {
-    check_accepted_at_.reset();
-    return ReadConfiguration(true);
-  }
-  if (!confirmed_ && now >= next_read_) ReadConfiguration(false);
-}
-
 // A dispatcher with a replica finishes what it finds; all others only look. Were they to finish it too, as
 // many proposers as there are dispatchers would outbid one another, each sending the configuration to all
 // replicas.
-void ControlPlane::ReadConfiguration(bool push) {
-  reading_ = true;
-  const Time now = EventLoop::Now();
-  next_read_ = now + kReadEvery;
+void ControlPlane::ConfirmConfiguration(Time now) {
+  const auto read = configuration_reader_.Next(now);
+  if (!read) return;
   const std::string name(configuration::kRegisterName);
-  const auto done = [this, push](const consensus::Completion& completion) {
+  const auto done = [this, push = read->push](const consensus::Completion& completion) {
     ConfigurationRead(completion, push);
   };
-  if (replica_id_.empty()) return registers_->Read(name, now + kReadGiveUp, done);
+  if (replica_id_.empty()) return registers_->Read(name, read->give_up_at, done);
   registers_->Submit(
-      name, [](const std::string&) { return consensus::KeepPayload{}; }, now + kReadGiveUp, done);
+      name, [](const std::string&) { return consensus::KeepPayload{}; }, read->give_up_at, done);
 }
 
 void ControlPlane::ConfigurationRead(const consensus::Completion& completion, bool push) {
-  reading_ = false;
-  if (completion.outcome == consensus::Outcome::kKept) {
-    const auto state = configuration::ReadState(completion.payload);
-    if (state) return Learn(*state, push);
-  } else if (push && !check_accepted_at_) {
-    check_accepted_at_ = EventLoop::Now() + kLearnAccepted;
-  }
+  const bool answered = completion.outcome == consensus::Outcome::kKept;
+  configuration_reader_.Completed(EventLoop::Now(), answered);
+  if (!answered) return;
+  if (const auto state = configuration::ReadState(completion.payload)) Learn(*state, push);
 }
 
 // ---- Data plane ----------------------------------------------------------------------------------------
 
 void ControlPlane::ReportDataPlane(Time now) {
   next_report_ = now + kReportEvery;
-  if (confirmed_) duties_.Report(now, WallNow(), data_plane_->TakeReport());
+  if (configuration_reader_.confirmed()) duties_.Report(now, WallNow(), data_plane_->TakeReport());
 }
 
 void ControlPlane::PublishSnapshot(Time now) {
   const configuration::Follower::Version* version = follower_.Current();
-  const bool may_serve = version != nullptr && (confirmed_ || now - started_at_ > kServeUnconfirmedAfter);
+  const bool may_serve =
+      version != nullptr && (configuration_reader_.confirmed() || now - started_at_ > kServeUnconfirmedAfter);
   if (version != nullptr && !may_serve) return;  // tried again at the next batch
   snapshot_changed_ = false;
   auto snapshot = std::make_shared<routing::Snapshot>();
@@ -402,7 +382,7 @@
 
 void ControlPlane::UpdateReadiness(Time now) {
   if (ready_ || draining_) return;
-  if (!confirmed_ || follower_.Current() == nullptr || !registry_.Settled(now)) return;
+  if (!configuration_reader_.confirmed() || follower_.Current() == nullptr || !registry_.Settled(now)) return;
   ready_ = true;
   snapshot_changed_ = true;  // the runners are known by now
   LOG(INFO) << "ready: edition " << follower_.Current()->edition << ", " << runners_->size() << " runners, "
@@ -429,16 +409,10 @@
 
 // Whether some register still counts on this store although enough others live to take its place.
 bool ControlPlane::VotesWhereOthersCould() const {
-  if (replica_id_.empty()) return false;
-  const auto others = std::count_if(live_.begin(), live_.end(), [this](const Member& member) {
-    return member.counts_for_quorum && !member.replica_id.empty() && member.name != settings_.name;
-  });
-  if (others < 2 * settings_.tolerated_machines + 1) return false;
+  if (!CanLeaveVotes(live_, settings_.name, settings_.tolerated_machines)) return false;
   const std::vector<std::string> names = AllRegisters();
   return std::any_of(names.begin(), names.end(), [this](const std::string& name) {
-    const auto members = consensus::AllMembers(registers_->KnownGroup(name));
-    return std::any_of(members.begin(), members.end(),
-                       [this](const auto& member) { return member.replica_id() == replica_id_; });
+    return IsVoter(registers_->KnownGroup(name), replica_id_);
   });
 }
 
--- a/src/controlplane/control_plane.h
+++ b/src/controlplane/control_plane.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "configuration/follower.h"
+#include "controlplane/configuration_reader.h"
 #include "controlplane/duty_service.h"
 #include "controlplane/event_loop.h"
 #include "controlplane/group_keeper.h"
@@ -53,7 +54,6 @@
   void MembersChanged(Time now);
   void Learn(const messages::ConfigurationState& state, bool push);
   void ConfirmConfiguration(Time now);
-  void ReadConfiguration(bool push);
   void ConfigurationRead(const consensus::Completion& completion, bool push);
   void ReportDataPlane(Time now);
   void PublishSnapshot(Time now);
@@ -86,14 +86,11 @@
   std::shared_ptr<const std::vector<messages::RunnerRecord>> runners_;
   std::string replica_id_;
   bool snapshot_changed_ = true;
-  bool confirmed_ = false;  // a majority has told the newest configuration in this life
-  bool reading_ = false;    // a read of the configuration is under way
+  ConfigurationReader configuration_reader_;
   bool ready_ = false;
   bool draining_ = false;
   Time drain_began_ = 0;
-  Time next_read_ = 0, next_report_ = 0;
-  std::optional<Time>
-      check_accepted_at_;  // a replica here accepted a configuration that has not been learned yet
+  Time next_report_ = 0;
 };
 
 }  // namespace lichenlug::controlplane
--- a/src/controlplane/group_planner.cpp
+++ b/src/controlplane/group_planner.cpp
@@ -11,6 +11,9 @@
 using consensus::IsJoint;
 using Identities = std::vector<messages::ReplicaIdentity>;
 
+// So many voters outlast the loss of `tolerated` of them.
+std::size_t LeastVoters(int tolerated) { return 2 * static_cast<std::size_t>(tolerated) + 1; }
+
 bool MayReplicate(const Member& member) { return member.counts_for_quorum && !member.replica_id.empty(); }
 
 messages::ReplicaIdentity IdentityOf(const Member& member) {
@@ -57,7 +60,7 @@
     if (!MayReplicate(member) || Holds(wanted, member.replica_id)) continue;
     if (wanted.size() < kMostReplicas) wanted.push_back(IdentityOf(member));
   }
-  const std::size_t least = 2 * static_cast<std::size_t>(tolerated) + 1;
+  const std::size_t least = LeastVoters(tolerated);
   for (const auto& identity : absent) {
     if (wanted.size() < least) wanted.push_back(identity);
   }
@@ -71,14 +74,24 @@
 }
 
 bool IsGrown(const messages::ReplicaGroup& group, const std::vector<Member>& live, int tolerated) {
-  const std::size_t enough = 2 * static_cast<std::size_t>(tolerated) + 1;
   const auto& voters = IsJoint(group) ? group.next_members() : group.members();
-  if (static_cast<std::size_t>(voters.size()) >= enough) return true;
+  if (static_cast<std::size_t>(voters.size()) >= LeastVoters(tolerated)) return true;
   return std::none_of(live.begin(), live.end(), [&](const Member& member) {
     return MayReplicate(member) && !Holds({voters.begin(), voters.end()}, member.replica_id);
   });
 }
 
+bool CanLeaveVotes(const std::vector<Member>& live, const std::string& self_name, int tolerated) {
+  const auto others = std::count_if(live.begin(), live.end(), [&](const Member& member) {
+    return MayReplicate(member) && member.name != self_name;
+  });
+  return static_cast<std::size_t>(others) >= LeastVoters(tolerated);
+}
+
+bool IsVoter(const messages::ReplicaGroup& group, const std::string& replica_id) {
+  return !replica_id.empty() && Holds(consensus::AllMembers(group), replica_id);
+}
+
 bool IsGroupKeeper(const std::vector<Member>& live, const std::string& self_name) {
   for (const Member& member : live) {  // by name
     if (MayReplicate(member)) return member.name == self_name;
--- a/src/controlplane/group_planner.h
+++ b/src/controlplane/group_planner.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "cluster/member.h"
@@ -24,6 +25,13 @@
 // allow: not while the group is smaller than that takes and a live machine has yet to join it.
 bool IsGrown(const messages::ReplicaGroup& group, const std::vector<Member>& live, int tolerated);
 
+// Whether enough others live that count for the quorum and have a store, so that this one can leave its
+// votes.
+bool CanLeaveVotes(const std::vector<Member>& live, const std::string& self_name, int tolerated);
+
+// Whether the group counts on this replica, also while it moves to another one.
+bool IsVoter(const messages::ReplicaGroup& group, const std::string& replica_id);
+
 // Whether this dispatcher is the one to make the change: the first live member with a store, by name.
 bool IsGroupKeeper(const std::vector<Member>& live, const std::string& self_name);
 
--- /dev/null
+++ b/tests/system/controlplane/configuration_reader_test.cpp
@@ -0,0 +1,104 @@
+// When the newest configuration is read from its register.
+#include "controlplane/configuration_reader.h"
+
+#include <catch2/catch.hpp>
+
+namespace lichenlug::controlplane {
+namespace {
+
+constexpr Time kStart = 100 * kSecond;
+constexpr Time kLongest = 10 * kSecond;  // any wait of the reader is shorter
+
+// The moment of the next read, as a host that wakes at NextTimer() begins it.
+std::optional<Time> BeginsNext(ConfigurationReader* reader, Time now, bool push) {
+  const std::optional<Time> timer = reader->NextTimer();
+  if (!timer) return std::nullopt;
+  const Time at = std::max(now, *timer);
+  const auto read = reader->Next(at);
+  REQUIRE(read);
+  CHECK(read->push == push);
+  CHECK(read->give_up_at > at);
+  return at;
+}
+
+ConfigurationReader ConfirmedReader() {
+  ConfigurationReader reader;
+  REQUIRE(reader.Next(kStart));
+  reader.Confirmed();
+  reader.Completed(kStart, /*answered=*/true);
+  return reader;
+}
+
+TEST_CASE("it is read again and again until a majority has told it") {
+  ConfigurationReader reader;
+  Time now = kStart;
+  for (int round = 0; round < 5; ++round) {
+    const std::optional<Time> begun = BeginsNext(&reader, now, /*push=*/false);
+    REQUIRE(begun);
+    CHECK(*begun - now < kSecond);
+    CHECK_FALSE(reader.confirmed());
+    CHECK_FALSE(reader.Next(*begun + kLongest));  // one at a time
+    now = *begun + 50 * kMillisecond;
+    reader.Completed(now, round == 4);  // an empty register in the end: it is asked again
+  }
+  REQUIRE(BeginsNext(&reader, now, /*push=*/false));
+  reader.Confirmed();
+  reader.Completed(now, /*answered=*/true);
+  CHECK(reader.confirmed());
+  CHECK_FALSE(reader.Next(now + kLongest));
+  CHECK_FALSE(reader.NextTimer());
+}
+
+TEST_CASE("it is read at once when the founding group becomes known") {
+  ConfigurationReader reader;
+  REQUIRE(reader.Next(kStart));
+  reader.Completed(kStart, /*answered=*/false);
+  CHECK_FALSE(reader.Next(kStart + kMillisecond));
+  reader.RegistersKnown(kStart + kMillisecond);
+  CHECK(reader.Next(kStart + kMillisecond));
+}
+
+TEST_CASE("one that was accepted here and told by nobody is read and told") {
+  ConfigurationReader reader = ConfirmedReader();
+  reader.Accepting(kStart);
+  CHECK_FALSE(reader.Next(kStart));  // its proposer has a moment to tell it
+  reader.Accepting(kStart + 200 * kMillisecond);
+  const std::optional<Time> begun = BeginsNext(&reader, kStart, /*push=*/true);
+  REQUIRE(begun);
+  CHECK(*begun - kStart < kSecond);  // counted from the first
+  reader.Completed(*begun, /*answered=*/true);
+  CHECK_FALSE(reader.NextTimer());
+}
+
+TEST_CASE("such a read that no majority answered is begun anew") {
+  ConfigurationReader reader = ConfirmedReader();
+  reader.Accepting(kStart);
+  Time now = kStart;
+  for (int round = 0; round < 3; ++round) {
+    const std::optional<Time> begun = BeginsNext(&reader, now, /*push=*/true);
+    REQUIRE(begun);
+    reader.Completed(*begun, /*answered=*/false);
+    now = *begun;
+  }
+}
+
+TEST_CASE("one that was told after all is not read") {
+  ConfigurationReader reader = ConfirmedReader();
+  reader.Accepting(kStart);
+  reader.Installed();
+  CHECK_FALSE(reader.NextTimer());
+  CHECK_FALSE(reader.Next(kStart + kLongest));
+}
+
+TEST_CASE("no timer is set while a read is under way, however long ago the next was due") {
+  ConfigurationReader reader;
+  REQUIRE(reader.Next(kStart));
+  reader.Accepting(kStart);
+  CHECK_FALSE(reader.NextTimer());
+  CHECK_FALSE(reader.Next(kStart + kLongest));
+  reader.Completed(kStart + kLongest, /*answered=*/false);
+  CHECK(BeginsNext(&reader, kStart + kLongest, /*push=*/true) == kStart + kLongest);
+}
+
+}  // namespace
+}  // namespace lichenlug::controlplane
--- a/tests/system/controlplane/group_planner_test.cpp
+++ b/tests/system/controlplane/group_planner_test.cpp
@@ -5,8 +5,10 @@
 #include <set>
 
 using lichenlug::Member;
+using lichenlug::controlplane::CanLeaveVotes;
 using lichenlug::controlplane::IsGroupKeeper;
 using lichenlug::controlplane::IsGrown;
+using lichenlug::controlplane::IsVoter;
 using lichenlug::controlplane::PlanGroup;
 namespace messages = lichenlug::messages;
 
@@ -116,6 +118,26 @@
   CHECK(PlanGroup(group, {kOne, kTwo, kThree}, 1));
 }
 
+TEST_CASE("Votes can be left where enough others live that may take them") {
+  const Member diskless = Replica("4", "");
+  Member other = Replica("6", "f");
+  other.counts_for_quorum = false;
+  CHECK(CanLeaveVotes({kOne, kTwo, kThree, Replica("5", "e")}, "1", 1));
+  CHECK_FALSE(CanLeaveVotes({kOne, kTwo, kThree, diskless, other}, "1", 1));
+  CHECK(CanLeaveVotes({kTwo, kThree, Replica("5", "e")}, "1", 1));
+  CHECK_FALSE(CanLeaveVotes({kOne, kTwo, kThree, Replica("5", "e")}, "1", 2));
+}
+
+TEST_CASE("A replica votes in the present group and in the one it moves to") {
+  messages::ReplicaGroup group = Group({kOne, kTwo});
+  CHECK(IsVoter(group, "a"));
+  CHECK_FALSE(IsVoter(group, "c"));
+  CHECK_FALSE(IsVoter(group, ""));
+  *group.add_next_members() = Group({kThree}).members(0);
+  CHECK(IsVoter(group, "a"));
+  CHECK(IsVoter(group, "c"));
+}
+
 TEST_CASE("The first live member with a store keeps the groups") {
   const Member diskless = Replica("0", "");
   CHECK(IsGroupKeeper({diskless, kOne, kTwo}, "1"));
