--- /dev/null
+++ b/tests/system/consensus/linked_network.h
@@ -0,0 +1,83 @@
+// Machines on links of limited bandwidth, each of which takes its time for a message, in virtual time. What
+// waits for a link or a machine waits in line.
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <queue>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "base/clock.h"
+
+namespace lichenlug::consensus {
+
+class LinkedNetwork {
+ public:
+  struct Machine {
+    double bytes_per_microsecond = 0;  // of its link, each way
+    Time work = 0;                     // a message
+  };
+
+  explicit LinkedNetwork(Time delay) : delay_(delay) {}
+
+  void Add(Machine machine) { machines_.push_back({machine}); }
+
+  Time now() const { return now_; }
+  std::uint64_t bytes() const { return bytes_; }  // of all messages
+
+  void At(Time at, std::function<void()> run) { events_.push({at, ++order_, std::move(run)}); }
+
+  void Send(std::size_t from, std::size_t to, std::size_t message_bytes, std::function<void()> arrives) {
+    const std::size_t size = message_bytes + kFrameBytes;
+    bytes_ += size;
+    Busy& sender = machines_[from];
+    Busy& receiver = machines_[to];
+    sender.sends_until = std::max(sender.sends_until, now_) + sender.TimeFor(size);
+    const Time reached = sender.sends_until + delay_;
+    receiver.receives_until = std::max(receiver.receives_until, reached) + receiver.TimeFor(size);
+    receiver.works_until = std::max(receiver.works_until, receiver.receives_until) + receiver.machine.work;
+    At(receiver.works_until, std::move(arrives));
+  }
+
+  // Goes on until the condition holds, nothing is left, or the time is over. Whether it holds.
+  bool RunUntil(const std::function<bool()>& condition, Time longest) {
+    while (!events_.empty() && now_ < longest && !condition()) {
+      const Event event = events_.top();
+      events_.pop();
+      now_ = event.at;
+      event.run();
+    }
+    return condition();
+  }
+
+ private:
+  static constexpr std::size_t kFrameBytes = 40;
+
+  struct Busy {
+    Machine machine;
+    Time sends_until = 0, receives_until = 0, works_until = 0;
+
+    Time TimeFor(std::size_t bytes) const {
+      return static_cast<Time>(static_cast<double>(bytes) / machine.bytes_per_microsecond);
+    }
+  };
+  struct Event {
+    Time at;
+    std::uint64_t order;
+    std::function<void()> run;
+    bool operator<(const Event& other) const { return std::tie(other.at, other.order) < std::tie(at, order); }
+  };
+
+  Time delay_;
+  std::vector<Busy> machines_;
+  std::priority_queue<Event> events_;
+  std::uint64_t order_ = 0;
+  std::uint64_t bytes_ = 0;
+  Time now_ = 0;
+};
+
+}  // namespace lichenlug::consensus
--- a/tests/system/consensus/start_of_all_test.cpp
+++ b/tests/system/consensus/start_of_all_test.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <memory>
-#include <queue>
 #include <set>
 #include <string>
 #include <vector>
@@ -13,6 +12,7 @@
 #include "cluster.h"
 #include "consensus/group.h"
 #include "consensus/value.h"
+#include "linked_network.h"
 
 namespace lichenlug::consensus {
 namespace {
@@ -37,13 +37,9 @@
   double megabytes = 0;
 };
 
-// A node and its link; what waits for the link waits in line.
-struct LinkedNode {
+struct Reader {
   std::unique_ptr<RegisterNode> node;
-  double bytes_per_microsecond = 0;
-  Time sends_until = 0, receives_until = 0, works_until = 0;
   bool knows = false;
-  bool reading = false;
   Time read_at = 0;
 };
 
@@ -53,37 +49,27 @@
     std::vector<std::string> seeds;
     for (std::size_t i = 0; i < kReplicas; ++i) seeds.push_back(Name(i));
     for (std::size_t i = 0; i < nodes; ++i) {
-      LinkedNode& linked = nodes_.emplace_back();
+      Reader& reader = nodes_.emplace_back();
       RegisterNodeSettings settings = Settings(Name(i), seeds, i < kReplicas);
       settings.seed = i + 1;
-      linked.node = std::make_unique<RegisterNode>(settings);
+      reader.node = std::make_unique<RegisterNode>(settings);
       if (start == Start::kAfterHalfAccepted && i < kReplicas)
-        REQUIRE(linked.node->Restore({AcceptedRecord(seeds, i % 2 == 0 ? 6 : 5)}));
-      linked.bytes_per_microsecond = i < kReplicas ? 12.5 : 1.25;
-      linked.read_at = kStartSpread * static_cast<Time>(i) / static_cast<Time>(nodes);
+        REQUIRE(reader.node->Restore({AcceptedRecord(seeds, i % 2 == 0 ? 6 : 5)}));
+      // A busy machine of a small share of a core takes its time for each message.
+      network_.Add(i < kReplicas ? LinkedNetwork::Machine{12.5, kWorkOfReplica}
+                                 : LinkedNetwork::Machine{1.25, kWorkOfOther});
+      reader.read_at = kStartSpread * static_cast<Time>(i) / static_cast<Time>(nodes);
     }
   }
 
   Result Run(Time longest) {
-    for (std::size_t i = 0; i < nodes_.size(); ++i) At(nodes_[i].read_at, [this, i] { Read(i); });
-    if (start_ == Start::kFirst) At(kStartSpread / 2, [this] { Change(); });
-    while (!events_.empty() && now_ < longest && knowing_ < nodes_.size()) {
-      const Event event = events_.top();
-      events_.pop();
-      now_ = event.at;
-      event.run();
-    }
-    return {knowing_ == nodes_.size() ? now_ : 0, static_cast<double>(bytes_) / 1e6};
+    for (std::size_t i = 0; i < nodes_.size(); ++i) network_.At(nodes_[i].read_at, [this, i] { Read(i); });
+    if (start_ == Start::kFirst) network_.At(kStartSpread / 2, [this] { Change(); });
+    const bool all_know = network_.RunUntil([this] { return knowing_ == nodes_.size(); }, longest);
+    return {all_know ? network_.now() : 0, static_cast<double>(network_.bytes()) / 1e6};
   }
 
  private:
-  struct Event {
-    Time at;
-    std::uint64_t order;
-    std::function<void()> run;
-    bool operator<(const Event& other) const { return std::tie(other.at, other.order) < std::tie(at, order); }
-  };
-
   static std::pair<std::string, std::string> AcceptedRecord(const std::vector<std::string>& seeds,
                                                             std::uint64_t round) {
     std::vector<messages::ReplicaIdentity> members;
@@ -100,13 +86,12 @@
   static std::string Name(std::size_t index) { return std::to_string(index); }
   static std::size_t IndexOf(const std::string& address) { return std::stoul(address); }
 
-  void At(Time at, std::function<void()> run) { events_.push({at, ++order_, std::move(run)}); }
-
   // The operator sends the first configuration, to one after the other until it is taken.
   void Change() {
     const std::size_t index = kReplicas + changes_++ % (nodes_.size() - kReplicas);
     RegisterOutput output;
-    change_ = nodes_[index].node->Submit(now_, kName, FirstValue(), now_ + kChangeGiveUp, &output);
+    change_ = nodes_[index].node->Submit(network_.now(), kName, FirstValue(), network_.now() + kChangeGiveUp,
+                                         &output);
     changer_ = index;
     Carry(index, std::move(output));
   }
@@ -119,83 +104,65 @@
   }
 
   void Read(std::size_t index) {
-    LinkedNode& linked = nodes_[index];
-    if (linked.knows) return;
-    linked.read_at = now_ + kReadEvery;
-    linked.reading = true;
+    Reader& reader = nodes_[index];
+    if (reader.knows) return;
+    reader.read_at = network_.now() + kReadEvery;
     RegisterOutput output;
     const bool finishes = index < kReplicas || readers_ == Readers::kFinishWhatTheyFind;
     if (finishes)
-      linked.node->Submit(now_, kName, Reads(), now_ + kReadGiveUp, &output);
+      reader.node->Submit(network_.now(), kName, Reads(), network_.now() + kReadGiveUp, &output);
     else
-      linked.node->Read(now_, kName, now_ + kReadGiveUp, &output);
+      reader.node->Read(network_.now(), kName, network_.now() + kReadGiveUp, &output);
     Carry(index, std::move(output));
   }
 
   void Carry(std::size_t index, RegisterOutput output) {
-    LinkedNode& linked = nodes_[index];
+    Reader& reader = nodes_[index];
     for (const RegisterSend& send : output.sends) SendOver(index, IndexOf(send.address), send.message);
     for (const RegisterWrite& write : output.writes) {
-      At(now_ + kDiskWrite, [this, index, token = write.token] {
+      network_.At(network_.now() + kDiskWrite, [this, index, token = write.token] {
         RegisterOutput done;
-        nodes_[index].node->StoreDone(now_, token, true, &done);
+        nodes_[index].node->StoreDone(network_.now(), token, true, &done);
         Carry(index, std::move(done));
       });
     }
     for (const Completion& completion : output.completions) Completed(index, completion);
-    if (const auto timer = linked.node->NextTimer()) {
-      At(std::max(*timer, now_ + 1), [this, index] {
+    if (const auto timer = reader.node->NextTimer()) {
+      network_.At(std::max(*timer, network_.now() + 1), [this, index] {
         const auto due = nodes_[index].node->NextTimer();
-        if (!due || *due > now_) return;
+        if (!due || *due > network_.now()) return;
         RegisterOutput ticked;
-        nodes_[index].node->Tick(now_, &ticked);
+        nodes_[index].node->Tick(network_.now(), &ticked);
         Carry(index, std::move(ticked));
       });
     }
   }
 
   void Completed(std::size_t index, const Completion& completion) {
-    LinkedNode& linked = nodes_[index];
+    Reader& reader = nodes_[index];
     if (index == changer_ && completion.operation == change_) {
       const bool taken = completion.outcome == Outcome::kChosen || completion.outcome == Outcome::kKept;
-      if (!taken) At(now_ + kChangeAgainAfter, [this] { Change(); });
+      if (!taken) network_.At(network_.now() + kChangeAgainAfter, [this] { Change(); });
       return;
     }
-    linked.reading = false;
     const bool knows = completion.outcome == Outcome::kKept && !completion.payload.empty();
-    if (knows && !linked.knows) ++knowing_;
-    linked.knows = linked.knows || knows;
-    if (!linked.knows) At(std::max(linked.read_at, now_), [this, index] { Read(index); });
+    if (knows && !reader.knows) ++knowing_;
+    reader.knows = reader.knows || knows;
+    if (!reader.knows) network_.At(std::max(reader.read_at, network_.now()), [this, index] { Read(index); });
   }
 
   void SendOver(std::size_t from, std::size_t to, const messages::RegisterMessage& message) {
-    const auto size = message.ByteSizeLong() + 40;
-    bytes_ += size;
-    LinkedNode& sender = nodes_[from];
-    LinkedNode& receiver = nodes_[to];
-    const auto takes = [&](const LinkedNode& linked) {
-      return static_cast<Time>(static_cast<double>(size) / linked.bytes_per_microsecond);
-    };
-    sender.sends_until = std::max(sender.sends_until, now_) + takes(sender);
-    receiver.receives_until =
-        std::max(receiver.receives_until, sender.sends_until + kDelay) + takes(receiver);
-    // A busy machine of a small share of a core takes its time for each message.
-    const Time work = to < kReplicas ? kWorkOfReplica : kWorkOfOther;
-    receiver.works_until = std::max(receiver.works_until, receiver.receives_until) + work;
-    At(receiver.works_until, [this, from, to, message] {
+    network_.Send(from, to, message.ByteSizeLong(), [this, from, to, message] {
       RegisterOutput output;
-      nodes_[to].node->Receive(now_, Name(from) + ":7660", message, &output);
+      nodes_[to].node->Receive(network_.now(), Name(from) + ":7660", message, &output);
       Carry(to, std::move(output));
     });
   }
 
   Readers readers_;
   Start start_;
-  std::vector<LinkedNode> nodes_;
-  std::priority_queue<Event> events_;
-  std::uint64_t order_ = 0;
-  std::uint64_t bytes_ = 0;
-  Time now_ = 0;
+  LinkedNetwork network_{kDelay};
+  std::vector<Reader> nodes_;
   std::size_t knowing_ = 0, changes_ = 0, changer_ = 0;
   OperationId change_ = 0;
 };
