--- /dev/null
+++ b/tests/system/controlplane/start_of_stores_test.cpp
@@ -0,0 +1,294 @@
+// All power returns at a deployment with seven stores, of which two may be lost, and a large configuration:
+// each process knows itself alone at first. No replica group may move, no proposer outbid another for long,
+// and the configuration may not be sent about.
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <optional>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "controlplane/configuration_reader.h"
+#include "controlplane/group_mover.h"
+#include "linked_dispatchers.h"
+
+namespace lichenlug::controlplane {
+namespace {
+
+constexpr std::size_t kStores = 7;
+constexpr std::size_t kOthers = 20;
+constexpr int kTolerated = 2;
+constexpr std::size_t kConfigurationBytes = 60'000;
+constexpr std::size_t kPushBytes = 400;  // of a difference
+constexpr Time kPollEvery = 300 * kMillisecond;
+constexpr Time kLookEvery = 300 * kMillisecond;
+
+// As seen in logs of such days.
+constexpr Time kStartSpread = 600 * kMillisecond;
+constexpr Time kOpenSpread = 350 * kMillisecond;
+constexpr Time kJoinSpread = 700 * kMillisecond;
+
+constexpr Time kCallsAt = 800 * kMillisecond;  // the operators', while processes still start
+constexpr Time kCallGivesUp = 900 * kMillisecond;
+constexpr Time kCallAgainAfter = 200 * kMillisecond;
+constexpr Time kLasts = 15 * kSecond;
+
+// The payload of a configuration: the same text, and a letter for each change that was taken.
+std::string Payload(const std::string& changes) { return std::string(kConfigurationBytes, 'c') + changes; }
+std::size_t RevisionOf(const std::string& payload) {
+  return payload.empty() ? 0 : 1 + payload.size() - kConfigurationBytes;
+}
+
+struct Dispatcher {
+  Dispatcher(const std::string& name, std::uint64_t seed) : reader(seed), mover(name, kTolerated, seed) {}
+
+  ConfigurationReader reader;
+  GroupMover mover;
+  std::optional<consensus::OperationId> reading, moving;
+  Time started_at = 0, joined_at = 0;
+  std::string known;  // the newest configuration in force here
+};
+
+struct OperatorCall {
+  char letter = 'x';
+  std::size_t asked = 0;  // dispatcher
+  std::optional<consensus::OperationId> operation;
+  std::optional<Time> acknowledged_at;
+};
+
+class StartOfStores : LinkedDispatchers {
+ public:
+  explicit StartOfStores(std::uint64_t seed) : LinkedDispatchers(kStores, kOthers), random_(seed) {
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      Dispatcher& dispatcher = dispatchers_.emplace_back(std::to_string(i), random_());
+      dispatcher.started_at = Draw(kStartSpread);
+      dispatcher.joined_at = dispatcher.started_at + Draw(kJoinSpread);
+      const Time opens_at = i < kStores ? dispatcher.started_at + Draw(kOpenSpread) : dispatcher.joined_at;
+      network_.At(opens_at, [this, i] { Open(i); });
+      network_.At(dispatcher.started_at, [this, i] { Look(i); });
+    }
+  }
+
+  void CallAt(Time at, char letter, std::size_t asked) {
+    calls_.push_back({letter, asked, {}, {}});
+    network_.At(at, [this, call = calls_.size() - 1] { Call(call); });
+  }
+
+  // This dispatcher dies as its first Accept of a configuration has left, and tells nobody.
+  void DiesAfterAccept(std::size_t index) { dies_after_accept_ = index; }
+
+  void Run(Time until) {
+    network_.At(until, [] {});
+    network_.RunUntil([] { return false; }, until);
+  }
+
+  // When the last of those that live had the change of this letter in force; none: not all have.
+  std::optional<Time> InForceSince(char letter) const {
+    Time last = 0;
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      if (!nodes_[i]) continue;
+      const auto since = in_force_.find({letter, i});
+      if (since == in_force_.end()) return std::nullopt;
+      last = std::max(last, since->second);
+    }
+    return last;
+  }
+
+  const std::vector<OperatorCall>& calls() const { return calls_; }
+  std::optional<Time> died_at() const { return died_at_; }
+  int group_moves() const { return group_moves_; }
+  double megabytes() const { return static_cast<double>(network_.bytes()) / 1e6; }
+
+ private:
+  Time Draw(Time most) { return std::uniform_int_distribution<Time>(0, most)(random_); }
+
+  void Open(std::size_t index) {
+    if (index < kStores)
+      OpenStore(index, Payload(""), random_());
+    else
+      nodes_[index] = std::make_unique<consensus::RegisterNode>(SettingsOf(index, random_()));
+    dispatchers_[index].reader.RegistersKnown(network_.now());
+    ReadInTime(index);
+  }
+
+  // Itself from the start, once it has joined all that have started by then.
+  std::vector<Member> LiveFor(std::size_t index) const {
+    std::vector<Member> live;
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      const bool joined = network_.now() >= dispatchers_[index].joined_at;
+      const bool told = network_.now() >= dispatchers_[i].started_at + 100 * kMillisecond;
+      if (i != index && !(joined && told)) continue;
+      Member member;
+      member.name = std::to_string(i);
+      member.address = addresses_[i];
+      member.counts_for_quorum = i < kStores;
+      if (i < kStores && nodes_[i]) member.replica_id = "store-" + store_names_[i];
+      live.push_back(std::move(member));
+    }
+    std::sort(live.begin(), live.end(), [](const Member& a, const Member& b) { return a.name < b.name; });
+    return live;
+  }
+
+  void Look(std::size_t index) {
+    network_.At(network_.now() + kLookEvery, [this, index] { Look(index); });
+    if (!nodes_[index]) return;
+    auto move = dispatchers_[index].mover.Next(network_.now(), consensus::kName,
+                                               nodes_[index]->KnownGroup(consensus::kName), LiveFor(index),
+                                               /*may_change=*/index < kStores);
+    if (!move) return;
+    ++group_moves_;
+    const consensus::NewGroup change{std::move(move->members), move->if_version};
+    dispatchers_[index].moving = Submit(
+        index, [change](const std::string&) { return change; }, move->give_up_at);
+  }
+
+  void Call(std::size_t number) {
+    OperatorCall& call = calls_[number];
+    if (call.acknowledged_at) return;
+    if (!nodes_[call.asked])  // not up yet: a connection is refused
+      return network_.At(network_.now() + kCallAgainAfter, [this, number] { Call(number); });
+    const auto change = [letter = call.letter](const std::string& payload) -> consensus::Change {
+      if (payload.find(letter, kConfigurationBytes) != std::string::npos) return consensus::KeepPayload{};
+      return consensus::NewPayload{payload + letter};
+    };
+    call.operation = Submit(call.asked, change, network_.now() + kCallGivesUp);
+  }
+
+  consensus::OperationId Submit(std::size_t index, consensus::ChangeFunction change, Time give_up_at) {
+    consensus::RegisterOutput output;
+    const auto id =
+        nodes_[index]->Submit(network_.now(), consensus::kName, std::move(change), give_up_at, &output);
+    // Completions that come at once are seen after the caller has noted the operation.
+    network_.At(network_.now(), [this, index, output] { Carry(index, output); });
+    return id;
+  }
+
+  void ReadInTime(std::size_t index) {
+    const auto timer = dispatchers_[index].reader.NextTimer();
+    if (timer) network_.At(std::max(*timer, network_.now()), [this, index] { Read(index); });
+  }
+
+  void Read(std::size_t index) {
+    if (!nodes_[index]) return;
+    const auto read = dispatchers_[index].reader.Next(network_.now());
+    if (!read) return;
+    consensus::RegisterOutput output;
+    dispatchers_[index].reading =
+        index < kStores ? nodes_[index]->Submit(network_.now(), consensus::kName, consensus::Reads(),
+                                                read->give_up_at, &output)
+                        : nodes_[index]->Read(network_.now(), consensus::kName, read->give_up_at, &output);
+    pushes_.insert_or_assign(index, read->push);
+    network_.At(network_.now(), [this, index, output] { Carry(index, output); });
+  }
+
+  void Receive(std::size_t index, std::size_t from, const messages::RegisterMessage& message) override {
+    if (!nodes_[index]) return;
+    consensus::RegisterOutput output;
+    nodes_[index]->Receive(network_.now(), addresses_[from], message, &output);
+    for (const consensus::RegisterProposal& proposal : output.proposals) {
+      const std::string& payload = proposal.value->payload();
+      if (RevisionOf(payload) <= RevisionOf(dispatchers_[index].known)) continue;
+      dispatchers_[index].reader.Accepting(network_.now(), payload.size() * kStores);
+      ReadInTime(index);
+    }
+    Carry(index, std::move(output));
+  }
+
+  void Completed(std::size_t index, const consensus::Completion& completion) override {
+    Dispatcher& dispatcher = dispatchers_[index];
+    const bool told =
+        completion.outcome == consensus::Outcome::kChosen || completion.outcome == consensus::Outcome::kKept;
+    if (dispatcher.reading == completion.operation) {
+      dispatcher.reader.Completed(network_.now(), told);
+      if (told) dispatcher.reader.Confirmed();
+      if (told) Learn(index, completion.payload, pushes_[index]);
+      ReadInTime(index);
+    } else if (dispatcher.moving == completion.operation) {
+      dispatcher.mover.Completed(network_.now(), consensus::kName, told);
+    }
+    for (std::size_t i = 0; i < calls_.size(); ++i) {
+      if (calls_[i].asked != index || calls_[i].operation != completion.operation) continue;
+      if (told) calls_[i].acknowledged_at = network_.now();
+      if (told) Learn(index, completion.payload, completion.outcome == consensus::Outcome::kChosen);
+      if (!told) network_.At(network_.now() + kCallAgainAfter, [this, i] { Call(i); });
+    }
+  }
+
+  void Learn(std::size_t index, const std::string& payload, bool push) {
+    Dispatcher& dispatcher = dispatchers_[index];
+    if (RevisionOf(payload) <= RevisionOf(dispatcher.known)) return;
+    dispatcher.known = payload;
+    dispatcher.reader.Installed();
+    for (const char letter : payload.substr(kConfigurationBytes))
+      in_force_.try_emplace({letter, index}, network_.now());
+    if (!push) return;
+    for (std::size_t to = 0; to < nodes_.size(); ++to) {
+      if (to != index) network_.Send(index, to, kPushBytes, [this, to, payload] { Pushed(to, payload); });
+    }
+  }
+
+  // A difference is of no use to one that knows no configuration yet; it asks again once it does.
+  void Pushed(std::size_t index, const std::string& payload) {
+    if (!nodes_[index]) return;
+    if (!dispatchers_[index].known.empty()) return Learn(index, payload, false);
+    network_.At(network_.now() + kPollEvery, [this, index, payload] { Pushed(index, payload); });
+  }
+
+  void Sending(std::size_t index, const consensus::RegisterSend& send) override {
+    if (dies_after_accept_ != index || !send.message.has_accept() || died_at_) return;
+    died_at_ = network_.now();
+    network_.At(network_.now() + kMillisecond, [this, index] { nodes_[index].reset(); });
+  }
+
+  std::mt19937_64 random_;
+  std::vector<Dispatcher> dispatchers_;
+  std::vector<OperatorCall> calls_;
+  std::map<std::size_t, bool> pushes_;  // of the read under way, by dispatcher
+  std::map<std::pair<char, std::size_t>, Time> in_force_;
+  std::optional<std::size_t> dies_after_accept_;
+  std::optional<Time> died_at_;
+  int group_moves_ = 0;
+};
+
+// The configuration once for each that has no store, for some of them twice, as it changes while they read.
+constexpr double kMostMegabytes = 1.75 * kOthers * kConfigurationBytes / 1e6;
+
+}  // namespace
+
+TEST_CASE("a start of all with seven stores moves no group and sends the configuration once to each") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    StartOfStores start(seed);
+    start.CallAt(kCallsAt, 'a', kStores + 3);  // two operators at once, at machines with small links
+    start.CallAt(kCallsAt, 'b', kStores + 11);
+    start.Run(kLasts);
+    CAPTURE(seed, start.megabytes(), start.group_moves());
+    CHECK(start.group_moves() == 0);
+    CHECK(start.megabytes() <= kMostMegabytes);
+    for (const OperatorCall& call : start.calls()) {
+      CAPTURE(call.letter);
+      REQUIRE(call.acknowledged_at);
+      CHECK(*call.acknowledged_at <= kCallsAt + 2 * kSecond);
+      REQUIRE(start.InForceSince(call.letter));
+      CHECK(*start.InForceSince(call.letter) <= *call.acknowledged_at + kSecond);
+    }
+  }
+}
+
+TEST_CASE("a configuration whose proposer died after its accept is in force everywhere within 3 s") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    constexpr std::size_t kProposer = kStores + 5;
+    StartOfStores start(seed);
+    start.DiesAfterAccept(kProposer);
+    start.CallAt(4 * kSecond, 'a', kProposer);
+    start.Run(kLasts);
+    CAPTURE(seed, start.megabytes(), start.group_moves());
+    REQUIRE(start.died_at());
+    REQUIRE(start.InForceSince('a'));
+    CHECK(*start.InForceSince('a') <= *start.died_at() + 3 * kSecond);
+    CHECK(start.megabytes() <= kMostMegabytes);
+    CHECK(start.group_moves() == 0);
+  }
+}
+
+}  // namespace lichenlug::controlplane
