--- /dev/null
+++ b/src/controlplane/configuration_source.cpp
@@ -0,0 +1,44 @@
+#include "controlplane/configuration_source.h"
+
+#include "configuration/configuration.h"
+#include "consensus/group.h"
+
+namespace lichenlug::controlplane {
+
+namespace {
+
+const std::string kRegister(configuration::kRegisterName);
+
+}  // namespace
+
+// A value that is written back, or moved to another group, carries a revision that is in force here already.
+void ConfigurationSource::Proposed(Time now, const std::string& payload) {
+  const auto state = configuration::ReadState(payload);
+  const configuration::Follower::Version* current = follower_->Current();
+  const bool is_news = state && (current == nullptr || state->revision() > current->revision);
+  if (!is_news) return;
+  const std::size_t replicas = consensus::AllMembers(registers_->KnownGroup(kRegister)).size();
+  reader_.Accepting(now, payload.size() * replicas);
+}
+
+// A dispatcher with a replica finishes what it finds; all others only look. Were they to finish it too, as
+// many proposers as there are dispatchers would outbid one another.
+void ConfigurationSource::ReadInTime(Time now, bool has_replica) {
+  const auto read = reader_.Next(now);
+  if (!read) return;
+  const auto done = [this, push = read->push](const consensus::Completion& completion) {
+    Read(completion, push);
+  };
+  if (!has_replica) return registers_->Read(kRegister, read->give_up_at, done);
+  registers_->Submit(
+      kRegister, [](const std::string&) { return consensus::KeepPayload{}; }, read->give_up_at, done);
+}
+
+void ConfigurationSource::Read(const consensus::Completion& completion, bool push) {
+  const bool answered = completion.outcome == consensus::Outcome::kKept;
+  reader_.Completed(EventLoop::Now(), answered);
+  if (!answered) return;
+  if (const auto state = configuration::ReadState(completion.payload)) learned_(*state, push);
+}
+
+}  // namespace lichenlug::controlplane
--- a/src/controlplane/control_plane.cpp
+++ b/src/controlplane/control_plane.cpp
@@ -7,10 +7,10 @@
 #include <random>
 #include <utility>
 
-#include "consensus/group.h"
 #include "controlplane/group_planner.h"
 #include "controlplane/node_roles.h"
 #include "controlplane/part_settings.h"
+#include "controlplane/snapshot.h"
 #include "controlplane/status.h"
 
 namespace lichenlug::controlplane {
@@ -20,10 +20,6 @@
 constexpr std::size_t kMostControlBody = 16u << 20;
 constexpr Time kServeUnconfirmedAfter = 3 * kSecond;  // a peer's word will do when no majority can be asked
 constexpr Time kReportEvery = 500 * kMillisecond;
-constexpr Time kDrainPoll = 100 * kMillisecond;
-constexpr Time kReadyFalseFor = 2500 * kMillisecond;  // the platform needs two misses, a second apart
-constexpr Time kHandOverWithin = 5 * kSecond;         // of this store's votes, to others that live
-constexpr Time kExitReserve = 700 * kMillisecond;     // before SIGKILL
 
 const std::string kRunnersPath = "/-/runners/";
 const std::string kConfigurationPath = "/-/timetable";
@@ -75,7 +71,10 @@
       runner_api_(settings_.internal_address, &registry_, registers_.get(),
                   [this](registry::RegistryOutput output) { Carry(std::move(output)); }),
       runners_(std::make_shared<std::vector<messages::RunnerRecord>>()),
-      configuration_reader_(seed_) {
+      configuration_source_(
+          seed_, registers_.get(), &follower_,
+          [this](const messages::ConfigurationState& state, bool push) { Learn(state, push); }),
+      lifecycle_(settings_.bounds.grace) {
   data_plane_->OnNewlyUnserved([this] { loop_->Post([this] { ReportDataPlane(EventLoop::Now()); }); });
 }
 
@@ -84,7 +83,7 @@
 bool ControlPlane::Start(std::string* error) {
   ready_server_ =
       std::make_unique<HttpServer>(loop_, 1024, [this](ControlRequest, HttpServer::Respond respond) {
-        respond(PlainStatus(ready_ && !draining_ ? 200 : 503));
+        respond(PlainStatus(lifecycle_.is_ready() ? 200 : 503));
       });
   control_server_ = std::make_unique<HttpServer>(loop_, kMostControlBody,
                                                  [this](ControlRequest request, HttpServer::Respond respond) {
@@ -104,12 +103,12 @@
   registers_->OnAccepting([this](const std::string& register_name, const std::string& payload) {
     if (register_name != configuration::kRegisterName)
       return duties_.Accepting(EventLoop::Now(), register_name, payload);
-    ConfigurationProposed(payload);
+    configuration_source_.Proposed(EventLoop::Now(), payload);
   });
   registers_->OpenStore([this](const std::string& replica_id) {
     replica_id_ = replica_id;
     membership_ring::MembershipOutput output;
-    membership_.UpdateSelf(EventLoop::Now(), ready_, replica_id_, &output);
+    membership_.UpdateSelf(EventLoop::Now(), lifecycle_.is_ready(), replica_id_, &output);
     output.changed = true;
     Carry(std::move(output));
   });
@@ -175,8 +174,8 @@
   const bool could_read = registers_->KnowsFounding();
   groups_.Receive(from, hints);
   if (could_read || !registers_->KnowsFounding()) return;
-  configuration_reader_.RegistersKnown(now);
-  ConfirmConfiguration(now);
+  configuration_source_.RegistersKnown(now);
+  configuration_source_.ReadInTime(now, !replica_id_.empty());
 }
 
 void ControlPlane::Carry(membership_ring::MembershipOutput output) {
@@ -209,7 +208,7 @@
   if (!output.installed) return;
   duties_.SetConfiguration(follower_.Current()->configuration);
   duties_.SetMembers(EventLoop::Now(), live_);
-  configuration_reader_.Installed();
+  configuration_source_.Installed();
   snapshot_changed_ = true;
 }
 
@@ -255,8 +254,8 @@
   StatusInput input;
   input.name = settings_.name;
   input.roles = RoleNames(RolesOf(settings_));
-  input.ready = ready_;
-  input.confirmed = configuration_reader_.confirmed();
+  input.ready = lifecycle_.is_ready();
+  input.confirmed = configuration_source_.confirmed();
   input.replica_id = replica_id_;
   input.live = live_;
   input.runners = runners_.get();
@@ -296,9 +295,10 @@
   if (due(runner_api_.NextTimer())) runner_api_.CheckEnds(now);
   if (now >= next_report_) ReportDataPlane(now);
   if (due(duties_.NextTimer())) duties_.Tick(now, WallNow());
-  ConfirmConfiguration(now);
-  if (now >= groups_.NextTimer()) groups_.Tick(now, live_, draining_ ? std::string() : replica_id_);
-  if (draining_) DrainStep(now);
+  configuration_source_.ReadInTime(now, !replica_id_.empty());
+  const bool is_draining = lifecycle_.is_draining();
+  if (now >= groups_.NextTimer()) groups_.Tick(now, live_, is_draining ? std::string() : replica_id_);
+  if (is_draining) ExitIfDrained(now);
 }
 
 void ControlPlane::Settle() {
@@ -312,110 +312,63 @@
   Time next = std::min(next_report_, groups_.NextTimer());
   for (const auto& timer :
        {membership_.NextTimer(), registry_.NextTimer(), follower_.NextTimer(), registers_->NextTimer(),
-        duties_.NextTimer(), runner_api_.NextTimer(), configuration_reader_.NextTimer()}) {
+        duties_.NextTimer(), runner_api_.NextTimer(), configuration_source_.NextTimer()}) {
     if (timer) next = std::min(next, *timer);
   }
-  if (draining_) next = std::min(next, EventLoop::Now() + kDrainPoll);
+  if (lifecycle_.is_draining()) next = std::min(next, EventLoop::Now() + kDrainPoll);
   loop_->SetTimer(next, [this] { Wake(); });
 }
 
 // ---- Configuration -------------------------------------------------------------------------------------
 
 void ControlPlane::Learn(const messages::ConfigurationState& state, bool push) {
-  configuration_reader_.Confirmed();
+  configuration_source_.Confirmed();
   configuration::FollowerOutput output;
   follower_.Learn(EventLoop::Now(), state, push, &output);
   Carry(std::move(output));
 }
 
-// A value that is written back, or moved to another group, carries a revision that is in force here already.
-void ControlPlane::ConfigurationProposed(const std::string& payload) {
-  const auto state = configuration::ReadState(payload);
-  const configuration::Follower::Version* current = follower_.Current();
-  const bool is_news = state && (current == nullptr || state->revision() > current->revision);
-  if (!is_news) return;
-  const auto group = registers_->KnownGroup(std::string(configuration::kRegisterName));
-  configuration_reader_.Accepting(EventLoop::Now(), payload.size() * consensus::AllMembers(group).size());
-}
-
-// A dispatcher with a replica finishes what it finds; all others only look. Were they to finish it too, as
-// many proposers as there are dispatchers would outbid one another, each sending the configuration to all
-// replicas.
-void ControlPlane::ConfirmConfiguration(Time now) {
-  const auto read = configuration_reader_.Next(now);
-  if (!read) return;
-  const std::string name(configuration::kRegisterName);
-  const auto done = [this, push = read->push](const consensus::Completion& completion) {
-    ConfigurationRead(completion, push);
-  };
-  if (replica_id_.empty()) return registers_->Read(name, read->give_up_at, done);
-  registers_->Submit(
-      name, [](const std::string&) { return consensus::KeepPayload{}; }, read->give_up_at, done);
-}
-
-void ControlPlane::ConfigurationRead(const consensus::Completion& completion, bool push) {
-  const bool answered = completion.outcome == consensus::Outcome::kKept;
-  configuration_reader_.Completed(EventLoop::Now(), answered);
-  if (!answered) return;
-  if (const auto state = configuration::ReadState(completion.payload)) Learn(*state, push);
-}
-
 // ---- Data plane ----------------------------------------------------------------------------------------
 
 void ControlPlane::ReportDataPlane(Time now) {
   next_report_ = now + kReportEvery;
-  if (configuration_reader_.confirmed()) duties_.Report(now, WallNow(), data_plane_->TakeReport());
+  if (configuration_source_.confirmed()) duties_.Report(now, WallNow(), data_plane_->TakeReport());
 }
 
 void ControlPlane::PublishSnapshot(Time now) {
   const configuration::Follower::Version* version = follower_.Current();
   const bool may_serve =
-      version != nullptr && (configuration_reader_.confirmed() || now - started_at_ > kServeUnconfirmedAfter);
+      version != nullptr && (configuration_source_.confirmed() || now - started_at_ > kServeUnconfirmedAfter);
   if (version != nullptr && !may_serve) return;  // tried again at the next batch
   snapshot_changed_ = false;
-  auto snapshot = std::make_shared<routing::Snapshot>();
-  if (version != nullptr) {
-    snapshot->revision = version->revision;
-    snapshot->configuration = version->configuration;
-  }
-  snapshot->runners = runners_;
-  snapshot->runners_known = ready_ || draining_;
-  snapshot->live_dispatchers = static_cast<int>(std::max<std::size_t>(live_.size(), 1));
-  snapshot->zone = settings_.zone;
-  snapshot->wall_offset = wall_offset_;
-  snapshot->mechanisms = settings_.mechanisms;
-  snapshot->bounds.retry_ratio = settings_.bounds.retry_ratio;
-  snapshot->bounds.retry_window = settings_.bounds.retry_window;
-  snapshot->bounds.retry_slack = settings_.bounds.retry_slack;
-  snapshot->bounds.report_window = settings_.bounds.report_window;
-  snapshot->bounds.retry_budget = settings_.retry_budget;
-  data_plane_->Install(std::move(snapshot));
+  data_plane_->Install(SnapshotOf(
+      settings_, version, runners_,
+      {.runners_known = lifecycle_.has_started(), .members = live_.size(), .wall_offset = wall_offset_}));
 }
 
 void ControlPlane::UpdateReadiness(Time now) {
-  if (ready_ || draining_) return;
-  if (!configuration_reader_.confirmed() || follower_.Current() == nullptr || !registry_.Settled(now)) return;
-  ready_ = true;
+  if (lifecycle_.has_started()) return;
+  const Lifecycle::Knowledge known{configuration_source_.confirmed(), follower_.Current() != nullptr,
+                                   registry_.Settled(now)};
+  if (!lifecycle_.BecomesReady(known)) return;
   snapshot_changed_ = true;  // the runners are known by now
   LOG(INFO) << "ready: edition " << follower_.Current()->edition << ", " << runners_->size() << " runners, "
             << live_.size() << " members";
   membership_ring::MembershipOutput output;
-  membership_.UpdateSelf(now, ready_, replica_id_, &output);
+  membership_.UpdateSelf(now, /*ready=*/true, replica_id_, &output);
   Carry(std::move(output));
 }
 
 void ControlPlane::BeginDrain() {
-  if (draining_) return;
-  draining_ = true;
-  drain_began_ = EventLoop::Now();
+  const Time now = EventLoop::Now();
+  if (!lifecycle_.BeginDrain(now)) return;
   LOG(INFO) << "ends: what is in work is finished first";
   data_plane_->BeginDrain();
-  duties_.Resign(drain_began_);
+  duties_.Resign(now);
   // The others are told at once, so that no duty waits for this dispatcher.
   // One without a store is wanted in no replica group: the keeper hands this one's vote over, if it can.
-  ready_ = false;
   membership_ring::MembershipOutput output;
-  membership_.UpdateSelf(drain_began_, ready_, /*replica_id=*/"", &output);
+  membership_.UpdateSelf(now, /*ready=*/false, /*replica_id=*/"", &output);
   Carry(std::move(output));
 }
 
@@ -429,11 +382,9 @@
 }
 
 // Stays a member, and hears of drained runners, until its last request is answered.
-void ControlPlane::DrainStep(Time now) {
-  const Time since = now - drain_began_;
-  const bool out_of_time = since > settings_.bounds.grace - kExitReserve;
-  const bool hands_over = since < kHandOverWithin && VotesWhereOthersCould();
-  if (!out_of_time && (since < kReadyFalseFor || !data_plane_->Drained() || hands_over)) return;
+void ControlPlane::ExitIfDrained(Time now) {
+  if (!lifecycle_.MayExit(now, {.requests = !data_plane_->Drained(), .votes = VotesWhereOthersCould()}))
+    return;
   membership_ring::MembershipOutput output;
   membership_.Leave(now, &output);
   output.changed = false;
--- a/src/controlplane/control_plane.h
+++ b/src/controlplane/control_plane.h
@@ -8,12 +8,13 @@
 #include <vector>
 
 #include "configuration/follower.h"
-#include "controlplane/configuration_reader.h"
+#include "controlplane/configuration_source.h"
 #include "controlplane/duty_service.h"
 #include "controlplane/event_loop.h"
 #include "controlplane/group_keeper.h"
 #include "controlplane/http_client.h"
 #include "controlplane/http_server.h"
+#include "controlplane/lifecycle.h"
 #include "controlplane/node_settings.h"
 #include "controlplane/operator_api.h"
 #include "controlplane/register_service.h"
@@ -53,13 +54,10 @@
   // Duties of this file
   void MembersChanged(Time now);
   void Learn(const messages::ConfigurationState& state, bool push);
-  void ConfigurationProposed(const std::string& payload);
-  void ConfirmConfiguration(Time now);
-  void ConfigurationRead(const consensus::Completion& completion, bool push);
   void ReportDataPlane(Time now);
   void PublishSnapshot(Time now);
   void UpdateReadiness(Time now);
-  void DrainStep(Time now);
+  void ExitIfDrained(Time now);
   bool VotesWhereOthersCould() const;
   Time WallNow() const { return EventLoop::Now() + wall_offset_; }
 
@@ -87,10 +85,8 @@
   std::shared_ptr<const std::vector<messages::RunnerRecord>> runners_;
   std::string replica_id_;
   bool snapshot_changed_ = true;
-  ConfigurationReader configuration_reader_;
-  bool ready_ = false;
-  bool draining_ = false;
-  Time drain_began_ = 0;
+  ConfigurationSource configuration_source_;
+  Lifecycle lifecycle_;
   Time next_report_ = 0;
 };
 
--- a/src/controlplane/duty_service.cpp
+++ b/src/controlplane/duty_service.cpp
@@ -1,13 +1,10 @@
 #include "controlplane/duty_service.h"
 
 #include <glog/logging.h>
-#define XXH_INLINE_ALL
-#include <xxhash.h>
 
 #include <algorithm>
 #include <utility>
 
-#include "duties/load_history.h"
 #include "duties/ownership_changes.h"
 
 namespace lichenlug::controlplane {
@@ -15,9 +12,6 @@
 namespace {
 
 constexpr Time kActEvery = 250 * kMillisecond;
-constexpr Time kDemandFadesAfter =
-    4 * kSecond;  // a dispatcher that has told nothing for this long counts no more
-constexpr std::size_t kMostDispatchers = 8192;
 constexpr Time kShortestCall = kMillisecond;
 
 duties::OwnershipSettings OwnershipSettingsFor(const std::string& register_name, const NodeSettings& settings,
@@ -33,20 +27,6 @@
 
 }  // namespace
 
-std::string ShardRegister(const std::string& service) {
-  const auto shard = XXH64(service.data(), service.size(), 0) % kServiceShards;
-  return "duties/shard-" + std::to_string(shard);
-}
-
-std::string UsageRegister() { return "duties/usage"; }
-
-std::vector<std::string> AllDutyRegisters() {
-  std::vector<std::string> names{UsageRegister()};
-  for (int shard = 0; shard < kServiceShards; ++shard)
-    names.push_back("duties/shard-" + std::to_string(shard));
-  return names;
-}
-
 DutyService::DutyService(const NodeSettings& settings, std::uint64_t incarnation, std::uint64_t seed,
                          RegisterService* registers, HttpClient* client, SendFunction send)
     : settings_(settings),
@@ -55,7 +35,8 @@
       registers_(registers),
       client_(client),
       send_(std::move(send)),
-      usage_({settings.bounds.report_window, settings.bounds.usage_late}) {}
+      usage_({settings.bounds.report_window, settings.bounds.usage_late}),
+      placements_(settings, seed) {}
 
 DutyService::~DutyService() = default;
 
@@ -63,41 +44,14 @@
   auto& ownership = ownerships_[register_name];
   if (!ownership) {
     auto own = OwnershipSettingsFor(register_name, settings_, incarnation_, seed_);
-    own.tell_loads = [this, register_name](Time now) { return TellLoads(now, register_name); };
+    own.tell_loads = [this, register_name](Time now) {
+      return placements_.TellLoads(now, register_name, OwnershipOf(register_name).epoch(), resigned_);
+    };
     ownership = std::make_unique<duties::Ownership>(std::move(own));
   }
   return *ownership;
 }
 
-std::vector<messages::LoadHistory> DutyService::TellLoads(Time now, const std::string& register_name) const {
-  std::vector<messages::LoadHistory> loads;
-  const auto ownership = ownerships_.find(register_name);
-  if (ownership == ownerships_.end()) return loads;
-  for (const auto& [service, placement] : placements_) {
-    if (ShardRegister(service) != register_name) continue;
-    if (auto history = placement->TellLoads(now, ownership->second->epoch(), resigned_))
-      loads.push_back(std::move(*history));
-  }
-  return loads;
-}
-
-placement::Placement& DutyService::PlacementOf(const std::string& service) {
-  auto& placement = placements_[service];
-  if (!placement) {
-    placement::Placement::Settings settings;
-    settings.service = service;
-    settings.holder = settings_.name;
-    settings.origin_window = settings_.bounds.origin_window;
-    settings.origin_overage = settings_.bounds.origin_overage;
-    settings.lease = settings_.bounds.lease;
-    settings.heartbeat = settings_.heartbeat_every;
-    settings.scale = settings_.duty_fleet;
-    settings.seed = seed_;
-    placement = std::make_unique<placement::Placement>(settings);
-  }
-  return *placement;
-}
-
 bool DutyService::IsWanted(const std::string& register_name) const {
   if (resigned_ || !configuration_) return false;
   if (register_name == UsageRegister()) return settings_.duty_usage;
@@ -186,24 +140,8 @@
 }
 
 void DutyService::MergeDemand(Time now, const messages::DemandReport& report) {
-  const auto found = demand_.find(report.name());
-  if (found == demand_.end() && demand_.size() >= kMostDispatchers) return;
-  DemandOfDispatcher& held = demand_[report.name()];
-  const bool older = std::pair(report.incarnation(), report.number()) <
-                     std::pair(held.report.incarnation(), held.report.number());
-  if (older) return;
-  held.report = report;
-  held.heard_at = now;
-  const auto& models = held.report.models();
-  if (std::any_of(models.begin(), models.end(), [](const auto& model) { return model.unserved() > 0; }))
-    next_act_ = std::min(next_act_, now);
-}
-
-std::vector<messages::DemandReport> DutyService::RecentDemand(Time now) {
-  std::erase_if(demand_, [&](const auto& entry) { return now - entry.second.heard_at > kDemandFadesAfter; });
-  std::vector<messages::DemandReport> reports;
-  for (const auto& [name, held] : demand_) reports.push_back(held.report);
-  return reports;
+  const bool lacks_runners = demand_.Merge(now, report);
+  if (lacks_runners) next_act_ = std::min(next_act_, now);
 }
 
 void DutyService::Carry(const std::string& register_name, duties::OwnershipOutput output) {
@@ -242,7 +180,7 @@
   if (resigned_) return;
   ActOnUsage(now, wall_now);
   ActOnPlacement(now);
-  for (const auto& [service, placement] : placements_) ActBy(placement->NextTimer());
+  ActBy(placements_.NextTimer());
 }
 
 std::optional<Time> DutyService::NextTimer() const {
@@ -288,32 +226,20 @@
 
 void DutyService::ActOnPlacement(Time now) {
   if (!configuration_ || !runners_) return;
-  std::optional<std::vector<messages::DemandReport>> demand;
-  for (const messages::Service& service : configuration_->services()) {
-    if (!service.has_engine()) continue;
-    const auto ownership = ownerships_.find(ShardRegister(service.name()));
-    const bool holds = ownership != ownerships_.end() && ownership->second->Holds(now);
-    if (!holds && placements_.count(service.name()) == 0) continue;
-    if (!demand) demand = RecentDemand(now);
-    placement::Placement::Input input;
-    input.service = &service;
-    input.runners = runners_.get();
-    input.demand = &*demand;
-    input.holds = holds;
-    input.epoch = holds ? ownership->second->epoch() : 0;
-    if (holds && ownership->second->lease_started_at()) {
-      input.loads = duties::FindLoads(ownership->second->state(), service.name());
-      input.lease_started_at = *ownership->second->lease_started_at();
-    }
-    std::vector<duties::HttpCall> calls;
-    PlacementOf(service.name()).Act(now, input, &calls);
-    for (const duties::HttpCall& call : calls) {
-      const auto done = [this, name = service.name(), tag = call.tag](const duties::HttpResult& result) {
-        PlacementOf(name).Completed(EventLoop::Now(), tag, result);
-        ActBy(PlacementOf(name).NextTimer());
-      };
-      CallAsOwner(ShardRegister(service.name()), call, done);
-    }
+  ServicePlacements::Facts facts;
+  facts.configuration = configuration_.get();
+  facts.runners = runners_.get();
+  facts.ownership_of = [this](const std::string& service) {
+    const auto found = ownerships_.find(ShardRegister(service));
+    return found != ownerships_.end() ? found->second.get() : nullptr;
+  };
+  facts.demand = [this, now] { return demand_.Recent(now); };
+  for (ServicePlacements::Call& call : placements_.Act(now, facts)) {
+    const auto done = [this, service = call.service, tag = call.call.tag](const duties::HttpResult& result) {
+      placements_.Completed(EventLoop::Now(), service, tag, result);
+      ActBy(placements_.NextTimer());
+    };
+    CallAsOwner(ShardRegister(call.service), std::move(call.call), done);
   }
 }
 
@@ -337,15 +263,4 @@
   return holdings;
 }
 
-std::vector<std::string> DutyService::Explain(Time now) const {
-  std::vector<std::string> lines;
-  for (const auto& [service, placement] : placements_) {
-    for (const std::string& line : placement->Explain(now)) {
-      lines.push_back(service);
-      lines.back().append(": ").append(line);
-    }
-  }
-  return lines;
-}
-
 }  // namespace lichenlug::controlplane
--- a/src/controlplane/duty_service.h
+++ b/src/controlplane/duty_service.h
@@ -8,24 +8,20 @@
 #include <string>
 #include <vector>
 
+#include "controlplane/duty_registers.h"
 #include "controlplane/event_loop.h"
 #include "controlplane/http_client.h"
 #include "controlplane/node_settings.h"
 #include "controlplane/register_service.h"
+#include "controlplane/service_placements.h"
 #include "dataplane/data_plane.h"
+#include "duties/demand_reports.h"
 #include "duties/ownership.h"
 #include "duties/usage.h"
 #include "duties/usage_handover.h"
-#include "placement/placement.h"
 
 namespace lichenlug::controlplane {
 
-inline constexpr int kServiceShards = 4;  // by a hash of the service's name
-
-std::string ShardRegister(const std::string& service);
-std::string UsageRegister();
-std::vector<std::string> AllDutyRegisters();
-
 class DutyService {
  public:
   using SendFunction = RegisterService::SendFunction;
@@ -53,14 +49,9 @@
     bool held_here = false;
   };
   std::vector<Holding> Holdings(Time now) const;
-  std::vector<std::string> Explain(Time now) const;
+  std::vector<std::string> Explain(Time now) const { return placements_.Explain(now); }
 
  private:
-  struct DemandOfDispatcher {
-    messages::DemandReport report;
-    Time heard_at = 0;
-  };
-
   duties::Ownership& OwnershipOf(const std::string& register_name);
   bool IsWanted(const std::string& register_name) const;
   void Carry(const std::string& register_name, duties::OwnershipOutput output);
@@ -71,10 +62,7 @@
   void CarryUsage(duties::UsageDuty::Output output);
   void CallAsOwner(const std::string& register_name, duties::HttpCall call, HttpClient::Done done);
   void MergeDemand(Time now, const messages::DemandReport& report);
-  std::vector<messages::DemandReport> RecentDemand(Time now);
   void Tell(const messages::DutiesMessage& message);
-  placement::Placement& PlacementOf(const std::string& service);
-  std::vector<messages::LoadHistory> TellLoads(Time now, const std::string& register_name) const;
 
   NodeSettings settings_;
   std::uint64_t incarnation_;
@@ -88,8 +76,8 @@
   std::map<std::string, std::unique_ptr<duties::Ownership>> ownerships_;  // by register
   duties::UsageDuty usage_;
   duties::UsageHandover usage_handover_;
-  std::map<std::string, std::unique_ptr<placement::Placement>> placements_;  // by service
-  std::map<std::string, DemandOfDispatcher> demand_;                         // by dispatcher
+  ServicePlacements placements_;
+  duties::DemandReports demand_;
   std::uint64_t demand_number_ = 0;
   Time next_act_ = 0;
   bool resigned_ = false;
--- /dev/null
+++ b/src/controlplane/lifecycle.cpp
@@ -0,0 +1,36 @@
+#include "controlplane/lifecycle.h"
+
+namespace lichenlug::controlplane {
+
+namespace {
+
+constexpr Time kReadyFalseFor = 2500 * kMillisecond;  // the platform needs two misses, a second apart
+constexpr Time kHandOverWithin = 5 * kSecond;         // of this store's votes, to others that live
+constexpr Time kExitReserve = 700 * kMillisecond;     // before SIGKILL
+
+}  // namespace
+
+bool Lifecycle::BecomesReady(const Knowledge& known) {
+  const bool is_complete =
+      known.configuration_confirmed && known.configuration_in_force && known.runners_settled;
+  if (phase_ != Phase::kStarting || !is_complete) return false;
+  phase_ = Phase::kReady;
+  return true;
+}
+
+bool Lifecycle::BeginDrain(Time now) {
+  if (is_draining()) return false;
+  phase_ = Phase::kDraining;
+  drain_began_ = now;
+  return true;
+}
+
+bool Lifecycle::MayExit(Time now, const Owed& owed) const {
+  if (!is_draining()) return false;
+  const Time since = now - drain_began_;
+  if (since > grace_ - kExitReserve) return true;
+  const bool hands_over = owed.votes && since < kHandOverWithin;
+  return since >= kReadyFalseFor && !owed.requests && !hands_over;
+}
+
+}  // namespace lichenlug::controlplane
--- a/src/controlplane/register_service.cpp
+++ b/src/controlplane/register_service.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "consensus/ballot.h"
+#include "controlplane/founding_records.h"
 
 namespace lichenlug::controlplane {
 
@@ -14,8 +15,6 @@
 
 constexpr std::size_t kMostHints = 64;
 constexpr Time kDiskAgainAfter = 300 * kMillisecond;  // a full disk may have space again
-constexpr const char* kFoundingKey = "system/founding";
-constexpr const char* kFoundingGroupKey = "system/founding_group";  // of earlier versions: the group alone
 
 // Peers that know what was founded are heard before: they ask and answer within some 100 ms. Where two disks
 // may be lost at once, dispatchers that are no seats may be the only ones that know.
@@ -28,33 +27,6 @@
   return "replica:" + std::to_string(high << 32 | low);
 }
 
-std::optional<messages::FoundingRecord> ReadFoundingRecord(const std::string& key, const std::string& value) {
-  messages::FoundingRecord record;
-  if (key == kFoundingKey) return record.ParseFromString(value) ? std::optional(record) : std::nullopt;
-  messages::ReplicaGroup group;
-  if (key != kFoundingGroupKey || !group.ParseFromString(value)) return std::nullopt;
-  messages::Founding* founding = record.mutable_founding();
-  founding->mutable_ballot()->set_round(consensus::kFirstStartRound);
-  *founding->mutable_seats() = group.members();
-  *founding->mutable_group() = std::move(group);
-  record.set_established(true);
-  return record;
-}
-
-// Takes the records of the founding out of those of the registers.
-messages::FoundingRecord TakeFoundingRecord(std::vector<std::pair<std::string, std::string>>* records) {
-  messages::FoundingRecord found;
-  std::erase_if(*records, [&](const auto& entry) {
-    const bool is_founding = entry.first == kFoundingKey || entry.first == kFoundingGroupKey;
-    if (!is_founding) return false;
-    const auto record = ReadFoundingRecord(entry.first, entry.second);
-    const bool is_newer = entry.first == kFoundingKey || !found.has_founding();
-    if (record && is_newer) found = *record;
-    return true;
-  });
-  return found;
-}
-
 }  // namespace
 
 RegisterService::RegisterService(EventLoop* loop, const NodeSettings& settings, std::uint64_t incarnation,
--- /dev/null
+++ b/src/controlplane/service_placements.h
@@ -0,0 +1,50 @@
+// The placements of the services whose shard is held here, or was. No I/O: calls come back as outputs.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "controlplane/node_settings.h"
+#include "duties/ownership.h"
+#include "placement/placement.h"
+
+namespace lichenlug::controlplane {
+
+class ServicePlacements {
+ public:
+  struct Call {
+    std::string service;
+    duties::HttpCall call;
+  };
+  struct Facts {
+    const messages::Configuration* configuration = nullptr;
+    const std::vector<messages::RunnerRecord>* runners = nullptr;
+    // The ownership of a service's shard; null where it was never wanted.
+    std::function<const duties::Ownership*(const std::string& service)> ownership_of;
+    std::function<std::vector<messages::DemandReport>()> demand;
+  };
+
+  ServicePlacements(const NodeSettings& settings, std::uint64_t seed);
+
+  std::vector<Call> Act(Time now, const Facts& facts);
+  void Completed(Time now, const std::string& service, std::uint64_t tag, const duties::HttpResult& result);
+  std::optional<Time> NextTimer() const;
+
+  // What the placements of this shard may have loaded of late, to be kept with its owner's renewals.
+  std::vector<messages::LoadHistory> TellLoads(Time now, const std::string& register_name,
+                                               std::uint64_t epoch, bool resigned) const;
+  std::vector<std::string> Explain(Time now) const;  // lines for the operator
+
+ private:
+  placement::Placement& PlacementOf(const std::string& service);
+
+  placement::Placement::Settings settings_;
+  std::map<std::string, std::unique_ptr<placement::Placement>> placements_;  // by service
+};
+
+}  // namespace lichenlug::controlplane
--- /dev/null
+++ b/src/controlplane/snapshot.h
@@ -0,0 +1,25 @@
+// What the data plane is given to decide by.
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <vector>
+
+#include "configuration/follower.h"
+#include "controlplane/node_settings.h"
+#include "routing/snapshot.h"
+
+namespace lichenlug::controlplane {
+
+struct SnapshotFacts {
+  bool runners_known = false;
+  std::size_t members = 0;  // live, this one included
+  Time wall_offset = 0;     // true Unix time less the steady clock
+};
+
+// `version` is null while no configuration is in force.
+std::shared_ptr<const routing::Snapshot> SnapshotOf(
+    const NodeSettings& settings, const configuration::Follower::Version* version,
+    std::shared_ptr<const std::vector<messages::RunnerRecord>> runners, const SnapshotFacts& facts);
+
+}  // namespace lichenlug::controlplane
--- /dev/null
+++ b/tests/system/controlplane/lifecycle_test.cpp
@@ -0,0 +1,60 @@
+// When a dispatcher is ready, and when its drain is over.
+#include "controlplane/lifecycle.h"
+
+#include <catch2/catch.hpp>
+
+namespace lichenlug::controlplane {
+namespace {
+
+constexpr Time kGrace = 12 * kSecond;
+constexpr Time kStart = 100 * kSecond;
+constexpr Lifecycle::Knowledge kAll{true, true, true};
+
+TEST_CASE("it becomes ready once, when configuration and runners are known") {
+  Lifecycle lifecycle(kGrace);
+  CHECK_FALSE(lifecycle.BecomesReady({false, true, true}));
+  CHECK_FALSE(lifecycle.BecomesReady({true, false, true}));
+  CHECK_FALSE(lifecycle.BecomesReady({true, true, false}));
+  CHECK_FALSE(lifecycle.has_started());
+  CHECK(lifecycle.BecomesReady(kAll));
+  CHECK(lifecycle.is_ready());
+  CHECK_FALSE(lifecycle.BecomesReady(kAll));
+}
+
+TEST_CASE("one that drains is not ready, and does not become so") {
+  Lifecycle lifecycle(kGrace);
+  SECTION("from the start") {}
+  SECTION("after it was ready") { REQUIRE(lifecycle.BecomesReady(kAll)); }
+  CHECK(lifecycle.BeginDrain(kStart));
+  CHECK_FALSE(lifecycle.BeginDrain(kStart + kSecond));
+  CHECK_FALSE(lifecycle.is_ready());
+  CHECK(lifecycle.has_started());
+  CHECK_FALSE(lifecycle.BecomesReady(kAll));
+}
+
+TEST_CASE("a drain lasts until the platform has seen it, even where nothing is owed") {
+  Lifecycle lifecycle(kGrace);
+  CHECK_FALSE(lifecycle.MayExit(kStart, {}));
+  lifecycle.BeginDrain(kStart);
+  CHECK_FALSE(lifecycle.MayExit(kStart + 2 * kSecond, {}));
+  CHECK(lifecycle.MayExit(kStart + 2500 * kMillisecond, {}));
+}
+
+TEST_CASE("requests are waited for until shortly before SIGKILL, votes for 5 s") {
+  Lifecycle lifecycle(kGrace);
+  lifecycle.BeginDrain(kStart);
+  CHECK_FALSE(lifecycle.MayExit(kStart + 11 * kSecond, {.requests = true}));
+  CHECK(lifecycle.MayExit(kStart + 11500 * kMillisecond, {.requests = true, .votes = true}));
+  CHECK_FALSE(lifecycle.MayExit(kStart + 4900 * kMillisecond, {.votes = true}));
+  CHECK(lifecycle.MayExit(kStart + 5 * kSecond, {.votes = true}));
+}
+
+TEST_CASE("a second SIGTERM does not begin the drain anew") {
+  Lifecycle lifecycle(kGrace);
+  lifecycle.BeginDrain(kStart);
+  lifecycle.BeginDrain(kStart + 2 * kSecond);
+  CHECK(lifecycle.MayExit(kStart + 2500 * kMillisecond, {}));
+}
+
+}  // namespace
+}  // namespace lichenlug::controlplane
