--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	exec build/lichenlug serve
 
 lab:
-	cmake -B build-lab -DCMAKE_BUILD_TYPE=Release -DROOKGW_BUILD_LAB=ON
+	cmake -B build-lab -DCMAKE_BUILD_TYPE=Release -DROOKGW_BUILD_LAB=ON -DLICHENLUG_SYSTEM=ON
 	cmake --build build-lab -j$$(nproc) --target lichenlug-lab
 
 # Three dispatchers and six boxes on loopback; a box and a dispatcher are lost half-way. Ends by itself.
