Tell when and how each configuration comes into force, and what its distribution sends

Each dispatcher now logs a version as it comes into force and how it came (read from its register, pushed whole, pushed as a difference), the time from its start to the first confirmed configuration, and the replica group of each change that it takes. The status counts pushes without a base, whole and as differences, and their bytes. No behaviour changes.

--- a/src/configuration/follower.cpp
+++ b/src/configuration/follower.cpp
@@ -33,7 +33,7 @@
         return;
       }
       auto delta = current_ ? WorthwhileDelta(*current_, *version) : std::nullopt;
-      Install(std::move(*version), std::move(delta), output);
+      Install(std::move(*version), std::move(delta), Arrival::kRegister, output);
     }
     if (push && current_ && state.revision() == Revision()) Publish(now, output);
   }
@@ -87,11 +87,10 @@
     if (poll.revision() > Revision()) return Pull(now, from, false, output);
     if (poll.revision() == Revision()) return;
     if (poll.whole()) {
-      output->sends.push_back({from, WholePush(*current_, false)});
+      SendPush(from, WholePush(*current_, false), output);
     } else if (!schedule_.UnderWay(now, from)) {
       const bool fits = delta_ && delta_->base_revision == poll.revision();
-      output->sends.push_back(
-          {from, fits ? DeltaPush(*current_, *delta_, false) : WholePush(*current_, false)});
+      SendPush(from, fits ? DeltaPush(*current_, *delta_, false) : WholePush(*current_, false), output);
     }
   }
 
@@ -110,7 +109,8 @@
         if (push.relay()) relay_wanted_ = push.revision();
         return;
       }
-      Install(std::move(result.version), DeltaOf(push), output);
+      const Arrival arrival = push.has_delta() ? Arrival::kDifference : Arrival::kWhole;
+      Install(std::move(result.version), DeltaOf(push), arrival, output);
     } else {
       ++statistics_.stale;
     }
@@ -125,12 +125,19 @@
     return VersionDelta{push.base_revision(), push.delta()};
   }
 
-  void Install(Version version, std::optional<VersionDelta> delta, FollowerOutput* output) {
+  void Install(Version version, std::optional<VersionDelta> delta, Arrival arrival, FollowerOutput* output) {
     current_ = std::move(version);
     delta_ = std::move(delta);
     schedule_.Begin(current_->revision);
     ++statistics_.installed;
     output->installed = true;
+    output->arrival = arrival;
+  }
+
+  void SendPush(const std::string& address, DistributionMessage message, FollowerOutput* output) {
+    ++(message.push().has_delta() ? statistics_.sent_as_difference : statistics_.sent_whole);
+    statistics_.sent_bytes += message.ByteSizeLong();
+    output->sends.push_back({address, std::move(message)});
   }
 
   void Publish(Time now, FollowerOutput* output) {
@@ -155,8 +162,8 @@
     const std::size_t bytes = delta_ ? delta_->delta.ByteSizeLong() : current_->json.size();
     const Time transfer = static_cast<Time>(bytes) * kTransferOf1000Bytes / 1000;
     for (const auto& due : schedule_.TakeDue(now, peers_, transfer)) {
-      output->sends.push_back(
-          {due.address, delta_ ? DeltaPush(*current_, *delta_, due.relay) : WholePush(*current_, due.relay)});
+      SendPush(due.address,
+               delta_ ? DeltaPush(*current_, *delta_, due.relay) : WholePush(*current_, due.relay), output);
     }
   }
 
--- a/src/configuration/follower.h
+++ b/src/configuration/follower.h
@@ -24,9 +24,13 @@
   std::string address;
   messages::DistributionMessage message;
 };
+// How a version came to this dispatcher.
+enum class Arrival { kRegister, kWhole, kDifference };
+
 struct FollowerOutput {
   std::vector<DistributionSend> sends;
-  bool installed = false;  // Current() is a newer one now
+  bool installed = false;                // Current() is a newer one now
+  Arrival arrival = Arrival::kRegister;  // of it
 };
 
 struct FollowerStatistics {
@@ -34,6 +38,8 @@
   std::uint64_t damaged = 0;  // pushes that were not what their digest says, or could not be read
   std::uint64_t stale = 0;    // pushes of a version that is no newer than the one here
   std::uint64_t no_base = 0;  // pushes of a difference from a version that is not here
+  std::uint64_t sent_whole = 0, sent_as_difference = 0;  // pushes
+  std::uint64_t sent_bytes = 0;                          // of pushes
 };
 
 struct FollowerSettings {
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -18,6 +18,18 @@
 constexpr Time kServeUnconfirmedAfter = 3 * kSecond;  // a peer's word will do when no majority can be asked
 constexpr Time kReportEvery = 500 * kMillisecond;
 
+const char* ToText(configuration::Arrival arrival) {
+  switch (arrival) {
+    case configuration::Arrival::kRegister:
+      return "read from its register";
+    case configuration::Arrival::kWhole:
+      return "pushed whole";
+    case configuration::Arrival::kDifference:
+      return "pushed as a difference";
+  }
+  return "";
+}
+
 const std::string kRunnersPath = "/-/runners/";
 const std::string kConfigurationPath = "/-/timetable";
 const std::string kStatusPath = "/-/status";
@@ -147,6 +159,8 @@
     host_->Send(send.address, std::move(envelope));
   }
   if (!output.installed) return;
+  LOG(INFO) << "configuration: edition " << follower_.Current()->edition << " in force, revision "
+            << follower_.Current()->revision << ", " << ToText(output.arrival);
   duties_.SetConfiguration(follower_.Current()->configuration);
   duties_.SetMembers(host_->Now(), live_);
   configuration_source_.Installed();
@@ -201,6 +215,7 @@
   input.live = live_;
   input.runners = runners_.get();
   input.version = follower_.Current();
+  input.distribution = follower_.statistics();
   input.holdings = duties_.Holdings(host_->Now());
   input.placement = duties_.Explain(host_->Now());
   input.requests = host_->TakeReport();
@@ -260,6 +275,10 @@
 // ---- Configuration -------------------------------------------------------------------------------------
 
 void ControlNode::Learn(const messages::ConfigurationState& state, bool push) {
+  if (!configuration_source_.confirmed()) {
+    LOG(INFO) << "configuration: edition " << state.edition() << " confirmed by a majority "
+              << (host_->Now() - started_at_) / kMillisecond << " ms after the start";
+  }
   configuration_source_.Confirmed();
   configuration::FollowerOutput output;
   follower_.Learn(host_->Now(), state, push, &output);
--- a/src/node/operator_api.cpp
+++ b/src/node/operator_api.cpp
@@ -99,8 +99,8 @@
         if (acknowledges && !is_safe_in_(completion.group))
           return respond(ErrorResponse(503, "taken, but not yet on enough disks; send the same call again"));
         if (!chosen) return respond(KeptResponse(*pending, completion.reason));
-        LOG(INFO) << "configuration: edition " << state->edition() << " taken, revision "
-                  << state->revision();
+        LOG(INFO) << "configuration: edition " << state->edition() << " taken, revision " << state->revision()
+                  << ", group " << completion.group.version() << " of " << completion.group.members_size();
         respond(Acknowledgement(state->edition()));
       });
 }
--- a/src/node/status.cpp
+++ b/src/node/status.cpp
@@ -39,6 +39,13 @@
           {"suspected", report.suspected}, {"cut_by_reason", std::move(cuts)}};
 }
 
+Json DistributionJson(const configuration::FollowerStatistics& statistics) {
+  return {{"installed", statistics.installed},   {"damaged", statistics.damaged},
+          {"stale", statistics.stale},           {"no_base", statistics.no_base},
+          {"sent_whole", statistics.sent_whole}, {"sent_as_difference", statistics.sent_as_difference},
+          {"sent_bytes", statistics.sent_bytes}};
+}
+
 Json GroupJson(const messages::ReplicaGroup& group) {
   Json members = Json::array();
   for (const auto& member : group.members()) members.push_back(member.replica_id() + "@" + member.address());
@@ -58,6 +65,7 @@
               {"duties", Json::array()},
               {"placement", input.placement},
               {"registers", Json::object()},
+              {"distribution", DistributionJson(input.distribution)},
               {"requests", RequestsJson(input.requests)}};
   if (input.version != nullptr) {
     status["edition"] = input.version->edition;
--- a/src/node/status.h
+++ b/src/node/status.h
@@ -19,6 +19,7 @@
   std::vector<Member> live;
   const std::vector<messages::RunnerRecord>* runners = nullptr;
   const configuration::Follower::Version* version = nullptr;
+  configuration::FollowerStatistics distribution;
   std::vector<DutyService::Holding> holdings;
   std::vector<std::string> placement;
   dataplane::Report requests;
