Apply a configuration's difference from any of the last versions, relay wholes in a tree

Cause, shown in simulation: a push told the difference from the version that its sender had held just before. Changes taken in quick succession at different dispatchers reach others in another order, so that base was not there; the receiver asked for the whole (50 kB), and passed the whole on to all of its zone. 60 machines a zone over 10 Mbit/s: 2.4 s a relay, after that of the sender.

Each dispatcher now keeps the last versions as differences backwards (32 at most, 64 kB), applies a difference from any of them, and one that lacks the base tells which it holds. A version that came whole is passed on as the difference to what was here. What is long for a link goes to four that relay to a part of the others each, by list; polls answered with the whole take a quarter of a slow link at most.

--- a/lab/control/day.cpp
+++ b/lab/control/day.cpp
@@ -74,6 +74,18 @@
   return event;
 }
 
+// As deployments of hundreds of machines are.
+void MakeLarge(Day* day) {
+  day->stores = 5;
+  day->tolerated = 2;
+  day->others = 295;
+  day->zones = 5;
+  day->configuration_bytes = 50'000;
+  day->others_bytes_per_microsecond = 1.25;
+  day->in_force_within = 3 * kSecond;
+  day->first_change_at = 600 * kMillisecond;
+}
+
 using Build = std::function<void(Day* day, Drawer* draw)>;
 
 // What operators have met, and each incident of docs/incidents that concerns the control side.
@@ -102,6 +114,20 @@
          Add(day, Trouble::kPowerOff, 10 * kSecond, 0, 600 * kMillisecond, day->machines());
          Add(day, Trouble::kRace, 10 * kSecond + draw->Span(700, 1500) * kMillisecond, 9);
        }},
+      {"changes-at-hundreds-of-machines",  // docs/incidents/config-late.md
+       [](Day* day, Drawer* draw) {
+         MakeLarge(day);
+         for (Time at = 9 * kSecond; at < 15 * kSecond; at += draw->Span(50, 900) * kMillisecond)
+           Add(day, draw->Chance(0.3) ? Trouble::kRace : Trouble::kChange, at, draw->Below(day->machines()));
+       }},
+      {"power-off-all-of-hundreds",
+       [](Day* day, Drawer* draw) {
+         MakeLarge(day);
+         Add(day, Trouble::kChange, 9 * kSecond + draw->Span(0, 900) * kMillisecond,
+             draw->Below(day->machines()));
+         Add(day, Trouble::kWipe, 10 * kSecond - kMillisecond, draw->Below(day->stores), kSecond);
+         Add(day, Trouble::kPowerOff, 10 * kSecond, 0, 600 * kMillisecond, day->machines());
+       }},
       {"change-while-founding",
        [](Day* day, Drawer* draw) { day->first_change_at = draw->Span(0, 400 * kMillisecond); }},
       {"wiped-disk",
--- a/lab/control/day.h
+++ b/lab/control/day.h
@@ -49,10 +49,12 @@
   std::string name = "drawn";
   std::size_t stores = 3;  // the first machines, which are the seeds too
   std::size_t others = 2;  // without a disk
+  std::size_t zones = 2;
   std::size_t runners = 4;
   int tolerated = 1;
   std::size_t configuration_bytes = 4'000;
   double others_bytes_per_microsecond = 1.25;  // 10 Mbit/s
+  Time in_force_within = 2 * kSecond;          // of its acknowledgement, a configuration
   Time first_change_at = 600 * kMillisecond;
   Time troubles_end = 24 * kSecond;  // all have ended by then
   std::vector<Event> events;         // in order of time
--- a/lab/control/world.cpp
+++ b/lab/control/world.cpp
@@ -10,7 +10,6 @@
 
 constexpr Time kContact = 3 * kSecond;     // without trouble: in touch
 constexpr Time kCatchUp = 4 * kSecond;     // after its return a machine still counts as lost
-constexpr Time kInForce = 2 * kSecond;     // bound of a configuration
 constexpr Time kDrainBound = 2 * kSecond;  // of an acknowledged drain
 constexpr Time kLease = 3 * kSecond;
 constexpr Time kRecovery = 10 * kSecond;  // bound, after the end of all trouble
@@ -34,7 +33,7 @@
       random_(day.seed * 2 + 1),
       network_(&events_, &random_),
       history_(&findings_),
-      in_force_(&findings_, kInForce),
+      in_force_(&findings_, day.in_force_within),
       drains_(&findings_, kDrainBound),
       holders_(&findings_, kLease),
       disturbed_until_(day.machines(), 0),
@@ -44,6 +43,7 @@
       fence_checked_(day.seed % 2 == 0) {
   for (MachineIndex i = 0; i < day_.machines(); ++i) {
     machines_.push_back(std::make_unique<Machine>(this, i, SettingsOf(i)));
+    by_internal_address_.emplace(InternalAddress(i), i);
     network_.AddMachine(i < day_.stores ? kFastLink : LinkSpeed{day_.others_bytes_per_microsecond});
   }
   for (std::size_t i = 0; i < day_.runners; ++i)
@@ -56,7 +56,7 @@
   node::NodeSettings settings;
   const bool has_disk = index < day_.stores;
   settings.name = "machine-" + std::to_string(100 + index);
-  settings.zone = "zone-" + std::to_string(1 + index % 2);
+  settings.zone = "zone-" + std::to_string(1 + index % day_.zones);
   settings.region = "region";
   settings.internal_address = InternalAddress(index);
   settings.control_address = ControlAddress(index);
@@ -71,7 +71,7 @@
   settings.platform_address = "10.9.9.9:80";
   settings.duty_usage = true;
   settings.bounds.lease = kLease;
-  settings.bounds.configuration_in_force = kInForce;
+  settings.bounds.configuration_in_force = day_.in_force_within;
   settings.bounds.drain = kDrainBound;
   settings.bounds.contact = kContact;
   return settings;
@@ -275,14 +275,14 @@
 // ---- What the machines do ------------------------------------------------------------------------------
 
 void World::SendMessage(MachineIndex from, const std::string& address, messages::Envelope envelope) {
-  for (MachineIndex to = 0; to < machines_.size(); ++to) {
-    if (machines_[to]->settings().internal_address != address) continue;
-    const std::size_t bytes = envelope.ByteSizeLong();
-    ++messages_;
-    Mix(static_cast<std::uint64_t>(events_.now()) * 31 + from * 1009 + to * 17 + bytes * 65'537);
-    auto shared = std::make_shared<messages::Envelope>(std::move(envelope));
-    return network_.Send(from, to, bytes, [this, to, shared] { machines_[to]->Deliver(std::move(*shared)); });
-  }
+  const auto found = by_internal_address_.find(address);
+  if (found == by_internal_address_.end()) return;
+  const MachineIndex to = found->second;
+  const std::size_t bytes = envelope.ByteSizeLong();
+  ++messages_;
+  Mix(static_cast<std::uint64_t>(events_.now()) * 31 + from * 1009 + to * 17 + bytes * 65'537);
+  auto shared = std::make_shared<messages::Envelope>(std::move(envelope));
+  network_.Send(from, to, bytes, [this, to, shared] { machines_[to]->Deliver(std::move(*shared)); });
 }
 
 void World::CallPlatform(MachineIndex from, const duties::HttpCall& call,
--- a/lab/control/world.h
+++ b/lab/control/world.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "lab/control/callers.h"
@@ -85,6 +86,7 @@
   Drains drains_;
   Holders holders_;
   std::vector<std::unique_ptr<Machine>> machines_;
+  std::unordered_map<std::string, MachineIndex> by_internal_address_;
   std::vector<std::unique_ptr<Operator>> operators_;
   std::vector<std::unique_ptr<Runner>> runners_;
   std::vector<Time> disturbed_until_, last_disturbed_;  // by machine
--- a/src/configuration/follower.cpp
+++ b/src/configuration/follower.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "configuration/digest.h"
+#include "configuration/known_versions.h"
 #include "configuration/peers.h"
 #include "configuration/push_codec.h"
 #include "configuration/push_schedule.h"
@@ -16,6 +17,7 @@
 // Between two questions for a newer version: several may tell of the same one at once.
 constexpr Time kPullPause = 100 * kMillisecond;
 constexpr Time kTransferOf1000Bytes = 800;  // on the slowest links, 10 Mbit/s
+constexpr Time kShareOfWholeAnswers = 4;    // of a slow link's time: one part in so many
 
 }  // namespace
 
@@ -32,10 +34,9 @@
         ++statistics_.damaged;
         return;
       }
-      auto delta = current_ ? WorthwhileDelta(*current_, *version) : std::nullopt;
-      Install(std::move(*version), std::move(delta), Arrival::kRegister, output);
+      Install(std::move(*version), Revision(), Arrival::kRegister, output);
     }
-    if (push && current_ && state.revision() == Revision()) Publish(now, output);
+    if (push && state.revision() > 0 && state.revision() == Revision()) Publish(now, output);
   }
 
   void Receive(Time now, const std::string& from, const DistributionMessage& message,
@@ -47,7 +48,7 @@
         return ReceivePush(now, from, message.push(), output);
       case DistributionMessage::kAck:
         if (message.ack().revision() >= Revision()) schedule_.Acknowledge(from);
-        if (message.ack().revision() > Revision()) Pull(now, from, false, output);
+        if (message.ack().revision() > Revision()) Pull(now, from, PollMessage(Revision()), output);
         return;
       case DistributionMessage::BODY_NOT_SET:
         return;
@@ -64,7 +65,7 @@
     if (!next_poll_ || *next_poll_ > now) return;
     next_poll_ = now + settings_.poll_every;
     const std::string address = peers_.NextToPoll();
-    if (!address.empty()) output->sends.push_back({address, PollMessage(Revision(), false)});
+    if (!address.empty()) output->sends.push_back({address, PollMessage(Revision())});
   }
 
   std::optional<Time> NextTimer() const {
@@ -73,25 +74,48 @@
     return std::min(*next_poll_, *next_push);
   }
 
-  const Version* Current() const { return current_ ? &*current_ : nullptr; }
+  const Version* Current() const { return versions_.current(); }
   const FollowerStatistics& statistics() const { return statistics_; }
 
  private:
-  std::uint64_t Revision() const { return current_ ? current_->revision : 0; }
+  // To whom a push is to be passed on.
+  struct RelayDuty {
+    std::uint64_t revision = 0;
+    bool in_zone = false;
+    std::vector<std::string> to;
+  };
+
+  std::uint64_t Revision() const { return versions_.revision(); }
   Time PollDelay() {
     return static_cast<Time>(peers_.RandomBelow(static_cast<std::uint64_t>(settings_.poll_every) + 1));
   }
 
   void ReceivePoll(Time now, const std::string& from, const messages::ConfigurationPoll& poll,
                    FollowerOutput* output) {
-    if (poll.revision() > Revision()) return Pull(now, from, false, output);
+    if (poll.revision() > Revision()) return Pull(now, from, PollMessage(Revision()), output);
     if (poll.revision() == Revision()) return;
-    if (poll.whole()) {
-      SendPush(from, WholePush(*current_, false), output);
-    } else if (!schedule_.UnderWay(now, from)) {
-      const bool fits = delta_ && delta_->base_revision == poll.revision();
-      SendPush(from, fits ? DeltaPush(*current_, *delta_, false) : WholePush(*current_, false), output);
+    if (!poll.lacks_base() && schedule_.UnderWay(now, from)) return;
+    const VersionDelta* difference = versions_.DifferenceFrom(BaseFor(poll));
+    if (difference == nullptr && !MayAnswerWhole(now)) return;
+    SendPush(from, PushMessage(*versions_.current(), difference), output);
+  }
+
+  // Polls that are answered with the whole leave most of a slow link to the pushes; the others ask again,
+  // elsewhere.
+  bool MayAnswerWhole(Time now) {
+    if (now < next_whole_answer_) return false;
+    next_whole_answer_ = now + TransferOf(versions_.current()->json.size()) * kShareOfWholeAnswers;
+    return true;
+  }
+
+  // The newest version held by the sender of the poll that is kept here too; 0 where there is none.
+  std::uint64_t BaseFor(const messages::ConfigurationPoll& poll) const {
+    if (versions_.Holds(poll.revision())) return poll.revision();
+    std::uint64_t newest = 0;
+    for (const std::uint64_t revision : poll.earlier()) {
+      if (revision > newest && versions_.Holds(revision)) newest = revision;
     }
+    return newest;
   }
 
   // Installs a push that is newer and whole, and answers it. One that is damaged gets no answer, so it is
@@ -99,36 +123,49 @@
   void ReceivePush(Time now, const std::string& from, const messages::ConfigurationPush& push,
                    FollowerOutput* output) {
     if (push.revision() > Revision()) {
-      ReadPushResult result = ReadPush(push, Current());
+      ReadPushResult result = ReadPush(push, versions_.TextOf(push.base_revision()));
       if (result.fault == PushFault::kDamaged) ++statistics_.damaged;
       if (result.fault == PushFault::kNoBase) {
         ++statistics_.no_base;
-        Pull(now, from, true, output);
-      }
-      if (result.fault != PushFault::kNone) {
-        if (push.relay()) relay_wanted_ = push.revision();
-        return;
+        Pull(now, from, BaseIsLacking(Revision(), versions_.EarlierRevisions()), output);
       }
+      if (result.fault == PushFault::kNoBase) NoteRelay(push);
+      if (result.fault != PushFault::kNone) return;
       const Arrival arrival = push.has_delta() ? Arrival::kDifference : Arrival::kWhole;
-      Install(std::move(result.version), DeltaOf(push), arrival, output);
+      const std::uint64_t base = push.has_delta() ? push.base_revision() : Revision();
+      Install(std::move(result.version), base, arrival, output);
     } else {
       ++statistics_.stale;
     }
     output->sends.push_back({from, AckMessage(Revision())});
-    const bool relay = push.relay() || relay_wanted_ == Revision();
-    if (relay && push.revision() == Revision()) RelayInZone(now, from, output);
+    if (push.revision() != Revision() || versions_.current() == nullptr) return;
+    if (relay_.revision == Revision()) Relay(now, from, std::exchange(relay_, {}), output);
+    Relay(now, from, DutyOf(push), output);
+  }
+
+  static RelayDuty DutyOf(const messages::ConfigurationPush& push) {
+    return {push.revision(), push.relay(), {push.relay_to().begin(), push.relay_to().end()}};
   }
 
-  // What came as a difference is passed on as one.
-  static std::optional<VersionDelta> DeltaOf(const messages::ConfigurationPush& push) {
-    if (!push.has_delta()) return std::nullopt;
-    return VersionDelta{push.base_revision(), push.delta()};
+  // The push is to be passed on, once its version is here.
+  void NoteRelay(const messages::ConfigurationPush& push) {
+    if (!push.relay() && push.relay_to().empty()) return;
+    if (push.revision() != relay_.revision) relay_ = {push.revision(), false, {}};
+    relay_.in_zone |= push.relay();
+    relay_.to.insert(relay_.to.end(), push.relay_to().begin(), push.relay_to().end());
   }
 
-  void Install(Version version, std::optional<VersionDelta> delta, Arrival arrival, FollowerOutput* output) {
-    current_ = std::move(version);
-    delta_ = std::move(delta);
-    schedule_.Begin(current_->revision);
+  void Relay(Time now, const std::string& from, const RelayDuty& duty, FollowerOutput* output) {
+    schedule_.AddAll(now, duty.to, TransferTime());
+    if (duty.in_zone) RelayInZone(now, from, output);
+    SendDue(now, output);
+  }
+
+  // `base`: what pushes from here tell the difference from, where it is kept.
+  void Install(Version version, std::uint64_t base, Arrival arrival, FollowerOutput* output) {
+    versions_.Install(std::move(version));
+    push_base_ = base;
+    schedule_.Begin(Revision());
     ++statistics_.installed;
     output->installed = true;
     output->arrival = arrival;
@@ -150,38 +187,49 @@
 
   void RelayInZone(Time now, const std::string& except, FollowerOutput* output) {
     if (std::exchange(relayed_, Revision()) != Revision()) {
-      for (const std::string& address : peers_.AddressesIn(settings_.zone)) {
-        if (address != except) schedule_.AddDirect(now, address);
-      }
+      std::vector<std::string> addresses = peers_.AddressesIn(settings_.zone);
+      std::erase(addresses, except);
+      schedule_.AddAll(now, addresses, TransferTime());
     }
     SendDue(now, output);
   }
 
+  // Of one push, on a slow link.
+  Time TransferTime() {
+    const VersionDelta* difference = versions_.DifferenceFrom(push_base_);
+    const std::size_t bytes =
+        difference != nullptr ? difference->delta.ByteSizeLong() : versions_.current()->json.size();
+    return TransferOf(bytes);
+  }
+
+  static Time TransferOf(std::size_t bytes) { return static_cast<Time>(bytes) * kTransferOf1000Bytes / 1000; }
+
   void SendDue(Time now, FollowerOutput* output) {
-    if (!current_) return;
-    const std::size_t bytes = delta_ ? delta_->delta.ByteSizeLong() : current_->json.size();
-    const Time transfer = static_cast<Time>(bytes) * kTransferOf1000Bytes / 1000;
-    for (const auto& due : schedule_.TakeDue(now, peers_, transfer)) {
-      SendPush(due.address,
-               delta_ ? DeltaPush(*current_, *delta_, due.relay) : WholePush(*current_, due.relay), output);
+    if (!versions_.current()) return;
+    for (const auto& due : schedule_.TakeDue(now, peers_, TransferTime())) {
+      DistributionMessage message = PushMessage(*versions_.current(), versions_.DifferenceFrom(push_base_));
+      message.mutable_push()->set_relay(due.relay);
+      message.mutable_push()->mutable_relay_to()->Add(due.relay_to.begin(), due.relay_to.end());
+      SendPush(due.address, std::move(message), output);
     }
   }
 
-  void Pull(Time now, const std::string& from, bool whole, FollowerOutput* output) {
+  void Pull(Time now, const std::string& from, DistributionMessage poll, FollowerOutput* output) {
     if (last_pull_ && now < *last_pull_ + kPullPause) return;
     last_pull_ = now;
-    output->sends.push_back({from, PollMessage(Revision(), whole)});
+    output->sends.push_back({from, std::move(poll)});
   }
 
   FollowerSettings settings_;
   Peers peers_;
   PushSchedule schedule_;
   FollowerStatistics statistics_;
-  std::optional<Version> current_;
-  std::optional<VersionDelta> delta_;          // from the version before
+  KnownVersions versions_;
+  std::uint64_t push_base_ = 0;
   std::uint64_t published_ = 0, relayed_ = 0;  // newest revisions sent on from here
-  std::uint64_t relay_wanted_ = 0;             // to be relayed once it is here
+  RelayDuty relay_;
   std::optional<Time> next_poll_, last_pull_;
+  Time next_whole_answer_ = 0;
 };
 
 Follower::Follower(FollowerSettings settings) : impl_(std::make_unique<Impl>(std::move(settings))) {}
--- a/src/configuration/follower.h
+++ b/src/configuration/follower.h
@@ -2,9 +2,10 @@
 // one dispatcher a zone, which relays within its zone) and a tiny comparison of revisions with others. A
 // state machine. Never goes back within a life.
 //
-// A push holds the difference from the version before, where that is much shorter; a dispatcher without that
-// version asks for the whole. A whole configuration may be a megabyte, which is most of a second on a link of
-// 10 Mbit/s, so repeats wait for as long as such a link would need.
+// A push holds the difference from an earlier version, where that is much shorter. The last few versions are
+// kept, as changes in quick succession reach dispatchers in different orders; one that lacks the base tells
+// which it holds. A whole configuration may be a megabyte, which is most of a second on a link of 10 Mbit/s:
+// it goes to a few that relay it, and repeats wait for as long as such a link would need.
 #pragma once
 
 #include <cstdint>
--- a/src/configuration/push_codec.cpp
+++ b/src/configuration/push_codec.cpp
@@ -12,62 +12,60 @@
 using messages::ConfigurationPush;
 using messages::DistributionMessage;
 
-constexpr std::size_t kMaxJsonBytes = 64 << 20;
 constexpr std::size_t kWorthwhileRatio = 2;  // a difference is at most a half of the whole
 
 std::uint64_t VersionDigest(std::uint64_t revision, std::int64_t edition, std::string_view json) {
   return Digester().Number(revision).Number(static_cast<std::uint64_t>(edition)).Text(json).Result();
 }
 
-DistributionMessage PushMessage(const Follower::Version& version, bool relay) {
-  DistributionMessage message;
-  ConfigurationPush* push = message.mutable_push();
-  push->set_revision(version.revision);
-  push->set_edition(version.edition);
-  push->set_relay(relay);
-  push->set_digest(VersionDigest(version.revision, version.edition, version.json));
-  return message;
-}
-
 }  // namespace
 
-DistributionMessage PollMessage(std::uint64_t revision, bool whole) {
+DistributionMessage PollMessage(std::uint64_t revision) {
   DistributionMessage message;
   message.mutable_poll()->set_revision(revision);
-  message.mutable_poll()->set_whole(whole);
   return message;
 }
 
-DistributionMessage AckMessage(std::uint64_t revision) {
-  DistributionMessage message;
-  message.mutable_ack()->set_revision(revision);
+DistributionMessage BaseIsLacking(std::uint64_t revision, const std::vector<std::uint64_t>& earlier) {
+  DistributionMessage message = PollMessage(revision);
+  message.mutable_poll()->set_lacks_base(true);
+  for (const std::uint64_t held : earlier) message.mutable_poll()->add_earlier(held);
   return message;
 }
 
-DistributionMessage WholePush(const Follower::Version& version, bool relay) {
-  DistributionMessage message = PushMessage(version, relay);
-  message.mutable_push()->set_json(version.json);
+DistributionMessage AckMessage(std::uint64_t revision) {
+  DistributionMessage message;
+  message.mutable_ack()->set_revision(revision);
   return message;
 }
 
-DistributionMessage DeltaPush(const Follower::Version& version, const VersionDelta& delta, bool relay) {
-  DistributionMessage message = PushMessage(version, relay);
-  message.mutable_push()->set_base_revision(delta.base_revision);
-  *message.mutable_push()->mutable_delta() = delta.delta;
+DistributionMessage PushMessage(const Follower::Version& version, const VersionDelta* difference) {
+  DistributionMessage message;
+  ConfigurationPush* push = message.mutable_push();
+  push->set_revision(version.revision);
+  push->set_edition(version.edition);
+  push->set_digest(VersionDigest(version.revision, version.edition, version.json));
+  if (difference == nullptr) {
+    push->set_json(version.json);
+    return message;
+  }
+  push->set_base_revision(difference->base_revision);
+  *push->mutable_delta() = difference->delta;
   return message;
 }
 
-std::optional<VersionDelta> WorthwhileDelta(const Follower::Version& base, const Follower::Version& version) {
-  VersionDelta result{base.revision, lichenlug::delta::MakeDelta(base.json, version.json)};
+std::optional<VersionDelta> WorthwhileDelta(std::uint64_t base_revision, std::string_view base,
+                                            const Follower::Version& version) {
+  VersionDelta result{base_revision, lichenlug::delta::MakeDelta(base, version.json)};
   if (result.delta.ByteSizeLong() * kWorthwhileRatio > version.json.size()) return std::nullopt;
   return result;
 }
 
-ReadPushResult ReadPush(const ConfigurationPush& push, const Follower::Version* current) {
+ReadPushResult ReadPush(const ConfigurationPush& push, const std::optional<std::string>& base) {
   std::optional<std::string> patched;
   if (push.has_delta()) {
-    if (!current || current->revision != push.base_revision()) return {PushFault::kNoBase, {}};
-    patched = lichenlug::delta::ApplyDelta(current->json, push.delta(), kMaxJsonBytes);
+    if (!base) return {PushFault::kNoBase, {}};
+    patched = lichenlug::delta::ApplyDelta(*base, push.delta(), kMostJsonBytes);
     if (!patched) return {PushFault::kDamaged, {}};
   }
   const std::string& json = patched ? *patched : push.json();
--- a/src/configuration/push_schedule.cpp
+++ b/src/configuration/push_schedule.cpp
@@ -1,25 +1,58 @@
 #include "configuration/push_schedule.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lichenlug::configuration {
 namespace {
 
 constexpr Time kRepeatAfter = 150 * kMillisecond;
 constexpr std::size_t kMaxTries = 5;  // after these, polls bring what is missing
+constexpr std::size_t kFanOut = 4;
+constexpr Time kLongestWithoutRelays = 200 * kMillisecond;  // of a link, for all of a zone
 
 }  // namespace
 
 void PushSchedule::Begin(std::uint64_t revision) {
   revision_ = revision;
   pushes_.clear();
+  added_.clear();
 }
 
-void PushSchedule::AddDirect(Time now, const std::string& address) {
-  pushes_.push_back({"", {address}, 0, now});
+void PushSchedule::AddZone(Time now, const std::string& zone) { pushes_.push_back({zone, {}, {}, 0, now}); }
+
+void PushSchedule::AddAll(Time now, const std::vector<std::string>& addresses, Time transfer) {
+  std::vector<std::string> fresh;
+  for (const std::string& address : addresses) {
+    if (added_.insert(address).second) fresh.push_back(address);
+  }
+  const bool directly = transfer * static_cast<Time>(fresh.size()) <= kLongestWithoutRelays;
+  const std::size_t groups = directly ? fresh.size() : std::min(kFanOut, fresh.size());
+  for (std::size_t first = 0; first < groups; ++first) {
+    std::vector<std::string> group;
+    for (std::size_t i = first; i < fresh.size(); i += groups) group.push_back(fresh[i]);
+    AddGroup(now, std::move(group));
+  }
 }
 
-void PushSchedule::AddZone(Time now, const std::string& zone) { pushes_.push_back({zone, {}, 0, now}); }
+void PushSchedule::AddGroup(Time now, std::vector<std::string> group) {
+  pushes_.push_back({"", std::move(group), {}, 0, now});
+}
+
+// Each try goes to another one, as the one before may be dead.
+std::optional<PushSchedule::Due> PushSchedule::NextOf(const Push& push, const Peers& peers) const {
+  if (!push.zone.empty()) {
+    const std::string address = peers.Relay(push.zone, revision_, push.tries);
+    if (!peers.Contains(address)) return std::nullopt;
+    return Due{address, true, {}};
+  }
+  std::vector<std::string> live;
+  std::copy_if(push.group.begin(), push.group.end(), std::back_inserter(live),
+               [&](const std::string& address) { return peers.Contains(address); });
+  if (live.empty()) return std::nullopt;
+  std::rotate(live.begin(), live.begin() + static_cast<std::ptrdiff_t>(push.tries % live.size()), live.end());
+  return Due{live.front(), false, {live.begin() + 1, live.end()}};
+}
 
 std::vector<PushSchedule::Due> PushSchedule::TakeDue(Time now, const Peers& peers, Time transfer) {
   std::erase_if(pushes_, [&](const Push& push) { return push.next_at <= now && push.tries >= kMaxTries; });
@@ -27,11 +60,12 @@
   std::vector<Push*> sent;
   for (Push& push : pushes_) {
     if (push.next_at > now) continue;
-    const bool relay = !push.zone.empty();
-    if (relay) push.addresses.push_back(peers.Relay(push.zone, revision_, push.tries));
-    ++push.tries;
     sent.push_back(&push);
-    if (peers.Contains(push.addresses.back())) due.push_back({push.addresses.back(), relay});
+    if (auto next = NextOf(push, peers)) {
+      push.sent_to.push_back(next->address);
+      due.push_back(std::move(*next));
+    }
+    ++push.tries;
   }
   // All of them leave on the same link, so each repeat waits for all.
   const Time pause = kRepeatAfter + transfer * static_cast<Time>(due.size());
@@ -41,13 +75,13 @@
 
 void PushSchedule::Acknowledge(std::string_view address) {
   std::erase_if(pushes_, [&](const Push& push) {
-    return std::find(push.addresses.begin(), push.addresses.end(), address) != push.addresses.end();
+    return std::find(push.sent_to.begin(), push.sent_to.end(), address) != push.sent_to.end();
   });
 }
 
 bool PushSchedule::UnderWay(Time now, std::string_view address) const {
   return std::any_of(pushes_.begin(), pushes_.end(), [&](const Push& push) {
-    return push.tries > 0 && push.next_at > now && push.addresses.back() == address;
+    return !push.sent_to.empty() && push.next_at > now && push.sent_to.back() == address;
   });
 }
 
--- a/tests/system/configuration/follower_test.cpp
+++ b/tests/system/configuration/follower_test.cpp
@@ -56,7 +56,7 @@
 
 TEST_CASE("Every dispatcher gets the newest version on a bad network, and none goes back") {
   const auto count = GENERATE(std::size_t{10}, std::size_t{100});
-  const auto seed = GENERATE(range<std::uint64_t>(1, 21));
+  const auto seed = GENERATE(range<std::uint64_t>(1, 41));
   FollowerWorld world(count, 4, seed);
   world.faults = {0.1, 0.1, 0.05, kMillisecond, 60 * kMillisecond};
   std::mt19937_64 random(seed);
@@ -132,6 +132,54 @@
   }
 }
 
+constexpr double kFastLink = 12.5, kSlowLink = 1.25;  // bytes a microsecond: 100 and 10 Mbit/s
+
+// Each change is taken where the one before it has not come into force yet.
+TEST_CASE("Changes in quick succession are in force in time at 300 dispatchers on slow links") {
+  constexpr std::size_t kDispatchers = 300, kZones = 5, kFast = 5, kRoutes = 250;
+  const auto seed = GENERATE(range<std::uint64_t>(1, 6));
+  const auto longest_pause = GENERATE(Time{5}, Time{200}, Time{900}) * kMillisecond;
+  FollowerWorld world(kDispatchers, kZones, seed);
+  for (std::size_t i = 0; i < kDispatchers; ++i) world.SetLink(i, i < kFast ? kFastLink : kSlowLink);
+  std::mt19937_64 random(seed);
+  Json configuration = LargeConfiguration(1, kRoutes);
+  world.Learn(0, world.MakeVersion(configuration), true);
+  world.Run(20 * kSecond);
+  for (int edition = 2; edition <= 7; ++edition) {
+    configuration["edition"] = edition;
+    configuration["routes"][static_cast<std::size_t>(edition)]["tries"] = 100 + edition;
+    world.Learn(random() % kDispatchers, world.MakeVersion(configuration), true);
+    if (edition < 7) world.Run(static_cast<Time>(random() % longest_pause));
+  }
+  INFO("seed " << seed << ", pauses of up to " << longest_pause / kMillisecond << " ms");
+  CHECK(world.RunUntilAllCurrent(60 * kSecond) < kBound);
+  CheckNoViolation(world);
+}
+
+// Nothing of the version before is of use, so it goes whole to all.
+TEST_CASE("A configuration that is new in all parts is in force in time at 300 dispatchers on slow links") {
+  constexpr std::size_t kDispatchers = 300, kZones = 5, kRoutes = 250;
+  const auto seed = GENERATE(range<std::uint64_t>(1, 6));
+  FollowerWorld world(kDispatchers, kZones, seed);
+  for (std::size_t i = 0; i < kDispatchers; ++i) world.SetLink(i, kSlowLink);
+  world.Learn(seed % kDispatchers, world.MakeVersion(LargeConfiguration(1, kRoutes)), true);
+  INFO("seed " << seed);
+  CHECK(world.RunUntilAllCurrent(60 * kSecond) < kBound);
+  CheckNoViolation(world);
+}
+
+TEST_CASE("Who relays to others is replaced by the next of them if it is dead") {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    FollowerWorld world(60, 1, seed);
+    for (std::size_t i = 0; i < world.size(); ++i) world.SetLink(i, kSlowLink);
+    for (std::size_t i = 0; i < 6; ++i) world.Kill(10 + (seed * 7 + i * 9) % 50);
+    world.Learn(0, world.MakeVersion(LargeConfiguration(1, 250)), true);
+    INFO(seed);
+    CHECK(world.RunUntilAllCurrent(10 * kSecond) < kBound);
+    CheckNoViolation(world);
+  }
+}
+
 TEST_CASE("A dead relay is replaced by the next one") {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     FollowerWorld world(30, 3, seed);
--- a/tests/system/configuration/follower_world.cpp
+++ b/tests/system/configuration/follower_world.cpp
@@ -14,6 +14,7 @@
     members_.push_back(member);
   }
   followers_.resize(count);
+  links_.resize(count);
   revisions_.resize(count);
   for (std::size_t i = 0; i < count; ++i) Restart(i);
 }
@@ -71,10 +72,21 @@
     Time after = faults.delay + std::uniform_int_distribution<Time>(0, faults.more_delay)(random_);
     if (spoiled && spoil == Spoil::kDelay) after += 5 * kSecond;
     const bool damaged = Chance(faults.damaged) || (spoiled && spoil == Spoil::kDamage);
-    deliveries_.emplace(now + after, Delivery{from, to, damaged ? Damaged(text) : text});
+    deliveries_.emplace(Arrival(from, to, text.size(), after),
+                        Delivery{from, to, damaged ? Damaged(text) : text});
   }
 }
 
+Time FollowerWorld::Arrival(std::size_t from, std::size_t to, std::size_t size, Time delay) {
+  const auto send = [size](Link* link, Time* until, Time begin) {
+    if (link->speed <= 0) return begin;
+    const auto takes = static_cast<Time>(static_cast<double>(size) / link->speed);
+    return *until = std::max(*until, begin) + takes;
+  };
+  const Time reached = send(&links_[from], &links_[from].sends_until, now) + delay;
+  return send(&links_[to], &links_[to].receives_until, reached);
+}
+
 std::string FollowerWorld::Damaged(std::string text) {
   if (text.empty()) return text;
   const auto place = std::uniform_int_distribution<std::size_t>(0, text.size() - 1)(random_);
--- a/tests/system/configuration/follower_world.h
+++ b/tests/system/configuration/follower_world.h
@@ -1,5 +1,5 @@
 // Followers on a simulated network, all by one seed: messages may be lost, doubled, delayed (so reordered)
-// and damaged.
+// and damaged, and links may be slow.
 #pragma once
 
 #include <cstddef>
@@ -37,6 +37,8 @@
   void Kill(std::size_t node) { dead_.insert(node); }  // at once; the others still think it live
   bool Dead(std::size_t node) const { return dead_.contains(node); }
   void Restart(std::size_t node);  // without memory
+  // Each way, with a queue; without a call a link takes no time to send.
+  void SetLink(std::size_t node, double bytes_per_microsecond) { links_[node].speed = bytes_per_microsecond; }
 
   std::size_t size() const { return followers_.size(); }
   const Follower& follower(std::size_t node) const { return *followers_[node]; }
@@ -59,6 +61,12 @@
     std::string bytes;
   };
 
+  struct Link {
+    double speed = 0;  // bytes a microsecond; 0: no bound
+    Time sends_until = 0, receives_until = 0;
+  };
+
+  Time Arrival(std::size_t from, std::size_t to, std::size_t size, Time delay);
   bool Chance(double probability) { return std::uniform_real_distribution<>(0, 1)(random_) < probability; }
   void Take(std::size_t node, const FollowerOutput& output);
   void Send(std::size_t from, const DistributionSend& send);
@@ -69,6 +77,7 @@
 
   std::mt19937_64 random_;
   std::vector<Member> members_;
+  std::vector<Link> links_;
   std::vector<std::unique_ptr<Follower>> followers_;
   std::vector<std::uint64_t> revisions_;  // as last seen of each
   std::vector<messages::ConfigurationState> versions_;
