--- a/lab/commands/control.cpp
+++ b/lab/commands/control.cpp
@@ -45,6 +45,10 @@
       static_cast<double>(outcome.bytes) / 1e6,
       static_cast<double>(outcome.recovered_after.value_or(-kSecond)) / kSecond,
       static_cast<unsigned long long>(outcome.digest));
+  std::printf("  MB by kind:");
+  for (const auto& [kind, bytes] : outcome.bytes_by_kind)
+    std::printf(" %s %.2f", kind.c_str(), static_cast<double>(bytes) / 1e6);
+  std::printf("\n");
   for (const control::Finding& finding : outcome.findings) {
     std::printf("  BROKEN %8.3f s %s: %s\n", static_cast<double>(finding.at) / kSecond, finding.judge.c_str(),
                 finding.line.c_str());
--- a/lab/control/day.cpp
+++ b/lab/control/day.cpp
@@ -86,6 +86,35 @@
   day->first_change_at = 600 * kMillisecond;
 }
 
+// Many machines at once, as racks and zones go.
+void StrikeMany(Drawer* draw, Day* day) {
+  constexpr std::array<Trouble, 4> kOfMany = {Trouble::kCutOff, Trouble::kKill, Trouble::kFreeze,
+                                              Trouble::kTerminate};
+  const Trouble trouble = kOfMany[draw->Below(kOfMany.size())];
+  const Time at = draw->Span(kTroublesBegin, day->troubles_end - kLongestTrouble);
+  const Time lasts = draw->Span(kSecond, kLongestTrouble);
+  const MachineIndex first = day->stores + draw->Below(day->others);
+  for (std::size_t i = 0; i < day->others / 6; ++i)
+    Add(day, trouble, at, day->stores + (first + i) % day->others, lasts);
+}
+
+// Troubles of any kind, a large part of which strikes those with a store, and many changes.
+void DrawLarge(Drawer* draw, Day* day) {
+  MakeLarge(day);
+  const std::size_t troubles = 2 + draw->Below(8);
+  for (std::size_t i = 0; i < troubles; ++i) {
+    Event event = DrawEvent(draw, *day);
+    if (draw->Chance(0.4)) event.machine = draw->Below(day->stores);
+    day->events.push_back(event);
+  }
+  if (draw->Chance(0.6)) StrikeMany(draw, day);
+  const std::size_t changes = 3 + draw->Below(8);
+  for (std::size_t i = 0; i < changes; ++i) {
+    Add(day, draw->Chance(0.3) ? Trouble::kRace : Trouble::kChange,
+        draw->Span(kTroublesBegin, day->troubles_end - kLongestTrouble), draw->Below(day->machines()));
+  }
+}
+
 using Build = std::function<void(Day* day, Drawer* draw)>;
 
 // What operators have met, and each incident of docs/incidents that concerns the control side.
@@ -120,6 +149,7 @@
          for (Time at = 9 * kSecond; at < 15 * kSecond; at += draw->Span(50, 900) * kMillisecond)
            Add(day, draw->Chance(0.3) ? Trouble::kRace : Trouble::kChange, at, draw->Below(day->machines()));
        }},
+      {"drawn-at-hundreds-of-machines", [](Day* day, Drawer* draw) { DrawLarge(draw, day); }},
       {"power-off-all-of-hundreds",
        [](Day* day, Drawer* draw) {
          MakeLarge(day);
--- a/lab/control/world.h
+++ b/lab/control/world.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -24,6 +25,7 @@
   std::uint64_t digest = 0;  // of all messages and snapshots: the same on every machine
   std::size_t changes = 0, reads = 0, drains = 0, platform_calls = 0;  // acknowledged or answered
   std::uint64_t messages = 0, bytes = 0, dropped = 0;
+  std::map<std::string, std::uint64_t> bytes_by_kind;  // of messages, without headers
   Time lasted = 0;
   std::optional<Time> recovered_after;  // all ready and of one mind, from the end of the last trouble
 };
