Take an unframed stream that ends within an event for cut off, not for complete

Cause: the system of a killed process closes its connections with FIN. HTTP says that a body without a length or chunks ends there, so the parser reports a complete message, Attempt::OnMessage reported the end of the stream, and Exchange::OnStreamEnd sent on the incomplete event and the last chunk. It could not tell this end from a last chunk. The same end made an empty stream before the first event complete, and of a suspected runner it ended the answer and cancelled the runner that was resuming it.

Ruled out: a reset (the parser never sees the end of the body then), lengths and chunks (their early end is an error of the parser).

Change: a stream ends by its framing or by its connection (StreamEnd). In the second case it is complete only if it ends with an event: at least one, and nothing but comments behind its blank line. Otherwise the attempt has failed as any broken one: resumed, retried, a cut or a 502. It works because half an event was never forwarded before the end, so what the client has is whole up to an event whose id is known.

--- a/src/dataplane/attempt.cpp
+++ b/src/dataplane/attempt.cpp
@@ -145,8 +145,9 @@
   const auto self = shared_from_this();
   AttemptOwner* const owner = owner_;
   const bool streamed = stage_ == Stage::kStreaming;
+  const StreamEnd end = message.has_length ? StreamEnd::kFraming : StreamEnd::kConnection;
   Release(message);
-  if (streamed) return owner->OnStreamEnd(*this);
+  if (streamed) return owner->OnStreamEnd(*this, end);
   if (response_class_ == ResponseClass::kNotRun) return owner->OnAttemptFailed(*this, NotRunOutcome(message));
   message.body = std::move(body_);
   owner->OnResponse(*this, std::move(message));
--- a/src/dataplane/attempt.h
+++ b/src/dataplane/attempt.h
@@ -14,6 +14,12 @@
 
 class Attempt;
 
+// What ended a stream.
+enum class StreamEnd {
+  kFraming,     // its length or its last chunk: the runner has sent all of it
+  kConnection,  // it had neither, and its connection was closed: the runner may have finished or failed
+};
+
 // The last call to an owner is one of OnResponse, OnStreamEnd and OnAttemptFailed. The owner may release the
 // attempt within any call.
 class AttemptOwner {
@@ -23,7 +29,7 @@
   // An event stream, or a response too large to be buffered: its bytes follow.
   virtual void OnStreamBegin(Attempt& attempt, const HttpMessage& head, bool events) = 0;
   virtual void OnStreamBytes(Attempt& attempt, std::string_view bytes) = 0;
-  virtual void OnStreamEnd(Attempt& attempt) = 0;  // complete
+  virtual void OnStreamEnd(Attempt& attempt, StreamEnd end) = 0;
   virtual void OnAttemptFailed(Attempt& attempt, routing::AttemptOutcome outcome) = 0;
   // The runner's machine does not respond while the attempt waits for it. This is only a suspicion and not
   // the last call: the attempt continues until its owner stops it.
--- a/src/dataplane/event_stream.cpp
+++ b/src/dataplane/event_stream.cpp
@@ -32,6 +32,7 @@
     line_begin_ = scanned_ = next;
     if (!blank) continue;
     *event = {std::string_view(buffer_).substr(*begin, next - *begin), id_, has_field_};
+    saw_event_ = saw_event_ || has_field_;
     *begin = next, id_.reset(), has_field_ = false;
     return true;
   }
--- a/src/dataplane/event_stream.h
+++ b/src/dataplane/event_stream.h
@@ -32,6 +32,8 @@
   }
 
   std::string_view rest() const { return buffer_; }  // the incomplete event
+  // Whether there was an event and nothing but comments follows the last one.
+  bool EndsWithEvent() const { return saw_event_ && !has_field_ && line_begin_ == buffer_.size(); }
 
  private:
   bool Next(std::size_t* begin, Event* event);
@@ -41,7 +43,8 @@
   std::string buffer_;
   std::size_t line_begin_ = 0, scanned_ = 0;  // start of the current line; end of its scanned part
   std::optional<std::uint64_t> id_;           // of the incomplete event
-  bool has_field_ = false;
+  bool has_field_ = false;                    // of the incomplete event
+  bool saw_event_ = false;                    // a complete one, with a field
 };
 
 }  // namespace lichenlug::dataplane
--- a/src/dataplane/exchange.h
+++ b/src/dataplane/exchange.h
@@ -55,7 +55,7 @@
   void OnResponse(Attempt& attempt, HttpMessage response) override;
   void OnStreamBegin(Attempt& attempt, const HttpMessage& head, bool events) override;
   void OnStreamBytes(Attempt& attempt, std::string_view bytes) override;
-  void OnStreamEnd(Attempt& attempt) override;
+  void OnStreamEnd(Attempt& attempt, StreamEnd end) override;
   void OnAttemptFailed(Attempt& attempt, routing::AttemptOutcome outcome) override;
   void OnRunnerUnreachable(Attempt& attempt) override;
 
--- a/src/dataplane/exchange_stream.cpp
+++ b/src/dataplane/exchange_stream.cpp
@@ -80,8 +80,12 @@
     if (known.get() == &attempt) known->PauseReading(true);
 }
 
-void Exchange::OnStreamEnd(Attempt& attempt) {
+// A runner that fails closes its connection as one that has finished does. Where nothing else ends the
+// stream, only its last event shows that it is not cut off.
+void Exchange::OnStreamEnd(Attempt& attempt, StreamEnd end) {
   const auto self = shared_from_this();
+  const bool cut_off = end == StreamEnd::kConnection && is_event_stream_ && !events_.EndsWithEvent();
+  if (cut_off) return OnAttemptFailed(attempt, AttemptOutcome::kBroken);
   ResumeSuspected(attempt);
   const std::string rest = std::exchange(prelude_, {}).append(events_.rest());
   if (!head_sent_ || !rest.empty()) SendStream(attempt, rest);
--- a/tests/system/dataplane/event_stream_test.cpp
+++ b/tests/system/dataplane/event_stream_test.cpp
@@ -13,7 +13,7 @@
   std::vector<std::optional<std::uint64_t>> ids;
   std::vector<bool> fields;
   std::string rest;
-  bool within_limit = true;
+  bool within_limit = true, ends_with_event = false;
 };
 
 ParseResult Feed(const std::vector<std::string>& pieces, std::size_t max_bytes = 1000) {
@@ -26,6 +26,7 @@
       result.fields.push_back(event.has_field);
     }) && result.within_limit;
   result.rest = stream.rest();
+  result.ends_with_event = stream.EndsWithEvent();
   return result;
 }
 
@@ -65,6 +66,15 @@
   CHECK(Feed({": c\n\n", "\n", "versions: 3\n\n"}).fields == std::vector<bool>{false, false, true});
 }
 
+TEST_CASE("A stream ends with an event if nothing but comments follows its blank line") {
+  const std::string event = "id: 1\ndata: x\n\n";
+  const std::string complete = GENERATE("", "\n", ": c\n", ": c\n\n");
+  CHECK(Feed({event + complete}).ends_with_event);
+  const std::string incomplete = GENERATE("id: 2", "id: 2\n", "id: 2\ndata: y\n", ": c", "i", "data: y\r");
+  CHECK_FALSE(Feed({event + incomplete}).ends_with_event);
+  CHECK_FALSE(Feed({complete}).ends_with_event);  // no event at all
+}
+
 TEST_CASE("An event beyond the size limit is reported") {
   CHECK(Feed({std::string(10, 'x')}, 10).within_limit);
   CHECK_FALSE(Feed({std::string(11, 'x')}, 10).within_limit);
@@ -82,6 +92,7 @@
     std::string joined;
     for (const std::string& event : pieces.texts) joined += event;
     REQUIRE(joined + pieces.rest == text);
+    REQUIRE(pieces.ends_with_event == complete.ends_with_event);
     // If a piece ends with the CR of a blank line, the LF that follows forms an event without fields.
     std::vector<std::optional<std::uint64_t>> ids, whole_ids;
     for (const auto& id : pieces.ids)
--- a/tests/system/dataplane/plain_test.cpp
+++ b/tests/system/dataplane/plain_test.cpp
@@ -1,5 +1,6 @@
 // Requests with plain and streamed responses through a data plane on loopback.
 #include <catch2/catch.hpp>
+#include <thread>
 
 #include "testbed.h"
 
@@ -40,6 +41,26 @@
   CHECK(client.Read().body == "two");
 }
 
+// Nothing but the connection's end tells whether it is complete; a reset tells that it is not.
+TEST_CASE("A plain response without a length is complete at the connection's end, and broken by a reset") {
+  const std::size_t size = GENERATE(std::size_t{5}, std::size_t{2'000'000});  // the larger is not buffered
+  const bool reset = GENERATE(false, true);
+  Testbed testbed;
+  Socket client = testbed.Client();
+  client.Send(Get("/unsafe/x", "a1"));
+  Socket runner = testbed.runner(0).Accept();
+  runner.Read();
+  runner.Send("HTTP/1.1 200 OK\r\nLichenlug-Try-Id: a1\r\nLichenlug-Runner-Stamp: s1\r\n\r\n");
+  std::thread sender([&] {
+    runner.Send(std::string(size, 'x'));
+    reset ? runner.Reset() : runner.Close();
+  });
+  const Message response = client.Read();
+  sender.join();
+  CHECK((response.status() == 200 && response.complete) == !reset);
+  if (!reset) CHECK(response.body.size() == size);
+}
+
 TEST_CASE("A stream is forwarded event by event") {
   Testbed testbed;
   Socket client = testbed.Client();
--- a/tests/system/dataplane/suspected_runner_test.cpp
+++ b/tests/system/dataplane/suspected_runner_test.cpp
@@ -104,6 +104,27 @@
   CHECK(client.last_chunk_seen());
 }
 
+// Guards against review/1 where a machine fails: the half event ended the response as complete, and the other
+// runner was cancelled.
+TEST_CASE("A suspected runner whose stream ends within an event does not cancel the runner that resumes it") {
+  Testbed testbed(kTwoRunners);
+  Socket client = testbed.Client();
+  client.Send(Post("/resume/x", "a1", "b"));
+  auto [runner, runner_index] = testbed.AcceptAny();
+  runner.Read();
+  runner.Send(StreamHeadWith("", "a1", "first") + Event(1, "one") + "id: 2\nda");
+  CHECK(client.ReadHead().status() == 200);
+  CHECK(client.ReadChunk() == Event(1, "one"));
+  testbed.runner(runner_index).StopResponding();
+  Socket second = testbed.runner(1 - runner_index).Accept();
+  CHECK(second.Read().Header("Last-Event-Id") == "1");
+  runner.Close();
+  second.Send(StreamHead("a1", "second") + Chunk(Event(2, "two")) + "0\r\n\r\n");
+  CHECK(client.ReadChunk() == Event(2, "two"));
+  CHECK(client.ReadChunk().empty());
+  CHECK(client.last_chunk_seen());
+}
+
 TEST_CASE("A suspected runner that finally closes its connection is no longer waited for") {
   Testbed testbed(kOneRunner);
   Socket client = testbed.Client();
--- a/tests/system/dataplane/testbed.cpp
+++ b/tests/system/dataplane/testbed.cpp
@@ -146,9 +146,13 @@
 }
 
 std::string StreamHead(std::string_view id, std::string_view stamp) {
+  return StreamHeadWith("Transfer-Encoding: chunked\r\n", id, stamp);
+}
+
+std::string StreamHeadWith(std::string_view framing, std::string_view id, std::string_view stamp) {
   std::string out = "HTTP/1.1 200 OK\r\nLichenlug-Try-Id: ";
   out.append(id).append("\r\nLichenlug-Runner-Stamp: ").append(stamp);
-  return out.append("\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+  return out.append("\r\nContent-Type: text/event-stream\r\n").append(framing).append("\r\n");
 }
 
 std::string Chunk(std::string_view bytes) {
--- a/tests/system/dataplane/testbed.h
+++ b/tests/system/dataplane/testbed.h
@@ -62,7 +62,9 @@
 std::string RunnerResponse(int status, std::string_view id, std::string_view body,
                            std::string_view extra_headers = "");
 std::string NotRun(int status, std::string_view id, std::string_view extra_headers = "");
-std::string StreamHead(std::string_view id, std::string_view stamp = "s1");
+std::string StreamHead(std::string_view id, std::string_view stamp = "s1");  // of a chunked stream
+// With a header that frames the stream; empty: it ends with its connection.
+std::string StreamHeadWith(std::string_view framing, std::string_view id, std::string_view stamp = "s1");
 std::string Chunk(std::string_view bytes);
 std::string Event(int id, std::string_view text);
 
