Let a failed connection use up no try of a request while others are ready

A resumable stream is cut when the second runner refuses its connection.

Cause: RequestFlow::MayRetry counted every attempt as a try. `tries` is the most runners that a request may go to, and a connection that failed has taken it to none: no byte was sent.

Change: up to two failed connections don't count, if another ready runner holds what is needed and a refusal would still be early (a quarter of the objective) or is impossible since the request may have run. A machine that is cut off still refuses after its first time-out, and a model whose only runner is gone is refused at once. The budget never counted connections that failed.

--- a/src/routing/request_flow.cpp
+++ b/src/routing/request_flow.cpp
@@ -15,6 +15,7 @@
 // retry. The rest is reserved for requests of clients that have already retried and for requests that may
 // have run: this is their last chance.
 constexpr double kFirstTryBudgetFraction = 0.6;
+constexpr std::ptrdiff_t kMaxFailedConnections = 2;  // of a request, in addition to its tries
 constexpr Time kMaxRetryAfterDivisor = 3;  // clients honour Retry-After up to a third of their remaining time
 
 rookgw::Outcome ModuleOutcome(AttemptOutcome outcome, bool started) {
@@ -221,11 +222,23 @@
 bool RequestFlow::MayRetry(Time now, const Request& request, AttemptOutcome outcome) const {
   if (outcome == AttemptOutcome::kTimeout || outcome == AttemptOutcome::kCancelled) return false;
   if (MayHaveRun(request) && !request.repeatable) return false;
-  if (std::ssize(request.attempts) >= request.tries) return false;
+  if (!HasTryLeft(now, request)) return false;
   if (!request.service->runners.AnyReady(request.needs)) return false;
   return MayDispatch(now, request);
 }
 
+// An attempt whose connection failed has reached no runner, so its try is still to be made: while a refusal
+// would leave the client's retry enough time, or if the request may have run and can't be refused.
+bool RequestFlow::HasTryLeft(Time now, const Request& request) {
+  const auto made = std::ssize(request.attempts);
+  if (made < request.tries) return true;
+  const auto failed = std::ranges::count(request.attempts, false, &Attempt::reached_runner);
+  const Time spent = now - request.attempts.front().sent;
+  const bool in_time = MayHaveRun(request) || spent <= request.class_key.objective / kAimDivisor;
+  const bool untried_runner = request.service->runners.ReadyHolders(request.needs) > made;
+  return in_time && untried_runner && made - std::min(failed, kMaxFailedConnections) < request.tries;
+}
+
 // The budget counts every attempt that reaches a runner after the request's first one that did.
 bool RequestFlow::MayDispatch(Time now, const Request& request) const {
   const bool first = std::ranges::none_of(request.attempts, &Attempt::reached_runner);
--- a/src/routing/request_flow.h
+++ b/src/routing/request_flow.h
@@ -95,6 +95,7 @@
 
   bool UpdateRunnerTable(Time now, const Request& request, const Attempt& attempt, AttemptOutcome outcome,
                          std::vector<Decision>* decisions);
+  static bool HasTryLeft(Time now, const Request& request);
   bool MayRetry(Time now, const Request& request, AttemptOutcome outcome) const;
   void End(Time now, Request* request, Time retry_after, std::vector<Decision>* decisions);
   Time RetryAfter(Time now, const Request& request);
--- a/src/routing/runner_table.cpp
+++ b/src/routing/runner_table.cpp
@@ -86,8 +86,7 @@
   Runner& runner = found->second;
   const bool may_be_full = runner.open_attempts * std::max(1, live_dispatchers) >= runner.record.slots();
   const bool listed = std::ranges::binary_search(runner.listed.holds, holding);
-  const auto holders = ready_holders_.find(holding);
-  const bool other_holders = listed && holders != ready_holders_.end() && holders->second > 1;
+  const bool other_holders = listed && ReadyHolders(holding) > 1;
   if (other_holders)
     WithholdFor(
         &runner,
@@ -132,6 +131,11 @@
 
 bool RunnerTable::AnyReady(Holding holding) const { return ready_holders_.contains(holding); }
 
+int RunnerTable::ReadyHolders(Holding holding) const {
+  const auto found = ready_holders_.find(holding);
+  return found == ready_holders_.end() ? 0 : found->second;
+}
+
 std::string RunnerTable::AddressOf(const std::string& id) const {
   const auto found = runners_.find(id);
   return found == runners_.end() ? std::string() : found->second.record.address();
--- a/src/routing/runner_table.h
+++ b/src/routing/runner_table.h
@@ -44,6 +44,7 @@
   std::optional<Time> NextExpiry() const;
 
   bool AnyReady(Holding holding) const;                // a ready runner holds it
+  int ReadyHolders(Holding holding) const;             // the number of ready runners that hold it
   std::string AddressOf(const std::string& id) const;  // empty: not known
   Changes All() const;                                 // initial list for a new module
 
--- a/src/routing/service_scheduler.cpp
+++ b/src/routing/service_scheduler.cpp
@@ -9,8 +9,6 @@
 namespace {
 
 constexpr std::size_t kMaxClasses = 64;  // further requests join an existing class with equal effects
-// A refusal within 1/kAimDivisor of the objective leaves the client's retry enough time to succeed.
-constexpr int kAimDivisor = 4;
 // A client that has retried does not try a third time, and even a late answer has value for it.
 constexpr int kClientRetryAimFactor = 3;
 constexpr Time kMaxClientRetryAim = kSecond;
--- a/src/routing/service_scheduler.h
+++ b/src/routing/service_scheduler.h
@@ -14,6 +14,9 @@
 
 namespace lichenlug::routing {
 
+// A refusal within 1/kAimDivisor of the objective leaves the client's retry enough time to succeed.
+inline constexpr int kAimDivisor = 4;
+
 // The module treats all requests of a class the same way. There are few classes, however many routes exist.
 struct ClassKey {
   Time objective = 0;
--- a/tests/system/dataplane/retries_test.cpp
+++ b/tests/system/dataplane/retries_test.cpp
@@ -34,6 +34,19 @@
   CHECK(response.body == "served");
 }
 
+// Guards against a 503 after the only try had met a closed port, although another runner was ready.
+TEST_CASE("A request with one try is sent to another runner if the first refuses the connection") {
+  const std::size_t closed = GENERATE(0u, 1u);  // one of the two is the first choice
+  Testbed testbed(kTwoRunners);
+  testbed.CloseRunner(closed);
+  Socket client = testbed.Client();
+  client.Send(Post("/once/x", "a1", "b"));
+  Socket runner = testbed.runner(1 - closed).Accept();
+  runner.Read();
+  runner.Send(RunnerResponse(200, "a1", "served"));
+  CHECK(client.Read().body == "served");
+}
+
 TEST_CASE("After a server error a repeatable request is sent to another runner") {
   const std::string target = GENERATE("/safe/x", "/resume/x");
   Testbed testbed(kTwoRunners);
