Let runners of the soak cut streams within an event, and count answers through

Now each third stream has no length, a runner that crashes leaves half an event on those, and a complete answer must hold exactly what was asked for.

--- a/lab/system/answer_check.h
+++ b/lab/system/answer_check.h
@@ -14,7 +14,9 @@
       : stream_(stream), attempt_id_(std::move(attempt_id)), last_item_(last_item) {}
 
   void Feed(std::string_view bytes);
-  int last_item() const { return last_item_; }             // the last one received completely
+  int last_item() const { return last_item_; }  // the last one received completely
+  // Whether the body holds `items` items and nothing behind them.
+  bool IsComplete(int items) const { return last_item_ == items && buffer_.empty(); }
   const std::string& problem() const { return problem_; }  // of the first mismatch; empty if none
 
  private:
--- a/lab/system/clients.cpp
+++ b/lab/system/clients.cpp
@@ -180,7 +180,7 @@
   if (exchange->check) {
     if (!exchange->check->problem().empty())
       ledger_->RecordViolation("attempt " + exchange->attempt_id + ": " + exchange->check->problem());
-    if (exchange->check->last_item() != exchange->request.events)
+    if (!exchange->check->IsComplete(exchange->request.events))
       ledger_->RecordViolation("attempt " + exchange->attempt_id + " completed with last item " +
                                std::to_string(exchange->check->last_item()));
     return Finish(exchange, Outcome::kServed);
--- a/lab/system/persistent_client.cpp
+++ b/lab/system/persistent_client.cpp
@@ -77,7 +77,7 @@
   };
   HttpConnection::Events events;
   events.on_head = if_alive([this](const HttpMessage& head) {
-    if (head.status == 200) check_ = std::make_unique<AnswerCheck>(events_ > 0, attempt_id_, 0);
+    if (head.status == 200) check_ = std::make_unique<AnswerCheck>(stream_, attempt_id_, 0);
   });
   events.on_body_chunk = if_alive([this](std::string_view bytes) {
     if (check_) check_->Feed(bytes);
@@ -104,7 +104,8 @@
 void PersistentClient::Send() {
   const ClientRequest& request = requests_[random_() % requests_.size()];
   attempt_id_ = Hex(random_());
-  events_ = request.kind == ClientKind::kPlain ? 0 : request.events;
+  stream_ = request.kind != ClientKind::kPlain;
+  items_ = request.events;
   check_.reset();
   Headers headers = {{wire::kAttemptId, attempt_id_},
                      {wire::kDeadline, std::to_string(request.deadline / kMillisecond)},
@@ -126,6 +127,9 @@
     ++figures_->served;
     if (check_ && !check_->problem().empty())
       ledger_->RecordViolation("attempt " + attempt_id_ + ": " + check_->problem());
+    if (check_ && !check_->IsComplete(items_))
+      ledger_->RecordViolation("attempt " + attempt_id_ + " completed with last item " +
+                               std::to_string(check_->last_item()) + " of " + std::to_string(items_));
   } else if (refused) {
     ++figures_->refused;
     if (ledger_->HasStarted(attempt_id_))
--- a/lab/system/persistent_client.h
+++ b/lab/system/persistent_client.h
@@ -77,7 +77,8 @@
   Time connected_at_ = 0, sent_at_ = 0;
   bool in_flight_ = false, stopped_ = false;
   std::string attempt_id_;
-  int events_ = 0;
+  bool stream_ = false;
+  int items_ = 0;                       // events of a stream, lines of a plain response
   std::unique_ptr<AnswerCheck> check_;  // of the 2xx response in progress
   std::shared_ptr<HttpConnection> connection_;
   asio::steady_timer delay_timer_;
--- a/lab/system/runner.cpp
+++ b/lab/system/runner.cpp
@@ -52,6 +52,7 @@
 void Runner::Crash() {
   ended_ = true;
   heartbeat_timer_.cancel();
+  for (const auto& answer : running_) CutWithinEvent(*answer);
   server_.Down();
   running_.clear();
 }
--- a/lab/system/runner.h
+++ b/lab/system/runner.h
@@ -33,7 +33,9 @@
   void StartHeartbeats(std::vector<std::string> control_addresses);
   void Drain(const std::string& control_address);  // the first dispatcher to be notified
   void Delete();                                   // deregisters the runner, then stops it
-  void Crash();                                    // stops without deregistering
+  // Stops without deregistering. A stream without a length ends within an event: between two events nothing
+  // would show its client that it was cut off.
+  void Crash();
 
   const RunnerSettings& settings() const { return settings_; }
   std::string address() const;
@@ -60,6 +62,7 @@
   // The status to refuse a request with before it runs; none if the request is accepted.
   std::optional<int> RefusalStatus(const HttpMessage& request) const;
   void CheckRequest(const HttpMessage& request);
+  void CutWithinEvent(const Answer& answer);
   void SendHead(const std::shared_ptr<Answer>& answer);
   void SendEvent(const std::shared_ptr<Answer>& answer);
   void Finish(const std::shared_ptr<Answer>& answer);
@@ -74,7 +77,7 @@
   std::uint64_t call_count_ = 0;
   bool draining_ = false, ended_ = false;
   std::optional<Time> acknowledged_at_, drained_at_, last_request_at_;
-  std::uint64_t served_ = 0;
+  std::uint64_t served_ = 0, streams_ = 0;
   std::set<std::shared_ptr<Answer>> running_;
   asio::steady_timer heartbeat_timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/lab/system/runner_answers.cpp
+++ b/lab/system/runner_answers.cpp
@@ -13,6 +13,8 @@
 
 constexpr int kMisdirected = 421, kMissingAttemptId = 400, kOverloaded = 503;
 constexpr char kTextType[] = "text/plain";
+constexpr std::uint64_t kUnframedInterval =
+    3;  // each third stream has no length and ends with its connection
 
 std::string HeaderOf(const HttpMessage& request, const char* name) {
   const std::string* value = request.Header(name);
@@ -38,6 +40,11 @@
   return size + bytes + "\r\n";
 }
 
+std::string Item(int number, const std::string& attempt_id, bool stream) {
+  const std::string data = std::to_string(number) + " of " + attempt_id;
+  return stream ? "id: " + std::to_string(number) + "\ndata: " + data + "\n\n" : data + "\n";
+}
+
 }  // namespace
 
 // One request that is being answered.
@@ -45,7 +52,7 @@
   Connection connection;
   std::string attempt_id, tenant;
   int next_event = 1, last_event = 1;
-  bool stream = false, resumed = false, started = false;
+  bool stream = false, framed = true, resumed = false, started = false;
   asio::steady_timer timer;
 };
 
@@ -79,12 +86,14 @@
                        {wire::kRetryAfter, "0.1"}});
   }
   const int last_event_id = ParseInt(HeaderOf(request, wire::kLastEventId), 0);
-  const auto answer = std::make_shared<Answer>(
-      Answer{connection, HeaderOf(request, wire::kAttemptId), HeaderOf(request, wire::kTenant),
-             last_event_id + 1, RequestedEvents(request),
-             request.target.find("/stream") != std::string::npos ||
-                 request.target.find("/resume") != std::string::npos,
-             last_event_id > 0, false, asio::steady_timer(loop_->io())});
+  const bool stream = request.target.find("/stream") != std::string::npos ||
+                      request.target.find("/resume") != std::string::npos;
+  const int events = RequestedEvents(request);
+  // Without a length, a stream with no event left would look like one that was cut off.
+  const bool framed = !stream || last_event_id >= events || ++streams_ % kUnframedInterval != 0;
+  const auto answer = std::make_shared<Answer>(Answer{
+      connection, HeaderOf(request, wire::kAttemptId), HeaderOf(request, wire::kTenant), last_event_id + 1,
+      events, stream, framed, last_event_id > 0, false, asio::steady_timer(loop_->io())});
   running_.insert(answer);
   SendEvent(answer);
 }
@@ -94,7 +103,9 @@
   answer->started = true;
   ledger_->RecordRunner(answer->attempt_id, settings_.id);
   if (!answer->resumed) ledger_->RecordRunStart(answer->attempt_id, answer->tenant, !answer->stream);
-  std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Type: ";
+  std::string head = "HTTP/1.1 200 OK\r\n";
+  head += answer->framed ? "Transfer-Encoding: chunked\r\n" : "Connection: close\r\n";
+  head += "Content-Type: ";
   head += answer->stream ? wire::kEventStreamType : kTextType;
   for (const auto& [name, value] : {std::pair<std::string, std::string>{wire::kAttemptId, answer->attempt_id},
                                     {wire::kRunnerStamp, settings_.id + "." + answer->attempt_id},
@@ -111,16 +122,25 @@
     if (!alive->connection->socket().is_open()) return void(running_.erase(alive));
     if (!alive->started) SendHead(alive);
     if (alive->next_event > alive->last_event) return Finish(alive);
-    const std::string number = std::to_string(alive->next_event++);
-    const std::string data = number + " of " + alive->attempt_id;
-    alive->connection->Send(
-        Chunk(alive->stream ? "id: " + number + "\ndata: " + data + "\n\n" : data + "\n"));
+    const std::string item = Item(alive->next_event++, alive->attempt_id, alive->stream);
+    alive->connection->Send(alive->framed ? Chunk(item) : item);
     SendEvent(alive);
   });
 }
 
+void Runner::CutWithinEvent(const Answer& answer) {
+  if (answer.framed || !answer.started || answer.next_event > answer.last_event) return;
+  const std::string item = Item(answer.next_event, answer.attempt_id, answer.stream);
+  answer.connection->Send(item.substr(0, item.size() / 2));
+}
+
 void Runner::Finish(const std::shared_ptr<Answer>& answer) {
-  answer->connection->Send("0\r\n\r\n");
+  if (answer->framed) {
+    answer->connection->Send("0\r\n\r\n");
+  } else {
+    if (!answer->connection->Written()) return SendEvent(answer);  // closing would discard the rest
+    answer->connection->Close();
+  }
   ++served_;
   running_.erase(answer);
 }
