Say when a drain is complete, why the process exits and what is left then

It logs now when nothing is left and when that is no longer so, the decision to exit with what is pending, and what the data plane has in progress as it stops.

--- a/src/dataplane/data_plane.cpp
+++ b/src/dataplane/data_plane.cpp
@@ -52,6 +52,9 @@
   ~Impl() {
     io_.stop();
     if (thread_.joinable()) thread_.join();
+    LOG_IF(INFO, ServesClients()) << "stopped with " << exchanges_.size() << " requests in progress on "
+                                  << listener_.connections() << " connections"
+                                  << TextOfDrainTime(context_.Now());
   }
 
   bool Start(std::string* error) {
@@ -147,10 +150,19 @@
     if (context_.refusing_requests) exchanges_.RefuseUnsent();
     const bool backlog_empty = listener_.AcceptWaiting();
     const bool none_in_progress = exchanges_.size() == 0 && listener_.connections() == 0;
-    drained_ = in_second_half && backlog_empty && none_in_progress;
+    const bool drained = in_second_half && backlog_empty && none_in_progress;
+    if (drained != drained_)
+      LOG(INFO) << (drained ? "drained" : "no longer drained") << TextOfDrainTime(context_.Now());
+    drained_ = drained;
     context_.deadlines.Add(context_.Now() + kDrainCheckInterval, [this] { CheckDrained(); });
   }
 
+  // For the log; empty unless the data plane is draining.
+  std::string TextOfDrainTime(Time now) const {
+    if (!context_.draining) return "";
+    return ", " + std::to_string((now - drain_started_at_) / kMillisecond) + " ms after the drain began";
+  }
+
   const Settings settings_;
   asio::io_context io_{1};
   Context context_;
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -348,6 +348,8 @@
 void ControlNode::ExitIfDrained(Time now) {
   if (!lifecycle_.MayExit(now, {.requests = !host_->RequestsAreDrained(), .votes = HasTransferableVotes()}))
     return;
+  LOG(INFO) << "exiting, requests " << (host_->RequestsAreDrained() ? "drained" : "in progress")
+            << (HasTransferableVotes() ? ", votes not handed over" : "");
   membership_ring::MembershipOutput output;
   membership_.Leave(now, &output);
   output.changed = false;
