Close the listener of a draining data plane in the step that finds nothing left

Cause: the data plane set a flag, every 50 ms on its own thread, where no request, no connection and no waiting connection was left, and went on accepting. The control plane read the flag every 100 ms on another thread and ended the process. What came between the two was taken and given up.

Change: the control plane says when nothing but requests keeps the process (StopWhenIdle); the data plane then closes its listener in the very step in which it finds nothing left, and only that is reported (Stopped), which can't become untrue. Until then requests are served, also while votes are handed over.

Test: "A request is not taken by a drained data plane whose process is about to exit" fails on the code before (the connection is accepted).

--- a/lab/control/machine.h
+++ b/lab/control/machine.h
@@ -61,7 +61,8 @@
   void Install(std::shared_ptr<const routing::Snapshot> snapshot) override;
   dataplane::Report TakeReport() override { return {}; }
   void DrainRequests() override {}
-  bool RequestsAreDrained() override { return true; }
+  void StopRequestsWhenIdle() override {}
+  bool RequestsAreStopped() override { return true; }
   void Exit() override { exit_requested_ = true; }
 
  private:
--- a/src/dataplane/data_plane.cpp
+++ b/src/dataplane/data_plane.cpp
@@ -95,7 +95,9 @@
     });
   }
 
-  bool Drained() const { return !ServesClients() || drained_; }
+  void StopWhenIdle() { may_stop_ = true; }
+
+  bool Stopped() const { return !ServesClients() || stopped_; }
 
  private:
   bool ServesClients() const { return !settings_.listen_address.empty(); }
@@ -137,8 +139,8 @@
   }
 
   // New connections arrive until the platform has noticed the drain, so requests are still served. In the
-  // second half of the grace period idle connections are closed, and the drain is complete once none is left.
-  // Requests that could not be finished in time are refused, streams earlier because they may last for
+  // second half of the grace period idle connections are closed, and the data plane may stop once none is
+  // left. Requests that could not be finished in time are refused, streams earlier because they may last for
   // seconds: every request that was read gets a response.
   void CheckDrained() {
     const Time elapsed = context_.Now() - drain_started_at_;
@@ -148,15 +150,23 @@
     context_.refusing_streams = fraction >= kRefuseStreamsFromFraction;
     context_.refusing_requests = fraction >= kRefuseFromFraction;
     if (context_.refusing_requests) exchanges_.RefuseUnsent();
-    const bool backlog_empty = listener_.AcceptWaiting();
-    const bool none_in_progress = exchanges_.size() == 0 && listener_.connections() == 0;
-    const bool drained = in_second_half && backlog_empty && none_in_progress;
-    if (drained != drained_)
-      LOG(INFO) << (drained ? "drained" : "no longer drained") << TextOfDrainTime(context_.Now());
-    drained_ = drained;
+    if (in_second_half && may_stop_ && IsIdle()) return Stop();
     context_.deadlines.Add(context_.Now() + kDrainCheckInterval, [this] { CheckDrained(); });
   }
 
+  bool IsIdle() {
+    const bool backlog_empty = listener_.AcceptWaiting();
+    return backlog_empty && exchanges_.size() == 0 && listener_.connections() == 0;
+  }
+
+  // The listener is closed in the same step in which nothing was found to be left: a connection that came
+  // between that finding and the exit of the process would be closed with its request.
+  void Stop() {
+    listener_.Close();
+    LOG(INFO) << "no longer accepting connections" << TextOfDrainTime(context_.Now());
+    stopped_ = true;
+  }
+
   // For the log; empty unless the data plane is draining.
   std::string TextOfDrainTime(Time now) const {
     if (!context_.draining) return "";
@@ -170,7 +180,7 @@
   ExchangeTable exchanges_;
   Listener listener_;
   Time drain_started_at_ = 0;
-  std::atomic<bool> drained_ = false;
+  std::atomic<bool> may_stop_ = false, stopped_ = false;
   std::mutex mutex_;
   Report report_;
   std::thread thread_;
@@ -186,6 +196,7 @@
 void DataPlane::OnNewlyUnserved(std::function<void()> notify) { impl_->OnNewlyUnserved(std::move(notify)); }
 Report DataPlane::TakeReport() { return impl_->TakeReport(); }
 void DataPlane::BeginDrain() { impl_->BeginDrain(); }
-bool DataPlane::Drained() { return impl_->Drained(); }
+void DataPlane::StopWhenIdle() { impl_->StopWhenIdle(); }
+bool DataPlane::Stopped() { return impl_->Stopped(); }
 
 }  // namespace lichenlug::dataplane
--- a/src/dataplane/data_plane.h
+++ b/src/dataplane/data_plane.h
@@ -40,7 +40,10 @@
   // On SIGTERM: continues to serve existing and new requests; closes connections as they become idle in the
   // second half of the grace period.
   void BeginDrain();
-  bool Drained();  // any thread; no request or connection is left
+  // Any thread. Allows a draining data plane to stop: it closes its listener as soon as it finds that no
+  // request, connection or waiting connection is left.
+  void StopWhenIdle();
+  bool Stopped();  // any thread; final: no connection is left and none will be accepted
 
  private:
   class Impl;
--- a/src/dataplane/listener.cpp
+++ b/src/dataplane/listener.cpp
@@ -83,6 +83,11 @@
   return clients_.size() < max_connections_;
 }
 
+void Listener::Close() {
+  std::error_code ignored;
+  acceptor_.close(ignored);
+}
+
 void Listener::CloseIdle() {
   for (const auto& [raw, client] : clients_) raw->CloseIfIdle();
 }
--- a/src/dataplane/listener.h
+++ b/src/dataplane/listener.h
@@ -19,6 +19,7 @@
 
   // Accepts the connections waiting in the backlog. True: the backlog is empty.
   bool AcceptWaiting();
+  void Close();            // accepts no further connections
   void CloseIdle();        // closes connections without a request in progress
   void OnConfiguration();  // the first configuration: serves requests that wait for it
 
--- a/src/host/control_host.h
+++ b/src/host/control_host.h
@@ -39,7 +39,8 @@
   void Install(std::shared_ptr<const routing::Snapshot> snapshot) override;
   dataplane::Report TakeReport() override { return data_plane_->TakeReport(); }
   void DrainRequests() override { data_plane_->BeginDrain(); }
-  bool RequestsAreDrained() override { return data_plane_->Drained(); }
+  void StopRequestsWhenIdle() override { data_plane_->StopWhenIdle(); }
+  bool RequestsAreStopped() override { return data_plane_->Stopped(); }
   void Exit() override { loop_->Stop(); }
 
  private:
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -345,11 +345,14 @@
 }
 
 // Remains a member, and keeps receiving updates about drained runners, until its last request is answered.
+// Requests are accepted until all other work is done, and are known to have stopped before the exit.
 void ControlNode::ExitIfDrained(Time now) {
-  if (!lifecycle_.MayExit(now, {.requests = !host_->RequestsAreDrained(), .votes = HasTransferableVotes()}))
-    return;
-  LOG(INFO) << "exiting, requests " << (host_->RequestsAreDrained() ? "drained" : "in progress")
-            << (HasTransferableVotes() ? ", votes not handed over" : "");
+  const bool has_votes = HasTransferableVotes();
+  if (lifecycle_.MayStopRequests(now, has_votes)) host_->StopRequestsWhenIdle();
+  const bool stopped = host_->RequestsAreStopped();
+  if (!lifecycle_.MayExit(now, {.requests = !stopped, .votes = has_votes})) return;
+  LOG(INFO) << "exiting, requests " << (stopped ? "stopped" : "in progress")
+            << (has_votes ? ", votes not handed over" : "");
   membership_ring::MembershipOutput output;
   membership_.Leave(now, &output);
   output.changed = false;
--- a/src/node/lifecycle.cpp
+++ b/src/node/lifecycle.cpp
@@ -27,12 +27,17 @@
   return true;
 }
 
-bool Lifecycle::MayExit(Time now, const PendingWork& pending) const {
+bool Lifecycle::MayStopRequests(Time now, bool votes) const {
   if (!is_draining()) return false;
   const Time since = now - drain_began_;
-  if (since > grace_ - kExitReserve) return true;
-  const bool hands_over = pending.votes && since < kVoteHandOverTimeout;
-  return since >= kMinNotReadyTime && !pending.requests && !hands_over;
+  const bool hands_over = votes && since < kVoteHandOverTimeout;
+  return since >= kMinNotReadyTime && !hands_over;
+}
+
+bool Lifecycle::MayExit(Time now, const PendingWork& pending) const {
+  if (!is_draining()) return false;
+  if (now - drain_began_ > grace_ - kExitReserve) return true;
+  return MayStopRequests(now, pending.votes) && !pending.requests;
 }
 
 }  // namespace lichenlug::node
--- a/src/node/lifecycle.h
+++ b/src/node/lifecycle.h
@@ -15,7 +15,7 @@
   };
   // Work that is still pending during a drain.
   struct PendingWork {
-    bool requests = false;  // in flight
+    bool requests = false;  // in flight, or still accepted
     bool votes = false;     // of the local store that other members could take over
   };
 
@@ -26,7 +26,9 @@
   bool BecomesReady(const ReadinessConditions& conditions);
   // SIGTERM. Returns false if the process is already draining.
   bool BeginDrain(Time now);
-  // Poll every kDrainPoll while draining.
+  // Whether nothing but requests delays the exit, so that they may stop being accepted. `votes`: of
+  // PendingWork. Poll every kDrainPoll while draining, like MayExit().
+  bool MayStopRequests(Time now, bool votes) const;
   bool MayExit(Time now, const PendingWork& pending) const;
 
   bool is_ready() const { return phase_ == Phase::kReady; }
--- a/src/node/node_host.h
+++ b/src/node/node_host.h
@@ -52,7 +52,8 @@
   virtual void Install(std::shared_ptr<const routing::Snapshot> snapshot) = 0;
   virtual dataplane::Report TakeReport() = 0;
   virtual void DrainRequests() = 0;
-  virtual bool RequestsAreDrained() = 0;
+  virtual void StopRequestsWhenIdle() = 0;  // no other work of the drain is pending
+  virtual bool RequestsAreStopped() = 0;    // final: none is in progress and none will be accepted
 
   virtual void Exit() = 0;  // no work is pending
 };
--- a/tests/system/dataplane/clients_test.cpp
+++ b/tests/system/dataplane/clients_test.cpp
@@ -268,8 +268,40 @@
   Socket idle_client = testbed.Client();
   CHECK(idle_client.AtEnd());  // in the second half of the grace period
   second_client.Close(), client.Close(), idle_client.Close();
-  bool drained = false;
-  CHECK(testbed.AwaitReport([&](const Report&) { return drained = testbed.plane().Drained(); }));
+  CHECK_FALSE(testbed.plane().Stopped());
+  testbed.plane().StopWhenIdle();
+  CHECK(testbed.AwaitReport([&](const Report&) { return testbed.plane().Stopped(); }));
+}
+
+// The control plane ends the process some time after it has learned that nothing is left.
+TEST_CASE("A request is not taken by a drained data plane whose process is about to exit") {
+  Testbed testbed({{.id = "r1", .models = {}}}, DefaultConfiguration(), true, /*grace=*/200 * kMillisecond);
+  testbed.plane().BeginDrain();
+  testbed.plane().StopWhenIdle();
+  REQUIRE(testbed.AwaitReport([&](const Report&) { return testbed.plane().Stopped(); }));
+  CHECK_THROWS(testbed.Client());  // refused, so the client tries elsewhere
+  CHECK_FALSE(testbed.runner(0).WaitForConnection(0));
+}
+
+TEST_CASE("A data plane that may stop answers new requests for as long as one is in progress") {
+  Testbed testbed({{.id = "r1", .models = {}}}, DefaultConfiguration(), true, /*grace=*/kSecond);
+  Socket held_client = testbed.Client(), idle_client = testbed.Client();
+  held_client.Send(Post("/unsafe/1", "a1", "b"));
+  Socket runner = testbed.runner(0).Accept();
+  runner.Read();
+  testbed.plane().BeginDrain();
+  testbed.plane().StopWhenIdle();
+  CHECK(idle_client.AtEnd());  // in the second half of the grace period
+  idle_client.Close();
+  Socket client = testbed.Client();
+  client.Send(Get("/none/x", "a2"));
+  CHECK(client.Read().complete);
+  client.Close();
+  CHECK_FALSE(testbed.plane().Stopped());
+  runner.Send(RunnerResponse(200, "a1", "one"));
+  CHECK(held_client.Read().body == "one");
+  held_client.Close();
+  CHECK(testbed.AwaitReport([&](const Report&) { return testbed.plane().Stopped(); }));
 }
 
 TEST_CASE(
--- a/tests/system/node/lifecycle_test.cpp
+++ b/tests/system/node/lifecycle_test.cpp
@@ -49,6 +49,16 @@
   CHECK(lifecycle.MayExit(kStart + 5 * kSecond, {.votes = true}));
 }
 
+TEST_CASE("requests may stop once nothing else delays the exit, and only then") {
+  Lifecycle lifecycle(kGrace);
+  CHECK_FALSE(lifecycle.MayStopRequests(kStart, /*votes=*/false));
+  lifecycle.BeginDrain(kStart);
+  CHECK_FALSE(lifecycle.MayStopRequests(kStart + 2 * kSecond, /*votes=*/false));
+  CHECK(lifecycle.MayStopRequests(kStart + 2500 * kMillisecond, /*votes=*/false));
+  CHECK_FALSE(lifecycle.MayStopRequests(kStart + 4900 * kMillisecond, /*votes=*/true));
+  CHECK(lifecycle.MayStopRequests(kStart + 5 * kSecond, /*votes=*/true));
+}
+
 TEST_CASE("a second SIGTERM does not restart the drain") {
   Lifecycle lifecycle(kGrace);
   lifecycle.BeginDrain(kStart);
--- a/tests/system/node/register_service_test.cpp
+++ b/tests/system/node/register_service_test.cpp
@@ -125,7 +125,8 @@
   void Install(std::shared_ptr<const routing::Snapshot>) override {}
   dataplane::Report TakeReport() override { return {}; }
   void DrainRequests() override {}
-  bool RequestsAreDrained() override { return true; }
+  void StopRequestsWhenIdle() override {}
+  bool RequestsAreStopped() override { return true; }
   void Exit() override {}
 
   EventLoop loop_;
