Answer every request in progress before the grace period ends the process

The process exits as these are sent, at the latest 0.7 s before SIGKILL as before.

Test: "At the end of the grace period no request is left without an answer" fails on the code before (no answer within the test's time limit).

--- a/lab/control/machine.h
+++ b/lab/control/machine.h
@@ -62,6 +62,7 @@
   dataplane::Report TakeReport() override { return {}; }
   void DrainRequests() override {}
   void StopRequestsWhenIdle() override {}
+  void StopRequestsNow() override {}
   bool RequestsAreStopped() override { return true; }
   void Exit() override { exit_requested_ = true; }
 
--- a/src/dataplane/cut_reason.h
+++ b/src/dataplane/cut_reason.h
@@ -13,8 +13,9 @@
   kNoOtherRunner,  // it could be resumed, but no other runner may take it
   kDeadline,       // its deadline expired
   kRouteGone,      // the current configuration no longer allows another attempt
+  kShutdown,       // the grace period of this dispatcher ended
 };
-inline constexpr std::size_t kCutReasons = 4;
+inline constexpr std::size_t kCutReasons = 5;
 using CutCounts = std::array<std::uint64_t, kCutReasons>;  // by reason
 
 constexpr std::string_view ToText(CutReason reason) {
@@ -27,6 +28,8 @@
       return "deadline";
     case CutReason::kRouteGone:
       return "route_gone";
+    case CutReason::kShutdown:
+      return "shutdown";
   }
   return "unknown";
 }
--- a/src/dataplane/data_plane.cpp
+++ b/src/dataplane/data_plane.cpp
@@ -97,6 +97,15 @@
 
   void StopWhenIdle() { may_stop_ = true; }
 
+  void StopNow() {
+    if (!ServesClients()) return;
+    asio::post(io_, [this] {
+      if (listener_.closed()) return;
+      CloseListener();
+      exchanges_.EndAllAtShutdown();
+    });
+  }
+
   bool Stopped() const { return !ServesClients() || stopped_; }
 
  private:
@@ -150,21 +159,23 @@
     context_.refusing_streams = fraction >= kRefuseStreamsFromFraction;
     context_.refusing_requests = fraction >= kRefuseFromFraction;
     if (context_.refusing_requests) exchanges_.RefuseUnsent();
-    if (in_second_half && may_stop_ && IsIdle()) return Stop();
+    if (in_second_half && may_stop_ && !listener_.closed() && IsIdle()) CloseListener();
+    stopped_ = listener_.closed() && IsIdle();
+    if (stopped_) return;
     context_.deadlines.Add(context_.Now() + kDrainCheckInterval, [this] { CheckDrained(); });
   }
 
+  // To be followed by CloseListener() in the same step: a connection that came between this finding and the
+  // exit of the process would be closed with its request.
   bool IsIdle() {
-    const bool backlog_empty = listener_.AcceptWaiting();
+    const bool backlog_empty = listener_.closed() || listener_.AcceptWaiting();
     return backlog_empty && exchanges_.size() == 0 && listener_.connections() == 0;
   }
 
-  // The listener is closed in the same step in which nothing was found to be left: a connection that came
-  // between that finding and the exit of the process would be closed with its request.
-  void Stop() {
+  void CloseListener() {
     listener_.Close();
-    LOG(INFO) << "no longer accepting connections" << TextOfDrainTime(context_.Now());
-    stopped_ = true;
+    LOG(INFO) << "no longer accepting connections, " << exchanges_.size() << " requests in progress"
+              << TextOfDrainTime(context_.Now());
   }
 
   // For the log; empty unless the data plane is draining.
@@ -197,6 +208,7 @@
 Report DataPlane::TakeReport() { return impl_->TakeReport(); }
 void DataPlane::BeginDrain() { impl_->BeginDrain(); }
 void DataPlane::StopWhenIdle() { impl_->StopWhenIdle(); }
+void DataPlane::StopNow() { impl_->StopNow(); }
 bool DataPlane::Stopped() { return impl_->Stopped(); }
 
 }  // namespace lichenlug::dataplane
--- a/src/dataplane/data_plane.h
+++ b/src/dataplane/data_plane.h
@@ -43,6 +43,9 @@
   // Any thread. Allows a draining data plane to stop: it closes its listener as soon as it finds that no
   // request, connection or waiting connection is left.
   void StopWhenIdle();
+  // Any thread. The end of the grace period: closes the listener now and gives every request in progress its
+  // final answer.
+  void StopNow();
   bool Stopped();  // any thread; final: no connection is left and none will be accepted
 
  private:
--- a/src/dataplane/exchange.cpp
+++ b/src/dataplane/exchange.cpp
@@ -20,6 +20,8 @@
     "the runner failed during the request: retry only if the request may run twice";
 constexpr std::string_view kDeadlineExpiredText =
     "the deadline expired before a response was available: retry with a longer deadline";
+constexpr std::string_view kShutdownText =
+    "this dispatcher shut down before a response was available: retry only if the request may run twice";
 constexpr std::string_view kRouteChangedText = "the route of the request changed: retry";
 
 bool HasNoBody(const Request& request, int status) {
@@ -155,9 +157,20 @@
   if (!sent && !may_have_run_ && !head_sent_) OnDeadline();
 }
 
-// A request that was sent to no runner is guaranteed not to have run.
+void Exchange::EndAtShutdown() {
+  const auto self = shared_from_this();
+  if (StopAttempts()) return FinishWith({502, kShutdownText, std::nullopt, CutReason::kShutdown});
+  FinishWith({503, kNoRunnerText, kMinRetryAfter, CutReason::kShutdown});
+}
+
 void Exchange::OnDeadline() {
   const auto self = shared_from_this();
+  if (StopAttempts()) return FinishWith({504, kDeadlineExpiredText, std::nullopt, CutReason::kDeadline});
+  FinishWith({503, kNoRunnerText, kMinRetryAfter, CutReason::kDeadline});
+}
+
+// A request that was sent to no runner is guaranteed not to have run.
+bool Exchange::StopAttempts() {
   const bool sent = std::any_of(attempts_.begin(), attempts_.end(), [](const auto& a) { return a->sent(); });
   may_have_run_ = may_have_run_ || sent;
   if (const auto suspected = std::exchange(suspected_, nullptr)) suspected->Stop();
@@ -168,8 +181,7 @@
     table_->AttemptEnded(number_, attempt->number(), AttemptOutcome::kTimeout, /*final=*/true);
   }
   table_->CloseRequest(number_);
-  if (may_have_run_) return FinishWith({504, kDeadlineExpiredText, std::nullopt, CutReason::kDeadline});
-  FinishWith({503, kNoRunnerText, kMinRetryAfter, CutReason::kDeadline});
+  return may_have_run_;
 }
 
 // ---- Attempts ----
--- a/src/dataplane/exchange.h
+++ b/src/dataplane/exchange.h
@@ -51,6 +51,7 @@
   void OnClientDisconnect();
   void OnClientWritable();
   void RefuseIfUnsent();  // at shutdown: refuses the request unless a runner may have received it
+  void EndAtShutdown();   // gives the final answer now, as the process is about to exit
 
   void OnResponse(Attempt& attempt, HttpMessage response) override;
   void OnStreamBegin(Attempt& attempt, const HttpMessage& head, bool events) override;
@@ -61,6 +62,7 @@
 
  private:
   void OnDeadline();
+  bool StopAttempts();  // returns whether a runner may have run the request
   void ResumeSuspected(const Attempt& attempt);
   void OnSuspectedFailed();
   bool NearDeadline() const;
--- a/src/dataplane/exchange_table.cpp
+++ b/src/dataplane/exchange_table.cpp
@@ -69,10 +69,18 @@
   if (const auto exchange = Find(number)) exchange->OnClientWritable();
 }
 
-void ExchangeTable::RefuseUnsent() {
-  std::vector<std::shared_ptr<Exchange>> all;  // an exchange that ends is erased from the table
+std::vector<std::shared_ptr<Exchange>> ExchangeTable::All() const {
+  std::vector<std::shared_ptr<Exchange>> all;
   for (const auto& [number, exchange] : exchanges_) all.push_back(exchange);
-  for (const auto& exchange : all) exchange->RefuseIfUnsent();
+  return all;
+}
+
+void ExchangeTable::RefuseUnsent() {
+  for (const auto& exchange : All()) exchange->RefuseIfUnsent();
+}
+
+void ExchangeTable::EndAllAtShutdown() {
+  for (const auto& exchange : All()) exchange->EndAtShutdown();
 }
 
 void ExchangeTable::Install(std::shared_ptr<const routing::Snapshot> snapshot) {
--- a/src/dataplane/exchange_table.h
+++ b/src/dataplane/exchange_table.h
@@ -24,7 +24,8 @@
                                ResponseSink* sink);
   void OnClientDisconnect(routing::RequestNumber number);
   void OnClientWritable(routing::RequestNumber number);
-  void RefuseUnsent();  // refuses requests that no runner may have received
+  void RefuseUnsent();      // refuses requests that no runner may have received
+  void EndAllAtShutdown();  // gives every request its final answer
   void Install(std::shared_ptr<const routing::Snapshot> snapshot);
 
   std::size_t size() const { return exchanges_.size(); }
@@ -42,6 +43,7 @@
   // How much shorter the client's deadline is than the longest seen on the route: the estimated time it spent
   // on earlier tries.
   Time TimeSinceFirstTry(const std::string& route, Time timeout);
+  std::vector<std::shared_ptr<Exchange>> All() const;  // an exchange that ends is erased from the table
   std::shared_ptr<Exchange> Find(routing::RequestNumber number) const;
   void Execute();
   void Execute(const routing::Decision& decision);
--- a/src/dataplane/listener.h
+++ b/src/dataplane/listener.h
@@ -19,7 +19,8 @@
 
   // Accepts the connections waiting in the backlog. True: the backlog is empty.
   bool AcceptWaiting();
-  void Close();            // accepts no further connections
+  void Close();  // accepts no further connections
+  bool closed() const { return !acceptor_.is_open(); }
   void CloseIdle();        // closes connections without a request in progress
   void OnConfiguration();  // the first configuration: serves requests that wait for it
 
--- a/src/host/control_host.h
+++ b/src/host/control_host.h
@@ -40,6 +40,7 @@
   dataplane::Report TakeReport() override { return data_plane_->TakeReport(); }
   void DrainRequests() override { data_plane_->BeginDrain(); }
   void StopRequestsWhenIdle() override { data_plane_->StopWhenIdle(); }
+  void StopRequestsNow() override { data_plane_->StopNow(); }
   bool RequestsAreStopped() override { return data_plane_->Stopped(); }
   void Exit() override { loop_->Stop(); }
 
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -349,6 +349,7 @@
 void ControlNode::ExitIfDrained(Time now) {
   const bool has_votes = HasTransferableVotes();
   if (lifecycle_.MayStopRequests(now, has_votes)) host_->StopRequestsWhenIdle();
+  if (lifecycle_.MustStopRequests(now)) host_->StopRequestsNow();
   const bool stopped = host_->RequestsAreStopped();
   if (!lifecycle_.MayExit(now, {.requests = !stopped, .votes = has_votes})) return;
   LOG(INFO) << "exiting, requests " << (stopped ? "stopped" : "in progress")
--- a/src/node/lifecycle.cpp
+++ b/src/node/lifecycle.cpp
@@ -8,7 +8,8 @@
     2500 * kMillisecond;  // the platform needs two failed readiness checks, 1 s apart
 constexpr Time kVoteHandOverTimeout =
     5 * kSecond;  // time limit for handing this store's votes over to live members
-constexpr Time kExitReserve = 700 * kMillisecond;  // before SIGKILL
+constexpr Time kExitReserve = 700 * kMillisecond;          // before SIGKILL
+constexpr Time kFinalAnswerReserve = 1000 * kMillisecond;  // before SIGKILL; the answers have yet to be sent
 
 }  // namespace
 
@@ -34,6 +35,10 @@
   return since >= kMinNotReadyTime && !hands_over;
 }
 
+bool Lifecycle::MustStopRequests(Time now) const {
+  return is_draining() && now - drain_began_ > grace_ - kFinalAnswerReserve;
+}
+
 bool Lifecycle::MayExit(Time now, const PendingWork& pending) const {
   if (!is_draining()) return false;
   if (now - drain_began_ > grace_ - kExitReserve) return true;
--- a/src/node/lifecycle.h
+++ b/src/node/lifecycle.h
@@ -29,6 +29,8 @@
   // Whether nothing but requests delays the exit, so that they may stop being accepted. `votes`: of
   // PendingWork. Poll every kDrainPoll while draining, like MayExit().
   bool MayStopRequests(Time now, bool votes) const;
+  // Whether so little of the grace period is left that requests get their final answers now.
+  bool MustStopRequests(Time now) const;
   bool MayExit(Time now, const PendingWork& pending) const;
 
   bool is_ready() const { return phase_ == Phase::kReady; }
--- a/src/node/node_host.h
+++ b/src/node/node_host.h
@@ -53,6 +53,7 @@
   virtual dataplane::Report TakeReport() = 0;
   virtual void DrainRequests() = 0;
   virtual void StopRequestsWhenIdle() = 0;  // no other work of the drain is pending
+  virtual void StopRequestsNow() = 0;       // the process is about to exit: gives final answers
   virtual bool RequestsAreStopped() = 0;    // final: none is in progress and none will be accepted
 
   virtual void Exit() = 0;  // no work is pending
--- a/tests/system/dataplane/clients_test.cpp
+++ b/tests/system/dataplane/clients_test.cpp
@@ -283,6 +283,31 @@
   CHECK_FALSE(testbed.runner(0).WaitForConnection(0));
 }
 
+TEST_CASE("At the end of the grace period no request is left without an answer") {
+  Testbed testbed({{.id = "r1", .models = {}}}, DefaultConfiguration(), true, /*grace=*/kSecond);
+  Socket sent_client = testbed.Client(), stream_client = testbed.Client();
+  sent_client.Send(Post("/unsafe/1", "a1", "b"));
+  Socket sent_runner = testbed.runner(0).Accept();
+  sent_runner.Read();
+  stream_client.Send(Post("/stream/1", "s1", "b"));
+  Socket stream_runner = testbed.runner(0).Accept();
+  stream_runner.Read();
+  stream_runner.Send(StreamHead("s1") + Chunk(Event(1, "one")));
+  CHECK(stream_client.ReadHead().status() == 200);
+  testbed.plane().BeginDrain();
+  testbed.plane().StopNow();
+  const Message response = sent_client.Read();
+  CHECK(response.status() == 502);  // it may have run
+  CHECK(response.complete);
+  CHECK(response.Header("Connection") == "close");
+  CHECK(sent_client.AtEnd());
+  CHECK(testbed.AwaitReport(
+      [](const Report& report) { return report.cuts[static_cast<std::size_t>(CutReason::kShutdown)] == 1; }));
+  CHECK_THROWS(testbed.Client());
+  sent_client.Close(), stream_client.Close();
+  CHECK(testbed.AwaitReport([&](const Report&) { return testbed.plane().Stopped(); }));
+}
+
 TEST_CASE("A data plane that may stop answers new requests for as long as one is in progress") {
   Testbed testbed({{.id = "r1", .models = {}}}, DefaultConfiguration(), true, /*grace=*/kSecond);
   Socket held_client = testbed.Client(), idle_client = testbed.Client();
--- a/tests/system/node/lifecycle_test.cpp
+++ b/tests/system/node/lifecycle_test.cpp
@@ -59,6 +59,16 @@
   CHECK(lifecycle.MayStopRequests(kStart + 5 * kSecond, /*votes=*/true));
 }
 
+TEST_CASE("requests get their final answers before the process exits for want of time") {
+  Lifecycle lifecycle(kGrace);
+  CHECK_FALSE(lifecycle.MustStopRequests(kStart));
+  lifecycle.BeginDrain(kStart);
+  CHECK_FALSE(lifecycle.MustStopRequests(kStart + 10900 * kMillisecond));
+  const Time last_answers = kStart + 11200 * kMillisecond;
+  CHECK(lifecycle.MustStopRequests(last_answers));
+  CHECK_FALSE(lifecycle.MayExit(last_answers, {.requests = true}));
+}
+
 TEST_CASE("a second SIGTERM does not restart the drain") {
   Lifecycle lifecycle(kGrace);
   lifecycle.BeginDrain(kStart);
--- a/tests/system/node/register_service_test.cpp
+++ b/tests/system/node/register_service_test.cpp
@@ -126,6 +126,7 @@
   dataplane::Report TakeReport() override { return {}; }
   void DrainRequests() override {}
   void StopRequestsWhenIdle() override {}
+  void StopRequestsNow() override {}
   bool RequestsAreStopped() override { return true; }
   void Exit() override {}
 
