Let one connection in four of the soak's clients go to a draining dispatcher

The soak's clients kept their connections to the end, but opened none after a SIGTERM, so it could not show a request that is taken after the drain was found complete.

--- a/lab/system/persistent_client.cpp
+++ b/lab/system/persistent_client.cpp
@@ -16,6 +16,9 @@
 constexpr Time kLossDetectionLimit = 500 * kMillisecond;  // until its connections break after a kill
 constexpr Time kReconnectDelay = 50 * kMillisecond;
 constexpr Time kMaxSendDelay = 150 * kMillisecond;  // between requests
+// One connection in this many goes to any dispatcher, as it does where too few are ready: a draining one gets
+// new connections until it exits.
+constexpr std::uint64_t kConnectionsPerStray = 4;
 
 std::string Hex(std::uint64_t number) {
   char text[24];
@@ -61,7 +64,8 @@
   std::vector<std::size_t> open;
   for (std::size_t index = 0; index < fronts_->size(); ++index)
     if (fronts_->front(index).open) open.push_back(index);
-  return open.empty() ? random_() % fronts_->size() : open[random_() % open.size()];
+  const bool is_stray = random_() % kConnectionsPerStray == 0;
+  return open.empty() || is_stray ? random_() % fronts_->size() : open[random_() % open.size()];
 }
 
 void PersistentClient::Connect() {
