Share the records of runners that did not change between lists of runners

Each change of one runner made every dispatcher copy the records of all runners, compare them all in the data plane, and free the list before.

Change: a list of runners holds shared, immutable records, and one that replaces another shares what did not change; the data plane passes over a record that it holds already, and marks what is listed by a number instead of building a set of names.

Test: "a change of one runner copies the records of no others".

--- a/lab/control/world.cpp
+++ b/lab/control/world.cpp
@@ -208,7 +208,7 @@
     const routing::Snapshot* snapshot = machines_[i]->snapshot();
     if (snapshot == nullptr || snapshot->runners == nullptr) continue;
     for (const auto& runner : *snapshot->runners) {
-      if (runner.state() == messages::RUNNER_READY) ready.insert(runner.runner_id());
+      if (runner->state() == messages::RUNNER_READY) ready.insert(runner->runner_id());
     }
     drains_.Check(events_.now(), i, last_disturbed_[i], ready);
   }
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -58,7 +58,7 @@
           }),
       runner_api_(host, settings_.internal_address, &registry_, &registers_,
                   [this](registry::RegistryOutput output) { Execute(std::move(output)); }),
-      runners_(std::make_shared<std::vector<messages::RunnerRecord>>()),
+      runners_(std::make_shared<RunnerList>()),
       configuration_source_(
           host, identity.seed, &registers_, &follower_,
           [this](const messages::ConfigurationState& state, bool push) { Learn(state, push); }),
@@ -150,7 +150,7 @@
     host_->Send(send.address, std::move(envelope));
   }
   if (!output.changed) return;
-  runners_ = std::make_shared<const std::vector<messages::RunnerRecord>>(registry_.Runners());
+  runners_ = std::make_shared<const RunnerList>(registry_.Runners());
   duties_.SetRunners(runners_);
   snapshot_changed_ = true;
 }
--- a/src/node/control_node.h
+++ b/src/node/control_node.h
@@ -74,7 +74,7 @@
   RunnerApi runner_api_;
 
   std::vector<Member> live_;  // including this dispatcher
-  std::shared_ptr<const std::vector<messages::RunnerRecord>> runners_;
+  std::shared_ptr<const RunnerList> runners_;
   std::string replica_id_;
   bool snapshot_changed_ = true;
   ConfigurationSource configuration_source_;
--- a/src/node/duty_service.cpp
+++ b/src/node/duty_service.cpp
@@ -82,9 +82,7 @@
   configuration_ = std::move(configuration);
 }
 
-void DutyService::SetRunners(std::shared_ptr<const std::vector<messages::RunnerRecord>> runners) {
-  runners_ = std::move(runners);
-}
+void DutyService::SetRunners(std::shared_ptr<const RunnerList> runners) { runners_ = std::move(runners); }
 
 void DutyService::SendToStores(const messages::DutiesMessage& message) {
   for (const Member& member : live_) {
--- a/src/node/duty_service.h
+++ b/src/node/duty_service.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "cluster/runner_list.h"
 #include "duties/demand_reports.h"
 #include "duties/ownership.h"
 #include "duties/usage.h"
@@ -29,7 +30,7 @@
 
   void SetMembers(Time now, std::vector<Member> live);
   void SetConfiguration(std::shared_ptr<const messages::Configuration> configuration);
-  void SetRunners(std::shared_ptr<const std::vector<messages::RunnerRecord>> runners);
+  void SetRunners(std::shared_ptr<const RunnerList> runners);
   // Records this dispatcher's own counts and demand, and sends them to the members that have a store.
   void Report(Time now, Time wall_now, const dataplane::Report& report);
   void Receive(Time wall_now, const messages::DutiesMessage& message);
@@ -67,7 +68,7 @@
   RegisterService* registers_;
   std::vector<Member> live_;
   std::shared_ptr<const messages::Configuration> configuration_;
-  std::shared_ptr<const std::vector<messages::RunnerRecord>> runners_;
+  std::shared_ptr<const RunnerList> runners_;
   std::map<std::string, std::unique_ptr<duties::Ownership>> ownerships_;  // by register
   duties::UsageDuty usage_;
   duties::UsageHandover usage_handover_;
--- a/src/node/service_placements.h
+++ b/src/node/service_placements.h
@@ -24,7 +24,7 @@
   };
   struct Facts {
     const messages::Configuration* configuration = nullptr;
-    const std::vector<messages::RunnerRecord>* runners = nullptr;
+    const RunnerList* runners = nullptr;
     // The ownership of a service's shard; null if this dispatcher never wanted it.
     std::function<const duties::Ownership*(const std::string& service)> ownership_of;
     std::function<std::vector<messages::DemandReport>()> demand;
--- a/src/node/snapshot.cpp
+++ b/src/node/snapshot.cpp
@@ -5,9 +5,10 @@
 
 namespace lichenlug::node {
 
-std::shared_ptr<const routing::Snapshot> SnapshotOf(
-    const NodeSettings& settings, const configuration::Follower::Version* version,
-    std::shared_ptr<const std::vector<messages::RunnerRecord>> runners, const SnapshotInput& facts) {
+std::shared_ptr<const routing::Snapshot> SnapshotOf(const NodeSettings& settings,
+                                                    const configuration::Follower::Version* version,
+                                                    std::shared_ptr<const RunnerList> runners,
+                                                    const SnapshotInput& facts) {
   auto snapshot = std::make_shared<routing::Snapshot>();
   if (version != nullptr) {
     snapshot->revision = version->revision;
--- a/src/node/snapshot.h
+++ b/src/node/snapshot.h
@@ -18,8 +18,9 @@
 };
 
 // `version` is null while no configuration is in force.
-std::shared_ptr<const routing::Snapshot> SnapshotOf(
-    const NodeSettings& settings, const configuration::Follower::Version* version,
-    std::shared_ptr<const std::vector<messages::RunnerRecord>> runners, const SnapshotInput& facts);
+std::shared_ptr<const routing::Snapshot> SnapshotOf(const NodeSettings& settings,
+                                                    const configuration::Follower::Version* version,
+                                                    std::shared_ptr<const RunnerList> runners,
+                                                    const SnapshotInput& facts);
 
 }  // namespace lichenlug::node
--- a/src/node/status.cpp
+++ b/src/node/status.cpp
@@ -72,7 +72,7 @@
     status["revision"] = input.version->revision;
   }
   for (const Member& member : input.live) status["members"].push_back(MemberJson(member));
-  for (const auto& runner : *input.runners) status["runners"].push_back(RunnerJson(runner));
+  for (const auto& runner : *input.runners) status["runners"].push_back(RunnerJson(*runner));
   for (const auto& ownership_status : input.ownership_statuses)
     status["duties"].push_back({{"register", ownership_status.register_name},
                                 {"owner", ownership_status.owner},
--- a/src/node/status.h
+++ b/src/node/status.h
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "cluster/runner_list.h"
 #include "configuration/follower.h"
 #include "node/duty_service.h"
 
@@ -17,7 +18,7 @@
   bool confirmed = false;
   std::string replica_id;
   std::vector<Member> live;
-  const std::vector<messages::RunnerRecord>* runners = nullptr;
+  const RunnerList* runners = nullptr;
   const configuration::Follower::Version* version = nullptr;
   configuration::FollowerStatistics distribution;
   std::vector<DutyService::OwnershipStatus> ownership_statuses;
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -41,8 +41,9 @@
   Execute(now, calls);
 }
 
-void Placement::Impl::Observe(Time now, const std::vector<messages::RunnerRecord>& records) {
-  for (const messages::RunnerRecord& record : records) {
+void Placement::Impl::Observe(Time now, const RunnerList& records) {
+  for (const SharedRunnerRecord& shared_record : records) {
+    const messages::RunnerRecord& record = *shared_record;
     if (record.service() != settings_.service || record.runner_id().empty() || record.address().empty())
       continue;
     auto it = runners_.find(record.runner_id());
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "cluster/runner_list.h"
 #include "duties/usage.h"
 #include "messages/generated/configuration.pb.h"
 #include "messages/generated/duties.pb.h"
@@ -30,9 +31,9 @@
     std::uint64_t seed = 0;
   };
   struct Input {
-    const messages::Service* service = nullptr;                    // null if no longer configured
-    const std::vector<messages::RunnerRecord>* runners = nullptr;  // of all services
-    const std::vector<messages::DemandReport>* demand = nullptr;   // the latest of each dispatcher
+    const messages::Service* service = nullptr;                   // null if no longer configured
+    const RunnerList* runners = nullptr;                          // of all services
+    const std::vector<messages::DemandReport>* demand = nullptr;  // the latest of each dispatcher
     std::uint64_t epoch = 0;
     bool holds = false;
     // Loads from the weight store as recorded in the duty's register, with ages relative to
--- a/src/placement/placement_impl.h
+++ b/src/placement/placement_impl.h
@@ -39,7 +39,7 @@
   using Calls = std::vector<duties::HttpCall>;
 
   // placement.cpp
-  void Observe(Time now, const std::vector<messages::RunnerRecord>& records);
+  void Observe(Time now, const RunnerList& records);
   void ForgetRunners(Time now);
   void TakeOver(Time now, const Input& input);
   void ExpireCalls(Time now);
--- a/src/registry/merge.h
+++ b/src/registry/merge.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 
 #include "base/clock.h"
+#include "cluster/runner_list.h"
 #include "messages/generated/registry.pb.h"
 
 namespace lichenlug::registry {
@@ -12,6 +13,7 @@
 // A runner as one dispatcher knows it.
 struct TrackedRunner {
   messages::RunnerRecord record;
+  SharedRunnerRecord listed;          // the record as last listed for readers; null: never
   std::uint64_t last_call_count = 0;  // the highest call count seen, including heartbeats without changes
   Time last_heard = 0;                // when the call count last increased
   Time ended_at = 0;                  // when it was declared lost or removed
--- a/src/registry/registry.cpp
+++ b/src/registry/registry.cpp
@@ -218,7 +218,7 @@
 }
 void Registry::Tick(Time now, RegistryOutput* output) { impl_->Tick(now, output); }
 std::optional<Time> Registry::NextTimer() const { return impl_->NextTimer(); }
-std::vector<messages::RunnerRecord> Registry::Runners() const { return impl_->Runners(); }
+RunnerList Registry::Runners() const { return impl_->Runners(); }
 bool Registry::Settled(Time now) const { return impl_->Settled(now); }
 
 }  // namespace lichenlug::registry
--- a/src/registry/registry.h
+++ b/src/registry/registry.h
@@ -13,6 +13,7 @@
 
 #include "base/clock.h"
 #include "cluster/member.h"
+#include "cluster/runner_list.h"
 #include "messages/generated/registry.pb.h"
 
 namespace lichenlug::registry {
@@ -66,7 +67,7 @@
   void Tick(Time now, RegistryOutput* output);
   std::optional<Time> NextTimer() const;
 
-  std::vector<messages::RunnerRecord> Runners() const;  // ready and draining, by id
+  RunnerList Runners() const;
   // Whether a new process has received the table of a settled dispatcher, or has run for 2.5 heartbeat
   // intervals.
   bool Settled(Time now) const;
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -29,7 +29,7 @@
   void SetMembers(Time now, const std::vector<Member>& live, RegistryOutput* output);
   void Tick(Time now, RegistryOutput* output);
   std::optional<Time> NextTimer() const;
-  std::vector<messages::RunnerRecord> Runners() const { return table_.Alive(); }
+  RunnerList Runners() { return table_.Alive(); }
   bool Settled(Time now) const { return anti_entropy_.Settled(now); }
 
  private:
--- a/src/registry/table.cpp
+++ b/src/registry/table.cpp
@@ -13,6 +13,12 @@
 constexpr Time kDigestEndedAge = 60 * kSecond;
 constexpr std::size_t kMaxTombstones = 4096;
 
+// Records of one runner that agree in their version (merge.h) are the same, except for the durations.
+bool IsSameRecord(const messages::RunnerRecord& left, const messages::RunnerRecord& right) {
+  return left.call_count() == right.call_count() && left.state() == right.state() &&
+         left.cold_ms() == right.cold_ms() && left.remaining_ms() == right.remaining_ms();
+}
+
 bool InDigest(Time now, const TrackedRunner& runner) {
   return IsAlive(runner.record.state()) || now - runner.ended_at < kDigestEndedAge;
 }
@@ -50,10 +56,14 @@
   return nullptr;
 }
 
-std::vector<messages::RunnerRecord> RunnerTable::Alive() const {
-  std::vector<messages::RunnerRecord> alive;
-  for (const auto& [runner_id, runner] : runners_)
-    if (IsAlive(runner.record.state())) alive.push_back(runner.record);
+RunnerList RunnerTable::Alive() {
+  RunnerList alive;
+  for (auto& [runner_id, runner] : runners_) {
+    if (!IsAlive(runner.record.state())) continue;
+    if (runner.listed == nullptr || !IsSameRecord(*runner.listed, runner.record))
+      runner.listed = std::make_shared<const messages::RunnerRecord>(runner.record);
+    alive.push_back(runner.listed);
+  }
   return alive;
 }
 
--- a/src/registry/table.h
+++ b/src/registry/table.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "cluster/runner_list.h"
 #include "messages/generated/registry.pb.h"
 #include "registry/merge.h"
 
@@ -23,7 +24,7 @@
   TrackedRunner* Add(Time now, const messages::RunnerRecord& record);
   // Another runner that is alive and has this address, or null.
   TrackedRunner* FindAliveByAddress(const std::string& address, const std::string& excluded_runner);
-  std::vector<messages::RunnerRecord> Alive() const;  // by id
+  RunnerList Alive();
   std::map<std::string, TrackedRunner>& runners() { return runners_; }
 
   // Removes runners that ended long ago, and the oldest ones beyond the limit.
--- a/src/routing/decisions.cpp
+++ b/src/routing/decisions.cpp
@@ -87,10 +87,10 @@
   }
 
   void UpdateRunners(std::vector<Decision>* decisions) {
-    std::unordered_map<std::string_view, std::vector<const messages::RunnerRecord*>> by_service;
+    std::unordered_map<std::string_view, RunnerList> by_service;
     if (snapshot_->runners)
-      for (const messages::RunnerRecord& record : *snapshot_->runners)
-        by_service[record.service()].push_back(&record);
+      for (const SharedRunnerRecord& record : *snapshot_->runners)
+        by_service[record->service()].push_back(record);
     for (auto& [name, service] : services_) {
       RunnerTable::Changes changes;
       service->runners.Update(by_service[name], &changes);
--- a/src/routing/runner_table.cpp
+++ b/src/routing/runner_table.cpp
@@ -1,7 +1,6 @@
 #include "routing/runner_table.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include "base/hash.h"
@@ -43,27 +42,27 @@
   return std::max<Holding>(HashText(name), 1);
 }
 
-void RunnerTable::Update(const std::vector<const messages::RunnerRecord*>& records, Changes* changes) {
-  std::set<std::string_view> present;
-  for (const messages::RunnerRecord* record : records) {
-    present.insert(record->runner_id());
+void RunnerTable::Update(const RunnerList& records, Changes* changes) {
+  ++updates_;
+  for (const SharedRunnerRecord& record : records) {
     auto [found, inserted] = runners_.try_emplace(record->runner_id());
     Runner& runner = found->second;
+    runner.listed_in_update = updates_;
     if (inserted) {
       runner.listed.id = record->runner_id();
       runner.listed.state = ListedWorker::State::kGone;
     }
-    if (!inserted && SameRecord(*record, runner.record)) continue;
-    if (!inserted && record->call_count() > runner.record.call_count()) {
+    if (!inserted && (record == runner.record || SameRecord(*record, *runner.record))) continue;
+    if (!inserted && record->call_count() > runner.record->call_count()) {
       runner.gone = false;
       std::erase_if(runner.withheld,
                     [&](const Withheld& item) { return item.until_newer || !Lists(*record, item.holding); });
     }
-    runner.record = *record;
+    runner.record = record;
     Publish(&runner, changes);
   }
   for (auto it = runners_.begin(); it != runners_.end();) {
-    if (present.contains(it->first)) {
+    if (it->second.listed_in_update == updates_) {
       ++it;
       continue;
     }
@@ -84,7 +83,7 @@
   const auto found = runners_.find(runner_id);
   if (found == runners_.end() || holding == 0) return false;
   Runner& runner = found->second;
-  const bool may_be_full = runner.open_attempts * std::max(1, live_dispatchers) >= runner.record.slots();
+  const bool may_be_full = runner.open_attempts * std::max(1, live_dispatchers) >= runner.record->slots();
   const bool listed = std::ranges::binary_search(runner.listed.holds, holding);
   const bool other_holders = listed && ReadyHolders(holding) > 1;
   if (other_holders)
@@ -138,7 +137,7 @@
 
 std::string RunnerTable::AddressOf(const std::string& id) const {
   const auto found = runners_.find(id);
-  return found == runners_.end() ? std::string() : found->second.record.address();
+  return found == runners_.end() ? std::string() : found->second.record->address();
 }
 
 RunnerTable::Changes RunnerTable::All() const {
@@ -148,7 +147,7 @@
 }
 
 ListedWorker RunnerTable::Describe(const Runner& runner) const {
-  const messages::RunnerRecord& record = runner.record;
+  const messages::RunnerRecord& record = *runner.record;
   ListedWorker listed;
   listed.id = runner.listed.id;
   listed.state = StateOf(record, runner.gone);
--- a/src/routing/runner_table.h
+++ b/src/routing/runner_table.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "cluster/runner_list.h"
 #include "messages/generated/registry.pb.h"
 #include "rookgw/brain.h"
 
@@ -28,7 +29,7 @@
   explicit RunnerTable(std::string own_zone) : own_zone_(std::move(own_zone)) {}
 
   // Replaces the records by those of all current runners of the service.
-  void Update(const std::vector<const messages::RunnerRecord*>& records, Changes* changes);
+  void Update(const RunnerList& records, Changes* changes);
 
   // The runner reported that it does not hold it: not used for it until a newer record or a short time later.
   void Withhold(Time now, const std::string& runner_id, Holding holding, Changes* changes);
@@ -55,8 +56,9 @@
     bool until_newer = true;  // a newer record ends it early
   };
   struct Runner {
-    messages::RunnerRecord record;
-    bool gone = false;  // until a record with a higher call count
+    SharedRunnerRecord record;
+    std::uint64_t listed_in_update = 0;  // the number of the last update that contained it
+    bool gone = false;                   // until a record with a higher call count
     std::vector<Withheld> withheld;
     int open_attempts = 0;        // attempts of this dispatcher
     rookgw::ListedWorker listed;  // as last reported to the module
@@ -69,6 +71,7 @@
   void UpdateHolderCount(const rookgw::ListedWorker& listed, int change);
 
   std::string own_zone_;
+  std::uint64_t updates_ = 0;
   std::map<std::string, Runner> runners_;
   std::unordered_map<Holding, int> ready_holders_;
 };
--- a/src/routing/snapshot.h
+++ b/src/routing/snapshot.h
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "base/mechanisms.h"
+#include "cluster/runner_list.h"
 #include "messages/generated/configuration.pb.h"
 #include "messages/generated/registry.pb.h"
 
@@ -24,7 +25,7 @@
 struct Snapshot {
   std::uint64_t revision = 0;  // of the configuration; 0: none yet, so nothing is served
   std::shared_ptr<const messages::Configuration> configuration;
-  std::shared_ptr<const std::vector<messages::RunnerRecord>> runners;  // ready and draining
+  std::shared_ptr<const RunnerList> runners;
   bool runners_known = true;  // false after a start until every runner has had time to send a heartbeat
   int live_dispatchers = 1;   // this one included
   std::string zone;           // of this dispatcher
--- a/tests/system/dataplane/testbed.cpp
+++ b/tests/system/dataplane/testbed.cpp
@@ -78,7 +78,7 @@
   auto snapshot = std::make_shared<routing::Snapshot>();
   snapshot->revision = ++revision_;
   snapshot->configuration = std::make_shared<const messages::Configuration>(std::move(configuration));
-  auto records = std::make_shared<std::vector<messages::RunnerRecord>>();
+  auto records = std::make_shared<RunnerList>();
   for (std::size_t i = 0; i < runner_specs_.size(); ++i) {
     messages::RunnerRecord record;
     record.set_runner_id(runner_specs_[i].id);
@@ -88,7 +88,7 @@
     record.set_slots(8);
     record.set_call_count(revision_);
     for (const std::string& model : runner_specs_[i].models) record.add_models()->set_name(model);
-    records->push_back(std::move(record));
+    records->push_back(std::make_shared<const messages::RunnerRecord>(std::move(record)));
   }
   snapshot->runners = std::move(records);
   snapshot->zone = "z1";
--- a/tests/system/placement/simulated_fleet.cpp
+++ b/tests/system/placement/simulated_fleet.cpp
@@ -219,8 +219,9 @@
   const std::optional<Time> timer = placement_->NextTimer();
   if (!input_changed_ && (!timer || *timer > now_)) return;
   input_changed_ = false;
-  std::vector<messages::RunnerRecord> records;
-  for (const auto& [id, record] : records_) records.push_back(record);
+  RunnerList records;
+  for (const auto& [id, record] : records_)
+    records.push_back(std::make_shared<const messages::RunnerRecord>(record));
   Placement::Input input;
   input.service = &service_;
   input.runners = &records;
--- a/tests/system/registry/expiry_simulation_test.cpp
+++ b/tests/system/registry/expiry_simulation_test.cpp
@@ -213,8 +213,8 @@
       for (std::size_t i = 0; i < 7; ++i) {
         if (!network.nodes[i].is_running) continue;
         for (const auto& record : network.Runners(i)) {
-          if (record.state() == RUNNER_DRAINING) seen_draining[i].insert(record.runner_id());
-          REQUIRE((record.state() != RUNNER_READY || !seen_draining[i].contains(record.runner_id())));
+          if (record->state() == RUNNER_DRAINING) seen_draining[i].insert(record->runner_id());
+          REQUIRE((record->state() != RUNNER_READY || !seen_draining[i].contains(record->runner_id())));
         }
       }
     }
--- a/tests/system/registry/registry_network.h
+++ b/tests/system/registry/registry_network.h
@@ -186,15 +186,16 @@
   }
   void RunFor(Time span) { RunUntil(now + span); }
 
-  std::vector<messages::RunnerRecord> Runners(std::size_t i) const { return nodes[i].registry->Runners(); }
+  RunnerList Runners(std::size_t i) const { return nodes[i].registry->Runners(); }
   std::optional<messages::RunnerState> StateAt(std::size_t i, const std::string& runner_id) const {
     for (const auto& record : Runners(i))
-      if (record.runner_id() == runner_id) return record.state();
+      if (record->runner_id() == runner_id) return record->state();
     return std::nullopt;
   }
   std::string TableAt(std::size_t i) const {  // everything that must be equal on all nodes
     std::string table;
-    for (auto record : Runners(i)) {
+    for (const SharedRunnerRecord& shared_record : Runners(i)) {
+      messages::RunnerRecord record = *shared_record;
       record.clear_cold_ms();
       record.clear_remaining_ms();
       table += record.ShortDebugString() + "\n";
--- a/tests/system/registry/registry_test.cpp
+++ b/tests/system/registry/registry_test.cpp
@@ -227,7 +227,7 @@
     RegistryOutput second;
     registry.Heartbeat(now, record, &second);
     CHECK_FALSE(second.changed);
-    CHECK(registry.Runners().at(0).cold_ms() == 77);
+    CHECK(registry.Runners().at(0)->cold_ms() == 77);
     if (is_home) {
       CHECK(second.sends.empty());
     } else {
@@ -238,6 +238,25 @@
   }
 }
 
+TEST_CASE("a change of one runner copies the records of no others") {
+  Registry registry = MakeRegistry();
+  const Time now = 100 * kSecond;
+  RegistryOutput output;
+  for (const std::string runner : {"i-1", "i-2", "i-3"})
+    registry.Heartbeat(now, MakeRecord(runner, 1), &output);
+  const RunnerList before = registry.Runners();
+  REQUIRE(before.size() == 3);
+  auto changed = MakeRecord("i-2", 2);
+  changed.set_slots(99);
+  registry.Heartbeat(now, changed, &output);
+  const RunnerList after = registry.Runners();
+  REQUIRE(after.size() == 3);
+  CHECK(after[0] == before[0]);
+  CHECK(after[2] == before[2]);
+  CHECK(after[1]->slots() == 99);
+  CHECK(before[1]->slots() == 8);  // readers may still use it
+}
+
 TEST_CASE("stale heartbeats change nothing") {
   Registry registry = MakeRegistry();
   Time now = 100 * kSecond;
@@ -251,13 +270,13 @@
   CHECK(registry.Heartbeat(now, late, &after).taken);
   CHECK(after.sends.empty());
   CHECK_FALSE(after.changed);
-  CHECK(registry.Runners().at(0).slots() == 8);
+  CHECK(registry.Runners().at(0)->slots() == 8);
 
   SECTION("a ready heartbeat does not end a drain") {
     registry.Heartbeat(now, MakeRecord("i-1", 6, RUNNER_DRAINING), &output);
     for (const std::uint64_t count : {5, 6, 7, 8})
       registry.Heartbeat(now, MakeRecord("i-1", count, RUNNER_READY), &output);
-    CHECK(registry.Runners().at(0).state() == RUNNER_DRAINING);
+    CHECK(registry.Runners().at(0)->state() == RUNNER_DRAINING);
   }
   SECTION("a heartbeat after the removal of the runner does not restore it") {
     registry.Delete(now, "i-1", &output);
@@ -271,7 +290,7 @@
   }
   SECTION("but a drain takes effect even from a stale heartbeat") {
     registry.Heartbeat(now, MakeRecord("i-1", 3, RUNNER_DRAINING), &output);
-    CHECK(registry.Runners().at(0).state() == RUNNER_DRAINING);
+    CHECK(registry.Runners().at(0)->state() == RUNNER_DRAINING);
   }
 }
 
@@ -285,12 +304,12 @@
   newer.set_address(older.address());
   registry.Heartbeat(now + kSecond, newer, &output);
   REQUIRE(registry.Runners().size() == 1);
-  CHECK(registry.Runners()[0].runner_id() == "i-2");
+  CHECK(registry.Runners()[0]->runner_id() == "i-2");
 
   older.set_call_count(51);  // delayed in the network
   registry.Heartbeat(now + kSecond, older, &output);
   REQUIRE(registry.Runners().size() == 1);
-  CHECK(registry.Runners()[0].runner_id() == "i-2");
+  CHECK(registry.Runners()[0]->runner_id() == "i-2");
 }
 
 TEST_CASE("a full table accepts no new runner, but still updates existing ones") {
--- a/tests/system/routing/testbed.cpp
+++ b/tests/system/routing/testbed.cpp
@@ -40,8 +40,9 @@
 }
 
 std::shared_ptr<const Snapshot> Testbed::MakeSnapshot() const {
-  auto runners = std::make_shared<std::vector<messages::RunnerRecord>>();
-  for (const auto& [id, record] : runners_) runners->push_back(record);
+  auto runners = std::make_shared<RunnerList>();
+  for (const auto& [id, record] : runners_)
+    runners->push_back(std::make_shared<const messages::RunnerRecord>(record));
   auto snapshot = std::make_shared<Snapshot>();
   snapshot->revision = 1;
   snapshot->configuration = std::make_shared<messages::Configuration>(*configuration_);
