Let the spread of runners' changes look only at peers that have work

Each acknowledgement, message and timer looked through all peers for something to send and for the next retransmission.

Change: peers that may be sent something since the last flush and scheduled retransmissions are kept as sets.

--- a/src/registry/spread.cpp
+++ b/src/registry/spread.cpp
@@ -1,7 +1,6 @@
 #include "registry/spread.h"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 #include "registry/hashing.h"
@@ -38,6 +37,9 @@
     added.push_back(member.address);
   }
   peers_ = std::move(peers);
+  repeats_.clear();
+  for (const auto& [address, peer] : peers_)
+    if (peer.repeat_at) repeats_.emplace(*peer.repeat_at, address);
   return added;
 }
 
@@ -50,6 +52,7 @@
   if (found == peers_.end()) return;
   found->second.pending[runner_id] = {};
   found->second.has_unsent = true;
+  may_send_.insert(address);
 }
 
 std::vector<std::string> Spread::Acknowledged(Time now, const std::string& address, std::uint64_t number) {
@@ -64,6 +67,8 @@
     held.push_back(entry.first);
     return true;
   });
+  if (found->second.pending.empty()) ScheduleRepeat(address, &found->second, std::nullopt);
+  if (found->second.has_unsent) may_send_.insert(address);
   return held;
 }
 
@@ -79,24 +84,32 @@
 }
 
 void Spread::Flush(Time now, RunnerTable* table, RegistryOutput* output) {
-  for (auto& [address, peer] : peers_) {
-    if (!peer.has_unsent) continue;
+  for (const std::string& address : std::exchange(may_send_, {})) {
+    const auto found = peers_.find(address);
+    if (found == peers_.end() || !found->second.has_unsent) continue;
+    Peer& peer = found->second;
     if (!AwaitsAcknowledgement(peer) || HasUnsentEnd(peer, table)) Send(now, address, &peer, table, output);
   }
 }
 
 void Spread::Tick(Time now, RunnerTable* table, RegistryOutput* output) {
-  for (auto& [address, peer] : peers_) {
-    if (peer.pending.empty() || now < peer.repeat_at) continue;
-    Send(now, address, &peer, table, output);
+  std::vector<std::string> due;
+  for (const auto& [at, address] : repeats_) {
+    if (now < at) break;
+    due.push_back(address);
   }
+  for (const std::string& address : due) Send(now, address, &peers_.at(address), table, output);
 }
 
 std::optional<Time> Spread::NextTimer() const {
-  std::optional<Time> next;
-  for (const auto& [address, peer] : peers_)
-    if (!peer.pending.empty()) next = std::min(next.value_or(peer.repeat_at), peer.repeat_at);
-  return next;
+  return repeats_.empty() ? std::nullopt : std::optional(repeats_.begin()->first);
+}
+
+void Spread::ScheduleRepeat(const std::string& address, Peer* peer, std::optional<Time> at) {
+  if (peer->repeat_at == at) return;
+  if (peer->repeat_at) repeats_.erase({*peer->repeat_at, address});
+  if (at) repeats_.emplace(*at, address);
+  peer->repeat_at = at;
 }
 
 bool Spread::IsDue(Time now, const Pending& pending) {
@@ -157,13 +170,14 @@
     output->sends.push_back(std::move(send));
   }
   peer->has_unsent = false;
-  peer->repeat_at = std::numeric_limits<Time>::max();
+  std::optional<Time> repeat_at;
   for (const auto& [runner_id, pending] : peer->pending) {
     if (pending.sent_in.empty())
       peer->has_unsent = true;
     else
-      peer->repeat_at = std::min(peer->repeat_at, pending.repeat_at);
+      repeat_at = std::min(repeat_at.value_or(pending.repeat_at), pending.repeat_at);
   }
+  ScheduleRepeat(address, peer, repeat_at);
 }
 
 }  // namespace lichenlug::registry
--- a/src/registry/spread.h
+++ b/src/registry/spread.h
@@ -4,7 +4,9 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/clock.h"
@@ -52,9 +54,10 @@
     std::uint64_t incarnation = 0;
     std::map<std::string, Pending> pending;  // by runner
     bool has_unsent = false;
-    Time repeat_at = 0;  // the earliest retransmission
+    std::optional<Time> repeat_at;  // the earliest retransmission; none: nothing awaits an acknowledgement
   };
 
+  void ScheduleRepeat(const std::string& address, Peer* peer, std::optional<Time> at);
   static bool IsDue(Time now, const Pending& pending);
   static bool AwaitsAcknowledgement(const Peer& peer);
   static bool HasUnsentEnd(const Peer& peer, RunnerTable* table);
@@ -70,6 +73,10 @@
   DelayEstimate delay_{kMinRepeatAfter, kMaxRepeatAfter};
   std::uint64_t last_number_;          // shared by all peers, so that no number is reused
   std::map<std::string, Peer> peers_;  // by address
+  // Of hundreds of peers few have work at a time: those that may be sent something since the last Flush(),
+  // and those with a retransmission scheduled.
+  std::set<std::string> may_send_;
+  std::set<std::pair<Time, std::string>> repeats_;
 };
 
 }  // namespace lichenlug::registry
