Log what is asked for and held by no runner, and what refused requests lacked

Whoever holds the placement duty now logs, once each, what has been in demand and held by no runner for 3 s, with the planner's reason, and when a runner holds it again.

Test: "A model in demand that no runner holds is reported once, and again when it is held".

--- a/src/dataplane/context.h
+++ b/src/dataplane/context.h
@@ -10,6 +10,7 @@
 #include "base/clock.h"
 #include "base/deadlines.h"
 #include "dataplane/cut_log.h"
+#include "dataplane/refusal_log.h"
 #include "dataplane/usage_counter.h"
 #include "routing/router.h"
 #include "routing/snapshot.h"
@@ -60,6 +61,7 @@
   UsageCounter usage;
   Counters counters;
   CutLog cuts;
+  RefusalLog refusals;
   std::function<void()> on_newly_unserved;  // a requested model or adapter was found not to be loaded
   Time configuration_deadline = 0;          // until then requests wait for the first configuration
   bool draining = false;
--- a/src/dataplane/exchange.cpp
+++ b/src/dataplane/exchange.cpp
@@ -125,8 +125,12 @@
   table_->AttemptEnded(number_, number, AttemptOutcome::kCancelled, /*final=*/false);
 }
 
-void Exchange::Refuse(Time retry_after) {
-  FinishWith({503, kNoRunnerText, std::max(retry_after, kMinRetryAfter),
+void Exchange::Refuse(const routing::Refuse& decision) {
+  const Time now = context_->Now();
+  context_->refusals.Record(now,
+                            {request_->attempt_id, match_.route->name(), request_->model, request_->adapter,
+                             decision.ready_holders, attempts_started_, now - arrived_});
+  FinishWith({503, kNoRunnerText, std::max(decision.retry_after, kMinRetryAfter),
               NearDeadline() ? CutReason::kDeadline : CutReason::kNoOtherRunner});
 }
 
--- a/src/dataplane/exchange.h
+++ b/src/dataplane/exchange.h
@@ -44,7 +44,7 @@
   // Called to execute decisions of the decision module.
   void StartAttempt(const routing::StartAttempt& decision);
   void CancelAttempt(int number);
-  void Refuse(Time retry_after);
+  void Refuse(const routing::Refuse& decision);
   void Fail();
 
   // Events of the client connection and of the process.
--- a/src/dataplane/exchange_table.cpp
+++ b/src/dataplane/exchange_table.cpp
@@ -140,8 +140,7 @@
     return AttemptEnded(start->request, start->attempt, routing::AttemptOutcome::kCancelled, /*final=*/true);
   }
   if (exchange == nullptr) return;
-  if (const auto* refuse = std::get_if<routing::Refuse>(&decision))
-    return exchange->Refuse(refuse->retry_after);
+  if (const auto* refuse = std::get_if<routing::Refuse>(&decision)) return exchange->Refuse(*refuse);
   if (const auto* cancel = std::get_if<routing::CancelAttempt>(&decision))
     return exchange->CancelAttempt(cancel->attempt);
   exchange->Fail();
--- a/src/node/duty_service.cpp
+++ b/src/node/duty_service.cpp
@@ -176,6 +176,7 @@
   if (resigned_) return;
   ActOnUsage(now, wall_now);
   ActOnPlacement(now);
+  LogPlacementNotices();
   ScheduleActBy(placements_.NextTimer());
 }
 
@@ -239,6 +240,10 @@
   }
 }
 
+void DutyService::LogPlacementNotices() {
+  for (const std::string& notice : placements_.TakeNotices()) LOG(INFO) << "placement: " << notice;
+}
+
 void DutyService::ScheduleActBy(std::optional<Time> time) {
   if (time) next_act_ = std::min(next_act_, *time);
 }
--- a/src/node/duty_service.h
+++ b/src/node/duty_service.h
@@ -55,6 +55,7 @@
   void Execute(const std::string& register_name, duties::OwnershipOutput output);
   void ActOnUsage(Time now, Time wall_now);
   void ActOnPlacement(Time now);
+  void LogPlacementNotices();
   void ScheduleActBy(std::optional<Time> time);  // schedules the next action at `time` or earlier
   void HandOverUsage();
   void ExecuteUsage(duties::UsageDuty::Output output);
--- a/src/node/service_placements.cpp
+++ b/src/node/service_placements.cpp
@@ -79,6 +79,14 @@
   return loads;
 }
 
+std::vector<std::string> ServicePlacements::TakeNotices() {
+  std::vector<std::string> lines;
+  for (const auto& [service, placement] : placements_) {
+    for (const std::string& notice : placement->TakeNotices()) lines.push_back(service + ": " + notice);
+  }
+  return lines;
+}
+
 std::vector<std::string> ServicePlacements::Explain(Time now) const {
   std::vector<std::string> lines;
   for (const auto& [service, placement] : placements_) {
--- a/src/node/service_placements.h
+++ b/src/node/service_placements.h
@@ -39,6 +39,7 @@
   // What the placements of this shard may have loaded recently, to be stored with its owner's lease renewals.
   std::vector<messages::LoadHistory> RecentLoads(Time now, const std::string& register_name,
                                                  std::uint64_t epoch, bool resigned) const;
+  std::vector<std::string> TakeNotices();            // for the log
   std::vector<std::string> Explain(Time now) const;  // one line per entry, for the operator
 
  private:
--- a/src/placement/explain.cpp
+++ b/src/placement/explain.cpp
@@ -1,5 +1,6 @@
 // Explains the current placement to the operator.
 #include <cstdio>
+#include <set>
 
 #include "placement/placement_impl.h"
 
@@ -7,6 +8,7 @@
 namespace {
 
 constexpr std::size_t kMaxNames = 8;
+constexpr std::size_t kMaxNotices = 20;  // between two calls of TakeNotices()
 
 std::string FormatNumber(double value) {
   char text[32];
@@ -16,6 +18,20 @@
 
 }  // namespace
 
+void Placement::Impl::NoteMissing(Time now) {
+  std::set<Key> missing;
+  for (const auto& [key, goal] : planner_.copy_goals())
+    if (view_.HoldersOf(key).empty()) missing.insert(key);
+  const auto held = [this](const Key& key) { return !view_.HoldersOf(key).empty(); };
+  for (const MissingWatch::Notice& notice : missing_.Update(now, missing, held)) {
+    if (notices_.size() >= kMaxNotices) return;
+    const Demand& demand = notice.key.is_model() ? demand_.OfModel(notice.key.model) : demand_.Of(notice.key);
+    notices_.push_back((notice.held_now ? "held again after " : "held by no runner for ") +
+                       std::to_string(notice.missing_for / kMillisecond) +
+                       " ms: " + ExplainKey(now, notice.key, demand));
+  }
+}
+
 std::vector<std::string> Placement::Impl::Explain(Time now) const {
   std::vector<std::string> lines;
   if (!active_)
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -163,6 +163,7 @@
                                                                       bool releasing) {
   return impl_->LoadHistoryForRenewal(now, epoch, releasing);
 }
+std::vector<std::string> Placement::TakeNotices() { return impl_->TakeNotices(); }
 std::vector<std::string> Placement::Explain(Time now) const { return impl_->Explain(now); }
 
 }  // namespace lichenlug::placement
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -54,6 +54,9 @@
   // first Act in that epoch. `releasing`: the duty is being released, so no load follows.
   std::optional<messages::LoadHistory> LoadHistoryForRenewal(Time now, std::uint64_t epoch, bool releasing);
 
+  // Lines for the log: what is in demand and has been held by no runner for some time, and when that ended.
+  std::vector<std::string> TakeNotices();
+
   // Explains the placement to the operator, one line for each model or adapter in demand and for each runner.
   std::vector<std::string> Explain(Time now) const;
 
--- a/src/placement/placement_impl.h
+++ b/src/placement/placement_impl.h
@@ -4,10 +4,12 @@
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "placement/fleet_scaler.h"
 #include "placement/load_budget.h"
+#include "placement/missing_watch.h"
 #include "placement/placement.h"
 #include "placement/planner.h"
 
@@ -21,6 +23,7 @@
   void Completed(Time now, std::uint64_t tag, const duties::HttpResult& result);
   std::optional<Time> NextTimer() const;
   std::optional<messages::LoadHistory> LoadHistoryForRenewal(Time now, std::uint64_t epoch, bool releasing);
+  std::vector<std::string> TakeNotices() { return std::exchange(notices_, {}); }
   std::vector<std::string> Explain(Time now) const;
 
  private:
@@ -59,6 +62,7 @@
   void Send(Time now, PendingCall pending, duties::HttpCall call, Calls* calls);
 
   // explain.cpp
+  void NoteMissing(Time now);
   std::string ExplainKey(Time now, const Key& key, const Demand& demand) const;
   std::string ExplainRunner(const RunnerView& runner) const;
 
@@ -67,6 +71,8 @@
   DemandTable demand_;
   LoadBudget budget_;
   Planner planner_;
+  MissingWatch missing_;
+  std::vector<std::string> notices_;  // for the log, not taken yet
   FleetScaler scaler_;
   std::map<std::string, Runner> runners_;               // by id
   std::map<std::string, std::set<std::string>> disks_;  // by address: models held there so far
--- a/src/placement/steps.cpp
+++ b/src/placement/steps.cpp
@@ -29,6 +29,7 @@
   const PlanContext context{now, &catalog_, &demand_, &view_, &planner_.placed(), LoadsLeft(now)};
   for (const Assignment& assignment : planner_.Plan(context))
     runners_.at(view_.runners[assignment.runner].id).intent = assignment.intent;
+  NoteMissing(now);
   if (!settings_.scale || !input.service->has_fleet()) return;
   const auto change = scaler_.Decide(context, input.service->fleet());
   if (!change) return;
--- a/src/routing/decisions.h
+++ b/src/routing/decisions.h
@@ -50,6 +50,7 @@
 struct Refuse {  // final: the request has not run; 503 with Retry-After
   RequestNumber request = 0;
   Time retry_after = 0;
+  int ready_holders = 0;  // ready runners that hold what the request needs
 };
 struct Fail {  // final: the request may have run; 502, or 504 past the deadline
   RequestNumber request = 0;
--- a/src/routing/request_flow.cpp
+++ b/src/routing/request_flow.cpp
@@ -252,7 +252,8 @@
   if (MayHaveRun(*request))
     decisions->emplace_back(Fail{request->number});
   else
-    decisions->emplace_back(Refuse{request->number, ClampRetryAfter(now, request->deadline, retry_after)});
+    decisions->emplace_back(Refuse{request->number, ClampRetryAfter(now, request->deadline, retry_after),
+                                   request->service->runners.ReadyHolders(request->needs)});
 }
 
 // If no ready runner holds the model or adapter, the estimated time until it is loaded. Otherwise about the
--- a/tests/system/placement/explain_test.cpp
+++ b/tests/system/placement/explain_test.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 
+#include "placement/missing_watch.h"
 #include "simulated_fleet.h"
 
 namespace lichenlug::placement {
@@ -27,5 +28,31 @@
   CHECK(fleet.placement().Explain(fleet.now()).size() == 1);
 }
 
+TEST_CASE("A model in demand that no runner holds is reported once, and again when it is held") {
+  MissingWatch watch;
+  const Key model{"m1", ""};
+  bool is_held = false;
+  const auto update = [&](Time now, const std::set<Key>& missing) {
+    return watch.Update(now, missing, [&](const Key&) { return is_held; });
+  };
+  CHECK(update(10 * kSecond, {model}).empty());
+  CHECK(update(12 * kSecond, {model}).empty());
+  const auto reported = update(13 * kSecond, {model});
+  REQUIRE(reported.size() == 1);
+  CHECK(reported[0].key == model);
+  CHECK(reported[0].missing_for == 3 * kSecond);
+  CHECK_FALSE(reported[0].held_now);
+  CHECK(update(14 * kSecond, {model}).empty());
+  SECTION("held") {
+    is_held = true;
+    const auto held = update(15 * kSecond, {});
+    REQUIRE(held.size() == 1);
+    CHECK(held[0].held_now);
+    CHECK(held[0].missing_for == 5 * kSecond);
+  }
+  SECTION("no longer in demand") { CHECK(update(15 * kSecond, {}).empty()); }
+  CHECK(update(16 * kSecond, {}).empty());
+}
+
 }  // namespace
 }  // namespace lichenlug::placement
