Walk the list and the table of runners together when a new list is installed

Both the list and the table are ordered by id, so an unchanged record is the next one of the table: it is passed over by comparing pointers.

--- a/src/routing/decisions.cpp
+++ b/src/routing/decisions.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <map>
-#include <unordered_map>
 #include <utility>
 
 #include "routing/priority_scale.h"
@@ -87,13 +86,11 @@
   }
 
   void UpdateRunners(std::vector<Decision>* decisions) {
-    std::unordered_map<std::string_view, RunnerList> by_service;
-    if (snapshot_->runners)
-      for (const SharedRunnerRecord& record : *snapshot_->runners)
-        by_service[record->service()].push_back(record);
+    static const RunnerList kNoRunners;
+    const RunnerList& records = snapshot_->runners ? *snapshot_->runners : kNoRunners;
     for (auto& [name, service] : services_) {
       RunnerTable::Changes changes;
-      service->runners.Update(by_service[name], &changes);
+      service->runners.Update(records, name, &changes);
       flow_.ApplyRunnerChanges(now_, service.get(), changes, decisions);
       flow_.ProcessHeldRequests(now_, service.get(), decisions);
     }
--- a/src/routing/runner_table.cpp
+++ b/src/routing/runner_table.cpp
@@ -42,12 +42,25 @@
   return std::max<Holding>(HashText(name), 1);
 }
 
-void RunnerTable::Update(const RunnerList& records, Changes* changes) {
+// Both the list and the table are ordered by id, so a record that did not change is usually the next one.
+void RunnerTable::Update(const RunnerList& records, std::string_view service, Changes* changes) {
   ++updates_;
+  std::size_t listed = 0;
+  const auto mark_listed = [&](Runner* runner) {
+    if (std::exchange(runner->listed_in_update, updates_) != updates_) ++listed;
+  };
+  auto next = runners_.begin();
   for (const SharedRunnerRecord& record : records) {
+    if (next != runners_.end() && next->second.record == record) {
+      mark_listed(&next->second);
+      ++next;
+      continue;
+    }
+    if (record->service() != service) continue;
     auto [found, inserted] = runners_.try_emplace(record->runner_id());
+    next = std::next(found);
     Runner& runner = found->second;
-    runner.listed_in_update = updates_;
+    mark_listed(&runner);
     if (inserted) {
       runner.listed.id = record->runner_id();
       runner.listed.state = ListedWorker::State::kGone;
@@ -61,6 +74,10 @@
     runner.record = record;
     Publish(&runner, changes);
   }
+  if (listed != runners_.size()) RemoveUnlisted(changes);
+}
+
+void RunnerTable::RemoveUnlisted(Changes* changes) {
   for (auto it = runners_.begin(); it != runners_.end();) {
     if (it->second.listed_in_update == updates_) {
       ++it;
--- a/src/routing/runner_table.h
+++ b/src/routing/runner_table.h
@@ -28,8 +28,8 @@
 
   explicit RunnerTable(std::string own_zone) : own_zone_(std::move(own_zone)) {}
 
-  // Replaces the records by those of all current runners of the service.
-  void Update(const RunnerList& records, Changes* changes);
+  // Replaces the records by those of `service` in the list of all current runners.
+  void Update(const RunnerList& records, std::string_view service, Changes* changes);
 
   // The runner reported that it does not hold it: not used for it until a newer record or a short time later.
   void Withhold(Time now, const std::string& runner_id, Holding holding, Changes* changes);
@@ -68,6 +68,7 @@
   static bool Lists(const messages::RunnerRecord& record, Holding holding);
   void WithholdFor(Runner* runner, const Withheld& withheld, Changes* changes);
   void Publish(Runner* runner, Changes* changes);
+  void RemoveUnlisted(Changes* changes);  // those that the last update did not contain
   void UpdateHolderCount(const rookgw::ListedWorker& listed, int change);
 
   std::string own_zone_;
