Report the last requests of a dispatcher before it leaves

What callers would see: usage that lacks the requests of a dispatcher's last three quarters of a second, at each SIGTERM.

Cause (read, and shown by the test): the data plane publishes its counts every 250 ms and the control plane reports them every 500 ms; at the exit nobody did either once more.

Change: a data plane that stops publishes before it says so, and the control plane reports before it leaves.

--- a/src/dataplane/data_plane.cpp
+++ b/src/dataplane/data_plane.cpp
@@ -160,8 +160,11 @@
     context_.refusing_requests = fraction >= kRefuseFromFraction;
     if (context_.refusing_requests) exchanges_.RefuseUnsent();
     if (in_second_half && may_stop_ && !listener_.closed() && IsIdle()) CloseListener();
-    stopped_ = listener_.closed() && IsIdle();
-    if (stopped_) return;
+    if (listener_.closed() && IsIdle()) {
+      Publish();
+      stopped_ = true;
+      return;
+    }
     context_.deadlines.Add(context_.Now() + kDrainCheckInterval, [this] { CheckDrained(); });
   }
 
--- a/src/dataplane/data_plane.h
+++ b/src/dataplane/data_plane.h
@@ -46,7 +46,8 @@
   // Any thread. The end of the grace period: closes the listener now and gives every request in progress its
   // final answer.
   void StopNow();
-  bool Stopped();  // any thread; final: no connection is left and none will be accepted
+  // Any thread. Final: no connection is left, none will be accepted, and TakeReport() covers all requests.
+  bool Stopped();
 
  private:
   class Impl;
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -354,6 +354,7 @@
   if (!lifecycle_.MayExit(now, {.requests = !stopped, .votes = has_votes})) return;
   LOG(INFO) << "exiting, requests " << (stopped ? "stopped" : "in progress")
             << (has_votes ? ", votes not handed over" : "");
+  ReportDataPlane(now);  // requests that were served since the last report
   membership_ring::MembershipOutput output;
   membership_.Leave(now, &output);
   output.changed = false;
--- a/tests/system/dataplane/clients_test.cpp
+++ b/tests/system/dataplane/clients_test.cpp
@@ -283,6 +283,21 @@
   CHECK_FALSE(testbed.runner(0).WaitForConnection(0));
 }
 
+TEST_CASE("The report of a data plane that has stopped covers its last request") {
+  Testbed testbed({{.id = "r1", .models = {}}}, DefaultConfiguration(), true, /*grace=*/200 * kMillisecond);
+  Socket client = testbed.Client();
+  client.Send(Post("/unsafe/1", "a1", "b"));
+  Socket runner = testbed.runner(0).Accept();
+  runner.Read();
+  testbed.plane().BeginDrain();
+  testbed.plane().StopWhenIdle();
+  runner.Send(RunnerResponse(200, "a1", "one"));
+  CHECK(client.Read().body == "one");
+  client.Close();
+  REQUIRE(testbed.AwaitReport([&](const Report&) { return testbed.plane().Stopped(); }));
+  CHECK(testbed.plane().TakeReport().served == 1);
+}
+
 TEST_CASE("At the end of the grace period no request is left without an answer") {
   Testbed testbed({{.id = "r1", .models = {}}}, DefaultConfiguration(), true, /*grace=*/kSecond);
   Socket sent_client = testbed.Client(), stream_client = testbed.Client();
