--- a/src/node/service_placements.cpp
+++ b/src/node/service_placements.cpp
@@ -82,7 +82,10 @@
 std::vector<std::string> ServicePlacements::TakeNotices() {
   std::vector<std::string> lines;
   for (const auto& [service, placement] : placements_) {
-    for (const std::string& notice : placement->TakeNotices()) lines.push_back(service + ": " + notice);
+    for (const std::string& notice : placement->TakeNotices()) {
+      lines.push_back(service);
+      lines.back().append(": ").append(notice);
+    }
   }
   return lines;
 }
