--- a/lab/system/dispatcher.h
+++ b/lab/system/dispatcher.h
@@ -31,6 +31,7 @@
   bool has_disk = true;
   bool serves_clients = true;
   int tolerated_losses = 1;
+  int memory_mb = 260, descriptors = 1024;
   DeploymentTimes times;
 };
 
@@ -65,6 +66,7 @@
   std::filesystem::path settings_path() const { return folder_ / "node.json"; }
   std::string SettingsText(bool first_run) const;
   const DispatcherSettings& settings() const { return settings_; }
+  const lab::Process& process() const { return process_; }
 
  private:
   Loop* loop_;
--- a/lab/system/system.cpp
+++ b/lab/system/system.cpp
@@ -72,6 +72,7 @@
     settings.has_disk = index < plan.core;
     settings.serves_clients = plan.core_serves_clients || !settings.has_disk;
     settings.tolerated_losses = plan.tolerated_losses;
+    settings.memory_mb = plan.memory_mb, settings.descriptors = plan.descriptors;
     settings.times = plan.times;
     dispatchers_.push_back(
         std::make_unique<Dispatcher>(&loop_, plan.program, folder_ / settings.name, settings));
--- a/lab/system/system.h
+++ b/lab/system/system.h
@@ -26,6 +26,7 @@
   bool core_serves_clients = true;  // false: dispatchers with a disk have no client address
   int tolerated_losses = 1;         // simultaneous losses of disks
   int runners = 6;
+  int memory_mb = 260, descriptors = 1024;  // limits of each dispatcher
   DeploymentTimes times;
 };
 
