Bound what clients of the data plane hold together, and let those that stall make room

Cause: ExchangeTable::CanBuffer was asked once, at the end of the head, against complete requests alone; bodies in part, heads, unread answers and buffered ones counted nowhere, and at the limit of connections only idle ones made room. Change: ByteBudget counts what each connection holds as bytes come and evicts the holder that has had most for longest without progress; ConnectionListener (the data plane's listener, now in src/net) lets connections that have stalled for a second make room; receive buffers are bounded, as unread bytes are charged too; an answer for which there is no room is forwarded as it comes; a body is no longer copied for its runner.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -9,6 +9,7 @@
 #include <random>
 #include <string>
 
+#include "base/memory_release.h"
 #include "daemon/early_signals.h"
 #include "dataplane/data_plane.h"
 #include "host/control_host.h"
@@ -123,6 +124,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  lichenlug::MapLargeBlocksSeparately();
   std::signal(SIGPIPE, SIG_IGN);
   lichenlug::daemon::InstallSignalRecorders();
   const CommandLine command_line = ReadCommandLine(argc, argv);
--- a/src/dataplane/attempt.cpp
+++ b/src/dataplane/attempt.cpp
@@ -25,12 +25,13 @@
 }  // namespace
 
 Attempt::Attempt(Settings settings, std::shared_ptr<const Request> request, RunnerPool* pool,
-                 const Deadlines* clock, AttemptOwner* owner)
+                 Context* context, AttemptOwner* owner)
     : settings_(std::move(settings)),
       request_(std::move(request)),
       pool_(pool),
-      clock_(clock),
-      owner_(owner) {}
+      context_(context),
+      owner_(owner),
+      account_(&context->budget, [] {}) {}
 
 Attempt::~Attempt() { Stop(); }
 
@@ -68,7 +69,7 @@
 }
 
 void Attempt::SendRequest() {
-  const Time time_left = settings_.deadline - clock_->Now();
+  const Time time_left = settings_.deadline - context_->Now();
   if (time_left < kMillisecond) return;  // the owner's deadline handler is about to run
   AttemptHeaders added_headers;
   added_headers.runner_id = settings_.runner_id, added_headers.tenant = settings_.tenant;
@@ -81,7 +82,7 @@
   stage_ = Stage::kSent, sent_ = true;
   connection_->http().ExpectNoBody(request_->IsHead());
   connection_->http().Send(bytes);
-  if (!together) connection_->http().Send(body);
+  if (!together) connection_->http().Send(body, request_);
   if (settings_.watch_runner) WatchRunner();
 }
 
@@ -130,15 +131,22 @@
   if (watch_) watch_->OnBytes();
   if (skipping_) return;
   if (stage_ == Stage::kStreaming) return owner_->OnStreamBytes(*this, piece);
+  const bool fits = MayBufferMore(piece.size());
   body_.append(piece);
-  if (body_.size() <= kMaxBufferedBody || stage_ != Stage::kReceiving) return;
+  account_.Set(body_.size(), false, context_->Now());
+  if (fits || stage_ != Stage::kReceiving) return;
   if (response_class_ == ResponseClass::kNotRun) return Fail(NotRunOutcome(head_));
   const auto self = shared_from_this();
   stage_ = Stage::kStreaming;
   owner_->OnStreamBegin(*this, head_, /*events=*/false);
+  account_.Set(0, false, context_->Now());
   if (stage_ == Stage::kStreaming) owner_->OnStreamBytes(*this, std::exchange(body_, {}));
 }
 
+bool Attempt::MayBufferMore(std::size_t bytes) const {
+  return body_.size() + bytes <= kMaxBufferedBody && context_->budget.HasRoom(body_.size() + bytes);
+}
+
 void Attempt::OnMessage(HttpMessage message) {
   if (stage_ == Stage::kDone) return;
   if (std::exchange(skipping_, false)) return connection_->http().Next();
--- a/src/dataplane/attempt.h
+++ b/src/dataplane/attempt.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "dataplane/context.h"
 #include "dataplane/request.h"
 #include "dataplane/runner_pool.h"
 #include "routing/decisions.h"
@@ -49,7 +50,7 @@
     Time deadline = 0;
   };
 
-  Attempt(Settings settings, std::shared_ptr<const Request> request, RunnerPool* pool, const Deadlines* clock,
+  Attempt(Settings settings, std::shared_ptr<const Request> request, RunnerPool* pool, Context* context,
           AttemptOwner* owner);
   ~Attempt() override;
 
@@ -74,13 +75,14 @@
   void WatchRunner();
   ResponseClass Classify(const HttpMessage& head) const;
   routing::AttemptOutcome NotRunOutcome(const HttpMessage& head) const;
+  bool MayBufferMore(std::size_t bytes) const;
   void Release(const HttpMessage& response);
   void Fail(routing::AttemptOutcome outcome);
 
   const Settings settings_;
   const std::shared_ptr<const Request> request_;
   RunnerPool* const pool_;
-  const Deadlines* const clock_;
+  Context* const context_;
   AttemptOwner* owner_;
   RunnerPool::Connection connection_;
   std::unique_ptr<RunnerWatch::Wait> watch_;
@@ -88,6 +90,7 @@
   ResponseClass response_class_ = ResponseClass::kResponse;
   HttpMessage head_;
   std::string body_;
+  ByteAccount account_;  // of the body
   bool sent_ = false;
   bool saw_other_response_ = false;  // the connection carried a response to another request
   bool skipping_ = false;            // the current message is a response to another request
--- a/src/dataplane/client_connection.cpp
+++ b/src/dataplane/client_connection.cpp
@@ -32,7 +32,8 @@
     : context_(context),
       exchanges_(exchanges),
       http_(std::make_shared<HttpConnection>(std::move(socket), HttpConnection::Side::kServer,
-                                             ClientHttpOptions(context->Limits()))) {}
+                                             ClientHttpOptions(context->Limits()))),
+      account_(&context->budget, [this] { Evict(); }) {}
 
 ClientConnection::~ClientConnection() { http_->Close(); }
 
@@ -44,6 +45,7 @@
   events.on_message = [this](HttpMessage message) { OnRequest(std::move(message)); };
   events.on_end = [this](HttpConnection::End end) { OnEnd(end); };
   events.on_drained = [this] { OnWritable(); };
+  events.on_input = [this] { UpdateAccount(); };
   http_->SetEvents(std::move(events));
   std::error_code ignored;
   http_->socket().set_option(
@@ -58,7 +60,44 @@
   stage_due_ = timeout > 0 ? stage_began_ + timeout : 0;
 }
 
+std::optional<Time> ClientConnection::SinceStage(Stage stage) const {
+  if (stage_ != stage) return std::nullopt;
+  return stage_began_;
+}
+
+// A request that a runner may have received needs its answer, unless the client does not read it.
+bool ClientConnection::IsEvictable() const {
+  switch (stage_) {
+    case Stage::kReadingHead:
+    case Stage::kReadingBody:
+    case Stage::kAwaitingConfiguration:
+    case Stage::kSending:
+      return true;
+    default:
+      return stage_ == Stage::kServing && http_->unsent() > 0;
+  }
+}
+
+void ClientConnection::UpdateAccount() {
+  account_.Set(http_->held() + request_bytes_, IsEvictable(), context_->Now());
+}
+
+void ClientConnection::Evict() {
+  switch (stage_) {
+    case Stage::kIdle:
+      return void(CloseIfIdle());
+    case Stage::kReadingHead:
+    case Stage::kReadingBody:
+    case Stage::kAwaitingConfiguration:
+      close_after_response_ = true;
+      return RefuseOverload();
+    default:
+      return Disconnect();
+  }
+}
+
 void ClientConnection::CheckTimeout(Time now) {
+  UpdateAccount();
   if (stage_due_ == 0 || now < stage_due_) return;
   switch (stage_) {
     case Stage::kIdle:
@@ -87,14 +126,15 @@
   EnterStage(Stage::kReadingBody, kBodyTimeout);
   arrived_ = stage_began_;
   if (!head.has_length) return;
-  if (!exchanges_->CanBuffer(head.length)) {
+  const std::size_t max_body = context_->Limits().max_body_bytes;
+  const bool has_room = head.length > max_body || context_->budget.MakeRoom(head.length, context_->Now());
+  if (stage_ != Stage::kReadingBody) return;  // evicted, as its head took long
+  if (!has_room) {
     close_after_response_ = true;  // the body is not read
-    return SendLocalResponse(503, "too many requests in progress: retry after the delay given in Retry-After",
-                             kOverloadRetryAfter);
+    return RefuseOverload();
   }
   const std::string* expect = head.Header(header::kExpect);
-  if (expect != nullptr && SameName(*expect, "100-continue") &&
-      head.length <= context_->Limits().max_body_bytes)
+  if (expect != nullptr && SameName(*expect, "100-continue") && head.length <= max_body)
     http_->Send("HTTP/1.1 100 Continue\r\n\r\n");
 }
 
@@ -102,6 +142,7 @@
   if (stage_ != Stage::kReadingBody) return;  // a response was sent before the request was complete
   close_after_response_ = !message.keep_alive;
   EnterStage(Stage::kServing, 0);
+  request_bytes_ = message.body.size() + MemoryOfHeaders(message);
   ++context_->counters.requests;
   auto parsed = ParseRequest(std::move(message));
   if (const auto* error = std::get_if<RequestError>(&parsed)) return Reject(error->status, error->message);
@@ -129,6 +170,11 @@
                     kShutdownRetryAfter);
 }
 
+void ClientConnection::RefuseOverload() {
+  SendLocalResponse(503, "too many requests in progress: retry after the delay given in Retry-After",
+                    kOverloadRetryAfter);
+}
+
 void ClientConnection::Serve(Request request) {
   if (context_->refusing_requests) return RefuseShuttingDown();
   const auto found = context_->router->Match(request.host, request.message.target, request.authorization);
@@ -137,9 +183,6 @@
   const auto& match = std::get<routing::RouteMatch>(found);
   if (context_->refusing_streams && match.kind == routing::RouteKind::kStream) return RefuseShuttingDown();
   const auto number = exchanges_->Begin(std::move(request), match, arrived_, this);
-  if (number == 0)
-    return SendLocalResponse(503, "too many requests in progress: retry after the delay given in Retry-After",
-                             kOverloadRetryAfter);
   if (stage_ == Stage::kServing) exchange_number_ = number;
 }
 
@@ -152,6 +195,11 @@
                            std::to_string(context_->Limits().max_head_bytes) + " bytes");
   if (end == HttpConnection::End::kMalformed)
     return Reject(400, "malformed HTTP/1.1 request: correct the request");
+  Disconnect();
+}
+
+// The client has left, or is treated as if it had.
+void ClientConnection::Disconnect() {
   waiting_request_.reset();
   const auto exchange = std::exchange(exchange_number_, 0);
   if (exchange != 0) exchanges_->OnClientDisconnect(exchange);
@@ -186,8 +234,11 @@
 
 void ClientConnection::EndResponse() {
   exchange_number_ = 0;
+  request_bytes_ = 0;
+  waiting_request_.reset();
   if (http_->unsent() == 0) return OnResponseSent();
   EnterStage(Stage::kSending, kSendTimeout);
+  UpdateAccount();
 }
 
 void ClientConnection::OnWritable() {
@@ -213,12 +264,14 @@
   if (stage_ == Stage::kDone || stage_ == Stage::kFinishing) return;
   EnterStage(Stage::kFinishing, kFinishTimeout);
   http_->Finish([this] { Close(); });
+  UpdateAccount();
 }
 
 void ClientConnection::Close() {
   if (stage_ == Stage::kDone) return;
   EnterStage(Stage::kDone, 0);
   http_->Close();
+  account_.Set(0, false, context_->Now());
   if (const auto on_closed = std::exchange(on_closed_, nullptr)) on_closed();
 }
 
--- a/src/dataplane/client_connection.h
+++ b/src/dataplane/client_connection.h
@@ -9,24 +9,26 @@
 #include "dataplane/context.h"
 #include "dataplane/exchange_table.h"
 #include "dataplane/response_sink.h"
+#include "net/connection_listener.h"
 #include "net/http_connection.h"
 
 namespace lichenlug::dataplane {
 
-class ClientConnection : public ResponseSink {
+class ClientConnection : public ResponseSink, public ServedConnection {
  public:
   ClientConnection(asio::ip::tcp::socket socket, Context* context, ExchangeTable* exchanges);
   ~ClientConnection() override;
 
-  // `on_closed` is called once, when the connection is closed. The object must outlive that call by one
-  // iteration of the event loop.
-  void Start(std::function<void()> on_closed);
-  void CheckTimeout(Time now);  // applies the time limit of the stage; called a few times per second
-  // Closes the connection gracefully if it is idle and has no unread bytes.
-  bool CloseIfIdle();
+  void Start(std::function<void()> on_closed) override;
+  void CheckTimeout(Time now) override;
+  bool CloseIfIdle() override;
+  void Evict() override;
+  void Close() override;
+  std::optional<Time> idle_since() const override { return SinceStage(Stage::kIdle); }
+  std::optional<Time> stalled_since() const override { return account_.stalled_since(); }
+  std::optional<Time> finishing_since() const override { return SinceStage(Stage::kFinishing); }
+
   void OnConfiguration();  // serves a request that waits for the configuration
-  bool idle() const { return stage_ == Stage::kIdle; }
-  Time stage_began() const { return stage_began_; }  // when the current stage began
 
   void SendLocalResponse(int status, std::string_view line, std::optional<Time> retry_after) override;
   void EndResponse() override;
@@ -49,17 +51,21 @@
   };
 
   void EnterStage(Stage stage, Time timeout);  // 0: no time limit
+  std::optional<Time> SinceStage(Stage stage) const;
+  bool IsEvictable() const;
+  void UpdateAccount();
   void OnHead(const HttpMessage& head);
   void OnRequest(HttpMessage message);
   void Serve(Request request);
   void RefuseWithoutConfiguration();
   void RefuseShuttingDown();
+  void RefuseOverload();
+  void Disconnect();
   void OnEnd(HttpConnection::End end);
   void OnWritable();
   void Reject(int status, std::string_view line);  // rejects an invalid request and closes the connection
   void OnResponseSent();
   void Finish();
-  void Close();
   Persistence CurrentPersistence();
 
   Context* const context_;
@@ -72,6 +78,8 @@
   bool close_after_response_ = false;     // after the current response
   routing::RequestNumber exchange_number_ = 0;
   std::optional<Request> waiting_request_;  // the request that waits for the configuration
+  std::size_t request_bytes_ = 0;           // of the request that waits or is served
+  ByteAccount account_;
 };
 
 }  // namespace lichenlug::dataplane
--- a/src/dataplane/context.h
+++ b/src/dataplane/context.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include "base/byte_budget.h"
 #include "base/clock.h"
 #include "base/deadlines.h"
 #include "dataplane/cut_log.h"
@@ -29,7 +30,8 @@
 };
 
 struct Context {
-  explicit Context(asio::io_context& loop) : io(loop), deadlines(loop, clock) {}
+  Context(asio::io_context& loop, std::size_t max_held_bytes)
+      : io(loop), deadlines(loop, clock), budget(max_held_bytes) {}
 
   Time Now() const { return clock.Now(); }
   // Unix time. Snapshots give it as an offset to the steady clock.
@@ -56,6 +58,7 @@
   asio::io_context& io;
   Clock clock;
   Deadlines deadlines;
+  ByteBudget budget;  // of the bytes held for clients: requests, and responses that are buffered or unread
   std::shared_ptr<const routing::Snapshot> snapshot;  // null: none received yet
   std::shared_ptr<const routing::Router> router;      // null: no configuration received yet
   UsageCounter usage;
--- a/src/dataplane/data_plane.cpp
+++ b/src/dataplane/data_plane.cpp
@@ -6,17 +6,17 @@
 #include <mutex>
 #include <thread>
 
+#include "dataplane/client_connection.h"
 #include "dataplane/configuration_log.h"
 #include "dataplane/context.h"
 #include "dataplane/exchange_table.h"
-#include "dataplane/listener.h"
 #include "dataplane/runner_pool.h"
 
 namespace lichenlug::dataplane {
 namespace {
 
-constexpr int kReservedDescriptors = 500;      // reserved for files and for the other sockets of the process
-constexpr std::size_t kBodyMemoryDivisor = 4;  // one part in this many of the memory is for request bodies
+constexpr int kReservedDescriptors = 500;  // reserved for files and for the other sockets of the process
+constexpr std::size_t kClientMemoryDivisor = 4;  // one part in this many of the memory is for clients' bytes
 constexpr std::size_t kMaxIdleConnections = 64, kMinIdleConnections = 2;  // idle connections per runner
 constexpr Time kPublishInterval = 250 * kMillisecond;
 constexpr double kRefuseStreamsFromFraction = 0.3;  // of the grace period
@@ -27,6 +27,11 @@
   return static_cast<std::size_t>(std::max(16, descriptors - kReservedDescriptors)) / 2;
 }
 
+ConnectionListener::Limits ListenerLimits(const Settings& settings) {
+  const std::size_t max_connections = MaxConnections(settings.descriptors);
+  return {max_connections, ReceiveBufferBytes(settings.memory_bytes, max_connections)};
+}
+
 // Half of this dispatcher's share of the connections that a runner accepts, for the service with the lowest
 // limit.
 std::size_t MaxIdleConnections(const routing::Snapshot& snapshot) {
@@ -44,10 +49,13 @@
  public:
   explicit Impl(Settings settings)
       : settings_(std::move(settings)),
-        context_(io_),
+        context_(io_, settings_.memory_bytes / kClientMemoryDivisor),
         runners_(io_, &context_.deadlines, MaxConnections(settings_.descriptors)),
-        exchanges_(&context_, &runners_, settings_.memory_bytes / kBodyMemoryDivisor, settings_.seed),
-        listener_(&context_, &exchanges_, MaxConnections(settings_.descriptors)) {}
+        exchanges_(&context_, &runners_, settings_.seed),
+        listener_(io_, &context_.deadlines, &context_.budget, ListenerLimits(settings_),
+                  [this](asio::ip::tcp::socket socket) {
+                    return std::make_unique<ClientConnection>(std::move(socket), &context_, &exchanges_);
+                  }) {}
 
   ~Impl() {
     io_.stop();
@@ -123,7 +131,9 @@
     }
     runners_.SetMaxIdlePerRunner(MaxIdleConnections(*snapshot));
     exchanges_.Install(snapshot);
-    if (first && context_.router != nullptr) listener_.OnConfiguration();
+    if (!first || context_.router == nullptr) return;
+    listener_.ForEach(
+        [](ServedConnection* connection) { static_cast<ClientConnection*>(connection)->OnConfiguration(); });
   }
 
   // The control plane's thread reads a copy, so it never waits for this thread.
@@ -192,7 +202,7 @@
   Context context_;
   RunnerPool runners_;
   ExchangeTable exchanges_;
-  Listener listener_;
+  ConnectionListener listener_;
   Time drain_started_at_ = 0;
   std::atomic<bool> may_stop_ = false, stopped_ = false;
   std::mutex mutex_;
--- a/src/dataplane/exchange.cpp
+++ b/src/dataplane/exchange.cpp
@@ -108,8 +108,7 @@
   settings.deadline = deadline_;
   ++attempts_started_;
   last_runner_ = decision.runner_id, last_failure_ = {};
-  const auto attempt =
-      std::make_shared<Attempt>(std::move(settings), request_, runners_, &context_->deadlines, this);
+  const auto attempt = std::make_shared<Attempt>(std::move(settings), request_, runners_, context_, this);
   attempts_.push_back(attempt);
   attempt->Start();
 }
--- a/src/dataplane/exchange.h
+++ b/src/dataplane/exchange.h
@@ -39,7 +39,6 @@
   ~Exchange() override;
 
   routing::Arrival ToArrival() const;
-  std::size_t body_size() const { return request_->message.body.size(); }
 
   // Called to execute decisions of the decision module.
   void StartAttempt(const routing::StartAttempt& decision);
--- a/src/dataplane/exchange_table.cpp
+++ b/src/dataplane/exchange_table.cpp
@@ -13,19 +13,13 @@
 
 }  // namespace
 
-ExchangeTable::ExchangeTable(Context* context, RunnerPool* runners, std::size_t max_body_bytes,
-                             std::uint64_t seed)
-    : context_(context),
-      runners_(runners),
-      max_body_bytes_(max_body_bytes),
-      random_(seed),
-      decisions_(context->Now(), seed) {}
+ExchangeTable::ExchangeTable(Context* context, RunnerPool* runners, std::uint64_t seed)
+    : context_(context), runners_(runners), random_(seed), decisions_(context->Now(), seed) {}
 
 ExchangeTable::~ExchangeTable() { context_->deadlines.Remove(&timer_); }
 
 routing::RequestNumber ExchangeTable::Begin(Request request, const routing::RouteMatch& match, Time arrived,
                                             ResponseSink* sink) {
-  if (!CanBuffer(request.message.body.size())) return 0;
   Exchange::Params params;
   params.number = ++last_number_;
   Time timeout = std::min(request.timeout.value_or(kMaxDeadline), kMaxDeadline);
@@ -43,7 +37,6 @@
   const routing::RequestNumber number = params.number;
   const auto exchange = std::make_shared<Exchange>(std::move(params), context_, runners_, this);
   exchanges_.emplace(number, exchange);
-  body_bytes_ += exchange->body_size();
   decisions_.Arrived(context_->Now(), exchange->ToArrival(), &pending_);
   Execute();
   return number;
@@ -111,12 +104,7 @@
   return decisions_.MayFailOver(context_->Now(), number);
 }
 
-void ExchangeTable::Erase(routing::RequestNumber number) {
-  const auto found = exchanges_.find(number);
-  if (found == exchanges_.end()) return;
-  body_bytes_ -= found->second->body_size();
-  exchanges_.erase(found);
-}
+void ExchangeTable::Erase(routing::RequestNumber number) { exchanges_.erase(number); }
 
 // Executing a decision may cause further decisions: these are executed after it, never recursively.
 void ExchangeTable::Execute() {
--- a/src/dataplane/exchange_table.h
+++ b/src/dataplane/exchange_table.h
@@ -15,11 +15,10 @@
 
 class ExchangeTable {
  public:
-  ExchangeTable(Context* context, RunnerPool* runners, std::size_t max_body_bytes, std::uint64_t seed);
+  ExchangeTable(Context* context, RunnerPool* runners, std::uint64_t seed);
   ~ExchangeTable();
 
-  // Starts the exchange of a request that matches a route. 0: the request exceeds the limit on buffered
-  // bodies and was not accepted. May call the sink before it returns.
+  // Starts the exchange of a request that matches a route. May call the sink before it returns.
   routing::RequestNumber Begin(Request request, const routing::RouteMatch& match, Time arrived,
                                ResponseSink* sink);
   void OnClientDisconnect(routing::RequestNumber number);
@@ -29,7 +28,6 @@
   void Install(std::shared_ptr<const routing::Snapshot> snapshot);
 
   std::size_t size() const { return exchanges_.size(); }
-  bool CanBuffer(std::size_t body_bytes) const { return body_bytes_ + body_bytes <= max_body_bytes_; }
   std::vector<routing::Decisions::Demand> Demand() const;
 
   // Called by exchanges.
@@ -51,13 +49,11 @@
 
   Context* const context_;
   RunnerPool* const runners_;
-  const std::size_t max_body_bytes_;
   std::mt19937_64 random_;
   routing::Decisions decisions_;
   std::unordered_map<routing::RequestNumber, std::shared_ptr<Exchange>> exchanges_;
   std::vector<routing::Decision> pending_;  // decisions to be executed, in order
   bool executing_ = false;
-  std::size_t body_bytes_ = 0;
   std::unordered_map<std::string, Time> longest_timeout_;  // by route name
   routing::RequestNumber last_number_ = 0;
   Deadlines::Key timer_;
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -9,6 +9,7 @@
 
 constexpr std::size_t kMaxPending = kMaxBody + kMaxHead;
 constexpr std::size_t kReadSize = 16 * 1024;
+constexpr std::size_t kMaxDiscarded = 16u << 20;  // a peer that sends more after the last response is reset
 
 // Holds bytes only from a read until they are copied to the connection's own buffer.
 char* ReadBuffer() {
@@ -90,6 +91,7 @@
   }
   static int Body(http_parser* p, const char* at, std::size_t size) {
     HttpConnection& c = Of(p);
+    if (c.finishing_) return 0;
     if (c.events_.on_body_chunk) {
       c.events_.on_body_chunk({at, size});
       return c.ended_;
@@ -190,7 +192,12 @@
       eof_ = true, reset_ = error != asio::error::eof;
       return;
     }
-    if (finishing_) continue;
+    if (finishing_) {
+      discarded_ += size;
+      if (discarded_ > kMaxDiscarded) eof_ = reset_ = true;
+      if (eof_) return;
+      continue;
+    }
     const bool bounded = parsing_paused_ && options_.reading == Reading::kDrain;
     const std::size_t space = MaxPending() - std::min(pending_.size(), MaxPending());
     if (bounded && size > space) overflowed_ = true;
@@ -224,6 +231,7 @@
     bytes_end_ = parsing_.data() + parsing_.size();
     const std::size_t used = http_parser_execute(&parser_, &settings, parsing_.data(), parsing_.size());
     if (ended_) return;
+    if (finishing_) return parsing_.clear();
     if (used < parsing_.size()) pending_.insert(0, parsing_, used);
     parsing_.clear();
     if (parsing_.capacity() > kReadSize) parsing_.shrink_to_fit();
@@ -236,10 +244,16 @@
   if (ended_) return;
   if (complete_) {
     complete_ = false, parsing_paused_ = true;
+    head_size_ = 0;
     events_.on_message(std::move(message_));
     if (ended_) return;
   }
-  if (eof_) ReportEnd(End::kClosed);
+  if (eof_) return ReportEnd(End::kClosed);
+  if (events_.on_input) events_.on_input();
+}
+
+std::size_t HttpConnection::held() const {
+  return pending_.size() + head_size_ + MemoryOfHeaders(message_) + message_.body.size() + out_.size();
 }
 
 void HttpConnection::Next() {
@@ -250,6 +264,15 @@
   AwaitBytes();
 }
 
+void HttpConnection::DropInput() {
+  parsing_paused_ = true;
+  // Assigning an empty value would keep the buffers.
+  std::string().swap(pending_);
+  HttpMessage incomplete;
+  std::swap(message_, incomplete);
+  head_size_ = 0;
+}
+
 // Parses asynchronously: a peer that sends many requests at once must not deepen the call stack.
 void HttpConnection::PostParse() {
   asio::post(socket_.get_executor(), [self = shared_from_this()] {
@@ -258,8 +281,8 @@
 }
 
 void HttpConnection::Finish(std::function<void()> ended) {
-  finishing_ = parsing_paused_ = true, finished_ = std::move(ended);
-  pending_.clear();
+  finishing_ = true, finished_ = std::move(ended);
+  DropInput();
   std::error_code ignored;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   PostParse();  // the peer may already have ended its side
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -46,6 +46,7 @@
     std::function<void(HttpMessage)> on_message;
     std::function<void(End)> on_end;   // no message follows; kClosed may follow another end
     std::function<void()> on_drained;  // optional: everything that Send() buffered is written
+    std::function<void()> on_input;    // optional: bytes were read and parsed, so held() may have changed
   };
 
   HttpConnection(asio::ip::tcp::socket socket, Side side, const HttpOptions& options = {});
@@ -53,18 +54,22 @@
 
   void SetEvents(Events events) { events_ = std::move(events); }
   void Connect(const asio::ip::tcp::endpoint& to, std::function<void(std::error_code)> done);
-  void Start();  // starts reading
-  void Next();   // resumes parsing after a delivered message
+  void Start();      // starts reading
+  void Next();       // resumes parsing after a delivered message
+  void DropInput();  // frees what has been received of an incomplete message and stops parsing
   void Write(std::string bytes, std::function<void(std::error_code)> done);
   // Like Write(), but may be called while bytes are unsent, and has no callback: what the system doesn't
   // accept at once is buffered and written later. A failure is reported as the end of the connection.
-  void Send(std::string_view bytes);
-  std::size_t unsent() const { return out_.size() - out_at_; }
-  bool Written() const { return out_at_ == out_.size(); }  // the system has accepted every byte
+  // Bytes with an owner are not copied: the owner is kept until they are sent.
+  void Send(std::string_view bytes, std::shared_ptr<const void> owner = nullptr);
+  std::size_t unsent() const { return out_.size() - out_at_ + shared_out_.size(); }
+  bool Written() const { return unsent() == 0; }  // the system has accepted every byte
+  // Memory used by bytes that are not delivered yet or not sent yet, without shared ones.
+  std::size_t held() const;
   void Close();
   // Graceful close: sends the end of the stream and discards input until the peer ends its side or Close() is
-  // called. Closing with unread bytes would reset the connection and could discard the response. Nothing read
-  // from here on is delivered, so check HasUnread() immediately before.
+  // called, but no more than a bound: closing with unread bytes would reset the connection and could discard
+  // the response. Nothing read from here on is delivered, so check HasUnread() immediately before.
   void Finish(std::function<void()> ended);
 
   // Both check what the system has received by now, even if its events have not been handled yet: PeerEnded()
@@ -91,6 +96,8 @@
   bool IsReadingSuspended() const;  // kPaced: reading is suspended
   void StopWatchingWrites(const asio::ip::tcp::endpoint& local);
   void ContinueSending(std::error_code error);
+  void SendBuffered(std::error_code* error);
+  void BufferSharedOut();
   std::size_t MaxPending() const;
 
   asio::ip::tcp::socket socket_;
@@ -98,7 +105,10 @@
   http_parser parser_;
   HttpMessage message_;
   std::string pending_, parsing_, field_, out_;
+  std::string_view shared_out_;  // to be sent after `out_`
+  std::shared_ptr<const void> shared_out_owner_;
   std::size_t head_size_ = 0, out_at_ = 0;
+  std::size_t discarded_ = 0;        // bytes read since Finish()
   const char* bytes_end_ = nullptr;  // of the bytes that are being parsed
   HttpOptions options_;
   std::function<void()> finished_;
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -25,6 +25,10 @@
                     [](char a, char b) { return a == b || ToLower(a) == ToLower(b); });
 }
 
+std::size_t MemoryOfHeaders(const HttpMessage& message) {
+  return message.headers.capacity() * sizeof(message.headers[0]);
+}
+
 const std::string* HttpMessage::Header(std::string_view name) const {
   for (const auto& [header_name, value] : headers)
     if (SameName(header_name, name)) return &value;
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -21,6 +21,8 @@
   const std::string* Header(std::string_view name) const;  // case-insensitive; null if absent
 };
 
+std::size_t MemoryOfHeaders(const HttpMessage& message);  // of their list, without long names and values
+
 std::string LowerCase(std::string text);                      // ASCII only
 bool SameName(std::string_view one, std::string_view other);  // compares header names, ignoring case
 
--- a/tests/system/dataplane/testbed.cpp
+++ b/tests/system/dataplane/testbed.cpp
@@ -58,7 +58,7 @@
 }
 
 Testbed::Testbed(const std::vector<RunnerSpec>& runners, messages::Configuration configuration, bool install,
-                 Time grace, Time configuration_wait)
+                 Time grace, Time configuration_wait, const Machine& machine)
     : runner_specs_(runners) {
   for (std::size_t i = 0; i < runners.size(); ++i) listeners_.push_back(std::make_unique<ListeningSocket>());
   port_ = ListeningSocket().port();
@@ -68,6 +68,8 @@
   settings.grace = grace;
   settings.configuration_wait = configuration_wait;
   settings.seed = 1;
+  settings.descriptors = machine.descriptors;
+  settings.memory_bytes = machine.memory_bytes;
   plane_ = std::make_unique<DataPlane>(settings);
   std::string error;
   if (!plane_->Start(&error)) throw std::runtime_error(error);
--- a/tests/system/dataplane/testbed.h
+++ b/tests/system/dataplane/testbed.h
@@ -20,11 +20,17 @@
   std::vector<std::string> models;
 };
 
+// Limits of the machine.
+struct Machine {
+  int descriptors = 4100;
+  std::size_t memory_bytes = 260u << 20;
+};
+
 class Testbed {
  public:
   explicit Testbed(const std::vector<RunnerSpec>& runners = {{.id = "r1", .models = {}}},
                    messages::Configuration configuration = DefaultConfiguration(), bool install = true,
-                   Time grace = 8 * kSecond, Time configuration_wait = 0);
+                   Time grace = 8 * kSecond, Time configuration_wait = 0, const Machine& machine = {});
 
   DataPlane& plane() { return *plane_; }
   ListeningSocket& runner(std::size_t index) { return *listeners_[index]; }
