Bound messages between dispatchers that have come in part, and their connections

Seen: 40 connections that stop a byte short of 8 MiB took 353 MiB of 48, and 1,100 silent ones more than the 1,024 descriptors. Cause: FrameListener bounded a message and nothing their sum, and allowed 1,024 connections whatever the settings say. A long message also copied all that had come of it with each 64 KiB. Change: a budget over all connections closes the one that has held most for longest; at the limit of connections the one silent for longest goes, first of those that never sent a message (a sender opens its connection again). The tail is copied only after a whole message.

--- a/cmake/system.cmake
+++ b/cmake/system.cmake
@@ -33,7 +33,7 @@
 system_library(storage PRIVATE ${LEVELDB_LIBRARY} ${GLOG_LIBRARY} USES Threads::Threads)
 system_library(configuration USES lichenlug_base system_messages system_delta PRIVATE nlohmann_json::nlohmann_json)
 system_library(membership USES lichenlug_base system_messages)
-system_library(transport USES system_messages ${EVENT_LIBRARY})
+system_library(transport USES lichenlug_base system_messages ${EVENT_LIBRARY})
 system_library(registry USES lichenlug_base system_messages PRIVATE nlohmann_json::nlohmann_json)
 system_library(duties USES lichenlug_base system_messages system_consensus PRIVATE nlohmann_json::nlohmann_json)
 system_library(placement USES system_duties PRIVATE nlohmann_json::nlohmann_json)
@@ -46,7 +46,7 @@
                PRIVATE nlohmann_json::nlohmann_json ${GLOG_LIBRARY})
 target_include_directories(system_node SYSTEM PRIVATE ${XXHASH_INCLUDE})
 system_library(host
-               USES system_node system_storage system_transport system_dataplane
+               USES system_node system_storage system_transport system_dataplane lichenlug_net
                PRIVATE ${EVHTP_LIBRARY} ${EVENT_LIBRARY} ${EVENT_PTHREADS_LIBRARY})
 
 function(system_program name folder)
--- a/src/transport/frame.cpp
+++ b/src/transport/frame.cpp
@@ -31,7 +31,9 @@
   } else {
     pending_.append(reinterpret_cast<const char*>(bytes.data()), bytes.size());
     const auto rest = ExtractFrames(std::as_bytes(std::span(pending_)), on_frame);
-    pending_ = std::string(reinterpret_cast<const char*>(rest.data()), rest.size());
+    // Copied only if a frame was extracted: a large frame arrives in many parts.
+    if (rest.size() < pending_.size())
+      std::string(reinterpret_cast<const char*>(rest.data()), rest.size()).swap(pending_);
   }
   return !oversized_;
 }
--- a/src/transport/frame.h
+++ b/src/transport/frame.h
@@ -25,6 +25,8 @@
   // nothing after it can be read, so the connection must be closed.
   [[nodiscard]] bool Read(std::span<const std::byte> bytes, const OnFrame& on_frame);
 
+  std::size_t unfinished_bytes() const { return pending_.size(); }
+
  private:
   // Returns the bytes after the last complete frame; empty after a frame above the size limit.
   std::span<const std::byte> ExtractFrames(std::span<const std::byte> bytes, const OnFrame& on_frame);
--- a/src/transport/frame_listener.h
+++ b/src/transport/frame_listener.h
@@ -11,6 +11,8 @@
 #include <span>
 #include <string>
 
+#include "base/byte_budget.h"
+#include "base/clock.h"
 #include "transport/frame.h"
 #include "transport/socket.h"
 
@@ -19,9 +21,14 @@
 class FrameListener {
  public:
   using Handler = std::function<void(std::span<const std::byte>)>;
+  struct Limits {
+    std::size_t max_frame_bytes = 0;
+    std::size_t max_connections = 0;
+    std::size_t max_unfinished_bytes = 0;  // of frames that have arrived in part, on all connections
+  };
 
   // `base` must outlive the listener. Calls `handler` with the body of each frame, on the loop's thread.
-  FrameListener(event_base* base, std::size_t max_frame_bytes, Handler handler);
+  FrameListener(event_base* base, const Limits& limits, Handler handler);
   ~FrameListener();
   FrameListener(const FrameListener&) = delete;
   FrameListener& operator=(const FrameListener&) = delete;
@@ -30,12 +37,16 @@
 
  private:
   struct Connection {
-    Connection(FrameListener* parent, int descriptor, std::size_t max_frame_bytes)
-        : listener(parent), socket(descriptor), reader(max_frame_bytes) {}
+    Connection(FrameListener* parent, int descriptor);
+
     FrameListener* listener;
     Socket socket;
     EventPointer readable;  // freed before the socket is closed
     FrameReader reader;
+    ByteAccount account;  // of the unfinished frame
+    bool sent_frame = false;
+    bool evicted = false;
+    Time last_frame_at;  // or when it was accepted
     std::list<Connection>::iterator position;
   };
   struct ListenerDeleter {
@@ -45,10 +56,14 @@
   void Accept(int descriptor);
   void OnEvent(Connection* connection, short what);
   bool ReadOnce(Connection* connection);  // false if it was closed or is unreadable
+  bool MakeRoomForConnection();
+  void CloseEvicted();
 
   event_base* const base_;
-  const std::size_t max_frame_bytes_;
+  const Limits limits_;
   const Handler handler_;
+  ByteBudget budget_;
+  bool has_evicted_ = false;
   std::unique_ptr<evconnlistener, ListenerDeleter> listener_;
   std::list<Connection> connections_;
   std::array<std::byte, 64u << 10> received_;
--- a/src/transport/peer_connection.cpp
+++ b/src/transport/peer_connection.cpp
@@ -121,7 +121,7 @@
   readable_.reset();
   writable_.reset();
   socket_.Close();
-  unsent_ = {};
+  std::string().swap(unsent_);  // assigning an empty one would keep its buffer
   flushed_ = 0;
 }
 
--- a/src/transport/transport.cpp
+++ b/src/transport/transport.cpp
@@ -14,8 +14,10 @@
       : settings_(std::move(settings)),
         receive_(std::move(receive)),
         links_(base, settings_.max_peers),
-        listener_(base, settings_.max_message_bytes,
-                  [this](std::span<const std::byte> bytes) { OnBytes(bytes); }) {
+        listener_(
+            base,
+            {settings_.max_message_bytes, settings_.max_incoming_connections, settings_.max_unfinished_bytes},
+            [this](std::span<const std::byte> bytes) { OnBytes(bytes); }) {
     FillInSender(&acknowledgement_);
   }
 
--- a/src/transport/transport.h
+++ b/src/transport/transport.h
@@ -25,6 +25,9 @@
     std::uint64_t sender_incarnation = 0;
     std::size_t max_message_bytes = 8u << 20;
     std::size_t max_peers = 256;
+    std::size_t max_incoming_connections = 1024;
+    std::size_t max_unfinished_bytes = 32u
+                                       << 20;  // of messages that have arrived in part, on all connections
   };
   struct Statistics {
     std::uint64_t sent = 0;            // handed to a connection
--- a/tests/system/transport/loop_thread.h
+++ b/tests/system/transport/loop_thread.h
@@ -20,6 +20,7 @@
   LoopThread& operator=(const LoopThread&) = delete;
 
   event_base* base() { return loop_.base(); }
+  host::EventLoop& loop() { return loop_; }
 
   // Runs the task on the loop's thread and waits until it has finished.
   void Run(const std::function<void()>& task) {
--- a/tests/system/transport/raw_socket.h
+++ b/tests/system/transport/raw_socket.h
@@ -2,9 +2,11 @@
 #pragma once
 
 #include <arpa/inet.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <chrono>
 #include <stdexcept>
 #include <string>
 
@@ -62,6 +64,12 @@
     }
   }
 
+  // Waits for the peer to close the connection.
+  bool IsClosedWithin(std::chrono::milliseconds timeout) {
+    pollfd waiting{.fd = socket_, .events = POLLIN, .revents = 0};
+    return ::poll(&waiting, 1, static_cast<int>(timeout.count())) > 0;
+  }
+
  private:
   int socket_;
 };
--- a/tests/system/transport/transport_test.cpp
+++ b/tests/system/transport/transport_test.cpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "inbox.h"
 #include "loop_thread.h"
@@ -29,12 +30,15 @@
 class Node {
  public:
   explicit Node(const std::string& address, const std::string& name = "node",
-                std::size_t max_bytes = 8u << 20, std::size_t max_peers = 256) {
+                std::size_t max_bytes = 8u << 20, std::size_t max_peers = 256,
+                std::size_t max_incoming = 1024, std::size_t max_unfinished = 32u << 20) {
     const Transport::Settings settings{.listen_address = address,
                                        .sender_name = name,
                                        .sender_incarnation = 7,
                                        .max_message_bytes = max_bytes,
-                                       .max_peers = max_peers};
+                                       .max_peers = max_peers,
+                                       .max_incoming_connections = max_incoming,
+                                       .max_unfinished_bytes = max_unfinished};
     loop_.Run([&] {
       transport_ = std::make_unique<Transport>(
           loop_.base(), settings, [this](messages::Envelope envelope) { inbox.Add(std::move(envelope)); });
@@ -264,6 +268,37 @@
   CHECK_FALSE(receiver.inbox.WaitForOperation(1, milliseconds(50)));
 }
 
+// A frame of 1 MiB of which the last byte is missing.
+std::string UnfinishedFrame() {
+  return std::string("\x00\x10\x00\x00", 4) + std::string((1u << 20) - 1, 'x');
+}
+
+TEST_CASE("Messages that do not end are bounded in sum, and others arrive") {
+  const std::string address = FreeAddress();
+  Node sender(FreeAddress()), receiver(address, "receiver", 8u << 20, 256, 1024, 3u << 20);
+  receiver.Listen();
+  std::vector<std::unique_ptr<RawClient>> stalled;
+  for (int i = 0; i < 8; ++i) {
+    stalled.push_back(std::make_unique<RawClient>(address));
+    stalled.back()->Write(UnfinishedFrame());
+  }
+  int closed = 0;
+  for (const auto& client : stalled) closed += client->IsClosedWithin(milliseconds(3000)) ? 1 : 0;
+  CHECK(closed >= 5);
+  REQUIRE(SendUntil(sender, address, receiver.inbox, 1, milliseconds(5000)));
+}
+
+TEST_CASE("Connections that say nothing make room for peers") {
+  const std::string address = FreeAddress();
+  Node sender(FreeAddress()), receiver(address, "receiver", 8u << 20, 256, 4);
+  receiver.Listen();
+  std::vector<std::unique_ptr<RawClient>> silent;
+  for (int i = 0; i < 8; ++i) silent.push_back(std::make_unique<RawClient>(address));
+  REQUIRE(SendUntil(sender, address, receiver.inbox, 1, milliseconds(5000)));
+  for (int i = 0; i < 8; ++i) silent.push_back(std::make_unique<RawClient>(address));
+  REQUIRE(SendUntil(sender, address, receiver.inbox, 2, milliseconds(5000)));
+}
+
 TEST_CASE("Listening on an address in use fails with an error that names it") {
   const std::string address = FreeAddress();
   Node first(address), second(address);
