Serve the control and readiness ports on a thread of their own, within budgets

Callers saw: 40 control calls of 4 MiB took 173 to 184 MiB of 48, heads 118; 80 calls of one-byte chunks held the control loop for more than 40 s, and connections were not bounded in number. Cause: evhttp buffers whole bodies, has no hook before a body is complete, and parsed each chunk on the loop that also carries membership and consensus. Change: HttpServer serves both ports with HttpConnection on one thread of its own; each port has a byte budget and a limit of connections (host/memory_shares.h). The control loop gets whole requests alone. Responses given before the end are sent.

--- a/src/host/control_host.cpp
+++ b/src/host/control_host.cpp
@@ -4,13 +4,12 @@
 #include <random>
 #include <utility>
 
+#include "host/memory_shares.h"
+
 namespace lichenlug::host {
 
 namespace {
 
-constexpr std::size_t kMaxReadyBody = 1024;
-constexpr std::size_t kMaxControlBody = 16u << 20;
-
 Time WallClock() {
   const auto since = std::chrono::system_clock::now().time_since_epoch();
   return std::chrono::duration_cast<std::chrono::microseconds>(since).count();
@@ -32,6 +31,7 @@
       identity_{static_cast<std::uint64_t>(WallClock()), RandomNumber()},
       client_(loop_, settings_.name, settings_.platform_address),
       node_(this, settings_, identity_),
+      http_server_(loop_),
       store_(loop_, settings_.store_folder) {
   data_plane_->OnNewlyUnserved([this] { loop_->Post([this] { node_.DemandHasChanged(); }); });
 }
@@ -46,26 +46,37 @@
   return true;
 }
 
+bool ControlHost::ListenHttp(std::string* error) {
+  const MemoryShares shares = SharesOf(settings_);
+  if (!settings_.ready_address.empty()) {
+    const auto handle = [this](const node::ControlRequest&, const node::Respond& respond) {
+      respond(node::PlainStatus(node_.is_ready() ? 200 : 503));
+    };
+    if (!http_server_.Listen(settings_.ready_address, shares.ready, handle, error)) return false;
+  }
+  if (!settings_.control_address.empty()) {
+    const auto handle = [this](node::ControlRequest request, node::Respond respond) {
+      node_.HandleControl(std::move(request), std::move(respond));
+    };
+    if (!http_server_.Listen(settings_.control_address, shares.control, handle, error)) return false;
+  }
+  return true;
+}
+
 bool ControlHost::Listen(std::string* error) {
-  ready_server_ =
-      std::make_unique<HttpServer>(loop_, kMaxReadyBody, [this](node::ControlRequest, node::Respond respond) {
-        respond(node::PlainStatus(node_.is_ready() ? 200 : 503));
-      });
-  control_server_ = std::make_unique<HttpServer>(
-      loop_, kMaxControlBody, [this](node::ControlRequest request, node::Respond respond) {
-        node_.HandleControl(std::move(request), std::move(respond));
-      });
-  if (!settings_.ready_address.empty() && !ready_server_->Listen(settings_.ready_address, error))
-    return false;
-  if (!settings_.control_address.empty() && !control_server_->Listen(settings_.control_address, error))
-    return false;
+  if (!ListenHttp(error)) return false;
+  const MemoryShares shares = SharesOf(settings_);
   transport::Transport::Settings transport;
   transport.listen_address = settings_.internal_address;
   transport.sender_name = settings_.name;
   transport.sender_incarnation = identity_.incarnation;
+  transport.max_unfinished_bytes = shares.unfinished_message_bytes;
+  transport.max_incoming_connections = shares.internal_connections;
   transport_ = std::make_unique<transport::Transport>(
       loop_->base(), transport, [this](messages::Envelope envelope) { node_.Receive(std::move(envelope)); });
-  return transport_->Listen(error);
+  if (!transport_->Listen(error)) return false;
+  http_server_.Start();
+  return true;
 }
 
 void ControlHost::EndBatch() {
--- a/src/host/control_host.h
+++ b/src/host/control_host.h
@@ -46,6 +46,7 @@
 
  private:
   bool Listen(std::string* error);
+  bool ListenHttp(std::string* error);
   void EndBatch();  // after each batch of events: settles the node and sets the timer
 
   EventLoop* loop_;
@@ -55,7 +56,7 @@
   node::NodeIdentity identity_;
   HttpClient client_;
   node::ControlNode node_;
-  std::unique_ptr<HttpServer> control_server_, ready_server_;
+  HttpServer http_server_;
   std::unique_ptr<transport::Transport> transport_;
   PostedStore store_;  // last member: its thread ends before the objects that its callbacks use
 };
--- a/src/host/http_server.cpp
+++ b/src/host/http_server.cpp
@@ -1,52 +1,12 @@
 #include "host/http_server.h"
 
-#include <event2/buffer.h>
-#include <event2/http.h>
-
 #include <cstdlib>
-#include <stdexcept>
-
-namespace lichenlug::host {
-
-namespace {
-
-constexpr int kIdleSeconds = 30;  // then an idle connection is closed
-
-std::string MethodName(evhttp_cmd_type method) {
-  switch (method) {
-    case EVHTTP_REQ_GET:
-      return "GET";
-    case EVHTTP_REQ_PUT:
-      return "PUT";
-    case EVHTTP_REQ_PATCH:
-      return "PATCH";
-    case EVHTTP_REQ_DELETE:
-      return "DELETE";
-    case EVHTTP_REQ_POST:
-      return "POST";
-    default:
-      return "";
-  }
-}
+#include <list>
+#include <thread>
 
-std::string ExtractBody(evhttp_request* request) {
-  evbuffer* input = evhttp_request_get_input_buffer(request);
-  std::string body(evbuffer_get_length(input), '\0');
-  evbuffer_remove(input, body.data(), body.size());
-  return body;
-}
-
-void SendResponse(evhttp_request* request, const node::ControlResponse& response) {
-  evkeyvalq* headers = evhttp_request_get_output_headers(request);
-  if (!response.body.empty()) evhttp_add_header(headers, "Content-Type", response.content_type.c_str());
-  for (const auto& [name, value] : response.headers) evhttp_add_header(headers, name.c_str(), value.c_str());
-  evbuffer* output = evbuffer_new();
-  evbuffer_add(output, response.body.data(), response.body.size());
-  evhttp_send_reply(request, response.status, nullptr, output);
-  evbuffer_free(output);
-}
+#include "host/control_connection.h"
 
-}  // namespace
+namespace lichenlug::host {
 
 std::pair<std::string, int> SplitAddress(const std::string& address) {
   const auto colon = address.rfind(':');
@@ -54,42 +14,81 @@
   return {address.substr(0, colon), std::atoi(address.c_str() + colon + 1)};
 }
 
-HttpServer::HttpServer(EventLoop* loop, std::size_t max_body_bytes, Handler handler)
-    : loop_(loop), server_(evhttp_new(loop->base())), handler_(std::move(handler)) {
-  if (server_ == nullptr)
-    throw std::runtime_error("cannot create an HTTP server; give the process more memory");
-  evhttp_set_allowed_methods(
-      server_, EVHTTP_REQ_GET | EVHTTP_REQ_PUT | EVHTTP_REQ_PATCH | EVHTTP_REQ_DELETE | EVHTTP_REQ_POST);
-  evhttp_set_max_body_size(server_, static_cast<ev_ssize_t>(max_body_bytes));
-  evhttp_set_max_headers_size(server_, 16 * 1024);
-  evhttp_set_timeout(server_, kIdleSeconds);
-  evhttp_set_gencb(
-      server_,
-      [](evhttp_request* request, void* context) { static_cast<HttpServer*>(context)->Handle(request); },
-      this);
-}
+class HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl> {
+ public:
+  explicit Impl(EventLoop* loop) : loop_(loop) {}
 
-HttpServer::~HttpServer() { evhttp_free(server_); }
+  bool Listen(const std::string& address, const Limits& limits, Handler handler, std::string* error) {
+    ports_.emplace_back(this, limits, std::move(handler));
+    if (ports_.back().listener.Listen(address, error)) return true;
+    *error += "; check that no other process uses it";
+    return false;
+  }
 
-bool HttpServer::Listen(const std::string& address, std::string* error) {
-  const auto [ip, port] = SplitAddress(address);
-  if (evhttp_bind_socket(server_, ip.c_str(), static_cast<ev_uint16_t>(port)) == 0) return true;
-  *error = address + ": cannot listen on this address; check that no other process uses it";
-  return false;
-}
+  void Start() {
+    if (ports_.empty()) return;
+    for (Port& port : ports_) port.listener.Start();
+    thread_ = std::thread([this] { io_.run(); });
+  }
+
+  // What was posted before is done first.
+  void Stop() {
+    asio::post(io_, [this] { io_.stop(); });
+    if (thread_.joinable()) thread_.join();
+  }
+
+ private:
+  struct Port {
+    Port(Impl* server, const Limits& port_limits, Handler port_handler)
+        : limits(port_limits),
+          handler(std::move(port_handler)),
+          budget(limits.max_held_bytes),
+          listener(server->io_, &server->deadlines_, &budget,
+                   {limits.max_connections, limits.receive_buffer_bytes},
+                   [this, server](asio::ip::tcp::socket socket) {
+                     return std::make_unique<ControlConnection>(
+                         std::move(socket), limits.max_body_bytes, &server->deadlines_, &budget,
+                         [this, server](node::ControlRequest request, ControlConnection* connection) {
+                           server->PassOn(*this, std::move(request), connection->reference());
+                         });
+                   }) {}
+
+    const Limits limits;
+    const Handler handler;
+    ByteBudget budget;
+    ConnectionListener listener;
+  };
 
-// libevent does not read from a connection while its request is being handled, so the request stays valid
-// until the response is sent, even if the client has disconnected.
-void HttpServer::Handle(evhttp_request* request) {
-  node::ControlRequest call;
-  call.method = MethodName(evhttp_request_get_command(request));
-  const evhttp_uri* uri = evhttp_request_get_evhttp_uri(request);
-  const char* path = uri != nullptr ? evhttp_uri_get_path(uri) : nullptr;
-  call.path = path != nullptr ? path : "";
-  const char* if_match = evhttp_find_header(evhttp_request_get_input_headers(request), "If-Match");
-  call.if_match = if_match != nullptr ? if_match : "";
-  call.body = ExtractBody(request);
-  handler_(std::move(call), [request](node::ControlResponse response) { SendResponse(request, response); });
+  // The handler runs, and responds, on the event loop's thread; the connection is used on this one.
+  void PassOn(const Port& port, node::ControlRequest request, std::weak_ptr<ControlConnection*> connection) {
+    auto respond = [weak = weak_from_this(), connection](node::ControlResponse response) {
+      const auto server = weak.lock();
+      if (server == nullptr) return;
+      asio::post(server->io_, [connection, response = std::move(response)] {
+        if (const auto open = connection.lock()) (*open)->Respond(response);
+      });
+    };
+    loop_->Post([&port, request = std::move(request), respond = std::move(respond)]() mutable {
+      port.handler(std::move(request), std::move(respond));
+    });
+  }
+
+  EventLoop* const loop_;
+  asio::io_context io_{1};
+  Clock clock_;
+  Deadlines deadlines_{io_, clock_};
+  std::list<Port> ports_;
+  std::thread thread_;
+};
+
+HttpServer::HttpServer(EventLoop* loop) : impl_(std::make_shared<Impl>(loop)) {}
+HttpServer::~HttpServer() { impl_->Stop(); }
+
+bool HttpServer::Listen(const std::string& address, const Limits& limits, Handler handler,
+                        std::string* error) {
+  return impl_->Listen(address, limits, std::move(handler), error);
 }
 
+void HttpServer::Start() { impl_->Start(); }
+
 }  // namespace lichenlug::host
--- a/src/host/http_server.h
+++ b/src/host/http_server.h
@@ -1,35 +1,41 @@
-// HTTP/1.1 server on evhttp for the operator, runners and the platform's readiness checks.
+// HTTP/1.1 server for the operator, runners and the platform's readiness checks. Connections are served on a
+// thread of their own, so that the bytes of many callers do not delay the control plane; the handlers run on
+// its event loop.
 #pragma once
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
 #include <utility>
-#include <vector>
 
 #include "host/event_loop.h"
 #include "node/control_call.h"
 
-struct evhttp;
-struct evhttp_request;
-
 namespace lichenlug::host {
 
 class HttpServer {
  public:
+  struct Limits {
+    std::size_t max_body_bytes = 0;
+    std::size_t max_connections = 0;
+    std::size_t max_held_bytes =
+        0;  // by all connections: incomplete requests, those being handled, responses
+    std::size_t receive_buffer_bytes = 0;  // of the system, for each connection
+  };
   using Handler = std::function<void(node::ControlRequest, node::Respond)>;
 
-  HttpServer(EventLoop* loop, std::size_t max_body_bytes, Handler handler);
-  ~HttpServer();
+  // `loop` must outlive the server.
+  explicit HttpServer(EventLoop* loop);
+  ~HttpServer();  // sends the responses that were given; ends the thread
 
-  bool Listen(const std::string& address, std::string* error);  // "ip:port"; `error`: one line
+  // Serves an address, "ip:port", from Start() on; `error`: one line.
+  bool Listen(const std::string& address, const Limits& limits, Handler handler, std::string* error);
+  void Start();
 
  private:
-  void Handle(evhttp_request* request);
-
-  EventLoop* loop_;
-  evhttp* server_ = nullptr;
-  Handler handler_;
+  class Impl;
+  std::shared_ptr<Impl> impl_;
 };
 
 // Splits "ip:port"; the port is 0 if it cannot be parsed.
