Bound what clients of the job dispatcher hold together by limits.memory_mb

Seen: 600 clients that stop short of 64 KiB took 41 to 61 MiB of 32, with heads of thousands of headers 138, and the memory was not given back. Cause: limits.sockets times a body was the only bound, lists of headers count 64 bytes each beside their text, and freed blocks stayed with the allocator. Change: HttpFrontEnd uses ByteBudget; the bytes are a quarter of limits.memory_mb (192 where it is not given), which 750 clients with whole jobs don't meet. An unanswered job is never evicted. Free memory goes back when the crowd is gone.

--- a/src/fronts/http/http_front_end.cpp
+++ b/src/fronts/http/http_front_end.cpp
@@ -6,6 +6,8 @@
 #include <utility>
 #include <vector>
 
+#include "base/memory_release.h"
+#include "base/receive_buffer.h"
 #include "fronts/http/request_parser.h"
 
 namespace lichenlug {
@@ -43,7 +45,9 @@
       core_(core),
       callbacks_(callbacks),
       acceptor_(io, settings.listen, /*reuse_addr=*/true),
+      budget_(settings.max_held_bytes),
       clients_(settings.max_connections) {
+  BoundReceiveBuffers(acceptor_.native_handle(), settings.receive_buffer_bytes);
   acceptor_.non_blocking(true);
 }
 
@@ -86,14 +90,33 @@
   events.on_begin = [this, handle] { OnRequestStart(handle); };
   events.on_message = [this, handle](HttpMessage message) { OnRequest(handle, std::move(message)); };
   events.on_end = [this, handle](HttpConnection::End end) { OnConnectionEnd(handle, end); };
+  events.on_input = [this, handle] { UpdateAccount(handle); };
   Client& client = *clients_.Find(handle);
   client.connection->SetEvents(std::move(events));
+  client.account = std::make_unique<ByteAccount>(&budget_, [this, handle] { Evict(handle); });
   client.connected = client.since = deadlines_->Now();
   client.alarm =
       deadlines_->Add(client.connected + kReadTimeout, [this, handle] { CloseUnlessUnread(handle); });
   client.connection->Start();
 }
 
+void HttpFrontEnd::UpdateAccount(Handle handle) {
+  Client* client = clients_.Find(handle);
+  if (client == nullptr) return;
+  const bool evictable = client->stage == Stage::kReading || client->stage == Stage::kAnswering;
+  client->account->Set(client->connection->held() + client->job_bytes, evictable, deadlines_->Now());
+}
+
+// The bytes of all connections have reached their limit. An incomplete job has not run.
+void HttpFrontEnd::Evict(Handle handle) {
+  const Client* client = clients_.Find(handle);
+  client->connection->DropInput();
+  if (client->stage == Stage::kReading)
+    Reply(handle, 503, "too many bytes of requests are held\n", {}, /*close=*/true);
+  else  // later, as its account is in use
+    asio::post(io_, [this, handle] { DropClient(handle); });
+}
+
 // Connections with a lower rank are evicted first; -1: never. Clients that open hundreds of connections
 // without using them must not cause the eviction of regular clients. A connection that is closed between two
 // requests loses nothing.
@@ -162,6 +185,8 @@
   client->connection->Close();
   active_ids_.erase(client->call_id);
   clients_.Erase(handle);
+  // Later, as the connection's buffers are freed with its last operation.
+  if (budget_.HasDrained()) asio::post(io_, ReturnFreeMemory);
 }
 
 // ---- Requests ----
@@ -207,6 +232,7 @@
   auto job = std::make_shared<Job>();
   if (const char* fault = ParseJobRequest(message, settings_.site, cls, last_request_, &arrived, job.get()))
     return Reply(handle, 400, std::string(fault) + "\n");
+  clients_.Find(handle)->job_bytes = message.body.size() + MemoryOfHeaders(message);
   job->body = std::move(message.body);
   clients_.Find(handle)->submitted_job = true;
   // Nothing of the job has run, so a 503 refusal is harmless; the last descriptors are kept for callbacks.
@@ -266,6 +292,7 @@
   Client& client = *clients_.Find(handle);
   close = close || client.close_after || (draining_ && deadlines_->Now() >= accepting_until_);
   client.stage = Stage::kAnswering;
+  client.job_bytes = 0;
   active_ids_.erase(client.call_id);
   client.call_id.clear();
   // A client that doesn't read its response must not hold its connection forever.
@@ -274,6 +301,7 @@
                            [this, handle, close](std::error_code e) {
                              if (clients_.Find(handle) != nullptr) OnReplySent(handle, close, e);
                            });
+  UpdateAccount(handle);
 }
 
 void HttpFrontEnd::OnReplySent(Handle handle, bool close, std::error_code error) {
--- a/src/fronts/http/http_front_end.h
+++ b/src/fronts/http/http_front_end.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <unordered_set>
 
+#include "base/byte_budget.h"
 #include "base/deadlines.h"
 #include "base/slots.h"
 #include "core/ports.h"
@@ -20,7 +21,10 @@
   asio::ip::tcp::endpoint listen;
   std::size_t max_connections = 0;  // connections of clients and of runners that send callbacks
   std::size_t max_unanswered = 0;   // with this many unanswered requests, only callbacks are accepted
-  const rookgw::Site& site;         // must outlive the front end
+  std::size_t max_held_bytes =
+      0;  // by all connections: incomplete requests, unanswered jobs, unread responses
+  std::size_t receive_buffer_bytes = 0;  // of the system, for each connection
+  const rookgw::Site& site;              // must outlive the front end
 };
 
 class HttpFrontEnd : public ClientPort {
@@ -53,9 +57,13 @@
     bool had_request = false;       // a complete request has arrived on it
     bool useful = false;            // a job or a callback has arrived on it
     bool submitted_job = false;     // a job has arrived on it
+    std::size_t job_bytes = 0;      // of the unanswered job
+    std::unique_ptr<ByteAccount> account;
     Deadlines::Key alarm;
   };
 
+  void UpdateAccount(Handle handle);
+  void Evict(Handle handle);
   void Accept();
   void AcceptBacklog();
   void Accepted(asio::ip::tcp::socket socket);
@@ -82,6 +90,7 @@
   RequestTable* core_;
   CallbackPort* callbacks_;
   asio::ip::tcp::acceptor acceptor_;
+  ByteBudget budget_;
   SlotTable<Client> clients_;
   std::unordered_set<std::string> active_ids_;
   bool draining_ = false, backlog_empty_ = true;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "base/deadlines.h"
+#include "base/memory_release.h"
 #include "branch/runner_client.h"
 #include "core/request_table.h"
 #include "fronts/http/http_front_end.h"
@@ -112,6 +113,7 @@
 
 void Serve() {
   using Form = rookgw::ListChanged::Form;
+  MapLargeBlocksSeparately();
   std::signal(SIGPIPE, SIG_IGN);  // a closed peer is reported as an error of the write
   asio::io_context io(1);
   // Installed before the configuration is read: an unhandled signal would end the program at once, even with
@@ -121,8 +123,12 @@
   const Clock clock;
   Deadlines deadlines(io, clock);
   RunnerRegistry registry;
-  const HttpFrontEndSettings front_end_settings{config.listen, config.max_client_connections(),
-                                                config.max_serving_connections(), config.site};
+  const HttpFrontEndSettings front_end_settings{config.listen,
+                                                config.max_client_connections(),
+                                                config.max_serving_connections(),
+                                                config.max_client_bytes(),
+                                                config.client_receive_buffer(),
+                                                config.site};
   const RunnerClientSettings runner_client_settings{config.site.max_open, config.max_runner_connections(),
                                                     config.site.settings.connect_timeout,
                                                     config.site.idle_close, config.site};
--- a/src/operate/config.cpp
+++ b/src/operate/config.cpp
@@ -16,6 +16,8 @@
 
 constexpr std::size_t kMinSockets = 64;
 constexpr double kMaxSockets = 1e9;
+constexpr double kMinMemoryMb = 16, kMaxMemoryMb = 1e6;
+constexpr double kBytesPerMb = 1 << 20;
 
 [[noreturn]] void ThrowError(const std::string& key, const std::string& what) {
   std::string line = key + ": " + what;  // may cite the file
@@ -69,6 +71,16 @@
   return sockets;
 }
 
+std::size_t ReadMemory(const Json& root, std::size_t default_bytes) {
+  const Json& limits = Object(root, "limits");
+  const auto it = limits.find("memory_mb");
+  if (it == limits.end() || it->is_null()) return default_bytes;
+  const double given = it->is_number() ? it->get<double>() : 0;
+  if (!(given >= kMinMemoryMb && given <= kMaxMemoryMb))
+    ThrowError("limits.memory_mb", "a number of megabytes from 16 to 1000000 expected");
+  return static_cast<std::size_t>(given * kBytesPerMb);
+}
+
 std::uint64_t ParseSeed(const Json& root) {
   const auto it = root.find("seed");
   if (it == root.end() || it->is_null()) return 1;
@@ -141,6 +153,7 @@
     ThrowError("discovery", "another address than that of listen expected");
   config.seed = ParseSeed(root);
   config.max_sockets = ReadSockets(root, config);
+  config.memory_bytes = ReadMemory(root, config.memory_bytes);
 
   if (!root.contains("settings")) ThrowError("settings", "missing");
   config.site = rookgw::ReadSettings(Object(root, "settings"));  // its messages start with "settings: KEY"
--- a/src/operate/config.h
+++ b/src/operate/config.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "decisions/settings.h"
+#include "net/connection_listener.h"
 #include "peers/transport.h"
 #include "routes/runner_registry.h"
 
@@ -18,8 +19,9 @@
   std::string name;
   asio::ip::tcp::endpoint listen, discovery;
   std::uint64_t seed = 0;
-  std::size_t max_sockets = 1024;  // limits.sockets, bounded by the process's descriptor limit
-  std::size_t open_at_start = 3;   // descriptors: inherited, the event loop's and the signal handlers'
+  std::size_t max_sockets = 1024;         // limits.sockets, bounded by the process's descriptor limit
+  std::size_t memory_bytes = 192u << 20;  // limits.memory_mb
+  std::size_t open_at_start = 3;          // descriptors: inherited, the event loop's and the signal handlers'
   rookgw::Site site;
   RunnerListUpdate known;
   PeerSettings peers;  // off unless settings.Limits.MayTell is true
@@ -31,6 +33,12 @@
   // Beyond these only callbacks are accepted: they complete work, and a runner retries each only ten times.
   std::size_t max_serving_connections() const { return shared() / 2; }
 
+  // Of the bytes that clients' connections hold together: a quarter of the memory.
+  std::size_t max_client_bytes() const { return memory_bytes / 4; }
+  std::size_t client_receive_buffer() const {
+    return ReceiveBufferBytes(memory_bytes, max_client_connections());
+  }
+
   // The program's own descriptors that are opened later: the listener and a connection that is accepted but
   // not counted yet (2), the UDP socket (1), watches (3: established, pending and hedged), the file that is
   // read at SIGHUP (1), and one in reserve.
