--- a/src/base/receive_buffer.h
+++ b/src/base/receive_buffer.h
@@ -5,8 +5,8 @@
 
 namespace lichenlug {
 
-// Bounds the receive buffers of the connections that a listening socket accepts. Where the system can't, nothing
-// changes.
+// Bounds the receive buffers of the connections that a listening socket accepts. Where the system can't,
+// nothing changes.
 void BoundReceiveBuffers(int listening_descriptor, std::size_t bytes);
 
 }  // namespace lichenlug
--- a/src/transport/frame_listener.cpp
+++ b/src/transport/frame_listener.cpp
@@ -15,7 +15,7 @@
 
 constexpr int kBacklog = 256;
 constexpr std::size_t kReceiveBufferBytes = 32 * 1024;
-constexpr Time kMinSilence = kSecond;      // before a connection makes room for a new one
+constexpr Time kMinSilence = kSecond;  // before a connection makes room for a new one
 // Longer than the idle timeout of the sending side, so that only connections of vanished peers reach it.
 constexpr timeval kReceiveTimeout{.tv_sec = 90, .tv_usec = 0};
 
