Refuse configurations and heartbeats whose items take far more memory than their text

Cause: a JSON value of three bytes becomes a message of some 150 bytes or a node of a tree; a PATCH was checked by building that tree. Change: a configuration may have 65,536 objects and items of lists, a PATCH a million values, counted while it is parsed without keeping any; a heartbeat may have 1 MiB.

--- a/src/configuration/json_outline.cpp
+++ b/src/configuration/json_outline.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <boost/json/basic_parser_impl.hpp>
+#include <limits>
 #include <unordered_map>
 #include <utility>
 
@@ -81,6 +83,45 @@
   std::size_t position_ = 0;
 };
 
+// Callbacks of a parser that keeps nothing but the number of values.
+struct CountingHandler {
+  using Error = boost::json::error_code;
+  using Text = boost::json::string_view;
+
+  // Names required by the parser. NOLINTBEGIN(readability-identifier-naming)
+  static constexpr std::size_t max_object_size = std::numeric_limits<std::size_t>::max();
+  static constexpr std::size_t max_array_size = std::numeric_limits<std::size_t>::max();
+  static constexpr std::size_t max_key_size = std::numeric_limits<std::size_t>::max();
+  static constexpr std::size_t max_string_size = std::numeric_limits<std::size_t>::max();
+  // NOLINTEND(readability-identifier-naming)
+
+  std::size_t values = 0;
+
+  bool Count(std::size_t more, Error& error) {
+    values += more;
+    if (values > kMaxJsonValues) error = boost::json::error::exception;
+    return values <= kMaxJsonValues;
+  }
+  bool on_document_begin(Error&) { return true; }
+  bool on_document_end(Error&) { return true; }
+  bool on_object_begin(Error& error) { return Count(1, error); }
+  bool on_object_end(std::size_t, Error&) { return true; }
+  bool on_array_begin(Error& error) { return Count(1, error); }
+  bool on_array_end(std::size_t, Error&) { return true; }
+  bool on_key_part(Text, std::size_t, Error&) { return true; }
+  bool on_key(Text, std::size_t, Error&) { return true; }
+  bool on_string_part(Text, std::size_t, Error&) { return true; }
+  bool on_string(Text, std::size_t, Error& error) { return Count(1, error); }
+  bool on_number_part(Text, Error&) { return true; }
+  bool on_int64(std::int64_t, Text, Error& error) { return Count(1, error); }
+  bool on_uint64(std::uint64_t, Text, Error& error) { return Count(1, error); }
+  bool on_double(double, Text, Error& error) { return Count(1, error); }
+  bool on_bool(bool, Error& error) { return Count(1, error); }
+  bool on_null(Error& error) { return Count(1, error); }
+  bool on_comment_part(Text, Error&) { return true; }
+  bool on_comment(Text, Error&) { return true; }
+};
+
 template <typename Visit>
 void VisitMembers(std::string_view object, const Visit& visit) {
   Scanner scanner(object);
@@ -129,8 +170,9 @@
   boost::json::error_code error;
   boost::json::parse_options options;
   options.max_depth = kMaxJsonDepth;
-  boost::json::parse(ToBoostView(text), error, {}, options);
-  return !error;
+  boost::json::basic_parser<CountingHandler> parser(options);
+  const std::size_t read = parser.write_some(false, text.data(), text.size(), error);
+  return !error && read == text.size();
 }
 
 std::vector<JsonMember> ObjectMembers(std::string_view object) {
--- a/src/configuration/json_outline.h
+++ b/src/configuration/json_outline.h
@@ -31,6 +31,7 @@
 std::string QuotedString(std::string_view content);
 
 inline constexpr std::size_t kMaxJsonDepth = 100;
-bool IsValidJson(std::string_view text);
+inline constexpr std::size_t kMaxJsonValues = 1'000'000;
+bool IsValidJson(std::string_view text);  // of at most so many values
 
 }  // namespace lichenlug::configuration
--- a/src/configuration/message_builder.cpp
+++ b/src/configuration/message_builder.cpp
@@ -34,6 +34,8 @@
 
 namespace {
 
+constexpr std::size_t kMaxItems = 65536;
+
 // The tables of a message type and of all types nested in it are built once per thread.
 const FieldTable* FieldTableFor(const Descriptor* descriptor) {
   thread_local std::unordered_map<const Descriptor*, FieldTable> tables;
@@ -91,6 +93,7 @@
     return true;
   }
   if (!ExpectsType(FieldDescriptor::CPPTYPE_MESSAGE)) return ReportWrongType();
+  if (!CountItem()) return false;
   const Frame& frame = frames_.back();
   Message* inner = frame.in_list ? frame.reflection->AddMessage(frame.message, frame.entry->field)
                                  : frame.reflection->MutableMessage(frame.message, frame.entry->field);
@@ -131,6 +134,7 @@
 bool MessageBuilder::String(std::string value) {
   if (InUnknownMember()) return true;
   if (!ExpectsType(FieldDescriptor::CPPTYPE_STRING)) return ReportWrongType();
+  if (frames_.back().in_list && !CountItem()) return false;
   const Frame& frame = frames_.back();
   if (frame.in_list) {
     frame.reflection->AddString(frame.message, frame.entry->field, std::move(value));
@@ -180,6 +184,14 @@
   return true;
 }
 
+// An item takes far more memory than its text may have bytes.
+bool MessageBuilder::CountItem() {
+  if (++items_ <= kMaxItems) return true;
+  problem = Problem{"configuration", "the whole text",
+                    "has too many objects and items of lists: give at most " + std::to_string(kMaxItems)};
+  return false;
+}
+
 bool MessageBuilder::ExpectsType(FieldDescriptor::CppType type) const {
   if (frames_.empty()) return false;
   const Frame& frame = frames_.back();
--- a/src/configuration/message_builder.h
+++ b/src/configuration/message_builder.h
@@ -51,13 +51,15 @@
   bool InUnknownMember() const {
     return skipped_ > 0 || (!frames_.empty() && frames_.back().entry == nullptr);
   }
+  bool CountItem();
   bool ExpectsType(FieldDescriptor::CppType type) const;
   bool ReportWrongType();
   std::string Place() const;
 
   google::protobuf::Message* root_;
   std::vector<Frame> frames_;
-  int skipped_ = 0;  // nesting depth within the value of an unknown member
+  std::size_t items_ = 0;  // objects and items of lists so far
+  int skipped_ = 0;        // nesting depth within the value of an unknown member
 };
 
 }  // namespace lichenlug::configuration
--- a/src/configuration/patch.cpp
+++ b/src/configuration/patch.cpp
@@ -112,7 +112,9 @@
 }  // namespace
 
 std::variant<Patch, Problem> ReadPatch(std::string_view text) {
-  if (!IsValidJson(text)) return Problem{"JSON", "the whole text", "can't be parsed: send the complete text"};
+  if (!IsValidJson(text))
+    return Problem{"JSON", "the whole text",
+                   "can't be parsed: send the complete text, of a million values at most"};
   if (JsonKindOf(text) != JsonKind::kObject) return Problem{"patch", "the whole text", "give an object"};
   Patch patch;
   for (const JsonMember& member : ObjectMembers(text)) {
--- a/src/registry/heartbeat_codec.cpp
+++ b/src/registry/heartbeat_codec.cpp
@@ -11,6 +11,7 @@
 using Json = nlohmann::json;
 using messages::RunnerRecord;
 
+constexpr std::size_t kMaxBodyBytes = 1u << 20;
 constexpr std::size_t kMaxNameLength = 256;
 constexpr std::size_t kMaxModels = 1024;
 constexpr std::size_t kMaxAdapters = 4096;  // per model
@@ -135,6 +136,7 @@
 std::variant<RunnerRecord, std::string> ReadHeartbeat(std::string_view runner_id, std::string_view json) {
   if (!IsRunnerId(runner_id))
     return "heartbeat: the runner's id in the path must have 1 to 256 printable characters and no space";
+  if (json.size() > kMaxBodyBytes) return "heartbeat: the body must not be longer than 1 MiB";
   const Json body = Json::parse(json, nullptr, false);
   if (!body.is_object()) return "heartbeat: the body must be one JSON object";
 
--- a/tests/system/configuration/parse_test.cpp
+++ b/tests/system/configuration/parse_test.cpp
@@ -27,6 +27,17 @@
   CHECK(problem.Line().find('\n') == std::string::npos);
 }
 
+// An item takes far more memory than its text has bytes.
+TEST_CASE("A text of very many objects or items of lists is rejected") {
+  for (const std::string opening :
+       {R"({"edition":7,"routes":[)", R"({"edition":7,"senders":[{"name":"a","stamps":[)"}) {
+    std::string text = opening;
+    const std::string item = opening.ends_with(R"("routes":[)") ? "{}," : R"("",)";
+    for (int i = 0; i < 70'000; ++i) text += item;
+    CheckProblem(ProblemOf(text), "configuration", "the whole text");
+  }
+}
+
 TEST_CASE("A complete configuration is parsed into its message") {
   const std::string text = SampleConfiguration(7).dump();
   const auto result = Parse(text);
--- a/tests/system/configuration/patch_test.cpp
+++ b/tests/system/configuration/patch_test.cpp
@@ -17,6 +17,16 @@
   return Json::parse(std::get<std::string>(result));
 }
 
+TEST_CASE("A text is valid JSON if it is complete and has not too many values") {
+  CHECK(IsValidJson(R"({"a":[1,-2,3.5,18446744073709551615,true,null,"x",{}]} )"));
+  for (const char* invalid : {"", "{", "[1", "[1]]", "nul", "[1,]", "{\"a\"}"})
+    CHECK_FALSE(IsValidJson(invalid));
+  CHECK_FALSE(IsValidJson(std::string(200, '[') + std::string(200, ']')));
+  std::string many = "[0";
+  for (std::size_t i = 0; i < kMaxJsonValues; ++i) many += ",0";
+  CHECK_FALSE(IsValidJson(many + "]"));
+}
+
 TEST_CASE("Items are added, replaced in place and removed by name") {
   Json expected = SampleConfiguration(9);
   expected["routes"][1] = SampleRoute("split", "/elsewhere/");
--- a/tests/system/crowds/crowd_test.cpp
+++ b/tests/system/crowds/crowd_test.cpp
@@ -192,6 +192,7 @@
 // The sizes of the crowds: together far more bytes than the machine has memory for, or more connections than
 // it has descriptors.
 constexpr int kLargeBodies = 40, kSmallChunkBodies = 80, kHeads = 250, kManyConnections = 1100;
+constexpr int kFewBodies = 4;
 constexpr int kMoreClientsThanAllowed = 300;
 constexpr std::size_t kSmallChunks = 500'000;  // of one byte
 constexpr std::size_t kLargeChunk = 64 * kKiB, kTooManyBytes = 16 * kMiB;
@@ -335,6 +336,31 @@
                    AnnouncedBodies(kLargeBodies, OperatorStart(), kMaxBody, Ending::kStopsShort));
 }
 
+// A body of `size` bytes that repeats one short value.
+CrowdPlan ManyValues(int connections, const RequestStart& start, const std::string& opening,
+                     const std::string& value, std::size_t size) {
+  CrowdPlan plan;
+  plan.connections = connections;
+  const std::size_t values = (size - opening.size()) / value.size();
+  plan.head = start + "Content-Length: " + std::to_string(opening.size() + values * value.size()) +
+              "\r\n\r\n" + opening;
+  plan.block = value;
+  plan.blocks = values;
+  return plan;
+}
+
+TEST_CASE("Callers send configurations of very many objects", "[control-many-objects]") {
+  Target target;
+  target.Withstand(target.dispatcher().control_address(),
+                   ManyValues(kFewBodies, OperatorStart(), R"({"edition":9,"routes":[)", "{},", kMaxBody));
+}
+
+TEST_CASE("Callers send heartbeats of very many lists", "[control-many-lists]") {
+  Target target;
+  target.Withstand(target.dispatcher().control_address(),
+                   ManyValues(kFewBodies, "PUT /-/runners/x HTTP/1.1\r\nHost: x\r\n", "[", "[],", kMaxBody));
+}
+
 // ---- Readiness port ----
 
 TEST_CASE("Bodies are sent to the readiness port", "[ready-announced-over-limit]") {
--- a/tests/system/registry/heartbeat_codec_test.cpp
+++ b/tests/system/registry/heartbeat_codec_test.cpp
@@ -58,6 +58,12 @@
   CHECK(std::get<messages::RunnerRecord>(read).remaining_ms() == 1500);
 }
 
+TEST_CASE("a heartbeat of more than a megabyte is rejected before it is parsed") {
+  Json body = GoodBody();
+  body["unheard_of"] = std::string(1u << 20, 'x');
+  CHECK(std::get<std::string>(ReadHeartbeat("i-1", body.dump())).find("1 MiB") != std::string::npos);
+}
+
 TEST_CASE("an invalid heartbeat gives a one-line error that names the key and its place") {
   const std::vector<std::pair<std::string, Json>> wrong = {
       {"line", 5},
