--- a/src/operate/config.cpp
+++ b/src/operate/config.cpp
@@ -16,7 +16,7 @@
 
 constexpr std::size_t kMinSockets = 64;
 constexpr double kMaxSockets = 1e9;
-constexpr double kMinMemoryMb = 16, kMaxMemoryMb = 1e6;
+constexpr double kMaxMemoryMb = 1e6;
 constexpr double kBytesPerMb = 1 << 20;
 
 [[noreturn]] void ThrowError(const std::string& key, const std::string& what) {
@@ -76,8 +76,7 @@
   const auto it = limits.find("memory_mb");
   if (it == limits.end() || it->is_null()) return default_bytes;
   const double given = it->is_number() ? it->get<double>() : 0;
-  if (!(given >= kMinMemoryMb && given <= kMaxMemoryMb))
-    ThrowError("limits.memory_mb", "a number of megabytes from 16 to 1000000 expected");
+  if (!(given > 0 && given <= kMaxMemoryMb)) ThrowError("limits.memory_mb", "a number above 0 expected");
   return static_cast<std::size_t>(given * kBytesPerMb);
 }
 
--- a/src/operate/config.h
+++ b/src/operate/config.h
@@ -2,6 +2,7 @@
 // BALANCER_CONFIG names; BALANCER_NAME, BALANCER_LISTEN and BALANCER_DISCOVERY override the file.
 #pragma once
 
+#include <algorithm>
 #include <asio.hpp>
 #include <cstdint>
 #include <functional>
@@ -34,7 +35,7 @@
   std::size_t max_serving_connections() const { return shared() / 2; }
 
   // Of the bytes that clients' connections hold together: a quarter of the memory.
-  std::size_t max_client_bytes() const { return memory_bytes / 4; }
+  std::size_t max_client_bytes() const { return std::max(kMinClientBytes, memory_bytes / 4); }
   std::size_t client_receive_buffer() const {
     return ReceiveBufferBytes(memory_bytes, max_client_connections());
   }
@@ -43,6 +44,7 @@
   // not counted yet (2), the UDP socket (1), watches (3: established, pending and hedged), the file that is
   // read at SIGHUP (1), and one in reserve.
   static constexpr std::size_t kOwnDescriptors = 8, kMinShared = 16;
+  static constexpr std::size_t kMinClientBytes = 4u << 20;
 
  private:
   std::size_t shared() const { return max_sockets - open_at_start - kOwnDescriptors; }
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -120,6 +120,8 @@
       {"/limits", "[]", "limits: an object expected"},
       {"/limits/sockets", "63", "limits.sockets: 64 or more expected"},
       {"/limits/sockets", "-1", "limits.sockets: a number above 0 expected"},
+      {"/limits/memory_mb", "0", "limits.memory_mb: a number above 0 expected"},
+      {"/limits/memory_mb", "\"much\"", "limits.memory_mb: a number above 0 expected"},
       {"/limits/sockets", "1e300", "limits.sockets: a number above 0 expected"},
       {"/limits/sockets", "\"many\"", "limits.sockets: a number above 0 expected"},
       {"/peer_listen", "\"x\"", "peer_listen: an IP address and port"},
