--- a/review/rig-2/deleted_runner.cpp
+++ b/review/rig-2/deleted_runner.cpp
@@ -2,6 +2,7 @@
 // runner had sent before arrives late. Do requests reach the runner longer than drain_ms after the
 // acknowledgement of its end?
 #include <iostream>
+#include <optional>
 
 #include "rig.h"
 
@@ -18,18 +19,20 @@
   OpenPlatform platform(&loop, &record);
   Deployment::Plan plan;
   plan.platforms = {platform.address()};
-  Deployment system(&loop, plan, &record);
-  system.StartAll(true);
+  // The dispatchers go first at the end: while they end, the others may still get answers.
+  std::optional<DeskClients> clients;
   DeskRunner leaving(&loop, {.id = "i-leaving", .zone = "hall-a"}, &record);
   DeskRunner staying(&loop, {.id = "i-staying", .zone = "hall-b"}, &record);
+  Deployment system(&loop, plan, &record);
+  system.StartAll(true);
   if (!system.TakeConfiguration(DeskConfiguration(1), 0, kStart)) return kCouldNotRun;
   leaving.Report(system.ControlAddresses());
   staying.Report(system.ControlAddresses());
   if (!system.WaitReady(kStart)) return kCouldNotRun;
   loop.RunUntil([&] { return leaving.acknowledged() && staying.acknowledged(); }, kStart);
   loop.RunFor(12 * kSecond);
-  DeskClients clients(&loop, system.FrontAddresses(), &record);
-  clients.Begin(40 * kMillisecond);
+  clients.emplace(&loop, system.FrontAddresses(), &record);
+  clients->Begin(40 * kMillisecond);
   loop.RunFor(3 * kSecond);
 
   // The report that will be late, and the end of the registration behind it.
@@ -62,7 +65,7 @@
   const HttpMessage late_answer = CallAndWait(&loop, system.at(1).control_address(), report);
   record.Line("the late report of i-leaving is answered " + std::to_string(late_answer.status));
   loop.RunFor(8 * kSecond);
-  clients.Stop();
+  clients->Stop();
   loop.RunFor(2 * kSecond);
 
   int broken = 0, after = 0;
--- a/review/rig-2/rig.cpp
+++ b/review/rig-2/rig.cpp
@@ -218,7 +218,6 @@
 
 Deployment::~Deployment() {
   for (const auto& dispatcher : dispatchers_) {
-    dispatcher->process();
     dispatcher->Kill(kKillTimeout);
   }
   if (std::getenv("LOGS") != nullptr) std::fputs(Logs().c_str(), stderr);
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -17,7 +17,6 @@
 #include "lab/fleet/http_server.h"
 #include "lab/system/dispatcher.h"
 #include "lab/system/http_call.h"
-#include "lab/system/ingress.h"
 #include "lab/system/loop.h"
 
 namespace review {
@@ -32,7 +31,6 @@
 using lichenlug::standins::Dispatcher;
 using lichenlug::standins::DispatcherSettings;
 using lichenlug::standins::HttpCall;
-using lichenlug::standins::Ingress;
 using lichenlug::standins::Loop;
 
 enum ExitCode { kHeld = 0, kBroken = 1, kCouldNotRun = 2 };
