--- a/review/rig-2/unmade_store.cpp
+++ b/review/rig-2/unmade_store.cpp
@@ -10,7 +10,7 @@
 using namespace review;
 
 constexpr Time kStart = 30 * kSecond, kRecover = 12 * kSecond, kReading = 20 * kSecond;
-constexpr std::size_t kUnmade = 0, kWiped = 1;
+constexpr std::size_t kUnmade = 0, kWiped = 1, kThird = 2;
 
 // The configuration as the operator reads it back, from any dispatcher; asked again and again.
 Json ReadBack(Loop* loop, Deployment* system, Record* record) {
@@ -38,7 +38,7 @@
   plan.platforms = {platform.address()};
   Deployment system(&loop, plan, &record);
   const bool trouble = HasTrouble();
-  system.StartAll(true);
+  for (const std::size_t index : {kWiped, kThird, kUnmade}) system.Start(index, true);
   if (trouble) {
     record.Line("kill " + system.at(kUnmade).name());
     if (!system.at(kUnmade).Kill(kStart)) return kCouldNotRun;
