Store acknowledged ends of runners, so that they outlast a kill of all dispatchers

An update between dispatchers is answered at once, as before, and again when the ends in it are synced (RegistryAck.ends_pending); only the latter counts for the acknowledgement, and a dispatcher counts itself only after its own write. Changes of other runners wait for the first answer alone, so a hanging disk holds nothing up. An old dispatcher takes the first answer for the whole.

Peers answered for a repeated end older than 60 s without keeping it; they keep it now. lichenlugctl store verify reads the new records.

Why it works: an acknowledged end is on a majority of disks, of which one at least is there after any borne loss; it is merged before or after late reports with the same result (a join), and spread by digests.

--- a/cmake/system.cmake
+++ b/cmake/system.cmake
@@ -59,7 +59,7 @@
   endif()
 endfunction()
 system_program(lichenlugd daemon system_host)
-system_program(lichenlugctl ctl system_configuration system_storage system_consensus)
+system_program(lichenlugctl ctl system_configuration system_storage system_consensus system_registry)
 
 if(ROOKGW_BUILD_TESTS OR ROOKGW_BUILD_LAB)
   add_subdirectory(lab/system)
--- a/lab/control/callers.cpp
+++ b/lab/control/callers.cpp
@@ -144,7 +144,9 @@
                      {"cold_ms", 0},
                      {"condition", state_ == State::kReady ? "ready" : "draining"},
                      {"call_count", ++call_count_}};
-  return {"PUT", path, "", body.dump()};
+  node::ControlRequest heartbeat{"PUT", path, "", body.dump()};
+  if (state_ == State::kReady) last_ready_heartbeat_ = heartbeat;
+  return heartbeat;
 }
 
 void Runner::Heartbeat() {
@@ -173,6 +175,10 @@
 
 void Runner::Acknowledged(State reported) {
   drains_->Acknowledged(events_->now(), id_);
+  if (repeat_delay_ && last_ready_heartbeat_) {
+    events_->After(*repeat_delay_, [this] { RepeatHeartbeat(); });
+    repeat_delay_.reset();
+  }
   if (reported == State::kEnding) {
     state_ = State::kStopped;
   } else if (!end_scheduled_) {
@@ -183,6 +189,14 @@
   }
 }
 
+void Runner::RepeatHeartbeat() {
+  port_->Call(home_ % port_->machines(), *last_ready_heartbeat_, kCallTimeout, [this](const auto& response) {
+    if (response && response->status == 200) return;
+    ++home_;
+    events_->After(kRetryDelay, [this] { RepeatHeartbeat(); });
+  });
+}
+
 void Runner::ScheduleHeartbeat(Time span) {
   events_->After(span, [this] { Heartbeat(); });
 }
--- a/lab/control/callers.h
+++ b/lab/control/callers.h
@@ -74,6 +74,10 @@
   Runner(CallPort* port, EventQueue* events, DrainChecker* drains, std::size_t number,
          Time heartbeat_interval);
 
+  // The last heartbeat that says ready arrives once more, this long after the runner's end was acknowledged,
+  // as from a congested network.
+  void RepeatHeartbeatAfterEnd(Time delay) { repeat_delay_ = delay; }
+
   void Start();
   void Drain();  // reports that it drains, and later that it ends
   void Leave();  // reports at once that it ends
@@ -88,6 +92,7 @@
   void ScheduleHeartbeat(Time span);
   node::ControlRequest MakeRequest();
   void Acknowledged(State reported);
+  void RepeatHeartbeat();
 
   CallPort* port_;
   EventQueue* events_;
@@ -99,6 +104,8 @@
   bool end_scheduled_ = false;
   MachineIndex home_;
   std::uint64_t call_count_ = 0;
+  std::optional<Time> repeat_delay_;  // none: no heartbeat is repeated, or it is scheduled already
+  std::optional<node::ControlRequest> last_ready_heartbeat_;
 };
 
 }  // namespace lichenlug::lab::control
--- a/lab/control/day.cpp
+++ b/lab/control/day.cpp
@@ -14,6 +14,7 @@
 
 constexpr Time kFaultsBegin = 6 * kSecond;
 constexpr Time kMaxFaultDuration = 5 * kSecond;
+constexpr Time kLateHeartbeat = 4 * kSecond;
 
 constexpr std::array<const char*, kEventKinds> kNames = {
     "kill",       "terminate", "reload", "power-off",     "freeze",        "cut-off",       "cut-incoming",
@@ -215,6 +216,27 @@
          for (Time at = 7 * kSecond; at < 12 * kSecond; at += 500 * kMillisecond)
            Add(day, EventKind::kRace, at, draw->Below(day->machines()));
        }},
+      {"late-heartbeats-after-all-were-killed",  // docs/incidents/forgotten-ends-81.md
+       [](Day* day, RandomSource* draw) {
+         day->late_heartbeat_after = draw->Span(2500, 5000) * kMillisecond;
+         Add(day, EventKind::kRunnerLeaves, 8 * kSecond, 1);
+         Add(day, EventKind::kRunnerDrains, 8 * kSecond, 2);
+         const Time at = 8 * kSecond + draw->Span(100, 500) * kMillisecond;
+         Add(day, EventKind::kRunnerCrashes, at, 2);  // so that it repeats the drain to no later process
+         Add(day, EventKind::kPowerOff, at, 0, 500 * kMillisecond, day->machines());
+       }},
+      {"ends-announced-while-disks-stall",
+       [](Day* day, RandomSource* draw) {
+         day->late_heartbeat_after = draw->Span(2500, 5000) * kMillisecond;
+         const MachineIndex intact = draw->Below(day->stores);
+         for (MachineIndex i = 0; i < day->stores; ++i)
+           if (i != intact)
+             Add(day, EventKind::kDiskStall, 7900 * kMillisecond, i, draw->Span(1, 3) * kSecond);
+         Add(day, EventKind::kRunnerLeaves, 8 * kSecond, 1);
+         Add(day, EventKind::kRunnerLeaves, 8 * kSecond, 2);
+         Add(day, EventKind::kPowerOff, 8 * kSecond + draw->Span(100, 900) * kMillisecond, 0,
+             500 * kMillisecond, day->machines());
+       }},
       {"drains-beside-cuts",
        [](Day* day, RandomSource* draw) {
          Add(day, EventKind::kCutOff, 7 * kSecond, draw->Below(day->machines()), 4 * kSecond);
@@ -252,6 +274,7 @@
     if (draw.Chance(0.3)) day.events[i].at = day.events[i - 1].at + draw.Span(0, 50 * kMillisecond);
   }
   Sort(&day);
+  if (seed % 2 == 1) day.late_heartbeat_after = kLateHeartbeat;
   return day;
 }
 
--- a/lab/control/day.h
+++ b/lab/control/day.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -58,7 +59,9 @@
   Time in_force_within = 2 * kSecond;            // the maximum delay from acknowledgement to use
   Time first_change_at = 600 * kMillisecond;
   Time faults_end = 24 * kSecond;  // all events are over by then
-  std::vector<Event> events;       // sorted by time
+  // Each runner's last heartbeat arrives once more this long after its end was acknowledged; none: does not.
+  std::optional<Time> late_heartbeat_after;
+  std::vector<Event> events;  // sorted by time
 
   std::size_t machines() const { return stores + diskless; }
 };
--- a/lab/control/disk.cpp
+++ b/lab/control/disk.cpp
@@ -35,10 +35,25 @@
 }
 
 void Disk::Write(std::string key, std::string value, std::function<void(bool written)> done) {
-  pending_.push_back({std::move(key), std::move(value), std::move(done)});
+  Enqueue({std::move(key), std::move(value), std::move(done)});
+}
+
+void Disk::Erase(std::string key) {
+  Enqueue({std::move(key), std::nullopt, [](bool) {}});
+}
+
+void Disk::Enqueue(Pending write) {
+  pending_.push_back(std::move(write));
   if (pending_.size() == 1) ScheduleWrite();
 }
 
+void Disk::Persist(const Pending& write) {
+  if (write.value)
+    records_[write.key] = *write.value;
+  else
+    records_.erase(write.key);
+}
+
 void Disk::ScheduleWrite() {
   const Time begins = std::max(events_->now(), stalled_until_);
   events_->At(begins + kMinSyncTime + RandomTime(kSyncSpread) + slow_by_,
@@ -52,7 +67,7 @@
   pending_.pop_front();
   const bool written = events_->now() >= full_until_;
   // A write that reported failure may have been persisted all the same.
-  if (written || RandomTime(1) == 0) records_[write.key] = write.value;
+  if (written || RandomTime(1) == 0) Persist(write);
   if (!pending_.empty()) ScheduleWrite();
   write.done(written);
 }
@@ -60,10 +75,7 @@
 void Disk::OnProcessEnd() {
   ++generation_;
   const Time persisted = RandomTime(static_cast<Time>(pending_.size()));
-  for (Time i = 0; i < persisted; ++i) {
-    const Pending& write = pending_[static_cast<std::size_t>(i)];
-    records_[write.key] = write.value;
-  }
+  for (Time i = 0; i < persisted; ++i) Persist(pending_[static_cast<std::size_t>(i)]);
   pending_.clear();
 }
 
--- a/lab/control/disk.h
+++ b/lab/control/disk.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -21,6 +22,7 @@
   // Callbacks run asynchronously, and not at all if the process has ended by then.
   void Open(const std::string& new_replica_id, std::function<void(node::StoreContents)> done);
   void Write(std::string key, std::string value, std::function<void(bool written)> done);
+  void Erase(std::string key);
 
   // Called when the process ends: drops all callbacks. A random prefix of the pending writes is persisted.
   void OnProcessEnd();
@@ -33,10 +35,13 @@
 
  private:
   struct Pending {
-    std::string key, value;
+    std::string key;
+    std::optional<std::string> value;  // none: the record is erased
     std::function<void(bool written)> done;
   };
 
+  void Enqueue(Pending write);
+  void Persist(const Pending& write);
   void ScheduleWrite();
   void FinishWrite(std::uint64_t generation);
   Time RandomTime(Time max);
--- a/lab/control/machine.h
+++ b/lab/control/machine.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "lab/control/disk.h"
 #include "lab/control/network.h"
@@ -58,6 +59,7 @@
   void Call(const duties::HttpCall& call, CallDone done) override;
   void OpenStore(const std::string& new_replica_id, std::function<void(node::StoreContents)> done) override;
   void Write(std::string key, std::string value, std::function<void(bool written)> done) override;
+  void Erase(std::string key) override { disk_.Erase(std::move(key)); }
   void Install(std::shared_ptr<const routing::Snapshot> snapshot) override;
   dataplane::Report TakeReport() override { return {}; }
   void DrainRequests() override {}
--- a/lab/control/world.cpp
+++ b/lab/control/world.cpp
@@ -66,6 +66,8 @@
   }
   for (std::size_t i = 0; i < day_.runners; ++i)
     runners_.push_back(std::make_unique<Runner>(this, &events_, &drains_, i, kHeartbeatInterval));
+  if (!day_.late_heartbeat_after) return;
+  for (auto& runner : runners_) runner->RepeatHeartbeatAfterEnd(*day_.late_heartbeat_after);
 }
 
 Testbed::~Testbed() = default;
--- a/src/ctl/store_command.cpp
+++ b/src/ctl/store_command.cpp
@@ -8,6 +8,7 @@
 #include "consensus/register_node.h"
 #include "ctl/commands.h"
 #include "ctl/store_copy.h"
+#include "registry/end_records.h"
 
 namespace lichenlug::ctl {
 namespace {
@@ -42,16 +43,18 @@
 }  // namespace
 
 ExitCode VerifyStore(const std::string& folder) {
-  const auto store = OpenStoreCopy(folder);
+  auto store = OpenStoreCopy(folder);
   if (!store) return kFailed;
   std::cout << "store " << store->replica_id << ", " << store->records.size() << " records\n";
   for (const auto& [key, value] : store->records)
     std::cout << "record " << key << ": " << value.size() << " bytes\n";
+  const registry::StoredEnds ends = registry::ExtractEnds(&store->records, /*wall_now=*/0);
   RegisterNode node = NodeOf(store->replica_id);
-  if (!node.Restore(store->records)) {
+  if (!node.Restore(store->records) || !ends.unreadable_keys.empty()) {
     LOG(ERROR) << folder << ": a record cannot be read; start the dispatcher without this store";
     return kFailed;
   }
+  std::cout << "announced ends of " << ends.ends.size() << " runners\n";
   for (const std::string& name : node.RegisterNames()) {
     if (const auto value = node.LocalValue(name)) PrintRegister(name, *value);
   }
--- a/src/host/control_host.cpp
+++ b/src/host/control_host.cpp
@@ -105,6 +105,8 @@
   store_.Write(std::move(key), std::move(value), std::move(done));
 }
 
+void ControlHost::Erase(std::string key) { store_.Erase(std::move(key)); }
+
 void ControlHost::Install(std::shared_ptr<const routing::Snapshot> snapshot) {
   data_plane_->Install(std::move(snapshot));
 }
--- a/src/host/control_host.h
+++ b/src/host/control_host.h
@@ -36,6 +36,7 @@
   void Call(const duties::HttpCall& call, CallDone done) override;
   void OpenStore(const std::string& new_replica_id, std::function<void(node::StoreContents)> done) override;
   void Write(std::string key, std::string value, std::function<void(bool written)> done) override;
+  void Erase(std::string key) override;
   void Install(std::shared_ptr<const routing::Snapshot> snapshot) override;
   dataplane::Report TakeReport() override { return data_plane_->TakeReport(); }
   void DrainRequests() override { data_plane_->BeginDrain(); }
--- a/src/host/posted_store.h
+++ b/src/host/posted_store.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "host/event_loop.h"
 #include "node/node_host.h"
@@ -19,6 +20,7 @@
   // May be called again if the store could not be opened.
   void Open(const std::string& new_replica_id, std::function<void(node::StoreContents)> done);
   void Write(std::string key, std::string value, std::function<void(bool written)> done);
+  void Erase(std::string key) { store_->Erase(std::move(key)); }
 
  private:
   EventLoop* loop_;
--- a/src/node/component_settings.cpp
+++ b/src/node/component_settings.cpp
@@ -33,6 +33,7 @@
   registry.zone = settings.zone;
   registry.serves_control = !settings.control_address.empty();
   registry.counts_for_quorum = settings.counts_for_quorum;
+  registry.has_store = !settings.store_folder.empty();
   registry.prefers_quorum_members = settings.mechanisms.Has(Mechanism::kStoreHomes);
   registry.heartbeat_interval = settings.heartbeat_interval;
   registry.seed = seed;
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -10,6 +10,7 @@
 #include "node/node_roles.h"
 #include "node/snapshot.h"
 #include "node/status.h"
+#include "registry/end_records.h"
 
 namespace lichenlug::node {
 
@@ -70,6 +71,8 @@
       return duties_.OnAcceptRequest(host_->Now(), register_name, payload);
     configuration_source_.OnAcceptRequest(host_->Now(), payload);
   });
+  registers_.SetStoreOpenedCallback(
+      [this](RegisterService::StoreRecords* records) { RestoreRunnerEnds(records); });
   registers_.OpenStore([this](const std::string& replica_id) {
     replica_id_ = replica_id;
     membership_ring::MembershipOutput output;
@@ -149,12 +152,35 @@
     *envelope.mutable_registry() = std::move(send.message);
     host_->Send(send.address, std::move(envelope));
   }
+  for (registry::EndWrite& write : output.writes) Execute(std::move(write));
   if (!output.changed) return;
   runners_ = std::make_shared<const RunnerList>(registry_.Runners());
   duties_.SetRunners(runners_);
   snapshot_changed_ = true;
 }
 
+void ControlNode::Execute(registry::EndWrite write) {
+  const std::string key = registry::EndKey(write.runner_id);
+  if (!write.record) return host_->Erase(key);
+  host_->Write(key, registry::EndValue(*write.record, WallNow()), [this, token = write.token](bool written) {
+    registry::RegistryOutput output;
+    registry_.WriteDone(host_->Now(), token, written, &output);
+    Execute(std::move(output));
+    runner_api_.CheckEnds(host_->Now());
+  });
+}
+
+void ControlNode::RestoreRunnerEnds(RegisterService::StoreRecords* records) {
+  const registry::StoredEnds stored = registry::ExtractEnds(records, WallNow());
+  if (!stored.ends.empty())
+    LOG(INFO) << "runners: " << stored.ends.size() << " announced ends are known from the store";
+  for (const std::string& key : stored.unreadable_keys)
+    LOG(ERROR) << "store: the record " << key << " can't be read and is ignored";
+  registry::RegistryOutput output;
+  registry_.StoreOpened(host_->Now(), stored.ends, &output);
+  Execute(std::move(output));
+}
+
 void ControlNode::Execute(configuration::FollowerOutput output) {
   for (auto& send : output.sends) {
     messages::Envelope envelope;
--- a/src/node/control_node.h
+++ b/src/node/control_node.h
@@ -47,7 +47,9 @@
   void ReceiveGroupHints(Time now, const std::string& from, const messages::GroupHints& hints);
   void Execute(membership_ring::MembershipOutput output);
   void Execute(registry::RegistryOutput output);
+  void Execute(registry::EndWrite write);
   void Execute(configuration::FollowerOutput output);
+  void RestoreRunnerEnds(RegisterService::StoreRecords* records);
   // State and timers
   ControlResponse Status() const;
   void MembersChanged(Time now);
--- a/src/node/end_acknowledgements.h
+++ b/src/node/end_acknowledgements.h
@@ -1,6 +1,6 @@
 // Responses to runners that announce a drain or their end. An acknowledgement binds every dispatcher, so it
-// is sent only once a majority of the core, with which all others synchronize, is known to have recorded the
-// end. If that takes too long, the response tells the runner to call another dispatcher. No I/O, no clock.
+// is sent only once a majority of the core, with which all others synchronize, is known to have the end on
+// disk. If that takes too long, the response tells the runner to call another dispatcher. No I/O, no clock.
 #pragma once
 
 #include <functional>
--- a/src/node/node_host.h
+++ b/src/node/node_host.h
@@ -47,6 +47,8 @@
   // order.
   virtual void OpenStore(const std::string& new_replica_id, std::function<void(StoreContents)> done) = 0;
   virtual void Write(std::string key, std::string value, std::function<void(bool written)> done) = 0;
+  // After the writes before it. A record whose erasure fails is there when the store is opened again.
+  virtual void Erase(std::string key) = 0;
 
   // The data plane.
   virtual void Install(std::shared_ptr<const routing::Snapshot> snapshot) = 0;
--- a/src/node/register_service.cpp
+++ b/src/node/register_service.cpp
@@ -101,6 +101,7 @@
   }
   LOG(INFO) << "store: opened as " << contents.replica_id << (contents.created ? " (new)" : "");
   messages::FoundingRecord record = ExtractFoundingRecord(&contents.records);
+  if (store_opened_callback_) store_opened_callback_(&contents.records);
   opened_store_ = std::move(contents);
   StartFoundingAgreement(std::move(record));
   StartReplica();
--- a/src/node/register_service.h
+++ b/src/node/register_service.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "consensus/founding.h"
@@ -31,6 +32,11 @@
   // `host` must outlive this object.
   RegisterService(NodeHost* host, const NodeSettings& settings, const NodeIdentity& identity);
 
+  // Called once, with the records of the opened store, of which it removes those that are not of registers.
+  using StoreRecords = std::vector<std::pair<std::string, std::string>>;  // by key
+  using StoreOpenedCallback = std::function<void(StoreRecords* records)>;
+  void SetStoreOpenedCallback(StoreOpenedCallback callback) { store_opened_callback_ = std::move(callback); }
+
   // Opens the store, if there is one; `started` is called with the replica's identity once it votes. If the
   // store can't be opened (for example on a full disk), retries until it succeeds.
   void OpenStore(std::function<void(const std::string& replica_id)> started);
@@ -85,6 +91,7 @@
   std::unordered_map<std::string, messages::ReplicaGroup> hints_;  // by register, to initialize the next node
   std::unordered_map<consensus::OperationId, Done> pending_operations_;
   AcceptCallback accept_callback_;
+  StoreOpenedCallback store_opened_callback_;
 };
 
 }  // namespace lichenlug::node
--- a/src/node/runner_api.cpp
+++ b/src/node/runner_api.cpp
@@ -90,8 +90,8 @@
   return consensus::IsQuorum(group, [&](const std::string& replica_id) {
     return std::any_of(members.begin(), members.end(), [&](const auto& member) {
       return member.replica_id() == replica_id &&
-             (member.address() == own_address_ ||
-              registry_->IsEndAcknowledgedBy(runner_id, member.address()));
+             (member.address() == own_address_ ? registry_->IsEndStored(runner_id)
+                                               : registry_->IsEndAcknowledgedBy(runner_id, member.address()));
     });
   });
 }
--- a/src/node/runner_api.h
+++ b/src/node/runner_api.h
@@ -24,7 +24,7 @@
   // PUT: a heartbeat; DELETE: the runner ends.
   void Handle(const std::string& runner_id, const ControlRequest& request, Respond respond);
 
-  // Acknowledges the ends that are known to a majority of the core by now.
+  // Acknowledges the ends that are on the disks of a majority of the core by now.
   void CheckEnds(Time now);
   std::optional<Time> NextTimer() const { return ends_.NextTimer(); }
 
--- a/src/registry/end_receipts.h
+++ b/src/registry/end_receipts.h
@@ -1,6 +1,6 @@
 // Which dispatchers have acknowledged a runner's end (it drains, or was removed). An acknowledgement to the
-// runner is binding for all dispatchers, so it is sent only once enough of them are known to have stored the
-// end. Does no I/O.
+// runner is binding for all dispatchers, so it is sent only once enough of them are known to have the end on
+// disk. Does no I/O.
 #pragma once
 
 #include <functional>
--- a/src/registry/merge.cpp
+++ b/src/registry/merge.cpp
@@ -51,6 +51,11 @@
   return state == messages::RUNNER_READY || state == messages::RUNNER_DRAINING;
 }
 
+AnnouncedEnd AnnouncedEndOf(const RunnerRecord& record) {
+  if (IsGone(record.state())) return AnnouncedEnd::kGone;
+  return HasDrained(record) ? AnnouncedEnd::kDraining : AnnouncedEnd::kNone;
+}
+
 Version VersionOf(const RunnerRecord& record) { return {record.call_count(), record.state()}; }
 
 void MarkGone(RunnerRecord* record) {
--- a/src/registry/merge.h
+++ b/src/registry/merge.h
@@ -33,6 +33,11 @@
 };
 
 bool IsAlive(messages::RunnerState state);  // ready or draining
+
+// What a runner has announced about its end. An acknowledged announcement binds all dispatchers.
+enum class AnnouncedEnd { kNone, kDraining, kGone };  // ordered: a later one replaces an earlier one
+AnnouncedEnd AnnouncedEndOf(const messages::RunnerRecord& record);
+
 Version VersionOf(const messages::RunnerRecord& record);
 
 // Marks a runner as removed. This state is final, so it needs no call count.
--- a/src/registry/registry.cpp
+++ b/src/registry/registry.cpp
@@ -40,6 +40,7 @@
       table_(settings_.max_runners),
       homes_(SelfCandidate(settings_), settings_.prefers_quorum_members),
       spread_(settings_.seed),
+      storage_(settings_.has_store),
       anti_entropy_(settings_.heartbeat_interval, settings_.seed) {}
 
 Registry::Answer Registry::Impl::Heartbeat(Time now, const messages::RunnerRecord& heartbeat,
@@ -56,6 +57,7 @@
   } else if (!ApplyHeartbeat(now, heartbeat, runner, output) && !home.is_self) {
     NotifyHome(home, *runner, output);
   }
+  StoreEnd(now, *runner, output);
   spread_.Flush(now, &table_, output);
   return answer;
 }
@@ -145,6 +147,7 @@
   }
   MarkGone(&runner->record);
   RecordChange(now, runner, output);
+  StoreEnd(now, *runner, output);
   spread_.Flush(now, &table_, output);
 }
 
@@ -158,6 +161,7 @@
     const bool is_notified = receipts_.Has(runner_id, address) || spread_.IsInFlight(address, runner_id);
     if (!is_notified) spread_.AddFor(address, runner_id);
   }
+  if (const TrackedRunner* runner = table_.Find(runner_id)) StoreEnd(now, *runner, output);
   spread_.Flush(now, &table_, output);
 }
 
@@ -182,6 +186,8 @@
     table_.RemoveExpired(now);
     receipts_.RemoveUnless(
         [this](const std::string& runner_id) { return table_.Find(runner_id) != nullptr; });
+    EraseStoredEnds(output);
+    StoreEnds(now, output);
   }
   spread_.Flush(now, &table_, output);
   spread_.Tick(now, &table_, output);
@@ -205,6 +211,14 @@
 bool Registry::IsEndAcknowledgedBy(const std::string& runner_id, const std::string& address) const {
   return impl_->IsEndAcknowledgedBy(runner_id, address);
 }
+bool Registry::IsEndStored(const std::string& runner_id) const { return impl_->IsEndStored(runner_id); }
+void Registry::StoreOpened(Time now, const std::vector<messages::RunnerRecord>& ends,
+                           RegistryOutput* output) {
+  impl_->StoreOpened(now, ends, output);
+}
+void Registry::WriteDone(Time now, std::uint64_t token, bool written, RegistryOutput* output) {
+  impl_->WriteDone(now, token, written, output);
+}
 void Registry::SendEnd(Time now, const std::string& runner_id, const std::vector<std::string>& addresses,
                        RegistryOutput* output) {
   impl_->SendEnd(now, runner_id, addresses, output);
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -7,6 +7,7 @@
 
 #include "registry/anti_entropy.h"
 #include "registry/end_receipts.h"
+#include "registry/end_storage.h"
 #include "registry/homes.h"
 #include "registry/merge.h"
 #include "registry/registry.h"
@@ -22,6 +23,9 @@
   Answer Heartbeat(Time now, const messages::RunnerRecord& heartbeat, RegistryOutput* output);
   void Delete(Time now, const std::string& runner_id, RegistryOutput* output);
   bool IsEndAcknowledgedBy(const std::string& runner_id, const std::string& address) const;
+  bool IsEndStored(const std::string& runner_id);
+  void StoreOpened(Time now, const std::vector<messages::RunnerRecord>& ends, RegistryOutput* output);
+  void WriteDone(Time now, std::uint64_t token, bool written, RegistryOutput* output);
   void SendEnd(Time now, const std::string& runner_id, const std::vector<std::string>& addresses,
                RegistryOutput* output);
   void Receive(Time now, const std::string& from_address, const messages::RegistryMessage& message,
@@ -54,6 +58,17 @@
   Time HomeTimeout() const;  // how long a new home waits before it declares runners lost
   const Home& HomeOf(Time now, const messages::RunnerRecord& record);
 
+  // Announced ends on disk (registry_store.cpp).
+
+  // Requests a write of the runner's announced end, unless there is none or it is stored.
+  void StoreEnd(Time now, const TrackedRunner& runner, RegistryOutput* output);
+  void StoreEnds(Time now, RegistryOutput* output);  // of all runners
+  // Erases the stored ends of runners that are no longer tracked.
+  void EraseStoredEnds(RegistryOutput* output);
+  void RestoreEnd(Time now, const messages::RunnerRecord& end, RegistryOutput* output);
+  void AcknowledgeUpdate(const std::string& from_address, const messages::RegistryUpdate& update,
+                         RegistryOutput* output);
+
   // Messages from other dispatchers (registry_receive.cpp).
 
   void ReceiveUpdate(Time now, const std::string& from_address, const messages::RegistryUpdate& update,
@@ -75,6 +90,7 @@
   Homes homes_;
   Spread spread_;
   EndReceipts receipts_;
+  EndStorage storage_;
   AntiEntropy anti_entropy_;
   std::optional<Time> last_tick_;
   Time resumed_at_ = 0;  // end of the last pause of this process
--- a/src/registry/registry_receive.cpp
+++ b/src/registry/registry_receive.cpp
@@ -12,7 +12,7 @@
       ReceiveUpdate(now, from_address, message.update(), output);
       break;
     case messages::RegistryMessage::kAck:
-      RecordAcknowledged(from_address, spread_.Acknowledged(now, from_address, message.ack().number()));
+      RecordAcknowledged(from_address, spread_.Acknowledged(now, from_address, message.ack(), &table_));
       break;
     case messages::RegistryMessage::kDigest:
       anti_entropy_.Receive(now, from_address, message.digest(), &table_, output);
@@ -48,11 +48,7 @@
   for (const auto& alive : update.alive()) ReceiveAlive(now, alive, output);
   if (update.wanted_size() > 0) anti_entropy_.SendRequested(now, from_address, update, &table_, output);
   anti_entropy_.OnUpdateMerged(&table_);
-  if (update.wants_ack()) {
-    auto& send = output->sends.emplace_back();
-    send.address = from_address;
-    send.message.mutable_ack()->set_number(update.number());
-  }
+  if (update.wants_ack()) AcknowledgeUpdate(from_address, update, output);
 }
 
 Registry::Impl::LossAction Registry::Impl::ClassifyLoss(Time now, const std::string& from_address,
@@ -73,9 +69,13 @@
   const bool is_home = HomeOf(now, record).is_self;  // also starts the timeout of the home
   TrackedRunner* runner = table_.Find(record.runner_id());
   if (runner == nullptr) {
-    if (!RunnerTable::ShouldAccept(record) || table_.Add(now, record) == nullptr) return;
+    // An end that a dispatcher is about to acknowledge counts however long ago the runner ended.
+    const bool is_announced = is_spread && AnnouncedEndOf(record) != AnnouncedEnd::kNone;
+    if (!is_announced && !RunnerTable::ShouldAccept(record)) return;
+    runner = table_.Add(now, record);
+    if (runner == nullptr) return;
     output->changed = output->changed || IsAlive(record.state());
-    return;
+    return StoreEnd(now, *runner, output);
   }
   const bool was_alive = IsAlive(runner->record.state());
   const std::uint64_t count_before = runner->last_call_count;
@@ -85,6 +85,7 @@
   if (was_alive && !is_alive) runner->ended_at = RunnerTable::EndedAt(now, record);
   if (runner->last_call_count > count_before) runner->last_heard = now;
   runner->record.clear_ended_ms_ago();
+  StoreEnd(now, *runner, output);
 
   if (result == MergeResult::kRefuted) {
     RecordChange(now, runner, output);
--- a/src/registry/spread.cpp
+++ b/src/registry/spread.cpp
@@ -16,6 +16,10 @@
 // Changes per message, not counting ends; this bounds the unacknowledged changes of each peer.
 constexpr std::size_t kMaxChangesAtOnce = 8;
 
+bool AnnouncesEnd(const TrackedRunner* runner) {
+  return runner != nullptr && AnnouncedEndOf(runner->record) != AnnouncedEnd::kNone;
+}
+
 }  // namespace
 
 Spread::Spread(std::uint64_t seed) : last_number_(MixBits(seed + 1) >> 16) {}
@@ -55,18 +59,28 @@
   may_send_.insert(address);
 }
 
-std::vector<std::string> Spread::Acknowledged(Time now, const std::string& address, std::uint64_t number) {
+std::vector<std::string> Spread::SentIn(const Peer& peer, std::uint64_t number) {
+  std::vector<std::string> runner_ids;
+  for (const auto& [runner_id, pending] : peer.pending) {
+    const auto& sent_in = pending.sent_in;
+    if (std::find(sent_in.begin(), sent_in.end(), number) != sent_in.end()) runner_ids.push_back(runner_id);
+  }
+  return runner_ids;
+}
+
+std::vector<std::string> Spread::Acknowledged(Time now, const std::string& address,
+                                              const messages::RegistryAck& ack, RunnerTable* table) {
   std::vector<std::string> held;
   const auto found = peers_.find(address);
-  if (found == peers_.end() || number > last_number_) return held;
-  std::erase_if(found->second.pending, [&](const auto& entry) {
-    const Pending& pending = entry.second;
-    const auto& sent_in = pending.sent_in;
-    if (std::find(sent_in.begin(), sent_in.end(), number) == sent_in.end()) return false;
-    if (sent_in.size() == 1) delay_.Note(now - pending.sent_at);
-    held.push_back(entry.first);
-    return true;
-  });
+  if (found == peers_.end() || ack.number() > last_number_) return held;
+  for (const std::string& runner_id : SentIn(found->second, ack.number())) {
+    Pending& pending = found->second.pending.at(runner_id);
+    if (pending.sent_in.size() == 1 && !pending.is_received) delay_.Note(now - pending.sent_at);
+    pending.is_received = true;
+    if (ack.ends_pending() && AnnouncesEnd(table->Find(runner_id))) continue;
+    held.push_back(runner_id);
+    found->second.pending.erase(runner_id);
+  }
   if (found->second.pending.empty()) ScheduleRepeat(address, &found->second, std::nullopt);
   if (found->second.has_unsent) may_send_.insert(address);
   return held;
@@ -117,8 +131,9 @@
 }
 
 bool Spread::AwaitsAcknowledgement(const Peer& peer) {
-  return std::any_of(peer.pending.begin(), peer.pending.end(),
-                     [](const auto& entry) { return !entry.second.sent_in.empty(); });
+  return std::any_of(peer.pending.begin(), peer.pending.end(), [](const auto& entry) {
+    return !entry.second.sent_in.empty() && !entry.second.is_received;
+  });
 }
 
 bool Spread::HasUnsentEnd(const Peer& peer, RunnerTable* table) {
--- a/src/registry/spread.h
+++ b/src/registry/spread.h
@@ -28,15 +28,18 @@
 
   void Add(const std::string& runner_id);  // for every peer
   void AddFor(const std::string& address, const std::string& runner_id);
-  // Returns the runners whose current records the peer has acknowledged with this.
-  std::vector<std::string> Acknowledged(Time now, const std::string& address, std::uint64_t number);
+  // Returns the runners whose current records the peer holds, and has stored if they announce an end,
+  // according to this acknowledgement.
+  std::vector<std::string> Acknowledged(Time now, const std::string& address,
+                                        const messages::RegistryAck& ack, RunnerTable* table);
   // The record has changed: peers that have not acknowledged the previous version are sent this one.
   void RequeueIfPending(const std::string& runner_id);
   bool IsInFlight(const std::string& address, const std::string& runner_id) const;
 
   // Sends what was added since the last call. A peer with an outstanding acknowledgement gets no further
   // changes until it arrives, except for ends: on a slow link changes then queue here, where a newer record
-  // replaces an older one, instead of on the link. Only Tick() retransmits.
+  // replaces an older one, instead of on the link. Changes do not wait for the peer's disk. Only Tick()
+  // retransmits.
   void Flush(Time now, RunnerTable* table, RegistryOutput* output);
   void Tick(Time now, RunnerTable* table, RegistryOutput* output);  // retransmits, with exponential backoff
   std::optional<Time> NextTimer() const;
@@ -46,6 +49,7 @@
   struct Pending {
     // Numbers of the last messages that contained it; empty: not sent yet.
     std::vector<std::uint64_t> sent_in;
+    bool is_received = false;  // the peer has it, but has yet to store it
     int repeats = 0;
     Time sent_at = 0, repeat_at = 0;
   };
@@ -58,8 +62,10 @@
   };
 
   void ScheduleRepeat(const std::string& address, Peer* peer, std::optional<Time> at);
+  // The runners whose current records were sent in the message with this number.
+  static std::vector<std::string> SentIn(const Peer& peer, std::uint64_t number);
   static bool IsDue(Time now, const Pending& pending);
-  static bool AwaitsAcknowledgement(const Peer& peer);
+  static bool AwaitsAcknowledgement(const Peer& peer);  // other than of ends that are yet to be stored
   static bool HasUnsentEnd(const Peer& peer, RunnerTable* table);
   void RecordSent(Time now, std::uint64_t number, Pending* pending);
   // The runners whose records go into the next message to a peer: unsent ones, and those due for
--- a/src/registry/table.cpp
+++ b/src/registry/table.cpp
@@ -113,4 +113,14 @@
   return record;
 }
 
+messages::RunnerRecord RunnerTable::RecordToStore(Time now, const TrackedRunner& runner) {
+  messages::RunnerRecord record = RecordToSend(now, runner);
+  if (record.state() != messages::RUNNER_GONE) return record;
+  messages::RunnerRecord gone;
+  gone.set_runner_id(record.runner_id());
+  gone.set_ended_ms_ago(record.ended_ms_ago());
+  MarkGone(&gone);
+  return gone;
+}
+
 }  // namespace lichenlug::registry
--- a/src/registry/table.h
+++ b/src/registry/table.h
@@ -40,6 +40,9 @@
   static Time EndedAt(Time now, const messages::RunnerRecord& record);
   // The record to send, with the time since its end.
   static messages::RunnerRecord RecordToSend(Time now, const TrackedRunner& runner);
+  // The record to store for a runner with an announced end, with the time since its end. Of a runner that is
+  // gone only its identity matters.
+  static messages::RunnerRecord RecordToStore(Time now, const TrackedRunner& runner);
 
  private:
   std::size_t max_runners_;
--- a/src/storage/database.cpp
+++ b/src/storage/database.cpp
@@ -141,10 +141,15 @@
   return false;
 }
 
-bool Database::Write(const Records& batch) {
+bool Database::Write(const std::vector<RecordChange>& batch) {
   if (!EnsureOpen()) return false;
   leveldb::WriteBatch updates;
-  for (const auto& [key, value] : batch) updates.Put(kRecordPrefix + key, value);
+  for (const auto& [key, value] : batch) {
+    if (value)
+      updates.Put(kRecordPrefix + key, *value);
+    else
+      updates.Delete(kRecordPrefix + key);
+  }
   leveldb::WriteOptions options;
   options.sync = true;
   const leveldb::Status status = database_->Write(options, &updates);
--- a/src/storage/database.h
+++ b/src/storage/database.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -18,6 +19,11 @@
 
 using Records = std::vector<std::pair<std::string, std::string>>;
 
+struct RecordChange {
+  std::string key;
+  std::optional<std::string> value;  // none: the record is erased
+};
+
 class Database {
  public:
   Database(std::string folder, std::string new_replica_id);
@@ -25,7 +31,7 @@
   RecordStore::OpenResult Open();
   // Writes and syncs the whole batch; returns false on error. After an error, calls fail until a delay has
   // passed; then the next call reopens the database.
-  bool Write(const Records& batch);
+  bool Write(const std::vector<RecordChange>& batch);
 
  private:
   leveldb::Status OpenFiles();
--- a/src/storage/record_store.cpp
+++ b/src/storage/record_store.cpp
@@ -13,8 +13,7 @@
 constexpr std::size_t kMaxBatch = 64;  // writes that share one sync
 
 struct QueuedWrite {
-  std::string key;
-  std::string value;
+  RecordChange change;
   std::function<void(bool)> done;
 };
 
@@ -79,9 +78,9 @@
   }
 
   void WriteBatch(std::vector<QueuedWrite> batch) {
-    Records records;
-    for (auto& write : batch) records.emplace_back(std::move(write.key), std::move(write.value));
-    const bool written = database_.Write(records);
+    std::vector<RecordChange> changes;
+    for (auto& write : batch) changes.push_back(std::move(write.change));
+    const bool written = database_.Write(changes);
     for (const auto& write : batch) write.done(written);
   }
 
@@ -102,7 +101,11 @@
 void RecordStore::Open(std::function<void(OpenResult)> done) { impl_->Open(std::move(done)); }
 
 void RecordStore::Write(std::string key, std::string value, std::function<void(bool written)> done) {
-  impl_->Write({std::move(key), std::move(value), std::move(done)});
+  impl_->Write({{std::move(key), std::move(value)}, std::move(done)});
+}
+
+void RecordStore::Erase(std::string key) {
+  impl_->Write({{std::move(key), std::nullopt}, [](bool) {}});
 }
 
 }  // namespace lichenlug::storage
--- a/src/storage/record_store.h
+++ b/src/storage/record_store.h
@@ -29,6 +29,8 @@
   void Open(std::function<void(OpenResult)> done);
   void Write(std::string key, std::string value,
              std::function<void(bool written)> done);  // callbacks run in the order of the calls
+  // Erases the record after the writes before it. A record whose erasure fails is there at the next opening.
+  void Erase(std::string key);
 
  private:
   class Impl;
--- a/tests/system/node/register_service_test.cpp
+++ b/tests/system/node/register_service_test.cpp
@@ -122,6 +122,7 @@
   void Write(std::string key, std::string value, std::function<void(bool)> done) override {
     store_.Write(std::move(key), std::move(value), std::move(done));
   }
+  void Erase(std::string key) override { store_.Erase(std::move(key)); }
   void Install(std::shared_ptr<const routing::Snapshot>) override {}
   dataplane::Report TakeReport() override { return {}; }
   void DrainRequests() override {}
--- a/tests/system/processes/losses_test.cpp
+++ b/tests/system/processes/losses_test.cpp
@@ -1,4 +1,7 @@
-// Loss of processes and disks: acknowledged changes are kept, and new changes are accepted.
+// Loss of processes and disks: what was acknowledged is kept, and new changes are accepted.
+#include <algorithm>
+
+#include "lab/system/http_call.h"
 #include "testbed.h"
 
 namespace lichenlug::standins::test {
@@ -28,6 +31,60 @@
   testbed.CheckNoViolations();
 }
 
+int CallRunners(System& system, std::size_t dispatcher, const std::string& method, const std::string& id,
+                const std::string& condition) {
+  HttpCall call;
+  call.method = method;
+  call.path = wire::kRunnersPath + id;
+  call.headers = {{wire::kContentType, wire::kJsonType}};
+  if (method == "PUT")
+    call.body = Json{{wire::kService, sample::kService},
+                     {"address", id == "removed" ? "127.0.0.1:7" : "127.0.0.1:9"},
+                     {wire::kZone, "east"},
+                     {wire::kEdition, "v1"},
+                     {wire::kSlots, 4},
+                     {wire::kCondition, condition},
+                     {"cold_ms", 0},
+                     {wire::kStage, "both"},
+                     {wire::kModels, Json::array()},
+                     {wire::kCallCount, condition == "draining" ? 2 : 1}}
+                    .dump();
+  return CallAndWait(&system.loop(), system.dispatcher(dispatcher).control_address(), call).status;
+}
+
+bool ListsAsReady(System& system, std::size_t dispatcher, const std::string& id) {
+  const Json status = system.Status(dispatcher);
+  const Json& runners = status.at("runners");
+  return std::any_of(runners.begin(), runners.end(), [&](const Json& runner) {
+    return runner.at("id") == id && runner.at("state") == "RUNNER_READY";
+  });
+}
+
+// Guards against an acknowledged drain or removal of a runner that is forgotten with the processes, so that a
+// late heartbeat makes the runner ready again (review/5).
+TEST_CASE("Acknowledged ends of runners outlast a kill of all dispatchers", "[ends-outlast-kill]") {
+  Testbed testbed(3, 0, 2);
+  REQUIRE(testbed.Found());
+  System& system = testbed.system();
+  REQUIRE(CallRunners(system, 0, "PUT", "removed", "ready") == 200);
+  REQUIRE(CallRunners(system, 0, "DELETE", "removed", "") == 200);
+  REQUIRE(CallRunners(system, 1, "PUT", "drained", "ready") == 200);
+  REQUIRE(CallRunners(system, 1, "PUT", "drained", "draining") == 200);
+  for (std::size_t index = 0; index < system.dispatcher_count(); ++index)
+    REQUIRE(system.dispatcher(index).Kill(kTimeout));
+  for (std::size_t index = 0; index < system.dispatcher_count(); ++index) system.dispatcher(index).Start();
+  REQUIRE(system.WaitReady(kTimeout));
+  CHECK(CallRunners(system, 1, "PUT", "removed", "ready") == 200);
+  CHECK(CallRunners(system, 2, "PUT", "drained", "ready") == 200);
+  for (std::size_t index = 0; index < system.dispatcher_count(); ++index) {
+    CHECK_FALSE(ListsAsReady(system, index, "removed"));
+    CHECK_FALSE(ListsAsReady(system, index, "drained"));
+  }
+  CHECK(testbed.AllRunning());
+  testbed.CheckServedEverywhere();
+  testbed.CheckNoViolations();
+}
+
 // The replicas of the configuration register according to one dispatcher; none during a change.
 std::vector<std::string> Replicas(System& system, std::size_t dispatcher) {
   std::vector<std::string> replicas;
--- a/tests/system/registry/registry_network.h
+++ b/tests/system/registry/registry_network.h
@@ -32,8 +32,9 @@
 }
 
 // A single registry, of dispatcher-0 in zone-0, whose peers are given by the test.
-inline Registry MakeRegistry(std::size_t max_runners = 100) {
+inline Registry MakeRegistry(std::size_t max_runners = 100, bool has_store = false) {
   RegistrySettings settings;
+  settings.has_store = has_store;
   settings.self_name = "dispatcher-0";
   settings.zone = "zone-0";
   settings.heartbeat_interval = kHeartbeatInterval;
--- a/tests/system/storage/record_store_test.cpp
+++ b/tests/system/storage/record_store_test.cpp
@@ -93,6 +93,21 @@
                                                                 {"", std::string("\0\xff", 2)}});
 }
 
+TEST_CASE("an erased record is gone after reopening, and one that was written again is there") {
+  Folder folder;
+  {
+    RecordStore store(folder.path(), "a");
+    REQUIRE(Open(&store).opened);
+    CHECK(Write(&store, "erased", "1"));
+    CHECK(Write(&store, "written again", "1"));
+    store.Erase("erased");
+    store.Erase("written again");
+    store.Erase("never written");
+    CHECK(Write(&store, "written again", "2"));
+  }
+  CHECK(Records(OpenOnce(folder, "b")) == std::map<std::string, std::string>{{"written again", "2"}});
+}
+
 TEST_CASE("large values that are overwritten repeatedly stay readable and use bounded disk space") {
   Folder folder;
   {
