--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -10,7 +10,6 @@
 #include "node/node_roles.h"
 #include "node/snapshot.h"
 #include "node/status.h"
-#include "registry/end_records.h"
 
 namespace lichenlug::node {
 
@@ -46,9 +45,10 @@
       registers_(host, settings_, identity),
       groups_(host, settings_, &registers_, identity.seed),
       membership_(MembershipSettingsFor(settings_, identity.incarnation, identity.seed)),
-      registry_(RegistrySettingsFor(settings_, identity.seed)),
       follower_(FollowerSettingsFor(settings_, identity.seed)),
       duties_(host, settings_, identity, &registers_),
+      runners_(host, settings_, identity, &registers_,
+               [this](std::shared_ptr<const RunnerList> runners) { RunnersChanged(std::move(runners)); }),
       operator_api_(
           host, &registers_,
           [this](const messages::ConfigurationState& state, bool changed) { Learn(state, changed); },
@@ -57,9 +57,6 @@
                 groups_.AbsentMembersOf(host_->Now(), std::string(configuration::kRegisterName));
             return IsFaultTolerant(group, live_, settings_.tolerated_machines, absent);
           }),
-      runner_api_(host, settings_.internal_address, &registry_, &registers_,
-                  [this](registry::RegistryOutput output) { Execute(std::move(output)); }),
-      runners_(std::make_shared<RunnerList>()),
       configuration_source_(
           host, identity.seed, &registers_, &follower_,
           [this](const messages::ConfigurationState& state, bool push) { Learn(state, push); }),
@@ -72,7 +69,7 @@
     configuration_source_.OnAcceptRequest(host_->Now(), payload);
   });
   registers_.SetStoreOpenedCallback(
-      [this](RegisterService::StoreRecords* records) { RestoreRunnerEnds(records); });
+      [this](RegisterService::StoreRecords* records) { runners_.RestoreEnds(records); });
   registers_.OpenStore([this](const std::string& replica_id) {
     replica_id_ = replica_id;
     membership_ring::MembershipOutput output;
@@ -104,12 +101,8 @@
       membership_.Receive(now, from, envelope.membership(), &output);
       return Execute(std::move(output));
     }
-    case messages::Envelope::kRegistry: {
-      registry::RegistryOutput output;
-      registry_.Receive(now, from, envelope.registry(), &output);
-      Execute(std::move(output));
-      return runner_api_.CheckEnds(now);
-    }
+    case messages::Envelope::kRegistry:
+      return runners_.Receive(from, envelope.registry());
     case messages::Envelope::kDistribution: {
       configuration::FollowerOutput output;
       follower_.Receive(now, from, envelope.distribution(), &output);
@@ -146,41 +139,11 @@
   if (output.changed) MembersChanged(host_->Now());
 }
 
-void ControlNode::Execute(registry::RegistryOutput output) {
-  for (auto& send : output.sends) {
-    messages::Envelope envelope;
-    *envelope.mutable_registry() = std::move(send.message);
-    host_->Send(send.address, std::move(envelope));
-  }
-  for (registry::EndWrite& write : output.writes) Execute(std::move(write));
-  if (!output.changed) return;
-  runners_ = std::make_shared<const RunnerList>(registry_.Runners());
-  duties_.SetRunners(runners_);
+void ControlNode::RunnersChanged(std::shared_ptr<const RunnerList> runners) {
+  duties_.SetRunners(std::move(runners));
   snapshot_changed_ = true;
 }
 
-void ControlNode::Execute(registry::EndWrite write) {
-  const std::string key = registry::EndKey(write.runner_id);
-  if (!write.record) return host_->Erase(key);
-  host_->Write(key, registry::EndValue(*write.record, WallNow()), [this, token = write.token](bool written) {
-    registry::RegistryOutput output;
-    registry_.WriteDone(host_->Now(), token, written, &output);
-    Execute(std::move(output));
-    runner_api_.CheckEnds(host_->Now());
-  });
-}
-
-void ControlNode::RestoreRunnerEnds(RegisterService::StoreRecords* records) {
-  const registry::StoredEnds stored = registry::ExtractEnds(records, WallNow());
-  if (!stored.ends.empty())
-    LOG(INFO) << "runners: " << stored.ends.size() << " announced ends are known from the store";
-  for (const std::string& key : stored.unreadable_keys)
-    LOG(ERROR) << "store: the record " << key << " can't be read and is ignored";
-  registry::RegistryOutput output;
-  registry_.StoreOpened(host_->Now(), stored.ends, &output);
-  Execute(std::move(output));
-}
-
 void ControlNode::Execute(configuration::FollowerOutput output) {
   for (auto& send : output.sends) {
     messages::Envelope envelope;
@@ -210,9 +173,7 @@
     if (!is_live(member.address)) host_->Forget(member.address);
   }
   follower_.SetMembers(now, others);
-  registry::RegistryOutput output;
-  registry_.SetMembers(now, others, &output);
-  Execute(std::move(output));
+  runners_.SetMembers(now, others);
   duties_.SetMembers(now, live_);
   if (before.size() != live_.size()) LOG(INFO) << "members: " << live_.size() << " live";
   snapshot_changed_ = true;
@@ -223,7 +184,7 @@
 void ControlNode::HandleControl(ControlRequest request, Respond respond) {
   using Method = configuration::ChangeRequest::Method;
   if (request.path.starts_with(kRunnersPath))
-    return runner_api_.Handle(request.path.substr(kRunnersPath.size()), request, std::move(respond));
+    return runners_.HandleCall(request.path.substr(kRunnersPath.size()), request, std::move(respond));
   if (request.path == kConfigurationPath) {
     if (request.method == "GET") return operator_api_.Get(std::move(respond));
     if (request.method == "PUT") return operator_api_.Change(Method::kPut, request, std::move(respond));
@@ -242,7 +203,7 @@
   input.confirmed = configuration_source_.confirmed();
   input.replica_id = replica_id_;
   input.live = live_;
-  input.runners = runners_.get();
+  input.runners = runners_.runners().get();
   input.version = follower_.Current();
   input.distribution = follower_.statistics();
   input.ownership_statuses = duties_.OwnershipStatuses(host_->Now());
@@ -264,18 +225,13 @@
     membership_.Tick(now, &output);
     Execute(std::move(output));
   }
-  if (due(registry_.NextTimer())) {
-    registry::RegistryOutput output;
-    registry_.Tick(now, &output);
-    Execute(std::move(output));
-  }
+  if (due(runners_.NextTimer())) runners_.Tick(now);
   if (due(follower_.NextTimer())) {
     configuration::FollowerOutput output;
     follower_.Tick(now, &output);
     Execute(std::move(output));
   }
   if (due(registers_.NextTimer())) registers_.Tick(now);
-  if (due(runner_api_.NextTimer())) runner_api_.CheckEnds(now);
   if (now >= next_report_) ReportDataPlane(now);
   if (due(duties_.NextTimer())) duties_.Tick(now, WallNow());
   configuration_source_.ReadIfDue(now, !replica_id_.empty());
@@ -292,9 +248,8 @@
 
 Time ControlNode::NextTimer() const {
   Time next = std::min(next_report_, groups_.NextTimer());
-  for (const auto& timer :
-       {membership_.NextTimer(), registry_.NextTimer(), follower_.NextTimer(), registers_.NextTimer(),
-        duties_.NextTimer(), runner_api_.NextTimer(), configuration_source_.NextTimer()}) {
+  for (const auto& timer : {membership_.NextTimer(), runners_.NextTimer(), follower_.NextTimer(),
+                            registers_.NextTimer(), duties_.NextTimer(), configuration_source_.NextTimer()}) {
     if (timer) next = std::min(next, *timer);
   }
   if (lifecycle_.is_draining()) next = std::min(next, host_->Now() + kDrainPoll);
@@ -330,18 +285,18 @@
   if (version != nullptr && !may_serve) return;  // retried after the next batch
   snapshot_changed_ = false;
   host_->Install(SnapshotOf(
-      settings_, version, runners_,
+      settings_, version, runners_.runners(),
       {.runners_known = lifecycle_.has_started(), .members = live_.size(), .wall_offset = wall_offset_}));
 }
 
 void ControlNode::UpdateReadiness(Time now) {
   if (lifecycle_.has_started()) return;
   const Lifecycle::ReadinessConditions conditions{configuration_source_.confirmed(),
-                                                  follower_.Current() != nullptr, registry_.Settled(now)};
+                                                  follower_.Current() != nullptr, runners_.Settled(now)};
   if (!lifecycle_.BecomesReady(conditions)) return;
   snapshot_changed_ = true;  // the snapshot now reports that the runners are known
-  LOG(INFO) << "ready: edition " << follower_.Current()->edition << ", " << runners_->size() << " runners, "
-            << live_.size() << " members";
+  LOG(INFO) << "ready: edition " << follower_.Current()->edition << ", " << runners_.runners()->size()
+            << " runners, " << live_.size() << " members";
   membership_ring::MembershipOutput output;
   membership_.UpdateSelf(now, /*ready=*/true, replica_id_, &output);
   Execute(std::move(output));
--- a/src/node/control_node.h
+++ b/src/node/control_node.h
@@ -18,8 +18,7 @@
 #include "node/node_settings.h"
 #include "node/operator_api.h"
 #include "node/register_service.h"
-#include "node/runner_api.h"
-#include "registry/registry.h"
+#include "node/runner_service.h"
 
 namespace lichenlug::node {
 
@@ -46,13 +45,11 @@
   // Messages
   void ReceiveGroupHints(Time now, const std::string& from, const messages::GroupHints& hints);
   void Execute(membership_ring::MembershipOutput output);
-  void Execute(registry::RegistryOutput output);
-  void Execute(registry::EndWrite write);
   void Execute(configuration::FollowerOutput output);
-  void RestoreRunnerEnds(RegisterService::StoreRecords* records);
   // State and timers
   ControlResponse Status() const;
   void MembersChanged(Time now);
+  void RunnersChanged(std::shared_ptr<const RunnerList> runners);
   void Learn(const messages::ConfigurationState& state, bool push);
   void ReportDataPlane(Time now);
   void PublishSnapshot(Time now);
@@ -69,14 +66,12 @@
   RegisterService registers_;
   GroupKeeper groups_;
   membership_ring::Membership membership_;
-  registry::Registry registry_;
   configuration::Follower follower_;
   DutyService duties_;
+  RunnerService runners_;
   OperatorApi operator_api_;
-  RunnerApi runner_api_;
 
   std::vector<Member> live_;  // including this dispatcher
-  std::shared_ptr<const RunnerList> runners_;
   std::string replica_id_;
   bool snapshot_changed_ = true;
   ConfigurationSource configuration_source_;
--- a/src/storage/record_store.cpp
+++ b/src/storage/record_store.cpp
@@ -79,6 +79,7 @@
 
   void WriteBatch(std::vector<QueuedWrite> batch) {
     std::vector<RecordChange> changes;
+    changes.reserve(batch.size());
     for (auto& write : batch) changes.push_back(std::move(write.change));
     const bool written = database_.Write(changes);
     for (const auto& write : batch) write.done(written);
