Play announced ends of runners beside a full disk, a frozen process and a lost disk

Change: in a third one, one store's disk is full and another store is frozen while one runner leaves and one drains; then a third store loses its disk and all lose power, and late heartbeats follow.

--- a/lab/control/day.cpp
+++ b/lab/control/day.cpp
@@ -243,6 +243,21 @@
          Add(day, EventKind::kRunnerLeaves, 8 * kSecond, 1);
          Add(day, EventKind::kRunnerLeaves, 8 * kSecond, 2);
        }},
+      {"ends-announced-beside-full-disks-and-freezes",
+       [](Day* day, RandomSource* draw) {
+         day->configuration_bytes = 4'000;
+         day->late_heartbeat_after = draw->Span(2500, 5000) * kMillisecond;
+         const Time begin = 7900 * kMillisecond, span = draw->Span(1, 3) * kSecond;
+         const MachineIndex full = draw->Below(day->stores);
+         Add(day, EventKind::kDiskFull, begin, full, span);
+         Add(day, EventKind::kFreeze, begin, (full + 1) % day->stores, span);
+         Add(day, EventKind::kRunnerLeaves, 8 * kSecond, 1);
+         Add(day, EventKind::kRunnerDrains, 8 * kSecond, 2);
+         const Time at = 8 * kSecond + draw->Span(100, 2000) * kMillisecond;
+         Add(day, EventKind::kRunnerCrashes, at, 2);
+         Add(day, EventKind::kWipe, at - kMillisecond, (full + 2) % day->stores, kSecond);
+         Add(day, EventKind::kPowerOff, at, 0, 500 * kMillisecond, day->machines());
+       }},
       {"disk-lost-while-others-stall",
        [](Day* day, RandomSource* draw) { LoseDiskWhileOthersStall(draw, day); }},
       {"drains-beside-cuts",
