--- a/src/node/runner_service.cpp
+++ b/src/node/runner_service.cpp
@@ -59,8 +59,9 @@
 }
 
 std::optional<Time> RunnerService::NextTimer() const {
-  const std::optional<Time> api = api_.NextTimer(), registry = registry_.NextTimer();
-  return api && registry ? std::min(api, registry) : (api ? api : registry);
+  const std::optional<Time> registry = registry_.NextTimer(), api = api_.NextTimer();
+  if (!registry || !api) return registry ? registry : api;
+  return std::min(*registry, *api);
 }
 
 void RunnerService::Execute(registry::RegistryOutput output) {
--- a/src/registry/registry.cpp
+++ b/src/registry/registry.cpp
@@ -184,9 +184,11 @@
     next_expiry_check_ = now + std::min(settings_.heartbeat_interval / 4, kMaxExpiryCheckInterval);
     Expire(now, output);
     table_.RemoveExpired(now);
-    receipts_.RemoveUnless(
-        [this](const std::string& runner_id) { return table_.Find(runner_id) != nullptr; });
-    EraseStoredEnds(output);
+    const auto is_tracked = [this](const std::string& runner_id) {
+      return table_.Find(runner_id) != nullptr;
+    };
+    receipts_.RemoveUnless(is_tracked);
+    storage_.EraseUnless(is_tracked, output);
     StoreEnds(now, output);
   }
   spread_.Flush(now, &table_, output);
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -63,11 +63,7 @@
   // Requests a write of the runner's announced end, unless there is none or it is stored.
   void StoreEnd(Time now, const TrackedRunner& runner, RegistryOutput* output);
   void StoreEnds(Time now, RegistryOutput* output);  // of all runners
-  // Erases the stored ends of runners that are no longer tracked.
-  void EraseStoredEnds(RegistryOutput* output);
   void RestoreEnd(Time now, const messages::RunnerRecord& end, RegistryOutput* output);
-  void AcknowledgeUpdate(const std::string& from_address, const messages::RegistryUpdate& update,
-                         RegistryOutput* output);
 
   // Messages from other dispatchers (registry_receive.cpp).
 
--- a/src/registry/registry_receive.cpp
+++ b/src/registry/registry_receive.cpp
@@ -48,7 +48,7 @@
   for (const auto& alive : update.alive()) ReceiveAlive(now, alive, output);
   if (update.wanted_size() > 0) anti_entropy_.SendRequested(now, from_address, update, &table_, output);
   anti_entropy_.OnUpdateMerged(&table_);
-  if (update.wants_ack()) AcknowledgeUpdate(from_address, update, output);
+  if (update.wants_ack()) storage_.Acknowledge(from_address, update, output);
 }
 
 Registry::Impl::LossAction Registry::Impl::ClassifyLoss(Time now, const std::string& from_address,
--- a/src/registry/registry_store.cpp
+++ b/src/registry/registry_store.cpp
@@ -18,11 +18,6 @@
   for (const auto& [runner_id, runner] : table_.runners()) StoreEnd(now, runner, output);
 }
 
-void Registry::Impl::EraseStoredEnds(RegistryOutput* output) {
-  storage_.EraseUnless([this](const std::string& runner_id) { return table_.Find(runner_id) != nullptr; },
-                       output);
-}
-
 void Registry::Impl::StoreOpened(Time now, const std::vector<messages::RunnerRecord>& ends,
                                  RegistryOutput* output) {
   storage_.Opened(ends);
@@ -50,9 +45,4 @@
   storage_.WriteDone(now, token, written, output);
 }
 
-void Registry::Impl::AcknowledgeUpdate(const std::string& from_address,
-                                       const messages::RegistryUpdate& update, RegistryOutput* output) {
-  storage_.Acknowledge(from_address, update, output);
-}
-
 }  // namespace lichenlug::registry
--- a/tests/system/processes/hostile_input_test.cpp
+++ b/tests/system/processes/hostile_input_test.cpp
@@ -7,27 +7,14 @@
 namespace lichenlug::standins::test {
 namespace {
 
-Json Heartbeat() {
-  return {{wire::kService, sample::kService},
-          {"address", "127.0.0.1:9"},
-          {wire::kZone, "east"},
-          {wire::kEdition, "v1"},
-          {wire::kSlots, 4},
-          {wire::kCondition, "ready"},
-          {"cold_ms", 0},
-          {wire::kStage, "both"},
-          {wire::kModels, Json::array()},
-          {wire::kCallCount, 1}};
-}
-
 std::string HeartbeatWith(const char* key, const Json& value) {
-  Json body = Heartbeat();
+  Json body = RunnerHeartbeat();
   body[key] = value;
   return body.dump();
 }
 
 std::string HeartbeatWithout(const char* key) {
-  Json body = Heartbeat();
+  Json body = RunnerHeartbeat();
   body.erase(key);
   return body.dump();
 }
@@ -71,8 +58,8 @@
     INFO(body.substr(0, 200));
     CHECK(SendHeartbeat(system, "odd", body) == 400);
   }
-  CHECK(SendHeartbeat(system, "", Heartbeat().dump()) == 400);
-  CHECK(SendHeartbeat(system, std::string(300, 'a'), Heartbeat().dump()) == 400);
+  CHECK(SendHeartbeat(system, "", RunnerHeartbeat().dump()) == 400);
+  CHECK(SendHeartbeat(system, std::string(300, 'a'), RunnerHeartbeat().dump()) == 400);
   CHECK(SendHeartbeat(system, "runner-1/x?y=%00", "{}") == 400);
   CHECK(system.Status(0).at("runners").size() == 2);
   CHECK(testbed.AllRunning());
--- a/tests/system/processes/losses_test.cpp
+++ b/tests/system/processes/losses_test.cpp
@@ -37,18 +37,14 @@
   call.method = method;
   call.path = wire::kRunnersPath + id;
   call.headers = {{wire::kContentType, wire::kJsonType}};
-  if (method == "PUT")
-    call.body = Json{{wire::kService, sample::kService},
-                     {"address", id == "removed" ? "127.0.0.1:7" : "127.0.0.1:9"},
-                     {wire::kZone, "east"},
-                     {wire::kEdition, "v1"},
-                     {wire::kSlots, 4},
-                     {wire::kCondition, condition},
-                     {"cold_ms", 0},
-                     {wire::kStage, "both"},
-                     {wire::kModels, Json::array()},
-                     {wire::kCallCount, condition == "draining" ? 2 : 1}}
-                    .dump();
+  if (method == "PUT") {
+    Json heartbeat = RunnerHeartbeat();
+    heartbeat["address"] =
+        id == "removed" ? "127.0.0.1:7" : "127.0.0.1:9";  // a runner replaces one at its address
+    heartbeat[wire::kCondition] = condition;
+    heartbeat[wire::kCallCount] = condition == "draining" ? 2 : 1;
+    call.body = heartbeat.dump();
+  }
   return CallAndWait(&system.loop(), system.dispatcher(dispatcher).control_address(), call).status;
 }
 
--- a/tests/system/processes/testbed.cpp
+++ b/tests/system/processes/testbed.cpp
@@ -93,6 +93,19 @@
   return configuration.is_object() ? configuration.value(wire::kEdition, std::int64_t{0}) : 0;
 }
 
+Json RunnerHeartbeat() {
+  return {{wire::kService, sample::kService},
+          {"address", "127.0.0.1:9"},
+          {wire::kZone, "east"},
+          {wire::kEdition, "v1"},
+          {wire::kSlots, 4},
+          {wire::kCondition, "ready"},
+          {"cold_ms", 0},
+          {wire::kStage, "both"},
+          {wire::kModels, Json::array()},
+          {wire::kCallCount, 1}};
+}
+
 std::string SendRaw(Loop* loop, const std::string& address, std::string_view bytes) {
   asio::ip::tcp::socket socket(loop->io());
   std::error_code error;
--- a/tests/system/processes/testbed.h
+++ b/tests/system/processes/testbed.h
@@ -46,6 +46,9 @@
   System system_;
 };
 
+// The body of a valid heartbeat of a runner at an address where nothing listens.
+Json RunnerHeartbeat();
+
 // Sends bytes to an address and reads until the peer closes the connection or a timeout expires.
 std::string SendRaw(Loop* loop, const std::string& address, std::string_view bytes);
 
--- a/tests/system/registry/registry_network.h
+++ b/tests/system/registry/registry_network.h
@@ -52,6 +52,13 @@
   return member;
 }
 
+inline std::vector<messages::RegistryUpdate> UpdatesIn(const RegistryOutput& output) {
+  std::vector<messages::RegistryUpdate> updates;
+  for (const auto& send : output.sends)
+    if (send.message.has_update()) updates.push_back(send.message.update());
+  return updates;
+}
+
 struct SentMessage {
   std::size_t from = 0, to = 0;
   messages::RegistryMessage message;
--- a/tests/system/registry/registry_test.cpp
+++ b/tests/system/registry/registry_test.cpp
@@ -15,13 +15,6 @@
 using messages::RUNNER_DRAINING;
 using messages::RUNNER_READY;
 
-std::vector<messages::RegistryUpdate> UpdatesIn(const RegistryOutput& output) {
-  std::vector<messages::RegistryUpdate> updates;
-  for (const auto& send : output.sends)
-    if (send.message.has_update()) updates.push_back(send.message.update());
-  return updates;
-}
-
 void Acknowledge(Registry* registry, const std::string& from, std::uint64_t number, Time now) {
   messages::RegistryMessage ack;
   ack.mutable_ack()->set_number(number);
--- a/tests/system/registry/stored_ends_test.cpp
+++ b/tests/system/registry/stored_ends_test.cpp
@@ -24,13 +24,6 @@
   return acks;
 }
 
-std::vector<messages::RegistryUpdate> UpdatesIn(const RegistryOutput& output) {
-  std::vector<messages::RegistryUpdate> updates;
-  for (const auto& send : output.sends)
-    if (send.message.has_update()) updates.push_back(send.message.update());
-  return updates;
-}
-
 void OpenStore(Registry* registry, const std::vector<messages::RunnerRecord>& stored = {}) {
   RegistryOutput output;
   registry->StoreOpened(kNow, stored, &output);
